--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,300 @@
+//! The interface of the decision module: what a router is told and what it can do.
+//!
+//! Free of any wire. All times and spans are in nanoseconds; a clock starts anywhere and never goes back.
+//! Names (classes, tenants, zones, kinds) come as their index in the settings, never as text.
+
+use std::sync::Arc;
+
+pub type Nanos = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerId(pub u32);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptNo(pub u32);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClassId(pub usize);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantId(pub usize);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub usize);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KindId(pub usize);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CellId(pub u64);
+/// Token of a timer, given back as it was set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TimerToken(pub u32);
+
+/// A session or a shared beginning, as a digest that is the same on every router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key(pub u64);
+
+impl Key {
+    /// FNV-1a over the text.
+    pub fn of(text: &str) -> Key {
+        let step = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3);
+        Key(text.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325, step))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Read,
+    Write,
+    Both,
+}
+
+/// What repeating a request of a class does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Safe,
+    Keyed,
+    Unsafe,
+}
+
+/// Which servers drop the repeats of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    pub effect: Effect,
+    pub group: Group,
+    /// How long a keyed repeat is dropped, from the first send that may have run.
+    pub window: Nanos,
+    pub aim: Nanos,
+    /// Added to the aim for every prompt token.
+    pub aim_per_token: f64,
+    pub deadline: Nanos,
+    /// Aim for the time between two tokens; 0 if not told.
+    pub token_aim: Nanos,
+    pub worth: f64,
+    pub late_worth: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    pub share: f64,
+    /// Requests a second within the share, all routers together; 0 if not told.
+    pub quota_per_s: f64,
+}
+
+/// What a router is told at its start. [`Settings::default`] holds what an absent setting means.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub seed: u64,
+    pub me: u32,
+    pub routers: u32,
+    pub zone: Option<ZoneId>,
+    pub classes: Vec<Class>,
+    pub tenants: Vec<Tenant>,
+    pub over_share_worth: f64,
+    /// Role and memory in tokens, by kind.
+    pub roles: Vec<Role>,
+    pub memory: Vec<f64>,
+    pub self_prefill: bool,
+    pub ahead: bool,
+    pub resume: bool,
+    pub release_within: Nanos,
+    pub ask: bool,
+    pub ask_within: Nanos,
+    pub cancel: bool,
+    pub probes: bool,
+    pub peers: bool,
+    pub second_copies: bool,
+    pub retry_after: bool,
+    pub max_retry_after: Nanos,
+    pub max_attempts: u32,
+    pub connect_timeout: Nanos,
+    pub drain_grace: Nanos,
+    pub cold_from: f64,
+    pub cold: Nanos,
+    pub fall_multiple: f64,
+    pub fall: Nanos,
+    pub answer_slack: Nanos,
+    pub tick: Nanos,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            seed: 0,
+            me: 0,
+            routers: 1,
+            zone: None,
+            classes: Vec::new(),
+            tenants: Vec::new(),
+            over_share_worth: 1.0,
+            roles: Vec::new(),
+            memory: Vec::new(),
+            self_prefill: false,
+            ahead: false,
+            resume: false,
+            release_within: 0,
+            ask: false,
+            ask_within: 0,
+            cancel: false,
+            probes: false,
+            peers: false,
+            second_copies: false,
+            retry_after: false,
+            max_retry_after: 0,
+            max_attempts: 1,
+            connect_timeout: 0,
+            drain_grace: 0,
+            cold_from: 0.0,
+            cold: 0,
+            fall_multiple: 1.0,
+            fall: 0,
+            answer_slack: 0,
+            tick: 0,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub server: ServerId,
+    pub zone: Option<ZoneId>,
+    pub kind: Option<KindId>,
+    pub cell: Option<CellId>,
+    pub state: ServerState,
+    pub weight: Option<f64>,
+    /// When its process last started; `None` or 0 means long ago.
+    pub ready_at: Option<Nanos>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    Delta,
+    Full,
+    Cached,
+    Failed,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    pub session: Option<Key>,
+    pub prefix: Option<Key>,
+    pub prompt_len: f64,
+    pub prefix_len: f64,
+    pub max_out: f64,
+    /// Rough length of the answer, as time at the class's aim for a token.
+    pub hint: Option<Nanos>,
+    pub give_up_at: Nanos,
+    /// The client says that it repeats an earlier try.
+    pub retry: bool,
+    /// The client comes back after a broken or moved stream.
+    pub again: bool,
+}
+
+/// A load report; a field that the site does not report is `None`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub inflight: Option<f64>,
+    pub queue: Option<f64>,
+    /// Share of slots in use.
+    pub util: Option<f64>,
+    /// Share of memory held (x0).
+    pub memory: Option<f64>,
+    /// Thousands of prompt tokens that wait to be read or fetched (x1).
+    pub unread_k: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    Ok,
+    /// The prompt is read and its state waits at the reader.
+    Read,
+    Error,
+    Full,
+    Timeout,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    Moot,
+    /// A code this version does not know; it may have run.
+    Unknown,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    pub id: RequestId,
+    pub attempt: AttemptNo,
+    pub server: ServerId,
+    pub status: Status,
+    pub latency: Nanos,
+    /// The request is finished.
+    pub closed: bool,
+    /// Read, ok: prompt tokens found kept. Full: 1 if there was no state to fetch.
+    pub note: u64,
+    pub report: Option<Report>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Members { kind: ListKind, entries: Arc<[Entry]> },
+    Request(Request),
+    Timer(TimerToken),
+    Peer { from: u32, data: Vec<u8> },
+    First { id: RequestId, attempt: AttemptNo, server: ServerId, latency: Nanos },
+    Note { id: RequestId, attempt: AttemptNo, server: ServerId, held: bool },
+    Gone(RequestId),
+    Probed { server: ServerId, status: Status, latency: Nanos, report: Option<Report> },
+    Outcome(Outcome),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// `timeout` 0: until the client gives up.
+    Send {
+        id: RequestId,
+        server: ServerId,
+        timeout: Nanos,
+    },
+    Cancel {
+        id: RequestId,
+        attempt: AttemptNo,
+    },
+    Refuse {
+        id: RequestId,
+        retry_after: Nanos,
+    },
+    Fail(RequestId),
+    Release(RequestId),
+    Ahead {
+        id: RequestId,
+        server: ServerId,
+    },
+    Move(RequestId),
+    Probe(ServerId),
+    Close(ServerId),
+    Timer {
+        token: TimerToken,
+        delay: Nanos,
+    },
+    /// To one router, or to all.
+    Tell {
+        peer: Option<u32>,
+        data: Vec<u8>,
+    },
+    Watch(bool),
+    Fetch,
+    Log(String),
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+//! gaparch decides, for one router, which reader and which writer serves each request.
+//!
+//! [`policy`] holds every decision, [`api`] is its interface, [`state`] keeps the books.
+
+pub mod api;
+pub mod policy;
+pub mod state;
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,818 @@
+//! Every decision of the router. The interface (settings, events, actions) is in `src/api.rs`,
+//! the tables are in `src/state.rs`, the reasons at length in `docs/design.md`.
+//!
+//! Read it along a request's path: asked -> held while all writers look full -> read at its home reader
+//! -> written near that reader -> answered. Then come health, cold servers and the clock.
+
+use crate::api::*;
+use crate::state::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How often deadlines, held requests and overdue attempts are looked at.
+const TICK: Nanos = 10_000_000;
+/// A request that no attempt answers ends this long before its client gives up: two ticks and the way back.
+const LAST_CALL: Nanos = 25_000_000;
+/// A held state is sent somewhere or let go this share of the release time after its last outcome.
+const RELEASE_SHARE: f64 = 0.7;
+/// 'Answered full recently', the design's default.
+const FULL_FOR: Nanos = 1_000_000_000;
+/// A writer looks full from this share of its memory on: answers in progress still grow.
+const FULL_SHARE: f64 = 0.92;
+/// A writer nearer to the state yields when its share of memory is this much above the least loaded's.
+const WRITER_YIELD: f64 = 0.08;
+/// Home yields when the wait there, in tokens to read, is this much above the least loaded's.
+const READER_YIELD: f64 = 1500.0;
+/// A read costs about this many tokens whatever its length: steps, hand-over.
+const READ_BASE: f64 = 400.0;
+/// Prompt length taken when none is told.
+const PROMPT_UNKNOWN: f64 = 500.0;
+/// How late reports are taken to be when own work is told from that of other routers.
+const REPORT_LAG: Nanos = 500_000_000;
+/// Weight of a new sample in the running means: about the last ten count.
+const GAIN: f64 = 0.1;
+/// Weight of a new outcome in a server's share of failures: three in a row tell.
+const FAIL_GAIN: f64 = 0.25;
+/// A server that fails this share is shunned, unless its peers fail as often.
+const FAIL_SHARE: f64 = 0.4;
+/// A server counts as slow from this multiple of its peers' median latency on.
+const SLOW_FROM: f64 = 2.0;
+/// Samples before a server's own mean is believed.
+const SAMPLES: u32 = 3;
+/// How long a shunned server rests before it gets one request at a time again.
+const SHUN_FOR: Nanos = 1_000_000_000;
+/// Gap between probes to a server that could not be reached: cheap, and recovery is seen soon.
+const PROBE_EVERY: Nanos = 400_000_000;
+/// A write that has not begun for this long is queued: its writer looks full, whatever it reports.
+const STALLED: Nanos = 400_000_000;
+/// A write that has not begun for this long is called off if another writer has room.
+const WRITE_PATIENCE: Nanos = 900_000_000;
+/// A read is overdue after this and `READ_TIMES` its expected time.
+const READ_PATIENCE: Nanos = 300_000_000;
+const READ_TIMES: f64 = 3.0;
+/// An overdue server that was heard from meanwhile is slow, not dead: it gets this many times as long.
+const ALIVE_TIMES: u64 = 3;
+/// Attempts kept back for a read and a write from the start.
+const ATTEMPTS_KEPT: u32 = 2;
+/// Part of what a cold server may be sent that is used: chance, and peers above their usual load.
+const COLD_CAUTION: f64 = 0.5;
+/// Span over which the load of warm peers is averaged for the cold budget.
+const PEER_SPAN: Nanos = 5_000_000_000;
+/// A cold server gets at least this many mean requests in each window, when peers tell nothing.
+const COLD_FLOOR: f64 = 0.5;
+/// A tenant may go over its share by this much before it counts: routers see uneven parts of it.
+const SHARE_SLACK: f64 = 1.5;
+/// Seconds of a tenant's share that may come at once.
+const SHARE_BURST: f64 = 2.0;
+/// Gap between calls to a list service that failed.
+const ASK_AGAIN: Nanos = 1_000_000_000;
+const TICK_TIMER: TimerToken = TimerToken(0);
+const ASK_TIMER: TimerToken = TimerToken(1);
+
+pub struct Policy {
+    set: Settings,
+    now: Nanos,
+    out: Vec<Action>,
+    servers: BTreeMap<ServerId, Server>,
+    works: BTreeMap<RequestId, Work>,
+    /// Requests held before their read, in the order in which they leave.
+    waiting: BTreeSet<(bool, Nanos, RequestId)>,
+    shares: Vec<Bucket>,
+    /// Mean tokens by class, to read and to write, for the cold budget.
+    class_read: Vec<Mean>,
+    class_write: Vec<Mean>,
+    /// Time from the read's send to the first token.
+    to_first: Mean,
+    /// Nanoseconds a token of a read, all readers together.
+    read_pace: Mean,
+    ticking: bool,
+    started: bool,
+}
+
+impl Policy {
+    pub fn new(set: Settings) -> Policy {
+        Policy {
+            now: 0,
+            out: Vec::new(),
+            servers: BTreeMap::new(),
+            works: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            shares: vec![Bucket::default(); set.tenants.len()],
+            class_read: vec![Mean::default(); set.classes.len()],
+            class_write: vec![Mean::default(); set.classes.len()],
+            to_first: Mean::default(),
+            read_pace: Mean::default(),
+            ticking: false,
+            started: false,
+            set,
+        }
+    }
+
+    /// Takes one event; the actions take effect at `now`, in order.
+    pub fn handle(&mut self, now: Nanos, event: Event) -> Vec<Action> {
+        self.now = now;
+        match event {
+            Event::Members { kind, entries } => self.on_members(kind, &entries),
+            Event::Request(request) => self.on_request(request),
+            Event::Timer(TICK_TIMER) => self.on_tick(),
+            Event::Timer(ASK_TIMER) => self.out.push(Action::Watch(true)),
+            Event::First { id, attempt, latency, .. } => self.on_first(id, attempt, latency),
+            Event::Outcome(outcome) => self.on_outcome(outcome),
+            Event::Gone(id) => self.end(id, None),
+            Event::Probed { server, status, report, .. } => self.on_probed(server, status, report),
+            Event::Timer(_) | Event::Peer { .. } | Event::Note { .. } => {}
+        }
+        self.admit();
+        if !self.ticking && (!self.works.is_empty() || self.servers.values().any(|s| s.unreachable)) {
+            self.ticking = true;
+            self.out.push(Action::Timer { token: TICK_TIMER, delay: TICK });
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    // --- A request comes in -------------------------------------------------------------------------
+
+    fn on_request(&mut self, request: Request) {
+        let Some(class) = self.set.classes.get(request.class.0).cloned() else {
+            self.out.push(Action::Fail(request.id));
+            return;
+        };
+        let prompt = if request.prompt_len > 0.0 { request.prompt_len } else { PROMPT_UNKNOWN };
+        // The design's guess of a stream's memory: the hint, else half of what is allowed.
+        let answer = match request.hint {
+            Some(hint) if class.token_aim > 0 => hint as f64 / class.token_aim as f64,
+            _ => request.max_out / 2.0,
+        };
+        let answer = if request.max_out > 0.0 { answer.min(request.max_out) } else { answer };
+        let over_share = self.over_share(request.tenant);
+        self.class_read[request.class.0].add(prompt, GAIN);
+        self.class_write[request.class.0].add(answer, GAIN);
+        let (id, give_up_at) = (request.id, request.give_up_at);
+        let work = Work {
+            class: request.class,
+            tenant: request.tenant,
+            over_share,
+            arrived: self.now,
+            aim_at: self.now + class.aim + (class.aim_per_token * prompt) as Nanos,
+            answer,
+            attempts: 0,
+            sent: None,
+            state: None,
+            may_have_run: None,
+            avoid: Vec::new(),
+            read_at: None,
+            ended: false,
+            request: Request { prompt_len: prompt, ..request },
+        };
+        self.works.insert(id, work);
+        if give_up_at <= self.now + LAST_CALL {
+            return self.give_up(id);
+        }
+        self.hold(id);
+    }
+
+    /// Whether this request is beyond its tenant's share, of which each router takes an even part.
+    fn over_share(&mut self, tenant: Option<TenantId>) -> bool {
+        let Some(tenant) = tenant.filter(|t| t.0 < self.shares.len()) else { return false };
+        let rate = self.set.tenants[tenant.0].quota_per_s / f64::from(self.set.routers) * SHARE_SLACK;
+        let bucket = &mut self.shares[tenant.0];
+        if rate <= 0.0 {
+            return false;
+        }
+        if bucket.at == 0 {
+            bucket.level = rate * SHARE_BURST;
+            bucket.at = self.now;
+        }
+        bucket.fill(self.now, rate, rate * SHARE_BURST);
+        if bucket.level < 1.0 {
+            return true;
+        }
+        bucket.level -= 1.0;
+        false
+    }
+
+    fn hold(&mut self, id: RequestId) {
+        if let Some(w) = self.works.get(&id) {
+            self.waiting.insert((w.over_share, w.aim_at, id));
+        }
+    }
+
+    // --- Before the read: held while all writers look full ------------------------------------------
+
+    /// Sends held requests to be read as far as writers have room for them.
+    fn admit(&mut self) {
+        while let Some(&(over, aim_at, id)) = self.waiting.first() {
+            let Some(work) = self.works.get(&id) else {
+                self.waiting.pop_first();
+                continue;
+            };
+            let need = work.request.prompt_len + work.answer;
+            if !self.writers_have_room(need) || !self.start(id) {
+                break;
+            }
+            self.waiting.remove(&(over, aim_at, id));
+        }
+    }
+
+    /// Room for `need` tokens besides what is being read for writers already.
+    fn writers_have_room(&self, need: f64) -> bool {
+        let pledged: f64 =
+            self.works.values().filter(|w| pledged(w)).map(|w| w.request.prompt_len + w.answer).sum();
+        let writers = self.candidates(false, None);
+        let with_room: Vec<&Server> = writers.into_iter().filter(|s| self.has_room(s, need)).collect();
+        let free: f64 = with_room.iter().map(|s| (FULL_SHARE - self.memory_share(s)) * s.memory).sum();
+        !with_room.is_empty() && (free >= pledged + need || with_room.iter().any(|s| s.memory <= 0.0))
+    }
+
+    /// Sends a request to its home reader, or to the least loaded one where home is clearly busier.
+    fn start(&mut self, id: RequestId) -> bool {
+        let Some(work) = self.works.get(&id) else { return true };
+        let readers = self.candidates(true, Some(work));
+        let key = work.request.prefix.or(work.request.session).unwrap_or(Key(id.0));
+        let rank = |s: &&Server| mix(key.0 ^ mix(u64::from(s.id.0)));
+        let Some(home) = readers.iter().copied().max_by_key(|s| rank(s)) else {
+            return self.start_at_writer(id);
+        };
+        let prompt = work.request.prompt_len;
+        let fresh = READ_BASE + (prompt - work.request.prefix_len).max(0.0);
+        let cost = |s: &Server| {
+            let read = if s.id == home.id { fresh } else { READ_BASE + prompt };
+            (s.unread + s.others_unread + read) * s.slow / self.speed(s)
+        };
+        let least = readers.iter().copied().min_by(|a, b| cost(a).total_cmp(&cost(b))).unwrap_or(home);
+        let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
+        let (server, role) = (chosen.id, chosen.role);
+        let unread = if server == home.id { fresh } else { READ_BASE + prompt };
+        let stage = if role == Role::Both { Stage::Whole } else { Stage::Read };
+        self.send(id, server, stage, unread);
+        true
+    }
+
+    /// With no reader at all a writer that reads by itself takes the request whole.
+    fn start_at_writer(&mut self, id: RequestId) -> bool {
+        let Some(work) = self.works.get(&id).filter(|_| self.set.self_prefill) else { return false };
+        let unread = READ_BASE + work.request.prompt_len;
+        let Some(server) = self.pick_writer(work, false) else { return false };
+        self.send(id, server, Stage::Whole, unread);
+        true
+    }
+
+    // --- After the read: a writer with room, near the state ------------------------------------------
+
+    /// The writer for a state. `must`: one is needed now, with room or without.
+    fn pick_writer(&self, work: &Work, must: bool) -> Option<ServerId> {
+        let need = work.request.prompt_len + work.answer;
+        let all = self.candidates(false, Some(work));
+        let mut open: Vec<&Server> = all.iter().copied().filter(|s| self.has_room(s, need)).collect();
+        if open.is_empty() && must {
+            open = all;
+        }
+        let least = self.least_loaded(open.iter().copied())?;
+        let reader = work.state.and_then(|(r, _)| self.servers.get(&r));
+        let cell = |s: &&&Server| reader.is_some_and(|r| r.cell.is_some() && r.cell == s.cell);
+        let zone = |s: &&&Server| reader.is_some_and(|r| r.zone.is_some() && r.zone == s.zone);
+        let clearly = self.load(least) + WRITER_YIELD;
+        for near in [
+            self.least_loaded(open.iter().filter(cell).copied()),
+            self.least_loaded(open.iter().filter(zone).copied()),
+        ] {
+            match near {
+                Some(near) if self.load(near) <= clearly => return Some(near.id),
+                _ => {}
+            }
+        }
+        Some(least.id)
+    }
+
+    /// Ties go to the least guessed memory.
+    fn least_loaded<'s>(&self, servers: impl Iterator<Item = &'s Server>) -> Option<&'s Server> {
+        servers.min_by(|a, b| {
+            let (la, lb) = (self.load(a), self.load(b));
+            la.total_cmp(&lb).then(a.held.total_cmp(&b.held)).then(a.id.cmp(&b.id))
+        })
+    }
+
+    /// Full: as it reported, as it answered within the last second, or as guessed.
+    fn has_room(&self, s: &Server, need: f64) -> bool {
+        let answered_full = s.full_at.is_some_and(|at| self.now < at + FULL_FOR);
+        let fits = s.memory <= 0.0 || self.memory_share(s) + need / s.memory <= FULL_SHARE || s.held <= 0.0;
+        !answered_full && !s.reported_full && fits
+    }
+
+    /// Share of a writer's memory that is held, by guess: own sends, and the others' by report.
+    fn memory_share(&self, s: &Server) -> f64 {
+        (s.held + self.others(s)) / s.memory.max(1.0)
+    }
+
+    /// What the other routers hold at a server; one not heard from counts as average.
+    fn others(&self, s: &Server) -> f64 {
+        if let Some(others) = s.others {
+            return others;
+        }
+        let known = |o: &Server| if o.kind == s.kind { o.others } else { None };
+        let (sum, n) = self.servers.values().filter_map(known).fold((0.0, 0.0), |(t, n), o| (t + o, n + 1.0));
+        if n > 0.0 {
+            sum / n
+        } else {
+            0.0
+        }
+    }
+
+    fn load(&self, s: &Server) -> f64 {
+        self.memory_share(s) * s.slow / self.speed(s)
+    }
+
+    /// Its weight beside the mean of its role, less while it is cold.
+    fn speed(&self, s: &Server) -> f64 {
+        let peers = self.servers.values().filter(|p| p.ready && p.role == s.role);
+        let (sum, n) = peers.fold((0.0, 0.0), |(t, n), p| (t + p.weight, n + 1.0));
+        let relative = if sum > 0.0 { s.weight * n / sum } else { 1.0 };
+        relative.max(0.1) * if self.cold(s) { self.set.cold_from.clamp(0.1, 1.0) } else { 1.0 }
+    }
+
+    /// A state waits: send it on, let it wait a little, or let it go when the release time runs out.
+    fn place(&mut self, id: RequestId) {
+        let Some(work) = self.works.get(&id) else { return };
+        let Some((_, since)) = work.state.filter(|_| work.sent.is_none()) else { return };
+        let patience = (self.set.release_within as f64 * RELEASE_SHARE) as Nanos;
+        let must = self.now + TICK >= since + patience;
+        if let Some(server) = self.pick_writer(work, must) {
+            self.send(id, server, Stage::Write, 0.0);
+        } else if must {
+            self.give_up(id);
+        }
+    }
+
+    // --- Sending ------------------------------------------------------------------------------------
+
+    /// Servers of one stage that may be sent to now, leaving out ill ones while enough others are left.
+    fn candidates(&self, reads: bool, work: Option<&Work>) -> Vec<&Server> {
+        let role = |s: &&Server| match s.role {
+            Role::Read => reads,
+            Role::Write => !reads,
+            Role::Both => reads || work.is_none_or(|w| w.state.is_none()),
+        };
+        let open =
+            |s: &&Server| s.ready && self.cold_budget_allows(s) && work.is_none_or(|w| self.may_go_to(w, s));
+        let mut open: Vec<&Server> = self.servers.values().filter(role).filter(open).collect();
+        if !reads && open.iter().all(|s| s.role != Role::Write) {
+            let both = |s: &&Server| s.ready && s.role == Role::Both && self.cold_budget_allows(s);
+            let may = |s: &&Server| work.is_none_or(|w| self.may_go_to(w, s));
+            open = self.servers.values().filter(both).filter(may).collect();
+        }
+        let tried = |s: &&&Server| work.is_some_and(|w| w.avoid.contains(&s.id));
+        let well: Vec<&Server> =
+            open.iter().filter(|s| !self.ill(s)).filter(|s| !tried(s)).copied().collect();
+        // Where most look ill the cause is likely elsewhere, and the few left would be swamped.
+        if well.len() * 3 >= open.len() && !well.is_empty() {
+            return well;
+        }
+        let reachable: Vec<&Server> = open.iter().filter(|s| !s.unreachable).copied().collect();
+        if reachable.is_empty() {
+            open
+        } else {
+            reachable
+        }
+    }
+
+    /// Rule 2 for keyed requests that may have run: same group, within the window.
+    fn may_go_to(&self, work: &Work, s: &Server) -> bool {
+        let Some(ran) = work.may_have_run else { return true };
+        let Some(class) = self.set.classes.get(work.class.0) else { return false };
+        let same = match class.group {
+            Group::All => true,
+            Group::Zone => ran.zone.is_some() && ran.zone == s.zone,
+            Group::Cell => ran.cell.is_some() && ran.cell == s.cell,
+        };
+        class.effect != Effect::Unsafe && same && self.now + TICK < ran.at + class.window
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, stage: Stage, unread: f64) {
+        let (now, cost) = (self.now, self.cold_cost(id, stage));
+        let (Some(work), Some(s)) = (self.works.get_mut(&id), self.servers.get_mut(&server)) else { return };
+        let held = if stage == Stage::Read { 0.0 } else { work.request.prompt_len + work.answer };
+        s.held_seen.follow(now, s.held, REPORT_LAG);
+        s.unbegun_seen.follow(now, f64::from(s.unbegun), REPORT_LAG);
+        s.out += 1;
+        s.unbegun += 1;
+        s.held += held;
+        s.sent.add(now, cost, PEER_SPAN);
+        s.budget.level -= cost;
+        let queued = s.unread + unread;
+        s.unread += unread;
+        let no = AttemptNo(work.attempts);
+        work.attempts += 1;
+        work.read_at = work.read_at.or(Some(now));
+        work.sent =
+            Some(Sent { server, no, at: now, stage, unread, queued, held, begun: None, cancelled: false });
+        // Without a way to call an attempt off, its time-out has to do it.
+        let safe = stage == Stage::Read || self.set.classes[work.class.0].effect == Effect::Safe;
+        let timeout = match stage {
+            Stage::Write if safe && !self.set.cancel => WRITE_PATIENCE,
+            Stage::Read if !self.set.cancel => READ_PATIENCE * ALIVE_TIMES,
+            _ => 0,
+        };
+        self.out.push(Action::Send { id, server, timeout });
+    }
+
+    // --- What comes back ----------------------------------------------------------------------------
+
+    fn on_first(&mut self, id: RequestId, attempt: AttemptNo, latency: Nanos) {
+        let now = self.now;
+        let Some(work) = self.works.get_mut(&id) else { return };
+        // Whatever the stream took over is let go by itself.
+        work.state = None;
+        let Some(sent) = work.sent.as_mut().filter(|s| s.no == attempt && s.begun.is_none()) else { return };
+        sent.begun = Some(now);
+        let (server, unread, stage) = (sent.server, sent.unread, sent.stage);
+        if let Some(read_at) = work.read_at {
+            self.to_first.add(now.saturating_sub(read_at) as f64, GAIN);
+        }
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.unbegun_seen.follow(now, f64::from(s.unbegun), REPORT_LAG);
+            s.unbegun -= 1;
+            s.unread -= unread;
+            s.heard_at = now;
+        }
+        if stage == Stage::Write {
+            self.learn_pace(server, latency as f64);
+        }
+    }
+
+    fn on_outcome(&mut self, o: Outcome) {
+        self.note_health(&o);
+        let Some(work) = self.works.get_mut(&o.id) else { return };
+        let Some(sent) = work.sent.take_if(|s| s.no == o.attempt) else { return };
+        work.ended |= o.closed;
+        let now = self.now;
+        if let Some(s) = self.servers.get_mut(&o.server) {
+            s.held_seen.follow(now, s.held, REPORT_LAG);
+            s.unbegun_seen.follow(now, f64::from(s.unbegun), REPORT_LAG);
+            s.out = s.out.saturating_sub(1);
+            s.held -= sent.held;
+            if sent.begun.is_none() {
+                s.unbegun = s.unbegun.saturating_sub(1);
+                s.unread -= sent.unread;
+            }
+        }
+        if let Some(report) = o.report {
+            self.on_report(o.server, &report);
+        }
+        if sent.stage == Stage::Read && o.status == Status::Read {
+            self.learn_read(o.server, &sent, o.latency);
+        }
+        self.settle(o, sent);
+    }
+
+    /// What an outcome means for its request.
+    fn settle(&mut self, o: Outcome, sent: Sent) {
+        let now = self.now;
+        let Some(work) = self.works.get_mut(&o.id) else { return };
+        let read = sent.stage == Stage::Read;
+        match work.state.as_mut() {
+            // The release time starts again with each outcome.
+            Some((_, since)) if !read => *since = now,
+            _ if o.status == Status::Read => work.state = Some((o.server, now)),
+            _ => {}
+        }
+        if work.ended {
+            // Its client has its answer or is gone: nothing may stay pinned.
+            if sent.begun.is_none() {
+                self.out.push(Action::Release(o.id));
+            }
+            self.works.remove(&o.id);
+            return;
+        }
+        let effect = self.set.classes[work.class.0].effect;
+        let never_ran =
+            matches!(o.status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Read);
+        if !read && !never_ran && effect != Effect::Safe && work.may_have_run.is_none() {
+            let (zone, cell) = self.servers.get(&o.server).map_or((None, None), |s| (s.zone, s.cell));
+            work.may_have_run = Some(MayHaveRun { zone, cell, at: sent.at });
+        }
+        let unsafe_ran = effect == Effect::Unsafe && work.may_have_run.is_some();
+        let no_state = o.status == Status::Full && o.note == 1;
+        if no_state {
+            work.state = None;
+        } else if o.status != Status::Read && !work.avoid.contains(&o.server) {
+            work.avoid.push(o.server);
+        }
+        // A way on needs one send with a state, two without.
+        let steps = if work.state.is_some() { 1 } else { ATTEMPTS_KEPT };
+        if unsafe_ran || o.status == Status::Moot || work.attempts + steps > self.set.max_attempts.max(steps)
+        {
+            return self.give_up(o.id);
+        }
+        if work.state.is_some() {
+            return self.place(o.id);
+        }
+        self.hold(o.id);
+    }
+
+    // --- The final answer ---------------------------------------------------------------------------
+
+    /// A refusal where trying again is harmless, else a failure; nothing stays pinned.
+    fn give_up(&mut self, id: RequestId) {
+        let Some(work) = self.works.get(&id) else { return };
+        let Some(class) = self.set.classes.get(work.class.0) else { return };
+        let writing = work.sent.is_some_and(|s| s.stage != Stage::Read);
+        let ran = writing || work.may_have_run.is_some();
+        let harmless = match class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => !ran || class.group == Group::All,
+            Effect::Unsafe => !ran,
+        };
+        let retry_after = if self.set.retry_after { self.set.max_retry_after } else { 0 };
+        let answer = if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) };
+        self.end(id, Some(answer));
+    }
+
+    /// Closes a request: by a final answer of ours, or because its client has left.
+    fn end(&mut self, id: RequestId, answer: Option<Action>) {
+        let Some(work) = self.works.get_mut(&id).filter(|w| !w.ended) else { return };
+        work.ended = true;
+        self.waiting.remove(&(work.over_share, work.aim_at, id));
+        self.out.extend(answer);
+        match work.sent {
+            // Books and state are settled by its outcome.
+            Some(sent) if self.set.cancel && sent.begun.is_none() && !sent.cancelled => {
+                self.out.push(Action::Cancel { id, attempt: sent.no });
+            }
+            Some(_) => {}
+            None => {
+                if work.state.is_some() {
+                    self.out.push(Action::Release(id));
+                }
+                self.works.remove(&id);
+            }
+        }
+    }
+
+    // --- Health: by symptom, against peers -----------------------------------------------------------
+
+    fn ill(&self, s: &Server) -> bool {
+        let on_trial = s.failing.value >= FAIL_SHARE && s.failing.samples >= SAMPLES;
+        s.unreachable || self.now < s.shunned_until || on_trial && s.unbegun > 0
+    }
+
+    fn note_health(&mut self, o: &Outcome) {
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(&o.server) else { return };
+        match o.status {
+            Status::Ok | Status::Read => {
+                s.failing.add(0.0, FAIL_GAIN);
+                s.unreachable = false;
+            }
+            Status::Error | Status::Unknown => s.failing.add(1.0, FAIL_GAIN),
+            Status::Full if o.note != 1 => s.full_at = Some(now),
+            // Dead, cut off, or with all connections taken: a probe tells when it is back.
+            Status::ConnectFailed | Status::Reset => {
+                s.unreachable = true;
+                s.shunned_until = now + SHUN_FOR;
+                s.probe_at = now;
+            }
+            _ => {}
+        }
+        if !matches!(o.status, Status::Timeout | Status::Cancelled | Status::ConnectFailed | Status::Moot) {
+            s.heard_at = now;
+        }
+        if o.status == Status::Error && s.failing.value >= FAIL_SHARE && s.failing.samples >= SAMPLES {
+            s.shunned_until = now + SHUN_FOR;
+        }
+    }
+
+    fn on_probed(&mut self, server: ServerId, status: Status, report: Option<Report>) {
+        let now = self.now;
+        if let Some(s) = self.servers.get_mut(&server).filter(|_| status == Status::Ok) {
+            s.unreachable = false;
+            s.shunned_until = now;
+            s.heard_at = now;
+        }
+        if let Some(report) = report {
+            self.on_report(server, &report);
+        }
+    }
+
+    /// A report counts own work too, as it was a while ago; what is left is the others'.
+    fn on_report(&mut self, server: ServerId, report: &Report) {
+        let (now, read) = (self.now, self.mean_read());
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.held_seen.follow(now, s.held, REPORT_LAG);
+        s.unbegun_seen.follow(now, f64::from(s.unbegun), REPORT_LAG);
+        if let Some(share) = report.memory.filter(|_| s.role != Role::Read) {
+            s.others = Some((share * s.memory - s.held_seen.value).max(0.0));
+            s.reported_full = share >= FULL_SHARE;
+        }
+        if let Some(requests) = report.inflight.or(report.queue).filter(|_| s.role != Role::Write) {
+            s.others_unread = (requests - s.unbegun_seen.value).max(0.0) * read;
+        }
+        if let Some(k) = report.unread_k.filter(|_| s.role != Role::Write) {
+            s.others_unread = (k * 1000.0 - s.unread).max(0.0);
+        }
+    }
+
+    fn mean_read(&self) -> f64 {
+        let n = self.class_read.len().max(1) as f64;
+        self.class_read.iter().map(|m| m.value).sum::<f64>() / n
+    }
+
+    fn learn_read(&mut self, server: ServerId, sent: &Sent, latency: Nanos) {
+        let per_token = latency as f64 / sent.queued.max(READ_BASE);
+        self.read_pace.add(per_token, GAIN);
+        self.learn_pace(server, per_token);
+    }
+
+    /// Compares a server's latency with the median of its role.
+    fn learn_pace(&mut self, server: ServerId, sample: f64) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.pace.add(sample, FAIL_GAIN);
+        let role = s.role;
+        let believed = |p: &&mut Server| p.role == role && p.pace.samples >= SAMPLES;
+        let mut paces: Vec<f64> = self.servers.values_mut().filter(believed).map(|p| p.pace.value).collect();
+        paces.sort_by(f64::total_cmp);
+        let Some(&median) = paces.get(paces.len().saturating_sub(1) / 2) else { return };
+        for p in self.servers.values_mut().filter(believed) {
+            let ratio = p.pace.value / median.max(1.0);
+            p.slow = if ratio >= SLOW_FROM { ratio } else { 1.0 };
+        }
+    }
+
+    // --- Cold servers -------------------------------------------------------------------------------
+
+    fn cold(&self, s: &Server) -> bool {
+        s.ready_at > 0 && self.now < s.ready_at + self.set.cold
+    }
+
+    /// What a send weighs at a cold server: its class's mean work, in mean requests.
+    fn cold_cost(&self, id: RequestId, stage: Stage) -> f64 {
+        let means = if stage == Stage::Read { &self.class_read } else { &self.class_write };
+        let total: f64 = means.iter().map(|m| m.value).sum();
+        let class = self.works.get(&id).map_or(0, |w| w.class.0);
+        let mean = means.get(class).map_or(0.0, |m| m.value);
+        if total > 0.0 {
+            mean * means.len() as f64 / total
+        } else {
+            1.0
+        }
+    }
+
+    /// Rule 4: all routers together stay under multiple x cold share x capacity. Each router keeps to that
+    /// part of what it sends itself to a warm peer, so the sum stays below whatever the traffic's split.
+    fn cold_budget_allows(&self, s: &Server) -> bool {
+        !self.cold(s) || s.budget.level >= 0.0
+    }
+
+    fn fill_cold_budgets(&mut self) {
+        let (now, span) = (self.now, PEER_SPAN);
+        let cold: Vec<(ServerId, Role)> =
+            self.servers.values().filter(|s| self.cold(s)).map(|s| (s.id, s.role)).collect();
+        for (id, role) in cold {
+            let peers = self.servers.values().filter(|p| p.ready && p.role == role && !self.cold(p));
+            let (sum, n) = peers.fold((0.0, 0.0f64), |(t, n), p| (t + p.sent.get(now, span), n + 1.0));
+            let peer_per_s = sum / n.max(1.0) / (span as f64 / 1e9);
+            let floor = COLD_FLOOR / (self.set.fall as f64 / 1e9).max(0.1) / f64::from(self.set.routers);
+            let part = (self.set.fall_multiple * self.set.cold_from * COLD_CAUTION).min(1.0);
+            if let Some(s) = self.servers.get_mut(&id) {
+                s.budget.fill(now, (peer_per_s * part).max(floor), 0.0);
+            }
+        }
+    }
+
+    // --- The list of servers ------------------------------------------------------------------------
+
+    fn on_members(&mut self, kind: ListKind, entries: &[Entry]) {
+        if kind == ListKind::Failed {
+            return self.out.push(Action::Timer { token: ASK_TIMER, delay: ASK_AGAIN });
+        }
+        if !self.started && self.set.ask {
+            self.out.push(Action::Watch(true));
+        }
+        self.started = true;
+        if kind != ListKind::Delta {
+            self.servers.values_mut().for_each(|s| s.ready = false);
+        }
+        for entry in entries {
+            self.on_entry(entry);
+        }
+    }
+
+    fn on_entry(&mut self, e: &Entry) {
+        let kind = e.kind.map_or(usize::MAX, |k| k.0);
+        let role = self.set.roles.get(kind).copied().unwrap_or(Role::Both);
+        let memory = self.set.memory.get(kind).copied().unwrap_or(0.0);
+        let ready_at = e.ready_at.unwrap_or(0);
+        let s = self.servers.entry(e.server).or_insert_with(|| new_server(e.server, role, memory));
+        s.zone = e.zone;
+        s.cell = e.cell;
+        s.kind = e.kind;
+        s.weight = e.weight.filter(|w| *w > 0.0).unwrap_or(1.0);
+        // Nothing new goes to a draining or gone server from now on: rule 3 with nothing of its grace used.
+        s.ready = e.state == ServerState::Ready;
+        if ready_at != s.ready_at {
+            // A new process: its past says nothing, its cold budget starts empty.
+            s.ready_at = ready_at;
+            s.budget = Bucket { level: -1.0, at: self.now };
+            (s.failing, s.pace, s.slow) = (Mean::default(), Mean::default(), 1.0);
+            (s.unreachable, s.shunned_until, s.full_at) = (false, 0, None);
+            (s.others, s.others_unread, s.reported_full) = (None, 0.0, false);
+        }
+    }
+
+    // --- The clock ----------------------------------------------------------------------------------
+
+    fn on_tick(&mut self) {
+        self.ticking = false;
+        self.fill_cold_budgets();
+        let open = |(id, w): (&RequestId, &Work)| (!w.ended).then_some(*id);
+        let ids: Vec<RequestId> = self.works.iter().filter_map(open).collect();
+        for id in ids {
+            self.look_after(id);
+        }
+        self.shed();
+        self.probe();
+    }
+
+    fn look_after(&mut self, id: RequestId) {
+        let Some(work) = self.works.get(&id) else { return };
+        if work.sent.is_some_and(|s| s.begun.is_some()) {
+            return;
+        }
+        if self.now + LAST_CALL >= work.request.give_up_at {
+            return self.give_up(id);
+        }
+        match work.sent {
+            None => self.place(id),
+            Some(sent) if !sent.cancelled => self.check_overdue(id, sent),
+            Some(_) => {}
+        }
+    }
+
+    /// An attempt that takes too long: its server queues, is slow, is cut off or died without a word.
+    fn check_overdue(&mut self, id: RequestId, sent: Sent) {
+        let age = self.now - sent.at;
+        let Some(s) = self.servers.get_mut(&sent.server) else { return };
+        let silent = s.heard_at < sent.at;
+        if sent.stage == Stage::Write && age >= STALLED {
+            s.full_at = Some(self.now);
+        }
+        let patience = match sent.stage {
+            Stage::Write => WRITE_PATIENCE,
+            _ => READ_PATIENCE + (READ_TIMES * self.read_pace.value * sent.queued) as Nanos,
+        };
+        let patience = if silent || sent.stage == Stage::Write { patience } else { patience * ALIVE_TIMES };
+        if age < patience {
+            return;
+        }
+        if silent && self.set.probes && !s.unreachable {
+            s.unreachable = true;
+            s.probe_at = self.now;
+        }
+        let Some(work) = self.works.get(&id) else { return };
+        let safe = sent.stage == Stage::Read || self.set.classes[work.class.0].effect == Effect::Safe;
+        let left = work.attempts + ATTEMPTS_KEPT <= self.set.max_attempts;
+        let reads = sent.stage != Stage::Write;
+        let need = work.request.prompt_len + work.answer;
+        let better = |s: &&Server| s.id != sent.server && !self.ill(s) && (reads || self.has_room(s, need));
+        if !safe || !left || !self.set.cancel || !self.candidates(reads, Some(work)).iter().any(better) {
+            return;
+        }
+        if let Some(sent) = self.works.get_mut(&id).and_then(|w| w.sent.as_mut()) {
+            sent.cancelled = true;
+            self.out.push(Action::Cancel { id, attempt: sent.no });
+        }
+    }
+
+    /// Held requests that can't make their aim any more end now, so that others can.
+    fn shed(&mut self) {
+        let late = |w: &Work| self.now + self.to_first.value as Nanos > w.aim_at;
+        let held = self.waiting.iter().map(|w| w.2);
+        let ids: Vec<RequestId> = held.filter(|id| self.works.get(id).is_some_and(late)).collect();
+        for id in ids {
+            self.give_up(id);
+        }
+    }
+
+    fn probe(&mut self) {
+        let now = self.now;
+        for s in self.servers.values_mut().filter(|s| s.ready && s.unreachable && s.probe_at <= now) {
+            if self.set.probes {
+                s.probe_at = now + PROBE_EVERY;
+                self.out.push(Action::Probe(s.id));
+            } else if now >= s.shunned_until {
+                s.unreachable = false;
+            }
+        }
+    }
+}
+
+/// A state that a writer will have to take.
+fn pledged(w: &Work) -> bool {
+    !w.ended && (w.state.is_some() && w.sent.is_none() || w.sent.is_some_and(|s| s.stage == Stage::Read))
+}
+
+/// A fixed mixing of bits (SplitMix64), the same on every router.
+fn mix(key: u64) -> u64 {
+    let z = key.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,198 @@
+//! Bookkeeping for the decision module: the tables of servers and requests. Decides nothing.
+
+use crate::api::{AttemptNo, CellId, ClassId, KindId, Nanos, Request, Role, ServerId, TenantId, ZoneId};
+
+/// A mean that forgets: each sample counts `gain` of the whole.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Mean {
+    pub value: f64,
+    pub samples: u32,
+}
+
+impl Mean {
+    pub fn add(&mut self, sample: f64, gain: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let gain = gain.max(1.0 / f64::from(self.samples));
+        self.value += (sample - self.value) * gain;
+    }
+}
+
+/// An amount that drains away exponentially, so that `value / span` is a recent rate.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Recent {
+    value: f64,
+    at: Nanos,
+}
+
+impl Recent {
+    pub fn add(&mut self, now: Nanos, amount: f64, span: Nanos) {
+        self.value = self.get(now, span) + amount;
+        self.at = now;
+    }
+
+    pub fn get(&self, now: Nanos, span: Nanos) -> f64 {
+        let age = now.saturating_sub(self.at) as f64;
+        self.value * (-age / span.max(1) as f64).exp()
+    }
+}
+
+/// Follows a value late, as a report does: `1 - 1/e` of a change is seen after `span`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lagged {
+    pub value: f64,
+    at: Nanos,
+}
+
+impl Lagged {
+    /// To be called before `current` changes.
+    pub fn follow(&mut self, now: Nanos, current: f64, span: Nanos) {
+        let age = now.saturating_sub(self.at) as f64;
+        self.value = current + (self.value - current) * (-age / span.max(1) as f64).exp();
+        self.at = now;
+    }
+}
+
+/// A token bucket; the caller gives rate and depth, since both change.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Bucket {
+    pub level: f64,
+    pub at: Nanos,
+}
+
+impl Bucket {
+    pub fn fill(&mut self, now: Nanos, per_s: f64, depth: f64) {
+        let span = now.saturating_sub(self.at) as f64 / 1e9;
+        self.level = (self.level + span * per_s).min(depth);
+        self.at = now;
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub id: ServerId,
+    pub zone: Option<ZoneId>,
+    pub cell: Option<CellId>,
+    pub kind: Option<KindId>,
+    pub role: Role,
+    pub weight: f64,
+    /// Tokens of memory.
+    pub memory: f64,
+    pub ready_at: Nanos,
+    /// Listed, and neither draining nor gone.
+    pub ready: bool,
+    /// Own attempts out, begun or not.
+    pub out: u32,
+    /// Own attempts out that have not begun an answer.
+    pub unbegun: u32,
+    /// Own prompt tokens sent there to be read, not yet read.
+    pub unread: f64,
+    /// Own guessed tokens of memory sent there to be written.
+    pub held: f64,
+    /// `held` and `unbegun` as a report, which is late, can have counted them.
+    pub held_seen: Lagged,
+    pub unbegun_seen: Lagged,
+    /// What other routers hold there, by the reports: tokens of memory, tokens to read.
+    pub others: Option<f64>,
+    pub others_unread: f64,
+    pub reported_full: bool,
+    pub full_at: Option<Nanos>,
+    /// Last time that it answered anything at all.
+    pub heard_at: Nanos,
+    pub failing: Mean,
+    /// Latency for the work asked of it.
+    pub pace: Mean,
+    /// That latency as a multiple of its peers'; 1 while it is not clearly slower.
+    pub slow: f64,
+    pub shunned_until: Nanos,
+    pub unreachable: bool,
+    pub probe_at: Nanos,
+    /// Work sent there lately, in mean requests.
+    pub sent: Recent,
+    pub budget: Bucket,
+}
+
+pub fn new_server(id: ServerId, role: Role, memory: f64) -> Server {
+    Server {
+        id,
+        zone: None,
+        cell: None,
+        kind: None,
+        role,
+        weight: 1.0,
+        memory,
+        ready_at: 0,
+        ready: false,
+        out: 0,
+        unbegun: 0,
+        unread: 0.0,
+        held: 0.0,
+        held_seen: Lagged::default(),
+        unbegun_seen: Lagged::default(),
+        others: None,
+        others_unread: 0.0,
+        reported_full: false,
+        full_at: None,
+        heard_at: 0,
+        failing: Mean::default(),
+        pace: Mean::default(),
+        slow: 1.0,
+        shunned_until: 0,
+        unreachable: false,
+        probe_at: 0,
+        sent: Recent::default(),
+        budget: Bucket::default(),
+    }
+}
+
+/// The attempt of a request that is out.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent {
+    pub server: ServerId,
+    pub no: AttemptNo,
+    pub at: Nanos,
+    pub stage: Stage,
+    pub unread: f64,
+    /// Own tokens to read there when it was sent, its own included.
+    pub queued: f64,
+    pub held: f64,
+    pub begun: Option<Nanos>,
+    pub cancelled: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Read,
+    Write,
+    /// Read and written at one mixed server.
+    Whole,
+}
+
+/// An attempt that may have run, of a request that is not safe to repeat.
+#[derive(Clone, Copy, Debug)]
+pub struct MayHaveRun {
+    pub zone: Option<ZoneId>,
+    pub cell: Option<CellId>,
+    pub at: Nanos,
+}
+
+#[derive(Clone, Debug)]
+pub struct Work {
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    pub request: Request,
+    pub over_share: bool,
+    pub arrived: Nanos,
+    pub aim_at: Nanos,
+    /// Guessed tokens of the answer.
+    pub answer: f64,
+    pub attempts: u32,
+    pub sent: Option<Sent>,
+    /// The reader where the state waits, and since when no attempt has been out.
+    pub state: Option<(ServerId, Nanos)>,
+    pub may_have_run: Option<MayHaveRun>,
+    /// Servers that failed it.
+    pub avoid: Vec<ServerId>,
+    pub read_at: Option<Nanos>,
+    /// The final answer is given: only the books are still open.
+    pub ended: bool,
+}
