Readers look full too: hold while they answered full or a read there takes long

A live but busy reader is not re-read; the share of a prefix found kept at home is learnt from the notes.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,11 +46,13 @@
 const STALLED: Nanos = 400_000_000;
 /// A write that has not begun for this long is called off if another writer has room.
 const WRITE_PATIENCE: Nanos = 900_000_000;
+/// A reader looks full when a read there would take longer than this: the rest waits here, in order.
+const READ_WAIT: Nanos = 500_000_000;
 /// A read is overdue after this and `READ_TIMES` its expected time.
 const READ_PATIENCE: Nanos = 300_000_000;
 const READ_TIMES: f64 = 3.0;
-/// An overdue server that was heard from meanwhile is slow, not dead: it gets this many times as long.
-const ALIVE_TIMES: u64 = 3;
+/// Without a way to call a read off, its time-out has to be this much longer.
+const BLIND_TIMES: u64 = 5;
 /// Attempts kept back for a read and a write from the start.
 const ATTEMPTS_KEPT: u32 = 2;
 /// Part of what a cold server may be sent that is used: chance, and peers above their usual load.
@@ -226,24 +228,36 @@
     /// Sends a request to its home reader, or to the least loaded one where home is clearly busier.
     fn start(&mut self, id: RequestId) -> bool {
         let Some(work) = self.works.get(&id) else { return true };
-        let readers = self.candidates(true, Some(work));
+        let need = work.request.prompt_len + work.answer;
+        let mut readers = self.candidates(true, Some(work));
+        if readers.is_empty() {
+            return self.start_at_writer(id);
+        }
+        readers.retain(|s| s.role != Role::Both || self.has_room(s, need));
         let key = work.request.prefix.or(work.request.session).unwrap_or(Key(id.0));
         let rank = |s: &&Server| mix(key.0 ^ mix(u64::from(s.id.0)));
-        let Some(home) = readers.iter().copied().max_by_key(|s| rank(s)) else {
-            return self.start_at_writer(id);
+        let rank_first = readers.iter().copied().max_by_key(rank).map(|s| s.id);
+        let unread = |s: &Server| {
+            let kept = if Some(s.id) == rank_first { work.request.prefix_len * s.kept.value } else { 0.0 };
+            READ_BASE + (work.request.prompt_len - kept).max(0.0)
         };
-        let prompt = work.request.prompt_len;
-        let fresh = READ_BASE + (prompt - work.request.prefix_len).max(0.0);
-        let cost = |s: &Server| {
-            let read = if s.id == home.id { fresh } else { READ_BASE + prompt };
-            (s.unread + s.others_unread + read) * s.slow / self.speed(s)
+        let cost = |s: &Server| (s.unread + s.others_unread + unread(s)) * s.slow / self.speed(s);
+        // A reader looks full when it said so, or when the wait there is long by what reads take now.
+        // One that has nothing of ours is tried all the same, or its pace could not be learnt again.
+        let long = |s: &Server| s.unbegun > 0 && cost(s) * self.read_pace.value > READ_WAIT as f64;
+        let room = |s: &&&Server| !self.answered_full(s) && !long(s);
+        let Some(least) = readers.iter().filter(room).min_by(|a, b| cost(a).total_cmp(&cost(b))) else {
+            return false;
         };
-        let least = readers.iter().copied().min_by(|a, b| cost(a).total_cmp(&cost(b))).unwrap_or(home);
+        let home = readers.iter().filter(room).find(|s| Some(s.id) == rank_first).unwrap_or(least);
         let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
-        let (server, role) = (chosen.id, chosen.role);
-        let unread = if server == home.id { fresh } else { READ_BASE + prompt };
-        let stage = if role == Role::Both { Stage::Whole } else { Stage::Read };
-        self.send(id, server, stage, unread);
+        let stage = if chosen.role == Role::Both { Stage::Whole } else { Stage::Read };
+        let (server, unread, queued) = (chosen.id, unread(chosen), cost(chosen));
+        let at_home = Some(server) == rank_first;
+        self.send(id, server, stage, unread, queued);
+        if let Some(sent) = self.works.get_mut(&id).and_then(|w| w.sent.as_mut()) {
+            sent.at_home = at_home;
+        }
         true
     }
 
@@ -252,7 +266,7 @@
         let Some(work) = self.works.get(&id).filter(|_| self.set.self_prefill) else { return false };
         let unread = READ_BASE + work.request.prompt_len;
         let Some(server) = self.pick_writer(work, false) else { return false };
-        self.send(id, server, Stage::Whole, unread);
+        self.send(id, server, Stage::Whole, unread, unread);
         true
     }
 
@@ -293,9 +307,12 @@
 
     /// Full: as it reported, as it answered within the last second, or as guessed.
     fn has_room(&self, s: &Server, need: f64) -> bool {
-        let answered_full = s.full_at.is_some_and(|at| self.now < at + FULL_FOR);
         let fits = s.memory <= 0.0 || self.memory_share(s) + need / s.memory <= FULL_SHARE || s.held <= 0.0;
-        !answered_full && !s.reported_full && fits
+        !self.answered_full(s) && !s.reported_full && fits
+    }
+
+    fn answered_full(&self, s: &Server) -> bool {
+        s.full_at.is_some_and(|at| self.now < at + FULL_FOR)
     }
 
     /// Share of a writer's memory that is held, by guess: own sends, and the others' by report.
@@ -336,7 +353,7 @@
         let patience = (self.set.release_within as f64 * RELEASE_SHARE) as Nanos;
         let must = self.now + TICK >= since + patience;
         if let Some(server) = self.pick_writer(work, must) {
-            self.send(id, server, Stage::Write, 0.0);
+            self.send(id, server, Stage::Write, 0.0, 0.0);
         } else if must {
             self.give_up(id);
         }
@@ -346,31 +363,26 @@
 
     /// Servers of one stage that may be sent to now, leaving out ill ones while enough others are left.
     fn candidates(&self, reads: bool, work: Option<&Work>) -> Vec<&Server> {
-        let role = |s: &&Server| match s.role {
+        let split = self.servers.values().any(|s| s.ready && s.role == Role::Write);
+        let fits = |s: &&Server| match s.role {
             Role::Read => reads,
             Role::Write => !reads,
-            Role::Both => reads || work.is_none_or(|w| w.state.is_none()),
+            Role::Both => reads || !split,
         };
-        let open =
-            |s: &&Server| s.ready && self.cold_budget_allows(s) && work.is_none_or(|w| self.may_go_to(w, s));
-        let mut open: Vec<&Server> = self.servers.values().filter(role).filter(open).collect();
-        if !reads && open.iter().all(|s| s.role != Role::Write) {
-            let both = |s: &&Server| s.ready && s.role == Role::Both && self.cold_budget_allows(s);
-            let may = |s: &&Server| work.is_none_or(|w| self.may_go_to(w, s));
-            open = self.servers.values().filter(both).filter(may).collect();
-        }
-        let tried = |s: &&&Server| work.is_some_and(|w| w.avoid.contains(&s.id));
-        let well: Vec<&Server> =
-            open.iter().filter(|s| !self.ill(s)).filter(|s| !tried(s)).copied().collect();
+        let allowed = |s: &&Server| work.is_none_or(|w| self.may_go_to(w, s));
+        let ready = self.servers.values().filter(|s| s.ready && self.cold_budget_allows(s));
+        let open: Vec<&Server> = ready.filter(fits).filter(allowed).collect();
+        let tried = |s: &&Server| work.is_some_and(|w| w.avoid.contains(&s.id));
+        let well: Vec<&Server> = open.iter().copied().filter(|s| !self.ill(s) && !tried(s)).collect();
         // Where most look ill the cause is likely elsewhere, and the few left would be swamped.
-        if well.len() * 3 >= open.len() && !well.is_empty() {
+        if !well.is_empty() && well.len() * 3 >= open.len() {
             return well;
         }
-        let reachable: Vec<&Server> = open.iter().filter(|s| !s.unreachable).copied().collect();
-        if reachable.is_empty() {
+        let reached: Vec<&Server> = open.iter().copied().filter(|s| !s.unreachable).collect();
+        if reached.is_empty() {
             open
         } else {
-            reachable
+            reached
         }
     }
 
@@ -386,7 +398,7 @@
         class.effect != Effect::Unsafe && same && self.now + TICK < ran.at + class.window
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, stage: Stage, unread: f64) {
+    fn send(&mut self, id: RequestId, server: ServerId, stage: Stage, unread: f64, queued: f64) {
         let (now, cost) = (self.now, self.cold_cost(id, stage));
         let (Some(work), Some(s)) = (self.works.get_mut(&id), self.servers.get_mut(&server)) else { return };
         let held = if stage == Stage::Read { 0.0 } else { work.request.prompt_len + work.answer };
@@ -397,18 +409,27 @@
         s.held += held;
         s.sent.add(now, cost, PEER_SPAN);
         s.budget.level -= cost;
-        let queued = s.unread + unread;
         s.unread += unread;
         let no = AttemptNo(work.attempts);
         work.attempts += 1;
         work.read_at = work.read_at.or(Some(now));
-        work.sent =
-            Some(Sent { server, no, at: now, stage, unread, queued, held, begun: None, cancelled: false });
+        work.sent = Some(Sent {
+            server,
+            no,
+            at: now,
+            stage,
+            unread,
+            queued,
+            held,
+            begun: None,
+            cancelled: false,
+            at_home: false,
+        });
         // Without a way to call an attempt off, its time-out has to do it.
         let safe = stage == Stage::Read || self.set.classes[work.class.0].effect == Effect::Safe;
         let timeout = match stage {
             Stage::Write if safe && !self.set.cancel => WRITE_PATIENCE,
-            Stage::Read if !self.set.cancel => READ_PATIENCE * ALIVE_TIMES,
+            Stage::Read if !self.set.cancel => READ_PATIENCE * BLIND_TIMES,
             _ => 0,
         };
         self.out.push(Action::Send { id, server, timeout });
@@ -458,7 +479,7 @@
             self.on_report(o.server, &report);
         }
         if sent.stage == Stage::Read && o.status == Status::Read {
-            self.learn_read(o.server, &sent, o.latency);
+            self.learn_read(&o, &sent);
         }
         self.settle(o, sent);
     }
@@ -490,7 +511,7 @@
             work.may_have_run = Some(MayHaveRun { zone, cell, at: sent.at });
         }
         let unsafe_ran = effect == Effect::Unsafe && work.may_have_run.is_some();
-        let no_state = o.status == Status::Full && o.note == 1;
+        let no_state = o.status == Status::Full && o.note == 1 && !read;
         if no_state {
             work.state = None;
         } else if o.status != Status::Read && !work.avoid.contains(&o.server) {
@@ -563,7 +584,7 @@
                 s.unreachable = false;
             }
             Status::Error | Status::Unknown => s.failing.add(1.0, FAIL_GAIN),
-            Status::Full if o.note != 1 => s.full_at = Some(now),
+            Status::Full if o.note != 1 || s.role == Role::Read => s.full_at = Some(now),
             // Dead, cut off, or with all connections taken: a probe tells when it is back.
             Status::ConnectFailed | Status::Reset => {
                 s.unreachable = true;
@@ -615,10 +636,14 @@
         self.class_read.iter().map(|m| m.value).sum::<f64>() / n
     }
 
-    fn learn_read(&mut self, server: ServerId, sent: &Sent, latency: Nanos) {
-        let per_token = latency as f64 / sent.queued.max(READ_BASE);
+    fn learn_read(&mut self, o: &Outcome, sent: &Sent) {
+        let per_token = o.latency as f64 / sent.queued.max(READ_BASE);
         self.read_pace.add(per_token, GAIN);
-        self.learn_pace(server, per_token);
+        self.learn_pace(o.server, per_token);
+        let prefix = self.works.get(&o.id).map_or(0.0, |w| w.request.prefix_len);
+        if let Some(s) = self.servers.get_mut(&o.server).filter(|_| prefix > 0.0 && sent.at_home) {
+            s.kept.add((o.note as f64 / prefix).min(1.0), GAIN);
+        }
     }
 
     /// Compares a server's latency with the median of its role.
@@ -758,8 +783,8 @@
             Stage::Write => WRITE_PATIENCE,
             _ => READ_PATIENCE + (READ_TIMES * self.read_pace.value * sent.queued) as Nanos,
         };
-        let patience = if silent || sent.stage == Stage::Write { patience } else { patience * ALIVE_TIMES };
-        if age < patience {
+        // A reader that answers others meanwhile is busy, not dead: reading again elsewhere doubles its work.
+        if age < patience || !silent && sent.stage != Stage::Write {
             return;
         }
         if silent && self.set.probes && !s.unreachable {
--- a/src/state.rs
+++ b/src/state.rs
@@ -99,6 +99,8 @@
     /// Last time that it answered anything at all.
     pub heard_at: Nanos,
     pub failing: Mean,
+    /// Share of a prefix that is found kept where it has its home.
+    pub kept: Mean,
     /// Latency for the work asked of it.
     pub pace: Mean,
     /// That latency as a multiple of its peers'; 1 while it is not clearly slower.
@@ -134,6 +136,7 @@
         full_at: None,
         heard_at: 0,
         failing: Mean::default(),
+        kept: Mean { value: 1.0, samples: u32::MAX },
         pace: Mean::default(),
         slow: 1.0,
         shunned_until: 0,
@@ -155,6 +158,8 @@
     /// Own tokens to read there when it was sent, its own included.
     pub queued: f64,
     pub held: f64,
+    /// Read at the home of its session or prefix.
+    pub at_home: bool,
     pub begun: Option<Nanos>,
     pub cancelled: bool,
 }
