--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,7 +21,7 @@
 /// A writer nearer to the state yields when its share of memory is this much above the least loaded's.
 const WRITER_YIELD: f64 = 0.08;
 /// Home yields when the wait there, in tokens to read, is this much above the least loaded's.
-const READER_YIELD: f64 = 1500.0;
+const READER_YIELD: f64 = 6000.0;
 /// A read costs about this many tokens whatever its length: steps, hand-over.
 const READ_BASE: f64 = 400.0;
 /// Prompt length taken when none is told.
