--- a/src/policy.rs
+++ b/src/policy.rs
@@ -59,6 +59,8 @@
 const COLD_CAUTION: f64 = 0.5;
 /// Span over which the load of warm peers is averaged for the cold budget.
 const PEER_SPAN: Nanos = 5_000_000_000;
+/// Weight of each tick's sample in that load's mean, which stands in while no peer is warm: some 5 s.
+const USUAL_GAIN: f64 = 0.002;
 /// A cold server gets at least this many mean requests in each window, when peers tell nothing.
 const COLD_FLOOR: f64 = 0.5;
 /// A tenant may go over its share by this much before it counts: routers see uneven parts of it.
@@ -86,6 +88,8 @@
     to_first: Mean,
     /// Nanoseconds a token of a read, all readers together.
     read_pace: Mean,
+    /// What a warm server of each role is sent, in mean requests a second.
+    usual: [Mean; 3],
     ticking: bool,
     started: bool,
 }
@@ -103,6 +107,7 @@
             class_write: vec![Mean::default(); set.classes.len()],
             to_first: Mean::default(),
             read_pace: Mean::default(),
+            usual: [Mean::default(); 3],
             ticking: false,
             started: false,
             set,
@@ -581,13 +586,13 @@
         match o.status {
             Status::Ok | Status::Read => {
                 s.failing.add(0.0, FAIL_GAIN);
-                s.unreachable = false;
+                (s.unreachable, s.lost) = (false, false);
             }
             Status::Error | Status::Unknown => s.failing.add(1.0, FAIL_GAIN),
             Status::Full if o.note != 1 || s.role == Role::Read => s.full_at = Some(now),
             // Dead, cut off, or with all connections taken: a probe tells when it is back.
             Status::ConnectFailed | Status::Reset => {
-                s.unreachable = true;
+                (s.unreachable, s.lost) = (true, true);
                 s.shunned_until = now + SHUN_FOR;
                 s.probe_at = now;
             }
@@ -604,7 +609,14 @@
     fn on_probed(&mut self, server: ServerId, status: Status, report: Option<Report>) {
         let now = self.now;
         if let Some(s) = self.servers.get_mut(&server).filter(|_| status == Status::Ok) {
-            s.unreachable = false;
+            if s.lost {
+                // It may be a new process that the list has not told of yet: cold until proven warm. Guards
+                // against routers that all pour onto a server the moment it answers; after a mere cut it
+                // costs some seconds of that server's work.
+                s.back_at = now;
+                s.budget = Bucket { level: -1.0, at: now };
+            }
+            (s.unreachable, s.lost) = (false, false);
             s.shunned_until = now;
             s.heard_at = now;
         }
@@ -664,7 +676,8 @@
     // --- Cold servers -------------------------------------------------------------------------------
 
     fn cold(&self, s: &Server) -> bool {
-        s.ready_at > 0 && self.now < s.ready_at + self.set.cold
+        let since = s.ready_at.max(s.back_at);
+        since > 0 && self.now < since + self.set.cold
     }
 
     /// What a send weighs at a cold server: its class's mean work, in mean requests.
@@ -687,17 +700,18 @@
     }
 
     fn fill_cold_budgets(&mut self) {
-        let (now, span) = (self.now, PEER_SPAN);
-        let cold: Vec<(ServerId, Role)> =
-            self.servers.values().filter(|s| self.cold(s)).map(|s| (s.id, s.role)).collect();
-        for (id, role) in cold {
-            let peers = self.servers.values().filter(|p| p.ready && p.role == role && !self.cold(p));
-            let (sum, n) = peers.fold((0.0, 0.0f64), |(t, n), p| (t + p.sent.get(now, span), n + 1.0));
-            let peer_per_s = sum / n.max(1.0) / (span as f64 / 1e9);
-            let floor = COLD_FLOOR / (self.set.fall as f64 / 1e9).max(0.1) / f64::from(self.set.routers);
-            let part = (self.set.fall_multiple * self.set.cold_from * COLD_CAUTION).min(1.0);
-            if let Some(s) = self.servers.get_mut(&id) {
-                s.budget.fill(now, (peer_per_s * part).max(floor), 0.0);
+        let (now, span_s) = (self.now, PEER_SPAN as f64 / 1e9);
+        let floor = COLD_FLOOR / (self.set.fall as f64 / 1e9).max(0.1) / f64::from(self.set.routers);
+        let part = (self.set.fall_multiple * self.set.cold_from * COLD_CAUTION).min(1.0);
+        for role in [Role::Read, Role::Write, Role::Both] {
+            let warm = self.servers.values().filter(|p| p.ready && p.role == role && !self.cold(p));
+            let (sum, n) = warm.fold((0.0, 0.0), |(t, n), p| (t + p.sent.get(now, PEER_SPAN), n + 1.0));
+            let usual = &mut self.usual[role as usize];
+            let peers = if n > 0.0 { sum / n / span_s } else { usual.value };
+            usual.add(peers, USUAL_GAIN);
+            let rate = (peers.max(usual.value) * part).max(floor);
+            for s in self.servers.values_mut().filter(|s| s.role == role) {
+                s.budget.fill(now, rate, 0.0);
             }
         }
     }
@@ -737,7 +751,7 @@
             s.ready_at = ready_at;
             s.budget = Bucket { level: -1.0, at: self.now };
             (s.failing, s.pace, s.slow) = (Mean::default(), Mean::default(), 1.0);
-            (s.unreachable, s.shunned_until, s.full_at) = (false, 0, None);
+            (s.unreachable, s.lost, s.shunned_until, s.full_at) = (false, false, 0, None);
             (s.others, s.others_unread, s.reported_full) = (None, 0.0, false);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,7 +107,11 @@
     pub slow: f64,
     pub shunned_until: Nanos,
     pub unreachable: bool,
+    /// Unreachable because a connection broke or was not to be had.
+    pub lost: bool,
     pub probe_at: Nanos,
+    /// When it could be reached again, if it could not.
+    pub back_at: Nanos,
     /// Work sent there lately, in mean requests.
     pub sent: Recent,
     pub budget: Bucket,
@@ -141,7 +145,9 @@
         slow: 1.0,
         shunned_until: 0,
         unreachable: false,
+        lost: false,
         probe_at: 0,
+        back_at: 0,
         sent: Recent::default(),
         budget: Bucket::default(),
     }
