--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,6 +72,7 @@
 const TICK_TIMER: TimerToken = TimerToken(0);
 const ASK_TIMER: TimerToken = TimerToken(1);
 
+#[derive(Default)]
 pub struct Policy {
     set: Settings,
     now: Nanos,
@@ -97,20 +98,11 @@
 impl Policy {
     pub fn new(set: Settings) -> Policy {
         Policy {
-            now: 0,
-            out: Vec::new(),
-            servers: BTreeMap::new(),
-            works: BTreeMap::new(),
-            waiting: BTreeSet::new(),
             shares: vec![Bucket::default(); set.tenants.len()],
             class_read: vec![Mean::default(); set.classes.len()],
             class_write: vec![Mean::default(); set.classes.len()],
-            to_first: Mean::default(),
-            read_pace: Mean::default(),
-            usual: [Mean::default(); 3],
-            ticking: false,
-            started: false,
             set,
+            ..Policy::default()
         }
     }
 
@@ -154,23 +146,9 @@
         self.class_read[request.class.0].add(prompt, GAIN);
         self.class_write[request.class.0].add(answer, GAIN);
         let (id, give_up_at) = (request.id, request.give_up_at);
-        let work = Work {
-            class: request.class,
-            tenant: request.tenant,
-            over_share,
-            arrived: self.now,
-            aim_at: self.now + class.aim + (class.aim_per_token * prompt) as Nanos,
-            answer,
-            attempts: 0,
-            sent: None,
-            state: None,
-            may_have_run: None,
-            avoid: Vec::new(),
-            read_at: None,
-            ended: false,
-            request: Request { prompt_len: prompt, ..request },
-        };
-        self.works.insert(id, work);
+        let aim_at = self.now + class.aim + (class.aim_per_token * prompt) as Nanos;
+        let request = Request { prompt_len: prompt, ..request };
+        self.works.insert(id, Work::new(request, over_share, aim_at, answer));
         if give_up_at <= self.now + LAST_CALL {
             return self.give_up(id);
         }
@@ -207,23 +185,21 @@
 
     /// Sends held requests to be read as far as writers have room for them.
     fn admit(&mut self) {
-        while let Some(&(over, aim_at, id)) = self.waiting.first() {
-            let Some(work) = self.works.get(&id) else {
-                self.waiting.pop_first();
-                continue;
-            };
-            let need = work.request.prompt_len + work.answer;
-            if !self.writers_have_room(need) || !self.start(id) {
+        for held in self.waiting.iter().copied().collect::<Vec<_>>() {
+            let Some(work) = self.works.get(&held.2) else { continue };
+            let (need, bound) = (work.need(), work.may_have_run.is_some());
+            if self.writers_have_room(need) && self.start(held.2) {
+                self.waiting.remove(&held);
+            } else if !bound {
+                // One bound to a group of servers stands in nobody's way.
                 break;
             }
-            self.waiting.remove(&(over, aim_at, id));
         }
     }
 
     /// Room for `need` tokens besides what is being read for writers already.
     fn writers_have_room(&self, need: f64) -> bool {
-        let pledged: f64 =
-            self.works.values().filter(|w| pledged(w)).map(|w| w.request.prompt_len + w.answer).sum();
+        let pledged: f64 = self.works.values().filter(|w| pledged(w)).map(Work::need).sum();
         let writers = self.candidates(false, None);
         let with_room: Vec<&Server> = writers.into_iter().filter(|s| self.has_room(s, need)).collect();
         let free: f64 = with_room.iter().map(|s| (FULL_SHARE - self.memory_share(s)) * s.memory).sum();
@@ -233,7 +209,7 @@
     /// Sends a request to its home reader, or to the least loaded one where home is clearly busier.
     fn start(&mut self, id: RequestId) -> bool {
         let Some(work) = self.works.get(&id) else { return true };
-        let need = work.request.prompt_len + work.answer;
+        let need = work.need();
         let mut readers = self.candidates(true, Some(work));
         if readers.is_empty() {
             return self.start_at_writer(id);
@@ -257,12 +233,9 @@
         let home = readers.iter().filter(room).find(|s| Some(s.id) == rank_first).unwrap_or(least);
         let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
         let stage = if chosen.role == Role::Both { Stage::Whole } else { Stage::Read };
-        let (server, unread, queued) = (chosen.id, unread(chosen), cost(chosen));
-        let at_home = Some(server) == rank_first;
-        self.send(id, server, stage, unread, queued);
-        if let Some(sent) = self.works.get_mut(&id).and_then(|w| w.sent.as_mut()) {
-            sent.at_home = at_home;
-        }
+        let at_home = Some(chosen.id) == rank_first;
+        let (unread, queued) = (unread(chosen), cost(chosen));
+        self.send(id, Sent { unread, queued, at_home, ..Sent::to(chosen.id, stage) });
         true
     }
 
@@ -271,7 +244,7 @@
         let Some(work) = self.works.get(&id).filter(|_| self.set.self_prefill) else { return false };
         let unread = READ_BASE + work.request.prompt_len;
         let Some(server) = self.pick_writer(work, false) else { return false };
-        self.send(id, server, Stage::Whole, unread, unread);
+        self.send(id, Sent { unread, queued: unread, ..Sent::to(server, Stage::Whole) });
         true
     }
 
@@ -279,7 +252,7 @@
 
     /// The writer for a state. `must`: one is needed now, with room or without.
     fn pick_writer(&self, work: &Work, must: bool) -> Option<ServerId> {
-        let need = work.request.prompt_len + work.answer;
+        let need = work.need();
         let all = self.candidates(false, Some(work));
         let mut open: Vec<&Server> = all.iter().copied().filter(|s| self.has_room(s, need)).collect();
         if open.is_empty() && must {
@@ -358,7 +331,7 @@
         let patience = (self.set.release_within as f64 * RELEASE_SHARE) as Nanos;
         let must = self.now + TICK >= since + patience;
         if let Some(server) = self.pick_writer(work, must) {
-            self.send(id, server, Stage::Write, 0.0, 0.0);
+            self.send(id, Sent::to(server, Stage::Write));
         } else if must {
             self.give_up(id);
         }
@@ -394,7 +367,7 @@
     /// Rule 2 for keyed requests that may have run: same group, within the window.
     fn may_go_to(&self, work: &Work, s: &Server) -> bool {
         let Some(ran) = work.may_have_run else { return true };
-        let Some(class) = self.set.classes.get(work.class.0) else { return false };
+        let Some(class) = self.set.classes.get(work.request.class.0) else { return false };
         let same = match class.group {
             Group::All => true,
             Group::Zone => ran.zone.is_some() && ran.zone == s.zone,
@@ -403,35 +376,20 @@
         class.effect != Effect::Unsafe && same && self.now + TICK < ran.at + class.window
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, stage: Stage, unread: f64, queued: f64) {
-        let (now, cost) = (self.now, self.cold_cost(id, stage));
+    fn send(&mut self, id: RequestId, plan: Sent) {
+        let (now, server, stage) = (self.now, plan.server, plan.stage);
+        let cost = self.cold_cost(id, stage);
         let (Some(work), Some(s)) = (self.works.get_mut(&id), self.servers.get_mut(&server)) else { return };
-        let held = if stage == Stage::Read { 0.0 } else { work.request.prompt_len + work.answer };
-        s.held_seen.follow(now, s.held, REPORT_LAG);
-        s.unbegun_seen.follow(now, f64::from(s.unbegun), REPORT_LAG);
-        s.out += 1;
-        s.unbegun += 1;
-        s.held += held;
+        let held = if stage == Stage::Read { 0.0 } else { work.need() };
+        let sent = Sent { no: AttemptNo(work.attempts), at: now, held, ..plan };
+        s.take(now, REPORT_LAG, &sent);
         s.sent.add(now, cost, PEER_SPAN);
         s.budget.level -= cost;
-        s.unread += unread;
-        let no = AttemptNo(work.attempts);
         work.attempts += 1;
         work.read_at = work.read_at.or(Some(now));
-        work.sent = Some(Sent {
-            server,
-            no,
-            at: now,
-            stage,
-            unread,
-            queued,
-            held,
-            begun: None,
-            cancelled: false,
-            at_home: false,
-        });
+        work.sent = Some(sent);
         // Without a way to call an attempt off, its time-out has to do it.
-        let safe = stage == Stage::Read || self.set.classes[work.class.0].effect == Effect::Safe;
+        let safe = stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
         let timeout = match stage {
             Stage::Write if safe && !self.set.cancel => WRITE_PATIENCE,
             Stage::Read if !self.set.cancel => READ_PATIENCE * BLIND_TIMES,
@@ -447,18 +405,16 @@
         let Some(work) = self.works.get_mut(&id) else { return };
         // Whatever the stream took over is let go by itself.
         work.state = None;
-        let Some(sent) = work.sent.as_mut().filter(|s| s.no == attempt && s.begun.is_none()) else { return };
-        sent.begun = Some(now);
-        let (server, unread, stage) = (sent.server, sent.unread, sent.stage);
+        let Some(sent) = work.sent.as_mut().filter(|s| s.no == attempt && !s.begun) else { return };
         if let Some(read_at) = work.read_at {
             self.to_first.add(now.saturating_sub(read_at) as f64, GAIN);
         }
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.unbegun_seen.follow(now, f64::from(s.unbegun), REPORT_LAG);
-            s.unbegun -= 1;
-            s.unread -= unread;
+        if let Some(s) = self.servers.get_mut(&sent.server) {
+            s.begin(now, REPORT_LAG, sent);
             s.heard_at = now;
         }
+        sent.begun = true;
+        let (server, stage) = (sent.server, sent.stage);
         if stage == Stage::Write {
             self.learn_pace(server, latency as f64);
         }
@@ -469,16 +425,8 @@
         let Some(work) = self.works.get_mut(&o.id) else { return };
         let Some(sent) = work.sent.take_if(|s| s.no == o.attempt) else { return };
         work.ended |= o.closed;
-        let now = self.now;
         if let Some(s) = self.servers.get_mut(&o.server) {
-            s.held_seen.follow(now, s.held, REPORT_LAG);
-            s.unbegun_seen.follow(now, f64::from(s.unbegun), REPORT_LAG);
-            s.out = s.out.saturating_sub(1);
-            s.held -= sent.held;
-            if sent.begun.is_none() {
-                s.unbegun = s.unbegun.saturating_sub(1);
-                s.unread -= sent.unread;
-            }
+            s.close(self.now, REPORT_LAG, &sent);
         }
         if let Some(report) = o.report {
             self.on_report(o.server, &report);
@@ -502,13 +450,13 @@
         }
         if work.ended {
             // Its client has its answer or is gone: nothing may stay pinned.
-            if sent.begun.is_none() {
+            if !sent.begun {
                 self.out.push(Action::Release(o.id));
             }
             self.works.remove(&o.id);
             return;
         }
-        let effect = self.set.classes[work.class.0].effect;
+        let effect = self.set.classes[work.request.class.0].effect;
         let never_ran =
             matches!(o.status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Read);
         if !read && !never_ran && effect != Effect::Safe && work.may_have_run.is_none() {
@@ -518,7 +466,9 @@
         let unsafe_ran = effect == Effect::Unsafe && work.may_have_run.is_some();
         let no_state = o.status == Status::Full && o.note == 1 && !read;
         if no_state {
+            // Out of the writer's reach is not gone: a cut-off reader holds it still, and it must be let go.
             work.state = None;
+            self.out.push(Action::Release(o.id));
         } else if o.status != Status::Read && !work.avoid.contains(&o.server) {
             work.avoid.push(o.server);
         }
@@ -539,7 +489,7 @@
     /// A refusal where trying again is harmless, else a failure; nothing stays pinned.
     fn give_up(&mut self, id: RequestId) {
         let Some(work) = self.works.get(&id) else { return };
-        let Some(class) = self.set.classes.get(work.class.0) else { return };
+        let Some(class) = self.set.classes.get(work.request.class.0) else { return };
         let writing = work.sent.is_some_and(|s| s.stage != Stage::Read);
         let ran = writing || work.may_have_run.is_some();
         let harmless = match class.effect {
@@ -560,7 +510,7 @@
         self.out.extend(answer);
         match work.sent {
             // Books and state are settled by its outcome.
-            Some(sent) if self.set.cancel && sent.begun.is_none() && !sent.cancelled => {
+            Some(sent) if self.set.cancel && !sent.begun && !sent.cancelled => {
                 self.out.push(Action::Cancel { id, attempt: sent.no });
             }
             Some(_) => {}
@@ -614,7 +564,7 @@
                 // against routers that all pour onto a server the moment it answers; after a mere cut it
                 // costs some seconds of that server's work.
                 s.back_at = now;
-                s.budget = Bucket { level: -1.0, at: now };
+                s.budget = Bucket::owing(now);
             }
             (s.unreachable, s.lost) = (false, false);
             s.shunned_until = now;
@@ -629,8 +579,7 @@
     fn on_report(&mut self, server: ServerId, report: &Report) {
         let (now, read) = (self.now, self.mean_read());
         let Some(s) = self.servers.get_mut(&server) else { return };
-        s.held_seen.follow(now, s.held, REPORT_LAG);
-        s.unbegun_seen.follow(now, f64::from(s.unbegun), REPORT_LAG);
+        s.follow(now, REPORT_LAG);
         if let Some(share) = report.memory.filter(|_| s.role != Role::Read) {
             s.others = Some((share * s.memory - s.held_seen.value).max(0.0));
             s.reported_full = share >= FULL_SHARE;
@@ -684,7 +633,7 @@
     fn cold_cost(&self, id: RequestId, stage: Stage) -> f64 {
         let means = if stage == Stage::Read { &self.class_read } else { &self.class_write };
         let total: f64 = means.iter().map(|m| m.value).sum();
-        let class = self.works.get(&id).map_or(0, |w| w.class.0);
+        let class = self.works.get(&id).map_or(0, |w| w.request.class.0);
         let mean = means.get(class).map_or(0.0, |m| m.value);
         if total > 0.0 {
             mean * means.len() as f64 / total
@@ -747,12 +696,7 @@
         // Nothing new goes to a draining or gone server from now on: rule 3 with nothing of its grace used.
         s.ready = e.state == ServerState::Ready;
         if ready_at != s.ready_at {
-            // A new process: its past says nothing, its cold budget starts empty.
-            s.ready_at = ready_at;
-            s.budget = Bucket { level: -1.0, at: self.now };
-            (s.failing, s.pace, s.slow) = (Mean::default(), Mean::default(), 1.0);
-            (s.unreachable, s.lost, s.shunned_until, s.full_at) = (false, false, 0, None);
-            (s.others, s.others_unread, s.reported_full) = (None, 0.0, false);
+            s.restarted(self.now, ready_at);
         }
     }
 
@@ -772,7 +716,7 @@
 
     fn look_after(&mut self, id: RequestId) {
         let Some(work) = self.works.get(&id) else { return };
-        if work.sent.is_some_and(|s| s.begun.is_some()) {
+        if work.sent.is_some_and(|s| s.begun) {
             return;
         }
         if self.now + LAST_CALL >= work.request.give_up_at {
@@ -806,10 +750,10 @@
             s.probe_at = self.now;
         }
         let Some(work) = self.works.get(&id) else { return };
-        let safe = sent.stage == Stage::Read || self.set.classes[work.class.0].effect == Effect::Safe;
+        let safe = sent.stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
         let left = work.attempts + ATTEMPTS_KEPT <= self.set.max_attempts;
         let reads = sent.stage != Stage::Write;
-        let need = work.request.prompt_len + work.answer;
+        let need = work.need();
         let better = |s: &&Server| s.id != sent.server && !self.ill(s) && (reads || self.has_room(s, need));
         if !safe || !left || !self.set.cancel || !self.candidates(reads, Some(work)).iter().any(better) {
             return;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! Bookkeeping for the decision module: the tables of servers and requests. Decides nothing.
 
-use crate::api::{AttemptNo, CellId, ClassId, KindId, Nanos, Request, Role, ServerId, TenantId, ZoneId};
+use crate::api::{AttemptNo, CellId, KindId, Nanos, Request, Role, ServerId, ZoneId};
 
 /// A mean that forgets: each sample counts `gain` of the whole.
 #[derive(Clone, Copy, Debug, Default)]
@@ -60,6 +60,11 @@
 }
 
 impl Bucket {
+    /// In debt for one.
+    pub fn owing(now: Nanos) -> Bucket {
+        Bucket { level: -1.0, at: now }
+    }
+
     pub fn fill(&mut self, now: Nanos, per_s: f64, depth: f64) {
         let span = now.saturating_sub(self.at) as f64 / 1e9;
         self.level = (self.level + span * per_s).min(depth);
@@ -80,8 +85,6 @@
     pub ready_at: Nanos,
     /// Listed, and neither draining nor gone.
     pub ready: bool,
-    /// Own attempts out, begun or not.
-    pub out: u32,
     /// Own attempts out that have not begun an answer.
     pub unbegun: u32,
     /// Own prompt tokens sent there to be read, not yet read.
@@ -128,7 +131,6 @@
         memory,
         ready_at: 0,
         ready: false,
-        out: 0,
         unbegun: 0,
         unread: 0.0,
         held: 0.0,
@@ -153,6 +155,58 @@
     }
 }
 
+impl Server {
+    /// To be called before own work there changes, or is compared with a report.
+    pub fn follow(&mut self, now: Nanos, lag: Nanos) {
+        self.held_seen.follow(now, self.held, lag);
+        self.unbegun_seen.follow(now, f64::from(self.unbegun), lag);
+    }
+
+    pub fn take(&mut self, now: Nanos, lag: Nanos, sent: &Sent) {
+        self.follow(now, lag);
+        self.unbegun += 1;
+        self.held += sent.held;
+        self.unread += sent.unread;
+    }
+
+    pub fn begin(&mut self, now: Nanos, lag: Nanos, sent: &Sent) {
+        self.follow(now, lag);
+        self.unbegun = self.unbegun.saturating_sub(1);
+        self.unread -= sent.unread;
+    }
+
+    pub fn close(&mut self, now: Nanos, lag: Nanos, sent: &Sent) {
+        if sent.begun {
+            self.follow(now, lag);
+        } else {
+            self.begin(now, lag, sent);
+        }
+        self.held -= sent.held;
+    }
+
+    /// A new process: its past says nothing, and its cold budget starts empty. Own work there stays booked
+    /// until its outcomes come.
+    pub fn restarted(&mut self, now: Nanos, ready_at: Nanos) {
+        let old = self.clone();
+        *self = Server {
+            zone: old.zone,
+            cell: old.cell,
+            kind: old.kind,
+            weight: old.weight,
+            ready: old.ready,
+            unbegun: old.unbegun,
+            unread: old.unread,
+            held: old.held,
+            held_seen: old.held_seen,
+            unbegun_seen: old.unbegun_seen,
+            heard_at: old.heard_at,
+            ready_at,
+            budget: Bucket::owing(now),
+            ..new_server(old.id, old.role, old.memory)
+        };
+    }
+}
+
 /// The attempt of a request that is out.
 #[derive(Clone, Copy, Debug)]
 pub struct Sent {
@@ -166,10 +220,28 @@
     pub held: f64,
     /// Read at the home of its session or prefix.
     pub at_home: bool,
-    pub begun: Option<Nanos>,
+    pub begun: bool,
     pub cancelled: bool,
 }
 
+impl Sent {
+    /// A send yet to be booked.
+    pub fn to(server: ServerId, stage: Stage) -> Sent {
+        Sent {
+            server,
+            no: AttemptNo(0),
+            at: 0,
+            stage,
+            unread: 0.0,
+            queued: 0.0,
+            held: 0.0,
+            at_home: false,
+            begun: false,
+            cancelled: false,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     Read,
@@ -188,11 +260,8 @@
 
 #[derive(Clone, Debug)]
 pub struct Work {
-    pub class: ClassId,
-    pub tenant: Option<TenantId>,
     pub request: Request,
     pub over_share: bool,
-    pub arrived: Nanos,
     pub aim_at: Nanos,
     /// Guessed tokens of the answer.
     pub answer: f64,
@@ -207,3 +276,26 @@
     /// The final answer is given: only the books are still open.
     pub ended: bool,
 }
+
+impl Work {
+    pub fn new(request: Request, over_share: bool, aim_at: Nanos, answer: f64) -> Work {
+        Work {
+            request,
+            over_share,
+            aim_at,
+            answer,
+            attempts: 0,
+            sent: None,
+            state: None,
+            may_have_run: None,
+            avoid: Vec::new(),
+            read_at: None,
+            ended: false,
+        }
+    }
+
+    /// Guessed tokens of memory at a writer.
+    pub fn need(&self) -> f64 {
+        self.request.prompt_len + self.answer
+    }
+}
