--- a/src/api.rs
+++ b/src/api.rs
@@ -37,6 +37,19 @@
         let step = |h: u64, b: &u8| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3);
         Key(text.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325, step))
     }
+
+    /// Rendezvous rank of a server for this key, the same on every router.
+    pub fn rank(self, server: ServerId) -> u64 {
+        mix(self.0 ^ mix(u64::from(server.0)))
+    }
+}
+
+/// A fixed mixing of bits (SplitMix64).
+fn mix(key: u64) -> u64 {
+    let z = key.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -159,20 +159,7 @@
     fn over_share(&mut self, tenant: Option<TenantId>) -> bool {
         let Some(tenant) = tenant.filter(|t| t.0 < self.shares.len()) else { return false };
         let rate = self.set.tenants[tenant.0].quota_per_s / f64::from(self.set.routers) * SHARE_SLACK;
-        let bucket = &mut self.shares[tenant.0];
-        if rate <= 0.0 {
-            return false;
-        }
-        if bucket.at == 0 {
-            bucket.level = rate * SHARE_BURST;
-            bucket.at = self.now;
-        }
-        bucket.fill(self.now, rate, rate * SHARE_BURST);
-        if bucket.level < 1.0 {
-            return true;
-        }
-        bucket.level -= 1.0;
-        false
+        rate > 0.0 && !self.shares[tenant.0].take(self.now, rate, rate * SHARE_BURST)
     }
 
     fn hold(&mut self, id: RequestId) {
@@ -199,7 +186,7 @@
 
     /// Room for `need` tokens besides what is being read for writers already.
     fn writers_have_room(&self, need: f64) -> bool {
-        let pledged: f64 = self.works.values().filter(|w| pledged(w)).map(Work::need).sum();
+        let pledged: f64 = self.works.values().filter(|w| w.pledged()).map(Work::need).sum();
         let writers = self.candidates(false, None);
         let with_room: Vec<&Server> = writers.into_iter().filter(|s| self.has_room(s, need)).collect();
         let free: f64 = with_room.iter().map(|s| (FULL_SHARE - self.memory_share(s)) * s.memory).sum();
@@ -216,7 +203,7 @@
         }
         readers.retain(|s| s.role != Role::Both || self.has_room(s, need));
         let key = work.request.prefix.or(work.request.session).unwrap_or(Key(id.0));
-        let rank = |s: &&Server| mix(key.0 ^ mix(u64::from(s.id.0)));
+        let rank = |s: &&Server| key.rank(s.id);
         let rank_first = readers.iter().copied().max_by_key(rank).map(|s| s.id);
         let unread = |s: &Server| {
             let kept = if Some(s.id) == rank_first { work.request.prefix_len * s.kept.value } else { 0.0 };
@@ -300,16 +287,8 @@
 
     /// What the other routers hold at a server; one not heard from counts as average.
     fn others(&self, s: &Server) -> f64 {
-        if let Some(others) = s.others {
-            return others;
-        }
         let known = |o: &Server| if o.kind == s.kind { o.others } else { None };
-        let (sum, n) = self.servers.values().filter_map(known).fold((0.0, 0.0), |(t, n), o| (t + o, n + 1.0));
-        if n > 0.0 {
-            sum / n
-        } else {
-            0.0
-        }
+        s.others.unwrap_or_else(|| average(self.servers.values().filter_map(known)).unwrap_or(0.0))
     }
 
     fn load(&self, s: &Server) -> f64 {
@@ -319,8 +298,7 @@
     /// Its weight beside the mean of its role, less while it is cold.
     fn speed(&self, s: &Server) -> f64 {
         let peers = self.servers.values().filter(|p| p.ready && p.role == s.role);
-        let (sum, n) = peers.fold((0.0, 0.0), |(t, n), p| (t + p.weight, n + 1.0));
-        let relative = if sum > 0.0 { s.weight * n / sum } else { 1.0 };
+        let relative = average(peers.map(|p| p.weight)).map_or(1.0, |mean| s.weight / mean);
         relative.max(0.1) * if self.cold(s) { self.set.cold_from.clamp(0.1, 1.0) } else { 1.0 }
     }
 
@@ -577,7 +555,7 @@
 
     /// A report counts own work too, as it was a while ago; what is left is the others'.
     fn on_report(&mut self, server: ServerId, report: &Report) {
-        let (now, read) = (self.now, self.mean_read());
+        let (now, read) = (self.now, mean(&self.class_read));
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.follow(now, REPORT_LAG);
         if let Some(share) = report.memory.filter(|_| s.role != Role::Read) {
@@ -592,11 +570,6 @@
         }
     }
 
-    fn mean_read(&self) -> f64 {
-        let n = self.class_read.len().max(1) as f64;
-        self.class_read.iter().map(|m| m.value).sum::<f64>() / n
-    }
-
     fn learn_read(&mut self, o: &Outcome, sent: &Sent) {
         let per_token = o.latency as f64 / sent.queued.max(READ_BASE);
         self.read_pace.add(per_token, GAIN);
@@ -613,9 +586,7 @@
         s.pace.add(sample, FAIL_GAIN);
         let role = s.role;
         let believed = |p: &&mut Server| p.role == role && p.pace.samples >= SAMPLES;
-        let mut paces: Vec<f64> = self.servers.values_mut().filter(believed).map(|p| p.pace.value).collect();
-        paces.sort_by(f64::total_cmp);
-        let Some(&median) = paces.get(paces.len().saturating_sub(1) / 2) else { return };
+        let median = median(self.servers.values_mut().filter(believed).map(|p| p.pace.value));
         for p in self.servers.values_mut().filter(believed) {
             let ratio = p.pace.value / median.max(1.0);
             p.slow = if ratio >= SLOW_FROM { ratio } else { 1.0 };
@@ -632,11 +603,10 @@
     /// What a send weighs at a cold server: its class's mean work, in mean requests.
     fn cold_cost(&self, id: RequestId, stage: Stage) -> f64 {
         let means = if stage == Stage::Read { &self.class_read } else { &self.class_write };
-        let total: f64 = means.iter().map(|m| m.value).sum();
-        let class = self.works.get(&id).map_or(0, |w| w.request.class.0);
-        let mean = means.get(class).map_or(0.0, |m| m.value);
-        if total > 0.0 {
-            mean * means.len() as f64 / total
+        let own = self.works.get(&id).and_then(|w| means.get(w.request.class.0)).map_or(0.0, |m| m.value);
+        let mean = mean(means);
+        if mean > 0.0 {
+            own / mean
         } else {
             1.0
         }
@@ -654,9 +624,9 @@
         let part = (self.set.fall_multiple * self.set.cold_from * COLD_CAUTION).min(1.0);
         for role in [Role::Read, Role::Write, Role::Both] {
             let warm = self.servers.values().filter(|p| p.ready && p.role == role && !self.cold(p));
-            let (sum, n) = warm.fold((0.0, 0.0), |(t, n), p| (t + p.sent.get(now, PEER_SPAN), n + 1.0));
+            let sent = average(warm.map(|p| p.sent.get(now, PEER_SPAN) / span_s));
             let usual = &mut self.usual[role as usize];
-            let peers = if n > 0.0 { sum / n / span_s } else { usual.value };
+            let peers = sent.unwrap_or(usual.value);
             usual.add(peers, USUAL_GAIN);
             let rate = (peers.max(usual.value) * part).max(floor);
             for s in self.servers.values_mut().filter(|s| s.role == role) {
@@ -786,16 +756,3 @@
         }
     }
 }
-
-/// A state that a writer will have to take.
-fn pledged(w: &Work) -> bool {
-    !w.ended && (w.state.is_some() && w.sent.is_none() || w.sent.is_some_and(|s| s.stage == Stage::Read))
-}
-
-/// A fixed mixing of bits (SplitMix64), the same on every router.
-fn mix(key: u64) -> u64 {
-    let z = key.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,6 +52,23 @@
     }
 }
 
+/// Mean of the means.
+pub fn mean(means: &[Mean]) -> f64 {
+    average(means.iter().map(|m| m.value)).unwrap_or(0.0)
+}
+
+pub fn average(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, n) = values.fold((0.0, 0.0), |(sum, n), v| (sum + v, n + 1.0));
+    (n > 0.0).then(|| sum / n)
+}
+
+/// The lower median; 0 of nothing.
+pub fn median(values: impl Iterator<Item = f64>) -> f64 {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
+}
+
 /// A token bucket; the caller gives rate and depth, since both change.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Bucket {
@@ -65,6 +82,19 @@
         Bucket { level: -1.0, at: now }
     }
 
+    /// Takes one, if there is one; a bucket never used is full.
+    pub fn take(&mut self, now: Nanos, per_s: f64, depth: f64) -> bool {
+        if self.at == 0 {
+            *self = Bucket { level: depth, at: now };
+        }
+        self.fill(now, per_s, depth);
+        let some = self.level >= 1.0;
+        if some {
+            self.level -= 1.0;
+        }
+        some
+    }
+
     pub fn fill(&mut self, now: Nanos, per_s: f64, depth: f64) {
         let span = now.saturating_sub(self.at) as f64 / 1e9;
         self.level = (self.level + span * per_s).min(depth);
@@ -294,6 +324,12 @@
         }
     }
 
+    /// A writer will have to take its state.
+    pub fn pledged(&self) -> bool {
+        let reading = self.sent.is_some_and(|s| s.stage == Stage::Read);
+        !self.ended && (reading || self.state.is_some() && self.sent.is_none())
+    }
+
     /// Guessed tokens of memory at a writer.
     pub fn need(&self) -> f64 {
         self.request.prompt_len + self.answer
