--- a/src/policy.rs
+++ b/src/policy.rs
@@ -187,8 +187,8 @@
     /// Room for `need` tokens besides what is being read for writers already.
     fn writers_have_room(&self, need: f64) -> bool {
         let pledged: f64 = self.works.values().filter(|w| w.pledged()).map(Work::need).sum();
-        let writers = self.candidates(false, None);
-        let with_room: Vec<&Server> = writers.into_iter().filter(|s| self.has_room(s, need)).collect();
+        let mut with_room = self.candidates(false, None);
+        with_room.retain(|s| self.has_room(s, need));
         let free: f64 = with_room.iter().map(|s| (FULL_SHARE - self.memory_share(s)) * s.memory).sum();
         !with_room.is_empty() && (free >= pledged + need || with_room.iter().any(|s| s.memory <= 0.0))
     }
@@ -196,15 +196,13 @@
     /// Sends a request to its home reader, or to the least loaded one where home is clearly busier.
     fn start(&mut self, id: RequestId) -> bool {
         let Some(work) = self.works.get(&id) else { return true };
-        let need = work.need();
         let mut readers = self.candidates(true, Some(work));
         if readers.is_empty() {
             return self.start_at_writer(id);
         }
-        readers.retain(|s| s.role != Role::Both || self.has_room(s, need));
+        readers.retain(|s| s.role != Role::Both || self.has_room(s, work.need()));
         let key = work.request.prefix.or(work.request.session).unwrap_or(Key(id.0));
-        let rank = |s: &&Server| key.rank(s.id);
-        let rank_first = readers.iter().copied().max_by_key(rank).map(|s| s.id);
+        let rank_first = readers.iter().map(|s| s.id).max_by_key(|s| key.rank(*s));
         let unread = |s: &Server| {
             let kept = if Some(s.id) == rank_first { work.request.prefix_len * s.kept.value } else { 0.0 };
             READ_BASE + (work.request.prompt_len - kept).max(0.0)
@@ -220,8 +218,7 @@
         let home = readers.iter().filter(room).find(|s| Some(s.id) == rank_first).unwrap_or(least);
         let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
         let stage = if chosen.role == Role::Both { Stage::Whole } else { Stage::Read };
-        let at_home = Some(chosen.id) == rank_first;
-        let (unread, queued) = (unread(chosen), cost(chosen));
+        let (unread, queued, at_home) = (unread(chosen), cost(chosen), Some(chosen.id) == rank_first);
         self.send(id, Sent { unread, queued, at_home, ..Sent::to(chosen.id, stage) });
         true
     }
@@ -241,25 +238,17 @@
     fn pick_writer(&self, work: &Work, must: bool) -> Option<ServerId> {
         let need = work.need();
         let all = self.candidates(false, Some(work));
-        let mut open: Vec<&Server> = all.iter().copied().filter(|s| self.has_room(s, need)).collect();
-        if open.is_empty() && must {
-            open = all;
-        }
+        let open: Vec<&Server> = all.iter().copied().filter(|s| self.has_room(s, need)).collect();
+        let open = if open.is_empty() && must { all } else { open };
         let least = self.least_loaded(open.iter().copied())?;
         let reader = work.state.and_then(|(r, _)| self.servers.get(&r));
         let cell = |s: &&&Server| reader.is_some_and(|r| r.cell.is_some() && r.cell == s.cell);
         let zone = |s: &&&Server| reader.is_some_and(|r| r.zone.is_some() && r.zone == s.zone);
         let clearly = self.load(least) + WRITER_YIELD;
-        for near in [
-            self.least_loaded(open.iter().filter(cell).copied()),
-            self.least_loaded(open.iter().filter(zone).copied()),
-        ] {
-            match near {
-                Some(near) if self.load(near) <= clearly => return Some(near.id),
-                _ => {}
-            }
-        }
-        Some(least.id)
+        let in_cell = self.least_loaded(open.iter().filter(cell).copied());
+        let in_zone = self.least_loaded(open.iter().filter(zone).copied());
+        let near = in_cell.into_iter().chain(in_zone).find(|s| self.load(s) <= clearly);
+        Some(near.unwrap_or(least).id)
     }
 
     /// Ties go to the least guessed memory.
@@ -334,12 +323,8 @@
         if !well.is_empty() && well.len() * 3 >= open.len() {
             return well;
         }
-        let reached: Vec<&Server> = open.iter().copied().filter(|s| !s.unreachable).collect();
-        if reached.is_empty() {
-            open
-        } else {
-            reached
-        }
+        let some = open.iter().any(|s| !s.unreachable);
+        open.into_iter().filter(|s| !some || !s.unreachable).collect()
     }
 
     /// Rule 2 for keyed requests that may have run: same group, within the window.
@@ -605,11 +590,7 @@
         let means = if stage == Stage::Read { &self.class_read } else { &self.class_write };
         let own = self.works.get(&id).and_then(|w| means.get(w.request.class.0)).map_or(0.0, |m| m.value);
         let mean = mean(means);
-        if mean > 0.0 {
-            own / mean
-        } else {
-            1.0
-        }
+        (own / mean.max(1.0)).max(0.1)
     }
 
     /// Rule 4: all routers together stay under multiple x cold share x capacity. Each router keeps to that
@@ -648,25 +629,20 @@
         if kind != ListKind::Delta {
             self.servers.values_mut().for_each(|s| s.ready = false);
         }
-        for entry in entries {
-            self.on_entry(entry);
-        }
+        entries.iter().for_each(|e| self.on_entry(e));
     }
 
     fn on_entry(&mut self, e: &Entry) {
         let kind = e.kind.map_or(usize::MAX, |k| k.0);
         let role = self.set.roles.get(kind).copied().unwrap_or(Role::Both);
         let memory = self.set.memory.get(kind).copied().unwrap_or(0.0);
-        let ready_at = e.ready_at.unwrap_or(0);
         let s = self.servers.entry(e.server).or_insert_with(|| new_server(e.server, role, memory));
-        s.zone = e.zone;
-        s.cell = e.cell;
-        s.kind = e.kind;
+        (s.zone, s.cell, s.kind) = (e.zone, e.cell, e.kind);
         s.weight = e.weight.filter(|w| *w > 0.0).unwrap_or(1.0);
         // Nothing new goes to a draining or gone server from now on: rule 3 with nothing of its grace used.
         s.ready = e.state == ServerState::Ready;
-        if ready_at != s.ready_at {
-            s.restarted(self.now, ready_at);
+        if e.ready_at.unwrap_or(0) != s.ready_at {
+            s.restarted(self.now, e.ready_at.unwrap_or(0));
         }
     }
 
@@ -677,9 +653,7 @@
         self.fill_cold_budgets();
         let open = |(id, w): (&RequestId, &Work)| (!w.ended).then_some(*id);
         let ids: Vec<RequestId> = self.works.iter().filter_map(open).collect();
-        for id in ids {
-            self.look_after(id);
-        }
+        ids.into_iter().for_each(|id| self.look_after(id));
         self.shed();
         self.probe();
     }
@@ -694,8 +668,7 @@
         }
         match work.sent {
             None => self.place(id),
-            Some(sent) if !sent.cancelled => self.check_overdue(id, sent),
-            Some(_) => {}
+            Some(sent) => self.check_overdue(id, sent),
         }
     }
 
@@ -712,7 +685,7 @@
             _ => READ_PATIENCE + (READ_TIMES * self.read_pace.value * sent.queued) as Nanos,
         };
         // A reader that answers others meanwhile is busy, not dead: reading again elsewhere doubles its work.
-        if age < patience || !silent && sent.stage != Stage::Write {
+        if age < patience || sent.cancelled || !silent && sent.stage != Stage::Write {
             return;
         }
         if silent && self.set.probes && !s.unreachable {
@@ -739,9 +712,7 @@
         let late = |w: &Work| self.now + self.to_first.value as Nanos > w.aim_at;
         let held = self.waiting.iter().map(|w| w.2);
         let ids: Vec<RequestId> = held.filter(|id| self.works.get(id).is_some_and(late)).collect();
-        for id in ids {
-            self.give_up(id);
-        }
+        ids.into_iter().for_each(|id| self.give_up(id));
     }
 
     fn probe(&mut self) {
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,254 @@
+//! The five rules, each on its own, without the bench.
+
+mod common;
+use common::*;
+use gaparch::api::*;
+
+// 1: one final answer, in time, nothing after it.
+
+#[test]
+fn a_deadline_already_past_gets_one_answer_at_once() {
+    let mut r = Router::new(settings(), pairs());
+    let request = Request { give_up_at: r.now - S, ..r.request(1) };
+    let done = r.event(Event::Request(request));
+    assert_eq!(answers(&done, 1), 1);
+    assert_eq!(sent_to(&done), None);
+}
+
+#[test]
+fn with_no_server_at_all_the_answer_still_comes_in_time() {
+    for entries in [vec![], vec![entry(1, 0, 0)], vec![entry(11, 1, 0)]] {
+        let mut r = Router::new(settings(), entries);
+        let give_up_at = r.now + 5 * S;
+        r.ask(1);
+        let mut answered_at = None;
+        while r.now < give_up_at + S {
+            if answers(&r.pass(10 * MS), 1) > 0 {
+                answered_at.get_or_insert(r.now);
+            }
+        }
+        assert!(answered_at.is_some_and(|at| at <= give_up_at));
+        assert_eq!(answers(&r.log, 1), 1);
+    }
+}
+
+#[test]
+fn an_attempt_that_never_returns_is_answered_for_before_the_client_leaves() {
+    let mut r = Router::new(Settings { probes: false, cancel: false, ..settings() }, pairs());
+    r.ask(1);
+    r.pass(5 * S);
+    assert_eq!(answers(&r.log, 1), 1);
+    let after = r.log.len();
+    assert!(released(&r.outcome(1, 1, Status::Read), 1));
+    assert_eq!(sent_to(&r.log[after..]), None);
+}
+
+#[test]
+fn nothing_but_a_release_follows_a_client_that_left() {
+    let mut r = Router::new(settings(), pairs());
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    r.event(Event::Gone(RequestId(1)));
+    let done = r.outcome(1, reader, Status::Read);
+    assert_eq!(done, vec![Action::Release(RequestId(1))]);
+    assert_eq!(r.pass(6 * S), vec![]);
+    // Late and unknown ones are ignored.
+    assert_eq!(r.event(Event::Gone(RequestId(1))), vec![]);
+    assert_eq!(r.event(Event::Gone(RequestId(99))), vec![]);
+}
+
+// 2: no double effects.
+
+fn whole_site(effect: Effect, group: Group) -> Router {
+    let settings = Settings { classes: vec![class(effect, group)], ..settings() };
+    Router::new(settings, vec![entry(21, 2, 0), entry(22, 2, 0), entry(23, 2, 1)])
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
+    for status in [Status::Error, Status::Timeout, Status::Reset, Status::Cancelled, Status::Unknown] {
+        let mut r = whole_site(Effect::Unsafe, Group::All);
+        let server = sent_to(&r.ask(1)).expect("a send");
+        let done = r.outcome(1, server, status);
+        assert!(failed(&done, 1), "{status:?}");
+        assert_eq!(sent_to(&done), None, "{status:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_never_ran_is_sent_again() {
+    for status in [Status::Full, Status::ConnectFailed] {
+        let mut r = whole_site(Effect::Unsafe, Group::All);
+        let server = sent_to(&r.ask(1)).expect("a send");
+        let again = sent_to(&r.outcome(1, server, status));
+        assert!(again.is_some_and(|s| s != server), "{status:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_read_has_no_effect_and_is_read_again() {
+    let settings = Settings { classes: vec![class(Effect::Unsafe, Group::All)], ..settings() };
+    let mut r = Router::new(settings, pairs());
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    assert!(sent_to(&r.outcome(1, reader, Status::Error)).is_some());
+}
+
+#[test]
+fn an_unsafe_request_at_a_writer_is_failed_not_refused_when_its_time_is_up() {
+    let mut r = whole_site(Effect::Unsafe, Group::All);
+    r.ask(1);
+    let done = r.pass(5 * S);
+    assert!(failed(&done, 1));
+    assert!(!refused(&done, 1));
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_stays_in_its_group_and_window() {
+    let mut r = whole_site(Effect::Keyed, Group::Cell);
+    let server = sent_to(&r.ask(1)).expect("a send");
+    let again = sent_to(&r.outcome(1, server, Status::Error));
+    match server {
+        21 => assert_eq!(again, Some(22)),
+        22 => assert_eq!(again, Some(21)),
+        _ => assert!(again.is_none() || again == Some(23)),
+    }
+    // Past the window nothing is sent any more, and it is failed: its group is not all servers.
+    r.pass(2 * S + 100 * MS);
+    let last = again.unwrap_or(server);
+    let done = r.outcome(1, last, Status::Error);
+    assert_eq!(sent_to(&done), None);
+    r.pass(5 * S);
+    assert!(failed(&r.log, 1));
+    assert!(!refused(&r.log, 1));
+}
+
+#[test]
+fn no_second_attempt_while_one_is_out() {
+    let mut r = Router::new(settings(), pairs());
+    r.ask(1);
+    let done = r.pass(4 * S);
+    let cancels = done.iter().filter(|a| matches!(a, Action::Cancel { .. })).count();
+    assert_eq!(sent_to(&done), None, "the first attempt has no outcome yet");
+    assert!(cancels <= 1);
+}
+
+// 3: drains.
+
+#[test]
+fn a_draining_or_gone_server_gets_nothing_new() {
+    for state in [ServerState::Draining, ServerState::Gone] {
+        let mut r = Router::new(settings(), pairs());
+        r.members(ListKind::Delta, vec![Entry { state, ..entry(1, 0, 0) }]);
+        r.members(ListKind::Delta, vec![Entry { state, ..entry(11, 1, 0) }]);
+        for id in 1..20 {
+            assert_eq!(r.stream(id), (2, 12));
+        }
+    }
+}
+
+#[test]
+fn a_server_that_a_full_list_leaves_out_is_gone() {
+    let mut r = Router::new(settings(), pairs());
+    r.members(ListKind::Full, vec![entry(2, 0, 1), entry(12, 1, 1)]);
+    for id in 1..20 {
+        assert_eq!(r.stream(id), (2, 12));
+    }
+}
+
+#[test]
+fn a_failed_call_keeps_the_list_and_asks_again() {
+    let mut r = Router::new(Settings { ask: true, ..settings() }, pairs());
+    assert!(r.log.contains(&Action::Watch(true)));
+    r.log.clear();
+    r.members(ListKind::Failed, vec![]);
+    assert!(sent_to(&r.ask(1)).is_some());
+    r.pass(2 * S);
+    assert!(r.log.contains(&Action::Watch(true)));
+}
+
+// 4: cold servers.
+
+#[test]
+fn a_cold_server_gets_a_small_part_of_what_its_warm_peer_gets() {
+    let mut r = Router::new(settings(), pairs());
+    let (mut cold, mut warm) = (0, 0);
+    for id in 1..400 {
+        if id == 200 {
+            let started = Entry { ready_at: Some(r.now), ..entry(1, 0, 0) };
+            r.members(ListKind::Delta, vec![started]);
+        }
+        let (reader, writer) = r.stream(id);
+        r.pass(20 * MS);
+        r.outcome(id, writer, Status::Ok);
+        if id >= 200 {
+            *(if reader == 1 { &mut cold } else { &mut warm }) += 1;
+        }
+    }
+    // 2.5 x 0.3 of what a peer carries is the limit for all routers together.
+    assert!(cold > 0, "it must get some, or it never warms");
+    assert!(f64::from(cold) < 0.75 * f64::from(warm), "{cold} against {warm}");
+}
+
+#[test]
+fn a_router_with_no_past_sends_a_cold_server_next_to_nothing() {
+    let started = |server, kind| Entry { ready_at: Some(100 * S), ..entry(server, kind, 0) };
+    let mut r = Router::new(settings(), vec![started(1, 0), entry(11, 1, 0)]);
+    for id in 1..100 {
+        r.ask(id);
+        r.pass(10 * MS);
+    }
+    let reads = r.log.iter().filter(|a| matches!(a, Action::Send { .. })).count();
+    assert!(reads <= 2, "{reads}");
+}
+
+#[test]
+fn a_server_that_was_lost_counts_as_cold_when_it_answers_again() {
+    let mut r = Router::new(settings(), pairs());
+    for id in 1..100 {
+        let (_, writer) = r.stream(id);
+        r.pass(20 * MS);
+        r.outcome(id, writer, Status::Ok);
+    }
+    let reader = sent_to(&r.ask(100)).expect("a read");
+    r.outcome(100, reader, Status::ConnectFailed);
+    r.pass(20 * MS);
+    assert!(r.log.contains(&Action::Probe(ServerId(reader))));
+    let ok = Event::Probed { server: ServerId(reader), status: Status::Ok, latency: MS, report: None };
+    r.event(ok);
+    let at_once = (200..220).filter(|id| sent_to(&r.ask(*id)) == Some(reader)).count();
+    assert!(at_once <= 2, "{at_once}");
+}
+
+// 5: nothing pinned.
+
+#[test]
+fn a_state_is_taken_or_let_go_within_the_release_time() {
+    let mut r = Router::new(settings(), vec![entry(1, 0, 0), entry(11, 1, 0)]);
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    let gone = Entry { state: ServerState::Gone, ..entry(11, 1, 0) };
+    r.members(ListKind::Delta, vec![gone]);
+    r.outcome(1, reader, Status::Read);
+    let done = r.pass(490 * MS);
+    assert!(released(&done, 1));
+    assert_eq!(answers(&r.log, 1), 1);
+}
+
+#[test]
+fn a_refused_or_failed_request_lets_its_state_go() {
+    let mut r = Router::new(Settings { max_attempts: 2, ..settings() }, pairs());
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    let writer = sent_to(&r.outcome(1, reader, Status::Read)).expect("a write");
+    let done = r.outcome(1, writer, Status::Error);
+    assert_eq!(answers(&done, 1), 1);
+    assert!(released(&done, 1));
+}
+
+/// Found by a hunt with a zone cut off: 'no state to fetch' came from a writer that could not reach the reader.
+#[test]
+fn a_state_that_a_writer_cannot_reach_is_let_go_and_read_again() {
+    let mut r = Router::new(settings(), pairs());
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    let writer = sent_to(&r.outcome(1, reader, Status::Read)).expect("a write");
+    let done = r.outcome_with(1, writer, Status::Full, 1);
+    assert!(released(&done, 1));
+    assert!(matches!(sent_to(&done), Some(1 | 2)));
+}
