--- a/src/policy.rs
+++ b/src/policy.rs
@@ -56,7 +56,7 @@
 /// Attempts kept back for a read and a write from the start.
 const ATTEMPTS_KEPT: u32 = 2;
 /// Part of what a cold server may be sent that is used: chance, and peers above their usual load.
-const COLD_CAUTION: f64 = 0.5;
+const COLD_CAUTION: f64 = 0.75;
 /// Span over which the load of warm peers is averaged for the cold budget.
 const PEER_SPAN: Nanos = 5_000_000_000;
 /// Weight of each tick's sample in that load's mean, which stands in while no peer is warm: some 5 s.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,8 +89,7 @@
                 _ => {}
             }
         }
-        let rest: Vec<Action> =
-            actions.into_iter().filter(|a| !matches!(a, Action::Timer { .. })).collect();
+        let rest: Vec<Action> = actions.into_iter().filter(|a| !matches!(a, Action::Timer { .. })).collect();
         self.log.extend(rest.iter().cloned());
         rest
     }
@@ -155,12 +154,7 @@
 
     pub fn first(&mut self, id: u64, server: u32) -> Vec<Action> {
         let attempt = AttemptNo(self.attempts.get(&id).map_or(0, |n| n - 1));
-        self.event(Event::First {
-            id: RequestId(id),
-            attempt,
-            server: ServerId(server),
-            latency: 20 * MS,
-        })
+        self.event(Event::First { id: RequestId(id), attempt, server: ServerId(server), latency: 20 * MS })
     }
 
     /// Asks, reads and begins to write; returns the reader and the writer.
