--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,6 +38,8 @@
 const FAIL_SHARE: f64 = 0.4;
 /// A server counts as slow from this multiple of its peers' median latency on.
 const SLOW_FROM: f64 = 2.0;
+/// Span over which a server's slowness fades while it has nothing to show.
+const SLOW_FADES: Nanos = 4_000_000_000;
 /// Samples before a server's own mean is believed.
 const SAMPLES: u32 = 3;
 /// How long a shunned server rests before it gets one request at a time again.
@@ -210,7 +212,7 @@
             let kept = if Some(s.id) == rank_first { s.kept.value } else { 0.0 };
             READ_BASE + work.request.prompt_len * (1.0 - kept)
         };
-        let cost = |s: &Server| (s.unread + s.others_unread + unread(s)) * s.slow / self.speed(s);
+        let cost = |s: &Server| (s.unread + s.others_unread + unread(s)) / self.speed(s);
         // A reader looks full when it said so, or when the wait there is long by what reads take now.
         // One that has nothing of ours is tried all the same, or its pace could not be learnt again.
         let long = |s: &Server| s.unbegun > 0 && cost(s) * self.read_pace.value > READ_WAIT as f64;
@@ -219,7 +221,7 @@
         let home = readers.iter().find(|s| Some(s.id) == rank_first).unwrap_or(least);
         // It waits a little for a full home: elsewhere all its text is read anew, which slows all readers.
         // A home that is slower than its peers, or that does not drain, is not waited for.
-        let patient = home.slow <= 1.0 && self.now < work.held_at + HOME_WAIT;
+        let patient = self.slow(home) < SLOW_FROM && self.now < work.held_at + HOME_WAIT;
         let yields = cost(home) > cost(least) + READER_YIELD || full(home) && !patient;
         let chosen = if yields { least } else { home };
         if full(chosen) {
@@ -289,14 +291,21 @@
     }
 
     fn load(&self, s: &Server) -> f64 {
-        self.memory_share(s) * s.slow / self.speed(s)
+        self.memory_share(s) / self.speed(s)
     }
 
-    /// Its weight beside the mean of its role, less while it is cold.
+    /// Its weight beside the mean of its role, less while it is cold or slow.
     fn speed(&self, s: &Server) -> f64 {
         let peers = self.servers.values().filter(|p| p.ready && p.role == s.role);
         let relative = average(peers.map(|p| p.weight)).map_or(1.0, |mean| s.weight / mean);
-        relative.max(0.1) * if self.cold(s) { self.set.cold_from.clamp(0.1, 1.0) } else { 1.0 }
+        let cold = if self.cold(s) { self.set.cold_from.clamp(0.1, 1.0) } else { 1.0 };
+        relative.max(0.1) * cold / self.slow(s)
+    }
+
+    /// How many times slower it is than its peers. What was seen fades, so that it gets work to show by.
+    fn slow(&self, s: &Server) -> f64 {
+        let age = self.now.saturating_sub(s.paced_at) as f64;
+        1.0 + (s.slow - 1.0) * (-age / SLOW_FADES as f64).exp()
     }
 
     /// A state waits: send it on, let it wait a little, or let it go when the release time runs out.
@@ -577,6 +586,7 @@
     fn learn_pace(&mut self, server: ServerId, sample: f64) {
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.pace.add(sample, FAIL_GAIN);
+        s.paced_at = self.now;
         let role = s.role;
         let believed = |p: &&mut Server| p.role == role && p.pace.samples >= SAMPLES;
         let median = median(self.servers.values_mut().filter(believed).map(|p| p.pace.value));
--- a/src/state.rs
+++ b/src/state.rs
@@ -136,6 +136,7 @@
     pub kept: Mean,
     /// Latency for the work asked of it.
     pub pace: Mean,
+    pub paced_at: Nanos,
     /// That latency as a multiple of its peers'; 1 while it is not clearly slower.
     pub slow: f64,
     pub shunned_until: Nanos,
@@ -174,6 +175,7 @@
         failing: Mean::default(),
         kept: Mean::default(),
         pace: Mean::default(),
+        paced_at: 0,
         slow: 1.0,
         shunned_until: 0,
         unreachable: false,
