--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,8 +22,6 @@
 const WRITER_YIELD: f64 = 0.08;
 /// Home yields when the wait there, in tokens to read, is this much above the least loaded's.
 const READER_YIELD: f64 = 6000.0;
-/// A request waits this long for a full home reader before it goes to the least loaded.
-const HOME_WAIT: Nanos = 250_000_000;
 /// A read costs about this many tokens whatever its length: steps, hand-over.
 const READ_BASE: f64 = 400.0;
 /// Prompt length taken when none is told.
@@ -38,8 +36,6 @@
 const FAIL_SHARE: f64 = 0.4;
 /// A server counts as slow from this multiple of its peers' median latency on.
 const SLOW_FROM: f64 = 2.0;
-/// Span over which a server's slowness fades while it has nothing to show.
-const SLOW_FADES: Nanos = 4_000_000_000;
 /// Samples before a server's own mean is believed.
 const SAMPLES: u32 = 3;
 /// How long a shunned server rests before it gets one request at a time again.
@@ -167,8 +163,7 @@
     }
 
     fn hold(&mut self, id: RequestId) {
-        if let Some(w) = self.works.get_mut(&id) {
-            w.held_at = self.now;
+        if let Some(w) = self.works.get(&id) {
             self.waiting.insert((w.over_share, w.aim_at, id));
         }
     }
@@ -179,12 +174,12 @@
     fn admit(&mut self) {
         for held in self.waiting.iter().copied().collect::<Vec<_>>() {
             let Some(work) = self.works.get(&held.2) else { continue };
-            if !self.writers_have_room(work.need()) {
-                break;
-            }
-            // One that waits for its reader, or is bound to a group of servers, stands in nobody's way.
-            if self.start(held.2) {
+            let (need, bound) = (work.need(), work.may_have_run.is_some());
+            if self.writers_have_room(need) && self.start(held.2) {
                 self.waiting.remove(&held);
+            } else if !bound {
+                // One bound to a group of servers stands in nobody's way.
+                break;
             }
         }
     }
@@ -209,24 +204,19 @@
         let key = work.request.prefix.or(work.request.session).unwrap_or(Key(id.0));
         let rank_first = readers.iter().map(|s| s.id).max_by_key(|s| key.rank(*s));
         let unread = |s: &Server| {
-            let kept = if Some(s.id) == rank_first { s.kept.value } else { 0.0 };
-            READ_BASE + work.request.prompt_len * (1.0 - kept)
+            let kept = if Some(s.id) == rank_first { work.request.prefix_len * s.kept.value } else { 0.0 };
+            READ_BASE + (work.request.prompt_len - kept).max(0.0)
         };
-        let cost = |s: &Server| (s.unread + s.others_unread + unread(s)) / self.speed(s);
+        let cost = |s: &Server| (s.unread + s.others_unread + unread(s)) * s.slow / self.speed(s);
         // A reader looks full when it said so, or when the wait there is long by what reads take now.
         // One that has nothing of ours is tried all the same, or its pace could not be learnt again.
         let long = |s: &Server| s.unbegun > 0 && cost(s) * self.read_pace.value > READ_WAIT as f64;
-        let full = |s: &Server| self.answered_full(s) || long(s);
-        let Some(least) = readers.iter().min_by(|a, b| cost(a).total_cmp(&cost(b))) else { return false };
-        let home = readers.iter().find(|s| Some(s.id) == rank_first).unwrap_or(least);
-        // It waits a little for a full home: elsewhere all its text is read anew, which slows all readers.
-        // A home that is slower than its peers, or that does not drain, is not waited for.
-        let patient = self.slow(home) < SLOW_FROM && self.now < work.held_at + HOME_WAIT;
-        let yields = cost(home) > cost(least) + READER_YIELD || full(home) && !patient;
-        let chosen = if yields { least } else { home };
-        if full(chosen) {
+        let room = |s: &&&Server| !self.answered_full(s) && !long(s);
+        let Some(least) = readers.iter().filter(room).min_by(|a, b| cost(a).total_cmp(&cost(b))) else {
             return false;
-        }
+        };
+        let home = readers.iter().filter(room).find(|s| Some(s.id) == rank_first).unwrap_or(least);
+        let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
         let stage = if chosen.role == Role::Both { Stage::Whole } else { Stage::Read };
         let (unread, queued, at_home) = (unread(chosen), cost(chosen), Some(chosen.id) == rank_first);
         self.send(id, Sent { unread, queued, at_home, ..Sent::to(chosen.id, stage) });
@@ -291,21 +281,14 @@
     }
 
     fn load(&self, s: &Server) -> f64 {
-        self.memory_share(s) / self.speed(s)
+        self.memory_share(s) * s.slow / self.speed(s)
     }
 
-    /// Its weight beside the mean of its role, less while it is cold or slow.
+    /// Its weight beside the mean of its role, less while it is cold.
     fn speed(&self, s: &Server) -> f64 {
         let peers = self.servers.values().filter(|p| p.ready && p.role == s.role);
         let relative = average(peers.map(|p| p.weight)).map_or(1.0, |mean| s.weight / mean);
-        let cold = if self.cold(s) { self.set.cold_from.clamp(0.1, 1.0) } else { 1.0 };
-        relative.max(0.1) * cold / self.slow(s)
-    }
-
-    /// How many times slower it is than its peers. What was seen fades, so that it gets work to show by.
-    fn slow(&self, s: &Server) -> f64 {
-        let age = self.now.saturating_sub(s.paced_at) as f64;
-        1.0 + (s.slow - 1.0) * (-age / SLOW_FADES as f64).exp()
+        relative.max(0.1) * if self.cold(s) { self.set.cold_from.clamp(0.1, 1.0) } else { 1.0 }
     }
 
     /// A state waits: send it on, let it wait a little, or let it go when the release time runs out.
@@ -576,9 +559,9 @@
         let per_token = o.latency as f64 / sent.queued.max(READ_BASE);
         self.read_pace.add(per_token, GAIN);
         self.learn_pace(o.server, per_token);
-        let prompt = self.works.get(&o.id).map_or(1.0, |w| w.request.prompt_len);
-        if let Some(s) = self.servers.get_mut(&o.server).filter(|_| sent.at_home) {
-            s.kept.add((o.note as f64 / prompt).min(1.0), GAIN);
+        let prefix = self.works.get(&o.id).map_or(0.0, |w| w.request.prefix_len);
+        if let Some(s) = self.servers.get_mut(&o.server).filter(|_| prefix > 0.0 && sent.at_home) {
+            s.kept.add((o.note as f64 / prefix).min(1.0), GAIN);
         }
     }
 
@@ -586,7 +569,6 @@
     fn learn_pace(&mut self, server: ServerId, sample: f64) {
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.pace.add(sample, FAIL_GAIN);
-        s.paced_at = self.now;
         let role = s.role;
         let believed = |p: &&mut Server| p.role == role && p.pace.samples >= SAMPLES;
         let median = median(self.servers.values_mut().filter(believed).map(|p| p.pace.value));
--- a/src/state.rs
+++ b/src/state.rs
@@ -132,11 +132,10 @@
     /// Last time that it answered anything at all.
     pub heard_at: Nanos,
     pub failing: Mean,
-    /// Share of a prompt that is found kept at its home.
+    /// Share of a prefix that is found kept where it has its home.
     pub kept: Mean,
     /// Latency for the work asked of it.
     pub pace: Mean,
-    pub paced_at: Nanos,
     /// That latency as a multiple of its peers'; 1 while it is not clearly slower.
     pub slow: f64,
     pub shunned_until: Nanos,
@@ -173,9 +172,8 @@
         full_at: None,
         heard_at: 0,
         failing: Mean::default(),
-        kept: Mean::default(),
+        kept: Mean { value: 1.0, samples: u32::MAX },
         pace: Mean::default(),
-        paced_at: 0,
         slow: 1.0,
         shunned_until: 0,
         unreachable: false,
@@ -305,8 +303,6 @@
     /// Servers that failed it.
     pub avoid: Vec<ServerId>,
     pub read_at: Option<Nanos>,
-    /// Since when it has been held.
-    pub held_at: Nanos,
     /// The final answer is given: only the books are still open.
     pub ended: bool,
 }
@@ -324,7 +320,6 @@
             may_have_run: None,
             avoid: Vec::new(),
             read_at: None,
-            held_at: 0,
             ended: false,
         }
     }
