--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,7 +21,7 @@
 /// A writer nearer to the state yields when its share of memory is this much above the least loaded's.
 const WRITER_YIELD: f64 = 0.08;
 /// Home yields when the wait there, in tokens to read, is this much above the least loaded's.
-const READER_YIELD: f64 = 6000.0;
+const READER_YIELD: f64 = 3000.0;
 /// A read costs about this many tokens whatever its length: steps, hand-over.
 const READ_BASE: f64 = 400.0;
 /// Prompt length taken when none is told.
@@ -36,6 +36,8 @@
 const FAIL_SHARE: f64 = 0.4;
 /// A server counts as slow from this multiple of its peers' median latency on.
 const SLOW_FROM: f64 = 2.0;
+/// From this multiple on a server gets one request at a time, as one that fails does.
+const SLOW_SHUN: f64 = 3.0;
 /// Samples before a server's own mean is believed.
 const SAMPLES: u32 = 3;
 /// How long a shunned server rests before it gets one request at a time again.
@@ -47,7 +49,7 @@
 /// A write that has not begun for this long is called off if another writer has room.
 const WRITE_PATIENCE: Nanos = 900_000_000;
 /// A reader looks full when a read there would take longer than this: the rest waits here, in order.
-const READ_WAIT: Nanos = 500_000_000;
+const READ_WAIT: Nanos = 300_000_000;
 /// A read is overdue after this and `READ_TIMES` its expected time.
 const READ_PATIENCE: Nanos = 300_000_000;
 const READ_TIMES: f64 = 3.0;
@@ -174,13 +176,12 @@
     fn admit(&mut self) {
         for held in self.waiting.iter().copied().collect::<Vec<_>>() {
             let Some(work) = self.works.get(&held.2) else { continue };
-            let (need, bound) = (work.need(), work.may_have_run.is_some());
-            if self.writers_have_room(need) && self.start(held.2) {
-                self.waiting.remove(&held);
-            } else if !bound {
-                // One bound to a group of servers stands in nobody's way.
+            if !self.writers_have_room(work.need()) {
                 break;
             }
+            if self.start(held.2) {
+                self.waiting.remove(&held);
+            }
         }
     }
 
@@ -489,7 +490,7 @@
     // --- Health: by symptom, against peers -----------------------------------------------------------
 
     fn ill(&self, s: &Server) -> bool {
-        let on_trial = s.failing.value >= FAIL_SHARE && s.failing.samples >= SAMPLES;
+        let on_trial = s.failing.value >= FAIL_SHARE && s.failing.samples >= SAMPLES || s.slow >= SLOW_SHUN;
         s.unreachable || self.now < s.shunned_until || on_trial && s.unbegun > 0
     }
 
