--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -176,7 +176,10 @@
             let started = Entry { ready_at: Some(r.now), ..entry(1, 0, 0) };
             r.members(ListKind::Delta, vec![started]);
         }
-        let (reader, writer) = r.stream(id);
+        let short = Request { prompt_len: 300.0, ..r.request(id) };
+        let reader = sent_to(&r.event(Event::Request(short))).expect("a read");
+        let writer = sent_to(&r.outcome(id, reader, Status::Read)).expect("a write");
+        r.first(id, writer);
         r.pass(20 * MS);
         r.outcome(id, writer, Status::Ok);
         if id >= 200 {
