--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,6 +20,10 @@
 const FULL_SHARE: f64 = 0.92;
 /// A writer nearer to the state yields when its share of memory is this much above the least loaded's.
 const WRITER_YIELD: f64 = 0.08;
+/// Gap between messages on held memory to other routers, where servers report none: some 50 bytes each.
+const TELL_EVERY: Nanos = 300_000_000;
+/// How long such a message is believed.
+const TOLD_FOR: Nanos = 1_500_000_000;
 /// Home yields when the wait there, in tokens to read, is this much above the least loaded's.
 const READER_YIELD: f64 = 3000.0;
 /// A read costs about this many tokens whatever its length: steps, hand-over.
@@ -53,8 +57,8 @@
 /// A read is overdue after this and `READ_TIMES` its expected time.
 const READ_PATIENCE: Nanos = 300_000_000;
 const READ_TIMES: f64 = 3.0;
-/// Without a way to call a read off, its time-out has to be this much longer.
-const BLIND_TIMES: u64 = 5;
+/// Time-out of a send where attempts can't be called off: nothing tells by then that it is only busy.
+const BLIND_PATIENCE: Nanos = 1_500_000_000;
 /// Attempts kept back for a read and a write from the start.
 const ATTEMPTS_KEPT: u32 = 2;
 /// Part of what a cold server may be sent that is used: chance, and peers above their usual load.
@@ -93,8 +97,10 @@
     read_pace: Mean,
     /// What a warm server of each role is sent, in mean requests a second.
     usual: [Mean; 3],
+    /// What other routers told that they hold, and when.
+    told: BTreeMap<u32, (Nanos, BTreeMap<ServerId, f64>)>,
+    told_at: Nanos,
     ticking: bool,
-    started: bool,
 }
 
 impl Policy {
@@ -120,7 +126,10 @@
             Event::Outcome(outcome) => self.on_outcome(outcome),
             Event::Gone(id) => self.end(id, None),
             Event::Probed { server, status, report, .. } => self.on_probed(server, status, report),
-            Event::Timer(_) | Event::Peer { .. } | Event::Note { .. } => {}
+            Event::Peer { from, data } => {
+                self.told.insert(from, (self.now, held_from_bytes(&data)));
+            }
+            Event::Timer(_) | Event::Note { .. } => {}
         }
         self.admit();
         if !self.ticking && (!self.works.is_empty() || self.servers.values().any(|s| s.unreachable)) {
@@ -165,9 +174,7 @@
     }
 
     fn hold(&mut self, id: RequestId) {
-        if let Some(w) = self.works.get(&id) {
-            self.waiting.insert((w.over_share, w.aim_at, id));
-        }
+        self.waiting.extend(self.works.get(&id).map(|w| (w.over_share, w.aim_at, id)));
     }
 
     // --- Before the read: held while all writers look full ------------------------------------------
@@ -205,7 +212,7 @@
         let key = work.request.prefix.or(work.request.session).unwrap_or(Key(id.0));
         let rank_first = readers.iter().map(|s| s.id).max_by_key(|s| key.rank(*s));
         let unread = |s: &Server| {
-            let kept = if Some(s.id) == rank_first { work.request.prefix_len * s.kept.value } else { 0.0 };
+            let kept = if Some(s.id) == rank_first { work.request.prefix_len } else { 0.0 };
             READ_BASE + (work.request.prompt_len - kept).max(0.0)
         };
         let cost = |s: &Server| (s.unread + s.others_unread + unread(s)) * s.slow / self.speed(s);
@@ -219,8 +226,8 @@
         let home = readers.iter().filter(room).find(|s| Some(s.id) == rank_first).unwrap_or(least);
         let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
         let stage = if chosen.role == Role::Both { Stage::Whole } else { Stage::Read };
-        let (unread, queued, at_home) = (unread(chosen), cost(chosen), Some(chosen.id) == rank_first);
-        self.send(id, Sent { unread, queued, at_home, ..Sent::to(chosen.id, stage) });
+        let (unread, queued) = (unread(chosen), cost(chosen));
+        self.send(id, Sent { unread, queued, ..Sent::to(chosen.id, stage) });
         true
     }
 
@@ -245,10 +252,10 @@
         let reader = work.state.and_then(|(r, _)| self.servers.get(&r));
         let cell = |s: &&&Server| reader.is_some_and(|r| r.cell.is_some() && r.cell == s.cell);
         let zone = |s: &&&Server| reader.is_some_and(|r| r.zone.is_some() && r.zone == s.zone);
-        let clearly = self.load(least) + WRITER_YIELD;
         let in_cell = self.least_loaded(open.iter().filter(cell).copied());
         let in_zone = self.least_loaded(open.iter().filter(zone).copied());
-        let near = in_cell.into_iter().chain(in_zone).find(|s| self.load(s) <= clearly);
+        let near =
+            in_cell.into_iter().chain(in_zone).find(|s| self.load(s) <= self.load(least) + WRITER_YIELD);
         Some(near.unwrap_or(least).id)
     }
 
@@ -270,19 +277,30 @@
         s.full_at.is_some_and(|at| self.now < at + FULL_FOR)
     }
 
-    /// Share of a writer's memory that is held, by guess: own sends, and the others' by report.
+    /// Share of a writer's memory that is held, by guess: own sends, and the others'.
     fn memory_share(&self, s: &Server) -> f64 {
-        (s.held + self.others(s)) / s.memory.max(1.0)
+        (s.held + self.others(s).unwrap_or_else(|| self.told(s))) / s.memory.max(1.0)
     }
 
-    /// What the other routers hold at a server; one not heard from counts as average.
-    fn others(&self, s: &Server) -> f64 {
+    /// What the reports say that others hold at a server; one not heard from counts as average.
+    fn others(&self, s: &Server) -> Option<f64> {
         let known = |o: &Server| if o.kind == s.kind { o.others } else { None };
-        s.others.unwrap_or_else(|| average(self.servers.values().filter_map(known)).unwrap_or(0.0))
+        s.others.or_else(|| average(self.servers.values().filter_map(known)))
+    }
+
+    /// Without any report: what the other routers told, and for one not heard from what we hold on average
+    /// ourselves. Only fullness is judged by it; a lost or late message costs a worse guess, nothing else.
+    fn told(&self, s: &Server) -> f64 {
+        let fresh = self.told.values().filter(|t| self.now < t.0 + TOLD_FOR);
+        let heard: Vec<f64> = fresh.map(|t| t.1.get(&s.id).copied().unwrap_or(0.0)).collect();
+        let own = |o: &Server| (o.kind == s.kind && o.ready).then_some(o.held);
+        let unheard = f64::from(self.set.routers) - 1.0 - heard.len() as f64;
+        let own = average(self.servers.values().filter_map(own)).unwrap_or(0.0);
+        heard.iter().sum::<f64>() + unheard.max(0.0) * own
     }
 
     fn load(&self, s: &Server) -> f64 {
-        self.memory_share(s) * s.slow / self.speed(s)
+        (s.held + self.others(s).unwrap_or(0.0)) / s.memory.max(1.0) * s.slow / self.speed(s)
     }
 
     /// Its weight beside the mean of its role, less while it is cold.
@@ -324,8 +342,8 @@
         if !well.is_empty() && well.len() * 3 >= open.len() {
             return well;
         }
-        let some = open.iter().any(|s| !s.unreachable);
-        open.into_iter().filter(|s| !some || !s.unreachable).collect()
+        let none = open.iter().all(|s| s.unreachable);
+        open.into_iter().filter(|s| none || !s.unreachable).collect()
     }
 
     /// Rule 2 for keyed requests that may have run: same group, within the window.
@@ -354,11 +372,7 @@
         work.sent = Some(sent);
         // Without a way to call an attempt off, its time-out has to do it.
         let safe = stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
-        let timeout = match stage {
-            Stage::Write if safe && !self.set.cancel => WRITE_PATIENCE,
-            Stage::Read if !self.set.cancel => READ_PATIENCE * BLIND_TIMES,
-            _ => 0,
-        };
+        let timeout = if self.set.cancel || !safe { 0 } else { BLIND_PATIENCE };
         self.out.push(Action::Send { id, server, timeout });
     }
 
@@ -392,9 +406,7 @@
         if let Some(s) = self.servers.get_mut(&o.server) {
             s.close(self.now, REPORT_LAG, &sent);
         }
-        if let Some(report) = o.report {
-            self.on_report(o.server, &report);
-        }
+        self.on_report(o.server, o.report);
         if sent.stage == Stage::Read && o.status == Status::Read {
             self.learn_read(&o, &sent);
         }
@@ -421,9 +433,8 @@
             return;
         }
         let effect = self.set.classes[work.request.class.0].effect;
-        let never_ran =
-            matches!(o.status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Read);
-        if !read && !never_ran && effect != Effect::Safe && work.may_have_run.is_none() {
+        let not_run = matches!(o.status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Read);
+        if !read && !not_run && effect != Effect::Safe && work.may_have_run.is_none() {
             let (zone, cell) = self.servers.get(&o.server).map_or((None, None), |s| (s.zone, s.cell));
             work.may_have_run = Some(MayHaveRun { zone, cell, at: sent.at });
         }
@@ -454,8 +465,7 @@
     fn give_up(&mut self, id: RequestId) {
         let Some(work) = self.works.get(&id) else { return };
         let Some(class) = self.set.classes.get(work.request.class.0) else { return };
-        let writing = work.sent.is_some_and(|s| s.stage != Stage::Read);
-        let ran = writing || work.may_have_run.is_some();
+        let ran = work.may_have_run.is_some() || work.sent.is_some_and(|s| s.stage != Stage::Read);
         let harmless = match class.effect {
             Effect::Safe => true,
             Effect::Keyed => !ran || class.group == Group::All,
@@ -534,15 +544,13 @@
             s.shunned_until = now;
             s.heard_at = now;
         }
-        if let Some(report) = report {
-            self.on_report(server, &report);
-        }
+        self.on_report(server, report);
     }
 
     /// A report counts own work too, as it was a while ago; what is left is the others'.
-    fn on_report(&mut self, server: ServerId, report: &Report) {
+    fn on_report(&mut self, server: ServerId, report: Option<Report>) {
         let (now, read) = (self.now, mean(&self.class_read));
-        let Some(s) = self.servers.get_mut(&server) else { return };
+        let (Some(s), Some(report)) = (self.servers.get_mut(&server), report) else { return };
         s.follow(now, REPORT_LAG);
         if let Some(share) = report.memory.filter(|_| s.role != Role::Read) {
             s.others = Some((share * s.memory - s.held_seen.value).max(0.0));
@@ -560,10 +568,6 @@
         let per_token = o.latency as f64 / sent.queued.max(READ_BASE);
         self.read_pace.add(per_token, GAIN);
         self.learn_pace(o.server, per_token);
-        let prefix = self.works.get(&o.id).map_or(0.0, |w| w.request.prefix_len);
-        if let Some(s) = self.servers.get_mut(&o.server).filter(|_| prefix > 0.0 && sent.at_home) {
-            s.kept.add((o.note as f64 / prefix).min(1.0), GAIN);
-        }
     }
 
     /// Compares a server's latency with the median of its role.
@@ -623,10 +627,9 @@
         if kind == ListKind::Failed {
             return self.out.push(Action::Timer { token: ASK_TIMER, delay: ASK_AGAIN });
         }
-        if !self.started && self.set.ask {
+        if kind == ListKind::Cached && self.set.ask {
             self.out.push(Action::Watch(true));
         }
-        self.started = true;
         if kind != ListKind::Delta {
             self.servers.values_mut().for_each(|s| s.ready = false);
         }
@@ -652,11 +655,10 @@
     fn on_tick(&mut self) {
         self.ticking = false;
         self.fill_cold_budgets();
-        let open = |(id, w): (&RequestId, &Work)| (!w.ended).then_some(*id);
-        let ids: Vec<RequestId> = self.works.iter().filter_map(open).collect();
+        let ids: Vec<RequestId> = self.works.iter().filter(|w| !w.1.ended).map(|w| *w.0).collect();
         ids.into_iter().for_each(|id| self.look_after(id));
-        self.shed();
         self.probe();
+        self.tell();
     }
 
     fn look_after(&mut self, id: RequestId) {
@@ -667,9 +669,12 @@
         if self.now + LAST_CALL >= work.request.give_up_at {
             return self.give_up(id);
         }
+        let late = self.now + self.to_first.value as Nanos > work.aim_at;
         match work.sent {
-            None => self.place(id),
             Some(sent) => self.check_overdue(id, sent),
+            // Held, it can't make its aim any more: it ends now, so that others can.
+            None if late && work.state.is_none() => self.give_up(id),
+            None => self.place(id),
         }
     }
 
@@ -695,11 +700,11 @@
         }
         let Some(work) = self.works.get(&id) else { return };
         let safe = sent.stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
-        let left = work.attempts + ATTEMPTS_KEPT <= self.set.max_attempts;
         let reads = sent.stage != Stage::Write;
-        let need = work.need();
-        let better = |s: &&Server| s.id != sent.server && !self.ill(s) && (reads || self.has_room(s, need));
-        if !safe || !left || !self.set.cancel || !self.candidates(reads, Some(work)).iter().any(better) {
+        let room = |s: &Server| self.has_room(s, work.need());
+        let better = |s: &&Server| s.id != sent.server && !self.ill(s) && (reads || room(s));
+        let left = work.attempts + ATTEMPTS_KEPT <= self.set.max_attempts && self.set.cancel;
+        if !safe || !left || !self.candidates(reads, Some(work)).iter().any(better) {
             return;
         }
         if let Some(sent) = self.works.get_mut(&id).and_then(|w| w.sent.as_mut()) {
@@ -708,21 +713,22 @@
         }
     }
 
-    /// Held requests that can't make their aim any more end now, so that others can.
-    fn shed(&mut self) {
-        let late = |w: &Work| self.now + self.to_first.value as Nanos > w.aim_at;
-        let held = self.waiting.iter().map(|w| w.2);
-        let ids: Vec<RequestId> = held.filter(|id| self.works.get(id).is_some_and(late)).collect();
-        ids.into_iter().for_each(|id| self.give_up(id));
+    /// Tells the other routers what we hold, where no server does.
+    fn tell(&mut self) {
+        let silent = self.servers.values().all(|s| s.others.is_none());
+        if self.set.peers && self.set.routers > 1 && silent && self.now >= self.told_at + TELL_EVERY {
+            self.told_at = self.now;
+            let data = held_to_bytes(self.servers.values().map(|s| (s.id, s.held)));
+            self.out.push(Action::Tell { peer: None, data });
+        }
     }
 
     fn probe(&mut self) {
-        let now = self.now;
-        for s in self.servers.values_mut().filter(|s| s.ready && s.unreachable && s.probe_at <= now) {
+        for s in self.servers.values_mut().filter(|s| s.ready && s.unreachable && s.probe_at <= self.now) {
             if self.set.probes {
-                s.probe_at = now + PROBE_EVERY;
+                s.probe_at = self.now + PROBE_EVERY;
                 self.out.push(Action::Probe(s.id));
-            } else if now >= s.shunned_until {
+            } else if self.now >= s.shunned_until {
                 s.unreachable = false;
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -132,8 +132,6 @@
     /// Last time that it answered anything at all.
     pub heard_at: Nanos,
     pub failing: Mean,
-    /// Share of a prefix that is found kept where it has its home.
-    pub kept: Mean,
     /// Latency for the work asked of it.
     pub pace: Mean,
     /// That latency as a multiple of its peers'; 1 while it is not clearly slower.
@@ -172,7 +170,6 @@
         full_at: None,
         heard_at: 0,
         failing: Mean::default(),
-        kept: Mean { value: 1.0, samples: u32::MAX },
         pace: Mean::default(),
         slow: 1.0,
         shunned_until: 0,
@@ -248,8 +245,6 @@
     /// Own tokens to read there when it was sent, its own included.
     pub queued: f64,
     pub held: f64,
-    /// Read at the home of its session or prefix.
-    pub at_home: bool,
     pub begun: bool,
     pub cancelled: bool,
 }
@@ -265,7 +260,6 @@
             unread: 0.0,
             queued: 0.0,
             held: 0.0,
-            at_home: false,
             begun: false,
             cancelled: false,
         }
@@ -335,3 +329,26 @@
         self.request.prompt_len + self.answer
     }
 }
+
+/// Tokens in one unit of a message between routers.
+const UNIT: f64 = 16.0;
+/// The most that one message holds.
+const MESSAGE: usize = 256;
+
+/// What a router holds at each server: four bytes for the server, two for the amount.
+pub fn held_to_bytes(held: impl Iterator<Item = (ServerId, f64)>) -> Vec<u8> {
+    let some = held.filter(|(_, held)| *held >= UNIT);
+    let entry = |(server, held): (ServerId, f64)| {
+        let units = (held / UNIT).min(f64::from(u16::MAX)) as u16;
+        server.0.to_le_bytes().into_iter().chain(units.to_le_bytes())
+    };
+    some.take(MESSAGE / 6).flat_map(entry).collect()
+}
+
+pub fn held_from_bytes(data: &[u8]) -> std::collections::BTreeMap<ServerId, f64> {
+    let entry = |e: &[u8]| {
+        let server = ServerId(u32::from_le_bytes([e[0], e[1], e[2], e[3]]));
+        (server, f64::from(u16::from_le_bytes([e[4], e[5]])) * UNIT)
+    };
+    data.chunks_exact(6).map(entry).collect()
+}
