--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,6 +24,8 @@
 const TELL_EVERY: Nanos = 300_000_000;
 /// How long such a message is believed.
 const TOLD_FOR: Nanos = 1_500_000_000;
+/// That much more for each second that writes out of the cell take longer to begin: its link is slow.
+const MOVE_YIELD: f64 = 0.5;
 /// Home yields when the wait there, in tokens to read, is this much above the least loaded's.
 const READER_YIELD: f64 = 3000.0;
 /// A read costs about this many tokens whatever its length: steps, hand-over.
@@ -97,6 +99,8 @@
     read_pace: Mean,
     /// What a warm server of each role is sent, in mean requests a second.
     usual: [Mean; 3],
+    /// Seconds to the first token of a write, in the reader's cell and out of it.
+    moves: [Mean; 2],
     /// What other routers told that they hold, and when.
     told: BTreeMap<u32, (Nanos, BTreeMap<ServerId, f64>)>,
     told_at: Nanos,
@@ -252,10 +256,10 @@
         let reader = work.state.and_then(|(r, _)| self.servers.get(&r));
         let cell = |s: &&&Server| reader.is_some_and(|r| r.cell.is_some() && r.cell == s.cell);
         let zone = |s: &&&Server| reader.is_some_and(|r| r.zone.is_some() && r.zone == s.zone);
+        let margin = WRITER_YIELD + MOVE_YIELD * (self.moves[1].value - self.moves[0].value).max(0.0);
         let in_cell = self.least_loaded(open.iter().filter(cell).copied());
         let in_zone = self.least_loaded(open.iter().filter(zone).copied());
-        let near =
-            in_cell.into_iter().chain(in_zone).find(|s| self.load(s) <= self.load(least) + WRITER_YIELD);
+        let near = in_cell.into_iter().chain(in_zone).find(|s| self.load(s) <= self.load(least) + margin);
         Some(near.unwrap_or(least).id)
     }
 
@@ -288,8 +292,7 @@
         s.others.or_else(|| average(self.servers.values().filter_map(known)))
     }
 
-    /// Without any report: what the other routers told, and for one not heard from what we hold on average
-    /// ourselves. Only fullness is judged by it; a lost or late message costs a worse guess, nothing else.
+    /// Without any report: what routers told, for one not heard from our own average. Only for fullness.
     fn told(&self, s: &Server) -> f64 {
         let fresh = self.told.values().filter(|t| self.now < t.0 + TOLD_FOR);
         let heard: Vec<f64> = fresh.map(|t| t.1.get(&s.id).copied().unwrap_or(0.0)).collect();
@@ -323,8 +326,6 @@
         }
     }
 
-    // --- Sending ------------------------------------------------------------------------------------
-
     /// Servers of one stage that may be sent to now, leaving out ill ones while enough others are left.
     fn candidates(&self, reads: bool, work: Option<&Work>) -> Vec<&Server> {
         let split = self.servers.values().any(|s| s.ready && s.role == Role::Write);
@@ -376,13 +377,11 @@
         self.out.push(Action::Send { id, server, timeout });
     }
 
-    // --- What comes back ----------------------------------------------------------------------------
-
     fn on_first(&mut self, id: RequestId, attempt: AttemptNo, latency: Nanos) {
         let now = self.now;
         let Some(work) = self.works.get_mut(&id) else { return };
         // Whatever the stream took over is let go by itself.
-        work.state = None;
+        let cell = work.state.take().and_then(|(reader, _)| self.servers.get(&reader)?.cell);
         let Some(sent) = work.sent.as_mut().filter(|s| s.no == attempt && !s.begun) else { return };
         if let Some(read_at) = work.read_at {
             self.to_first.add(now.saturating_sub(read_at) as f64, GAIN);
@@ -390,6 +389,9 @@
         if let Some(s) = self.servers.get_mut(&sent.server) {
             s.begin(now, REPORT_LAG, sent);
             s.heard_at = now;
+            if sent.stage == Stage::Write {
+                self.moves[usize::from(s.cell != cell)].add(latency as f64 / 1e9, GAIN);
+            }
         }
         sent.begun = true;
         let (server, stage) = (sent.server, sent.stage);
@@ -425,7 +427,6 @@
             _ => {}
         }
         if work.ended {
-            // Its client has its answer or is gone: nothing may stay pinned.
             if !sent.begun {
                 self.out.push(Action::Release(o.id));
             }
@@ -459,8 +460,6 @@
         self.hold(o.id);
     }
 
-    // --- The final answer ---------------------------------------------------------------------------
-
     /// A refusal where trying again is harmless, else a failure; nothing stays pinned.
     fn give_up(&mut self, id: RequestId) {
         let Some(work) = self.works.get(&id) else { return };
@@ -483,7 +482,6 @@
         self.waiting.remove(&(work.over_share, work.aim_at, id));
         self.out.extend(answer);
         match work.sent {
-            // Books and state are settled by its outcome.
             Some(sent) if self.set.cancel && !sent.begun && !sent.cancelled => {
                 self.out.push(Action::Cancel { id, attempt: sent.no });
             }
@@ -534,9 +532,8 @@
         let now = self.now;
         if let Some(s) = self.servers.get_mut(&server).filter(|_| status == Status::Ok) {
             if s.lost {
-                // It may be a new process that the list has not told of yet: cold until proven warm. Guards
-                // against routers that all pour onto a server the moment it answers; after a mere cut it
-                // costs some seconds of that server's work.
+                // It may be a new process that the list has not told of: cold, or all routers pour onto it
+                // at once. After a mere cut that costs some seconds of its work.
                 s.back_at = now;
                 s.budget = Bucket::owing(now);
             }
@@ -556,11 +553,10 @@
             s.others = Some((share * s.memory - s.held_seen.value).max(0.0));
             s.reported_full = share >= FULL_SHARE;
         }
-        if let Some(requests) = report.inflight.or(report.queue).filter(|_| s.role != Role::Write) {
-            s.others_unread = (requests - s.unbegun_seen.value).max(0.0) * read;
-        }
-        if let Some(k) = report.unread_k.filter(|_| s.role != Role::Write) {
-            s.others_unread = (k * 1000.0 - s.unread).max(0.0);
+        let requests = report.inflight.or(report.queue).map(|n| (n - s.unbegun_seen.value) * read);
+        let waiting = report.unread_k.map(|k| k * 1000.0 - s.unread).or(requests);
+        if let Some(tokens) = waiting.filter(|_| s.role != Role::Write) {
+            s.others_unread = tokens.max(0.0);
         }
     }
 
@@ -583,8 +579,6 @@
         }
     }
 
-    // --- Cold servers -------------------------------------------------------------------------------
-
     fn cold(&self, s: &Server) -> bool {
         let since = s.ready_at.max(s.back_at);
         since > 0 && self.now < since + self.set.cold
@@ -598,8 +592,7 @@
         (own / mean.max(1.0)).max(0.1)
     }
 
-    /// Rule 4: all routers together stay under multiple x cold share x capacity. Each router keeps to that
-    /// part of what it sends itself to a warm peer, so the sum stays below whatever the traffic's split.
+    /// Rule 4, kept by each router alone: that part of what it sends itself to a warm peer.
     fn cold_budget_allows(&self, s: &Server) -> bool {
         !self.cold(s) || s.budget.level >= 0.0
     }
@@ -621,8 +614,6 @@
         }
     }
 
-    // --- The list of servers ------------------------------------------------------------------------
-
     fn on_members(&mut self, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
             return self.out.push(Action::Timer { token: ASK_TIMER, delay: ASK_AGAIN });
@@ -681,8 +672,11 @@
     /// An attempt that takes too long: its server queues, is slow, is cut off or died without a word.
     fn check_overdue(&mut self, id: RequestId, sent: Sent) {
         let age = self.now - sent.at;
+        let state = self.works.get(&id).and_then(|w| w.state);
+        let cell = state.and_then(|(reader, _)| self.servers.get(&reader)?.cell);
         let Some(s) = self.servers.get_mut(&sent.server) else { return };
-        let silent = s.heard_at < sent.at;
+        // What crosses cells may wait for a slow link: another far writer is no better then.
+        let (silent, near) = (s.heard_at < sent.at, s.cell == cell);
         if sent.stage == Stage::Write && age >= STALLED {
             s.full_at = Some(self.now);
         }
@@ -702,7 +696,9 @@
         let safe = sent.stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
         let reads = sent.stage != Stage::Write;
         let room = |s: &Server| self.has_room(s, work.need());
-        let better = |s: &&Server| s.id != sent.server && !self.ill(s) && (reads || room(s));
+        let better = |s: &&Server| {
+            s.id != sent.server && !self.ill(s) && (reads || room(s) && (near || silent || s.cell == cell))
+        };
         let left = work.attempts + ATTEMPTS_KEPT <= self.set.max_attempts && self.set.cancel;
         if !safe || !left || !self.candidates(reads, Some(work)).iter().any(better) {
             return;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -370,3 +370,18 @@
     let at_slow = (100..106).filter(|id| sent_to(&r.ask(*id)) == Some(1)).count();
     assert!(at_slow <= 1, "{at_slow}");
 }
+
+/// Found in incidents with slow moves: each state was moved again and again, over the link that was slow.
+#[test]
+fn a_write_that_waits_out_of_its_cell_is_not_called_off_for_another_far_one() {
+    let mut r = Router::new(settings(), vec![entry(1, 0, 0), entry(12, 1, 1), entry(13, 1, 2)]);
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    let writer = sent_to(&r.outcome(1, reader, Status::Read)).expect("a write");
+    r.ask(2);
+    r.pass(300 * MS);
+    // The writer answers others meanwhile: it lives.
+    let report = Some(Report::default());
+    r.event(Event::Probed { server: ServerId(writer), status: Status::Ok, latency: MS, report });
+    let done = r.pass(1200 * MS);
+    assert!(!done.contains(&Action::Cancel { id: RequestId(1), attempt: AttemptNo(1) }));
+}
