--- a/src/policy.rs
+++ b/src/policy.rs
@@ -63,8 +63,8 @@
 const BLIND_PATIENCE: Nanos = 1_500_000_000;
 /// Attempts kept back for a read and a write from the start.
 const ATTEMPTS_KEPT: u32 = 2;
-/// Part of what a cold server may be sent that is used: chance, and peers above their usual load.
-const COLD_CAUTION: f64 = 0.75;
+/// Part used of what a cold server may be sent: warm peers carry well below what they could.
+const COLD_CAUTION: f64 = 1.0;
 /// Span over which the load of warm peers is averaged for the cold budget.
 const PEER_SPAN: Nanos = 5_000_000_000;
 /// Weight of each tick's sample in that load's mean, which stands in while no peer is warm: some 5 s.
