--- a/src/policy.rs
+++ b/src/policy.rs
@@ -410,7 +410,9 @@
         }
         self.on_report(o.server, o.report);
         if sent.stage == Stage::Read && o.status == Status::Read {
-            self.learn_read(&o, &sent);
+            let per_token = o.latency as f64 / sent.queued.max(READ_BASE);
+            self.read_pace.add(per_token, GAIN);
+            self.learn_pace(o.server, per_token);
         }
         self.settle(o, sent);
     }
@@ -498,7 +500,7 @@
     // --- Health: by symptom, against peers -----------------------------------------------------------
 
     fn ill(&self, s: &Server) -> bool {
-        let on_trial = s.failing.value >= FAIL_SHARE && s.failing.samples >= SAMPLES || s.slow >= SLOW_SHUN;
+        let on_trial = fails_often(s) || s.slow >= SLOW_SHUN;
         s.unreachable || self.now < s.shunned_until || on_trial && s.unbegun > 0
     }
 
@@ -523,7 +525,7 @@
         if !matches!(o.status, Status::Timeout | Status::Cancelled | Status::ConnectFailed | Status::Moot) {
             s.heard_at = now;
         }
-        if o.status == Status::Error && s.failing.value >= FAIL_SHARE && s.failing.samples >= SAMPLES {
+        if o.status == Status::Error && fails_often(s) {
             s.shunned_until = now + SHUN_FOR;
         }
     }
@@ -560,12 +562,6 @@
         }
     }
 
-    fn learn_read(&mut self, o: &Outcome, sent: &Sent) {
-        let per_token = o.latency as f64 / sent.queued.max(READ_BASE);
-        self.read_pace.add(per_token, GAIN);
-        self.learn_pace(o.server, per_token);
-    }
-
     /// Compares a server's latency with the median of its role.
     fn learn_pace(&mut self, server: ServerId, sample: f64) {
         let Some(s) = self.servers.get_mut(&server) else { return };
@@ -730,3 +726,7 @@
         }
     }
 }
+
+fn fails_often(s: &Server) -> bool {
+    s.failing.value >= FAIL_SHARE && s.failing.samples >= SAMPLES
+}
