Many routers: homes by the writers near, probes before a choice, few call-offs, rests by part

Tried and not kept: a home share of at least a quarter where no writer is near, home yielding at 3,000 and 8,000 tokens.

--- a/crates/gaparch-simhost/src/settings.rs
+++ b/crates/gaparch-simhost/src/settings.rs
@@ -60,6 +60,8 @@
         fall: whole(&rules["overloadForNs"]).unwrap_or(base.fall),
         answer_slack: whole(&rules["answerSlackNs"]).unwrap_or(base.answer_slack),
         tick: whole(&env["stepNs"]).unwrap_or(base.tick),
+        probe_price: number(&env["fees"]["probe"]).unwrap_or(base.probe_price),
+        peer_price: number(&env["fees"]["peer"]).unwrap_or(base.peer_price),
     };
     Site {
         settings,
--- a/src/api.rs
+++ b/src/api.rs
@@ -42,6 +42,11 @@
     pub fn rank(self, server: ServerId) -> u64 {
         mix(self.0 ^ mix(u64::from(server.0)))
     }
+
+    /// The same as a number in (0, 1).
+    pub fn draw(self, server: ServerId) -> f64 {
+        ((self.rank(server) >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+    }
 }
 
 /// A fixed mixing of bits (SplitMix64).
@@ -132,6 +137,17 @@
     pub fall: Nanos,
     pub answer_slack: Nanos,
     pub tick: Nanos,
+    /// Points of service for one probe, and for one message of 256 bytes to one router, a request.
+    pub probe_price: f64,
+    pub peer_price: f64,
+}
+
+impl Settings {
+    /// Role and memory of a kind; one that is not told of does both, and its memory is not known.
+    pub fn kind(&self, kind: Option<KindId>) -> (Role, f64) {
+        let i = kind.map_or(usize::MAX, |k| k.0);
+        (self.roles.get(i).copied().unwrap_or(Role::Both), self.memory.get(i).copied().unwrap_or(0.0))
+    }
 }
 
 impl Default for Settings {
@@ -167,6 +183,8 @@
             fall: 0,
             answer_slack: 0,
             tick: 0,
+            probe_price: 0.0,
+            peer_price: 0.0,
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,10 @@
 //! Bookkeeping for the decision module: the tables of servers and requests. Decides nothing.
 
-use crate::api::{AttemptNo, CellId, KindId, Nanos, Request, Role, ServerId, ZoneId};
+use crate::api::{
+    AttemptNo, CellId, ClassId, Entry, Key, KindId, Nanos, Report, Request, Role, ServerId, ServerState,
+    TenantId, ZoneId,
+};
+use std::collections::BTreeMap;
 
 /// A mean that forgets: each sample counts `gain` of the whole.
 #[derive(Clone, Copy, Debug, Default)]
@@ -17,6 +21,60 @@
     }
 }
 
+/// What reads take.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reads {
+    /// Nanoseconds a token, and how far single reads are off that.
+    pub pace: Mean,
+    pub off: Mean,
+    /// The same where nothing else waited.
+    pub best: f64,
+    /// Tokens that were not kept, a read.
+    pub size: Mean,
+}
+
+impl Reads {
+    /// Nanoseconds a token of a read that is late by so many deviations.
+    pub fn late(&self, deviations: f64) -> f64 {
+        self.pace.value + deviations * self.off.value
+    }
+
+    /// `slower` is the gain by which a slower sample moves the best.
+    pub fn add(&mut self, per_token: f64, gain: f64, slower: f64) {
+        self.off.add((per_token - self.pace.value).abs(), gain);
+        self.pace.add(per_token, gain);
+        let best = if self.best > 0.0 { self.best } else { per_token };
+        self.best = per_token.min(best + (per_token - best) * slower);
+    }
+}
+
+/// Requests seen lately, all and by shared beginning.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    since: Nanos,
+    all: Recent,
+    by_prefix: BTreeMap<Key, Recent>,
+}
+
+impl Seen {
+    /// Mean gap between requests.
+    pub fn gap(&self, now: Nanos, span: Nanos) -> f64 {
+        now.saturating_sub(self.since).min(span) as f64 / self.all.get(now, span).max(1.0)
+    }
+
+    /// How many there were before this one, of its beginning and in all.
+    pub fn add(&mut self, now: Nanos, prefix: Option<Key>, span: Nanos) -> (f64, f64) {
+        let all = self.all.get(now, span);
+        self.since = if self.since == 0 { now } else { self.since };
+        self.all.add(now, 1.0, span);
+        let Some(prefix) = prefix else { return (0.0, all) };
+        let same = self.by_prefix.entry(prefix).or_default();
+        let before = same.get(now, span);
+        same.add(now, 1.0, span);
+        (before, all)
+    }
+}
+
 /// An amount that drains away exponentially, so that `value / span` is a recent rate.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Recent {
@@ -77,9 +135,9 @@
 }
 
 impl Bucket {
-    /// In debt for one.
-    pub fn owing(now: Nanos) -> Bucket {
-        Bucket { level: -1.0, at: now }
+    /// In debt.
+    pub fn owing(now: Nanos, debt: f64) -> Bucket {
+        Bucket { level: -debt, at: now }
     }
 
     /// Takes one, if there is one; a bucket never used is full.
@@ -102,6 +160,16 @@
     }
 }
 
+/// Traffic that a server may treat unlike the rest.
+pub type Part = (ClassId, Option<TenantId>);
+
+/// A rest that grows with each failure and shrinks with each success.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rest {
+    pub until: Nanos,
+    span: Nanos,
+}
+
 #[derive(Clone, Debug)]
 pub struct Server {
     pub id: ServerId,
@@ -126,17 +194,22 @@
     pub unbegun_seen: Lagged,
     /// What other routers hold there, by the reports: tokens of memory, tokens to read.
     pub others: Option<f64>,
-    pub others_unread: f64,
-    pub reported_full: bool,
+    pub others_unread: Option<f64>,
+    /// When a report last told of them.
+    pub news_at: Nanos,
+    /// Share of its memory held, as last reported.
+    pub share: Option<f64>,
     pub full_at: Option<Nanos>,
     /// Last time that it answered anything at all.
     pub heard_at: Nanos,
-    pub failing: Mean,
+    /// When a probe that is out was sent.
+    pub asked_at: Option<Nanos>,
+    /// Rests after failures, of all traffic or of a part of it.
+    pub rests: BTreeMap<Option<Part>, Rest>,
     /// Latency for the work asked of it.
     pub pace: Mean,
-    /// That latency as a multiple of its peers'; 1 while it is not clearly slower.
-    pub slow: f64,
-    pub shunned_until: Nanos,
+    /// That latency as a multiple of its peers' median; 1 until it can be told.
+    pub pace_ratio: f64,
     pub unreachable: bool,
     /// Unreachable because a connection broke or was not to be had.
     pub lost: bool,
@@ -165,14 +238,15 @@
         held_seen: Lagged::default(),
         unbegun_seen: Lagged::default(),
         others: None,
-        others_unread: 0.0,
-        reported_full: false,
+        others_unread: None,
+        news_at: 0,
+        share: None,
         full_at: None,
         heard_at: 0,
-        failing: Mean::default(),
+        asked_at: None,
+        rests: BTreeMap::new(),
         pace: Mean::default(),
-        slow: 1.0,
-        shunned_until: 0,
+        pace_ratio: 1.0,
         unreachable: false,
         lost: false,
         probe_at: 0,
@@ -183,12 +257,64 @@
 }
 
 impl Server {
+    pub fn rest(&mut self, now: Nanos, part: Option<Part>, least: Nanos, most: Nanos) {
+        let rest = self.rests.entry(part).or_default();
+        rest.span = (rest.span * 2).max(least).min(most);
+        rest.until = now + rest.span;
+    }
+
+    pub fn full_within(&self, now: Nanos, span: Nanos) -> bool {
+        self.full_at.is_some_and(|at| now < at + span)
+    }
+
+    /// When its process began, as listed or guessed; 0: long ago.
+    pub fn began_at(&self) -> Nanos {
+        self.ready_at.max(self.back_at)
+    }
+
+    pub fn served(&mut self, part: Part) {
+        for part in [None, Some(part)] {
+            self.rests.entry(part).and_modify(|rest| rest.span /= 2);
+        }
+    }
+
+    pub fn rests(&self, now: Nanos, part: Option<Part>) -> bool {
+        self.rests.get(&part).is_some_and(|rest| now < rest.until)
+    }
+
     /// To be called before own work there changes, or is compared with a report.
     pub fn follow(&mut self, now: Nanos, lag: Nanos) {
         self.held_seen.follow(now, self.held, lag);
         self.unbegun_seen.follow(now, f64::from(self.unbegun), lag);
     }
 
+    /// A report counts own work too, as it was a while ago; what is left is the others'. `size`: tokens to
+    /// read for a request.
+    pub fn note_report(&mut self, now: Nanos, lag: Nanos, report: Option<Report>, size: f64) {
+        let Some(report) = report else { return };
+        self.follow(now, lag);
+        self.news_at = now;
+        self.share = report.memory;
+        if let Some(share) = report.memory.filter(|_| self.role != Role::Read) {
+            self.others = Some((share * self.memory - self.held_seen.value).max(0.0));
+        }
+        let requests = report.inflight.or(report.queue).map(|n| (n - self.unbegun_seen.value) * size);
+        let waiting = report.unread_k.map(|k| k * 1000.0 - self.unread).or(requests);
+        if let Some(tokens) = waiting.filter(|_| self.role != Role::Write) {
+            self.others_unread = Some(tokens.max(0.0));
+        }
+    }
+
+    /// What the list says of it; a new process begins with its cold budget in debt.
+    pub fn listed(&mut self, now: Nanos, e: &Entry, debt: f64) {
+        (self.zone, self.cell, self.kind) = (e.zone, e.cell, e.kind);
+        self.weight = e.weight.filter(|w| *w > 0.0).unwrap_or(1.0);
+        self.ready = e.state == ServerState::Ready;
+        if e.ready_at.unwrap_or(0) != self.ready_at {
+            self.restarted(now, e.ready_at.unwrap_or(0), debt);
+        }
+    }
+
     pub fn take(&mut self, now: Nanos, lag: Nanos, sent: &Sent) {
         self.follow(now, lag);
         self.unbegun += 1;
@@ -213,7 +339,7 @@
 
     /// A new process: its past says nothing, and its cold budget starts empty. Own work there stays booked
     /// until its outcomes come.
-    pub fn restarted(&mut self, now: Nanos, ready_at: Nanos) {
+    pub fn restarted(&mut self, now: Nanos, ready_at: Nanos, debt: f64) {
         let old = self.clone();
         *self = Server {
             zone: old.zone,
@@ -227,13 +353,24 @@
             held_seen: old.held_seen,
             unbegun_seen: old.unbegun_seen,
             heard_at: old.heard_at,
+            asked_at: old.asked_at,
             ready_at,
-            budget: Bucket::owing(now),
+            budget: Bucket::owing(now, debt),
             ..new_server(old.id, old.role, old.memory)
         };
     }
 }
 
+/// Takes a latency, and compares those of its role, of servers with enough samples, with their median.
+pub fn learn_pace(all: &mut BTreeMap<ServerId, Server>, id: ServerId, sample: f64, gain: f64, enough: u32) {
+    let Some(s) = all.get_mut(&id) else { return };
+    s.pace.add(sample, gain);
+    let role = s.role;
+    let known = |s: &&mut Server| s.role == role && s.pace.samples >= enough;
+    let median = median(all.values_mut().filter(known).map(|s| s.pace.value));
+    all.values_mut().filter(known).for_each(|s| s.pace_ratio = s.pace.value / median.max(1.0));
+}
+
 /// The attempt of a request that is out.
 #[derive(Clone, Copy, Debug)]
 pub struct Sent {
@@ -286,6 +423,10 @@
 pub struct Work {
     pub request: Request,
     pub over_share: bool,
+    /// An order of servers that differs for each request and router.
+    pub lot: Key,
+    /// Readers that its shared beginning is at home at.
+    pub homes: usize,
     pub aim_at: Nanos,
     /// Guessed tokens of the answer.
     pub answer: f64,
@@ -297,13 +438,24 @@
     /// Servers that failed it.
     pub avoid: Vec<ServerId>,
     pub read_at: Option<Nanos>,
+    /// Until when answers of probes are waited for.
+    pub look_until: Option<Nanos>,
     /// The final answer is given: only the books are still open.
     pub ended: bool,
 }
 
 impl Work {
-    pub fn new(request: Request, over_share: bool, aim_at: Nanos, answer: f64) -> Work {
+    pub fn new(
+        request: Request,
+        seed: u64,
+        homes: usize,
+        over_share: bool,
+        aim_at: Nanos,
+        answer: f64,
+    ) -> Work {
         Work {
+            lot: Key(request.id.0 ^ seed),
+            homes,
             request,
             over_share,
             aim_at,
@@ -314,10 +466,20 @@
             may_have_run: None,
             avoid: Vec::new(),
             read_at: None,
+            look_until: None,
             ended: false,
         }
     }
 
+    pub fn part(&self) -> Part {
+        (self.request.class, self.request.tenant)
+    }
+
+    /// Unanswered, with no stream begun.
+    pub fn unbegun(&self) -> bool {
+        !self.ended && !self.sent.is_some_and(|s| s.begun)
+    }
+
     /// A writer will have to take its state.
     pub fn pledged(&self) -> bool {
         let reading = self.sent.is_some_and(|s| s.stage == Stage::Read);
@@ -330,6 +492,57 @@
     }
 }
 
+/// What other routers told that they hold, and when.
+pub type Told = BTreeMap<u32, (Nanos, BTreeMap<ServerId, f64>)>;
+
+/// What the servers of a role have in common, made anew whenever time has moved.
+#[derive(Clone, Debug, Default)]
+pub struct Averages {
+    /// Mean weight by role.
+    pub weight: [f64; 3],
+    /// By role, of those with fresh news: what others hold, as a share of memory; what others have to read.
+    pub others: [Option<f64>; 3],
+    pub others_unread: [Option<f64>; 3],
+    /// What other routers told of each server; that and our own together; a writer's mean of it.
+    pub told: BTreeMap<ServerId, f64>,
+    pub known: f64,
+    pub known_mean: f64,
+    /// Routers that were heard from.
+    pub heard: f64,
+    /// Each cell's share of all weight, by role.
+    pub cells: BTreeMap<CellId, [f64; 3]>,
+}
+
+impl Averages {
+    /// Older news than `from` is forgotten.
+    pub fn of(servers: &mut BTreeMap<ServerId, Server>, told: &mut Told, from: Nanos) -> Averages {
+        told.retain(|_, t| t.0 >= from);
+        for s in servers.values_mut().filter(|s| s.news_at < from) {
+            (s.others, s.others_unread, s.share) = (None, None, None);
+        }
+        let mut all = Averages::default();
+        for role in [Role::Read, Role::Write, Role::Both] {
+            let ready = || servers.values().filter(|s| s.ready && s.role == role);
+            let i = role as usize;
+            all.weight[i] = average(ready().map(|s| s.weight)).unwrap_or(1.0);
+            let whole = ready().map(|s| s.weight).sum::<f64>();
+            for (s, cell) in ready().filter_map(|s| Some((s, s.cell?))) {
+                all.cells.entry(cell).or_default()[i] += s.weight / whole;
+            }
+            all.others[i] = average(ready().filter_map(|s| Some(s.others? / s.memory.max(1.0))));
+            all.others_unread[i] = average(ready().filter_map(|s| s.others_unread));
+        }
+        for (_, held) in told.values() {
+            all.heard += 1.0;
+            held.iter().for_each(|(server, held)| *all.told.entry(*server).or_default() += held);
+        }
+        let writers = || servers.values().filter(|s| s.ready && s.role != Role::Read);
+        all.known = all.told.values().sum::<f64>() + writers().map(|s| s.held).sum::<f64>();
+        all.known_mean = all.known / writers().count().max(1) as f64;
+        all
+    }
+}
+
 /// Tokens in one unit of a message between routers.
 const UNIT: f64 = 16.0;
 /// The most that one message holds.
@@ -345,10 +558,16 @@
     some.take(MESSAGE / 6).flat_map(entry).collect()
 }
 
-pub fn held_from_bytes(data: &[u8]) -> std::collections::BTreeMap<ServerId, f64> {
+pub fn held_from_bytes(data: &[u8]) -> BTreeMap<ServerId, f64> {
     let entry = |e: &[u8]| {
         let server = ServerId(u32::from_le_bytes([e[0], e[1], e[2], e[3]]));
         (server, f64::from(u16::from_le_bytes([e[4], e[5]])) * UNIT)
     };
     data.chunks_exact(6).map(entry).collect()
 }
+
+/// Least value first.
+pub fn sorted_by<T>(mut all: Vec<T>, value: impl Fn(&T) -> f64) -> Vec<T> {
+    all.sort_by(|a, b| value(a).total_cmp(&value(b)));
+    all
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -205,7 +205,9 @@
 
 #[test]
 fn a_server_that_was_lost_counts_as_cold_when_it_answers_again() {
-    let mut r = Router::new(settings(), pairs());
+    // Too dear before a choice, probes still tell when a server is back.
+    let settings = Settings { probes: true, probe_price: 1.0, ..settings() };
+    let mut r = Router::new(settings, pairs());
     for id in 1..100 {
         let (_, writer) = r.stream(id);
         r.pass(20 * MS);
