--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,7 +17,7 @@
 const MOVE_YIELD: f64 = 0.5; // and this more for each second that far writes begin later: slow links
 const READER_YIELD: f64 = 5000.0; // home yields with a wait of this many tokens more than the least
 const HOME_MOST: f64 = 1.6; // times an even share that a reader is home to, whatever writers its cell has
-const HOMES: f64 = 1.5; // of a shared beginning, for each reader's even part of all requests it makes up
+const HOMES: f64 = 3.0; // of a shared beginning, for each reader's even part of all requests it makes up
 const SEEN_SPAN: Nanos = 60_000 * MS; // over which requests are counted for that
 const READ_BASE: f64 = 400.0; // tokens that a read costs whatever its length: steps, hand-over
 const PROMPT_UNKNOWN: f64 = 500.0; // prompt length taken when none is told
@@ -39,7 +39,7 @@
 const PROBE_EVERY: Nanos = 400 * MS; // to a server that could not be reached
 const STALLED: Nanos = 400 * MS; // a write not begun for this long is queued: its writer looks full
 const WRITE_PATIENCE: Nanos = 900 * MS; // and is called off if another writer has room
-const READ_WAIT: Nanos = 300 * MS; // a reader with a longer wait looks full, and the rest waits here
+const READ_WAIT: f64 = 0.25; // of the aim: a reader with a longer wait looks full, and the rest waits here
 const DEVIATIONS: f64 = 4.0; // past that and its expected time, by which a read is overdue
 const CALL_OFFS: f64 = 0.2; // attempts that may be called off for each sent: in a jam more would add to it
 const BLIND_PATIENCE: Nanos = 1500 * MS; // time-out of a send where attempts can't be called off
@@ -56,7 +56,7 @@
     set: Settings,
     now: Nanos,
     out: Vec<Action>,
-    servers: BTreeMap<ServerId, Server>,
+    servers: Servers,
     works: BTreeMap<RequestId, Work>,
     /// Held before their read, in the order in which they leave.
     waiting: BTreeSet<(bool, Nanos, RequestId)>,
@@ -73,7 +73,6 @@
     told_at: Nanos,
     purses: [f64; 2], // what may be spent on messages and on probes, in points of service a request
     averages: Averages,
-    averaged_at: Nanos,
     ticking: bool,
 }
 
@@ -89,12 +88,13 @@
         }
     }
 
-    /// Takes one event; the actions take effect at `now`, in order.
     pub fn handle(&mut self, now: Nanos, event: Event) -> Vec<Action> {
         self.now = now;
-        if now >= self.averaged_at + TICK {
-            self.take_averages();
+        if let Event::Peer { from, data } = event {
+            self.told.hear(now, from, held_from_bytes(&data));
+            return Vec::new();
         }
+        self.averages.news(now, TICK, NEWS_FOR, &mut self.servers, &mut self.told);
         match event {
             Event::Members { kind, entries } => self.on_members(kind, &entries),
             Event::Request(request) => self.on_request(request),
@@ -106,8 +106,7 @@
             Event::Probed { server, status, latency, report: r } => {
                 self.on_probed(server, status, latency, r)
             }
-            Event::Peer { from, data } => drop(self.told.insert(from, (now, held_from_bytes(&data)))),
-            Event::Timer(_) | Event::Note { .. } => {}
+            Event::Timer(_) | Event::Note { .. } | Event::Peer { .. } => {}
         }
         self.admit();
         let awake = self.works.values().any(Work::unbegun) || self.servers.values().any(|s| s.unreachable);
@@ -118,12 +117,6 @@
         std::mem::take(&mut self.out)
     }
 
-    fn take_averages(&mut self) {
-        self.averaged_at = self.now;
-        let from = self.now.saturating_sub(NEWS_FOR);
-        self.averages = Averages::of(&mut self.servers, &mut self.told, from);
-    }
-
     // --- A request comes in -------------------------------------------------------------------------
 
     fn on_request(&mut self, request: Request) {
@@ -153,12 +146,12 @@
     }
 
     /// Readers that a shared beginning is at home at: more where it surely is more than a reader's part of
-    /// all requests, by what this router has seen. Else it swamps one home and its cell.
+    /// all requests, by what this router saw. Else it swamps one home and its cell. Coarse: sessions stay.
     fn homes(&mut self, prefix: Option<Key>) -> usize {
         let readers = self.servers.values().filter(|s| s.ready && s.role != Role::Write).count();
         let (same, all) = self.seen.add(self.now, prefix, SEEN_SPAN);
         let sure = (same - same.sqrt()).max(0.0) / all.max(1.0);
-        (1 + (sure * HOMES * readers as f64) as usize).next_power_of_two()
+        power_of_four((sure * HOMES * readers as f64) as usize)
     }
 
     /// Whether this request is beyond its tenant's share, of which each router takes an even part.
@@ -205,13 +198,13 @@
         let unread = |s: &Server| READ_BASE + (work.request.prompt_len - kept(s)).max(0.0);
         let cost = |s: &Server| (s.unread + self.others_unread(s) + unread(s)) / self.speed(s);
         // A reader with a long wait looks full, but one with nothing of ours is tried all the same.
-        let long = |s: &Server| s.unbegun > 0 && cost(s) * self.reads.best > READ_WAIT as f64;
+        let long = |s: &Server| s.unbegun > 0 && cost(s) * self.reads.best > self.read_wait(work);
         let room = |s: &&&Server| !s.full_within(self.now, RECENTLY) && !long(s);
         let lot = |s: &Server| work.lot.rank(s.id);
         let order = |a: &&&Server, b: &&&Server| cost(a).total_cmp(&cost(b)).then(lot(a).cmp(&lot(b)));
         let Some(least) = readers.iter().filter(room).min_by(order) else { return false };
         let other = readers.iter().filter(|s| s.id != home.id).max_by_key(|s| lot(s));
-        let look_at: Vec<ServerId> = [home].into_iter().chain(other.copied()).map(|s| s.id).collect();
+        let look_at: Vec<ServerId> = homes.iter().chain(other).take(2).map(|s| s.id).collect();
         let home = Some(home).filter(|s| room(&s)).unwrap_or(least);
         let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
         let stage = if chosen.role == Role::Both { Stage::Whole } else { Stage::Read };
@@ -230,6 +223,10 @@
         true
     }
 
+    fn read_wait(&self, work: &Work) -> f64 {
+        READ_WAIT * self.set.classes[work.request.class.0].aim as f64
+    }
+
     /// The homes of its shared beginning by rendezvous hashing, the one of its session first; the same on all
     /// routers. They are spread as the writers are that can take the states without a move out of the cell.
     fn homes_of<'s>(&self, work: &Work, readers: &[&'s Server]) -> Vec<&'s Server> {
@@ -323,10 +320,11 @@
     /// what chance may do: a handful of streams tells little of hundreds of routers. Only for fullness.
     fn told(&self, s: &Server) -> f64 {
         let all = &self.averages;
-        let unheard = (f64::from(self.set.routers) - 1.0 - all.heard).max(0.0);
+        let heard = self.told.routers();
+        let unheard = (f64::from(self.set.routers) - 1.0 - heard).max(0.0);
         let streams = all.known / (mean(&self.prompts) + mean(&self.answers)).max(1.0);
         let sure = 1.0 - streams.max(1.0).sqrt().recip();
-        all.told.get(&s.id).map_or(0.0, |t| *t) + unheard * sure * all.known_mean / (1.0 + all.heard)
+        self.told.all.get(&s.id).map_or(0.0, |t| *t) + unheard * sure * all.known_mean / (1.0 + heard)
     }
 
     fn load(&self, s: &Server) -> f64 {
@@ -583,7 +581,7 @@
                 s.budget = Bucket::owing(now, Key(self.set.seed).draw(server));
             }
             (s.unreachable, s.lost) = (false, false);
-            s.heard_at = now;
+            (s.heard_at, s.quick_at) = (now, if latency < LOOK_LATE { now } else { s.quick_at });
         }
     }
 
@@ -630,7 +628,8 @@
             // Nothing new goes to a draining or gone server from now on: rule 3 with its grace unused.
             s.listed(self.now, e, Key(self.set.seed).draw(e.server));
         }
-        self.take_averages();
+        self.averages.list(&self.servers);
+        self.averages.news(self.now, 0, NEWS_FOR, &mut self.servers, &mut self.told);
     }
 
     // --- The clock ----------------------------------------------------------------------------------
@@ -660,27 +659,30 @@
     /// An attempt that takes too long: its server queues, is slow, is cut off or died without a word.
     fn check_overdue(&mut self, id: RequestId, sent: Sent) {
         let age = self.now - sent.at;
-        let state = self.works.get(&id).and_then(|w| w.state);
-        let cell = state.and_then(|(reader, _)| self.servers.get(&reader)?.cell);
+        let Some(work) = self.works.get(&id) else { return };
+        let read_wait = self.read_wait(work);
+        let cell = work.state.and_then(|(reader, _)| self.servers.get(&reader)?.cell);
         let Some(s) = self.servers.get_mut(&sent.server) else { return };
         // What crosses cells may wait for a slow link: another far writer is no better then.
         let (silent, near) = (s.heard_at < sent.at, s.cell == cell);
         if sent.stage == Stage::Write && age >= STALLED {
             s.full_at = Some(self.now);
         }
-        let patience = match sent.stage {
-            Stage::Write => WRITE_PATIENCE,
-            _ => READ_WAIT + (sent.queued * self.reads.late(DEVIATIONS)) as Nanos,
-        };
+        let reads = sent.stage != Stage::Write;
+        let patience = (read_wait + sent.queued * self.reads.late(DEVIATIONS)) as Nanos;
+        let patience = if reads { patience } else { WRITE_PATIENCE };
         if age < patience || sent.cancelled {
             return;
         }
         if silent && self.set.probes && !s.unreachable {
             (s.unreachable, s.probe_at) = (true, self.now);
         }
+        // A reader that answers a probe at once has left the read unanswered; one that does not may be busy.
+        if reads && s.quick_at <= sent.at && age < 2 * patience {
+            return;
+        }
         let Some(work) = self.works.get(&id) else { return };
         let safe = sent.stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
-        let reads = sent.stage != Stage::Write;
         let room = |s: &Server| self.has_room(s, work.need());
         let better = |s: &&Server| {
             s.id != sent.server
--- a/src/state.rs
+++ b/src/state.rs
@@ -202,6 +202,8 @@
     pub full_at: Option<Nanos>,
     /// Last time that it answered anything at all.
     pub heard_at: Nanos,
+    /// Last time that it answered a probe at once.
+    pub quick_at: Nanos,
     /// When a probe that is out was sent.
     pub asked_at: Option<Nanos>,
     /// Rests after failures, of all traffic or of a part of it.
@@ -243,6 +245,7 @@
         share: None,
         full_at: None,
         heard_at: 0,
+        quick_at: 0,
         asked_at: None,
         rests: BTreeMap::new(),
         pace: Mean::default(),
@@ -362,7 +365,7 @@
 }
 
 /// Takes a latency, and compares those of its role, of servers with enough samples, with their median.
-pub fn learn_pace(all: &mut BTreeMap<ServerId, Server>, id: ServerId, sample: f64, gain: f64, enough: u32) {
+pub fn learn_pace(all: &mut Servers, id: ServerId, sample: f64, gain: f64, enough: u32) {
     let Some(s) = all.get_mut(&id) else { return };
     s.pace.add(sample, gain);
     let role = s.role;
@@ -492,54 +495,98 @@
     }
 }
 
-/// What other routers told that they hold, and when.
-pub type Told = BTreeMap<u32, (Nanos, BTreeMap<ServerId, f64>)>;
+pub type Servers = BTreeMap<ServerId, Server>;
 
-/// What the servers of a role have in common, made anew whenever time has moved.
+/// What other routers told that they hold, by router and in all.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    by_router: BTreeMap<u32, (Nanos, BTreeMap<ServerId, f64>)>,
+    pub all: BTreeMap<ServerId, f64>,
+}
+
+impl Told {
+    pub fn hear(&mut self, now: Nanos, from: u32, held: BTreeMap<ServerId, f64>) {
+        held.iter().for_each(|(server, held)| *self.all.entry(*server).or_default() += held);
+        let old = self.by_router.insert(from, (now, held));
+        self.take_off(old.into_iter().collect());
+    }
+
+    /// Forgets what is older than `from`.
+    pub fn forget(&mut self, from: Nanos) {
+        let is_old = |t: &(Nanos, BTreeMap<ServerId, f64>)| t.0 < from;
+        let old: Vec<u32> = self.by_router.iter().filter(|(_, t)| is_old(t)).map(|(r, _)| *r).collect();
+        let old = old.iter().filter_map(|router| self.by_router.remove(router)).collect();
+        self.take_off(old);
+    }
+
+    fn take_off(&mut self, old: Vec<(Nanos, BTreeMap<ServerId, f64>)>) {
+        for (server, held) in old.iter().flat_map(|t| &t.1) {
+            self.all.entry(*server).and_modify(|all| *all = (*all - held).max(0.0));
+        }
+    }
+
+    pub fn routers(&self) -> f64 {
+        self.by_router.len() as f64
+    }
+}
+
+/// What the servers of a role have in common.
 #[derive(Clone, Debug, Default)]
 pub struct Averages {
+    at: Nanos,
     /// Mean weight by role.
     pub weight: [f64; 3],
+    /// Each cell's share of all weight, by role.
+    pub cells: BTreeMap<CellId, [f64; 3]>,
     /// By role, of those with fresh news: what others hold, as a share of memory; what others have to read.
     pub others: [Option<f64>; 3],
     pub others_unread: [Option<f64>; 3],
-    /// What other routers told of each server; that and our own together; a writer's mean of it.
-    pub told: BTreeMap<ServerId, f64>,
+    /// What we and other routers hold at writers, and a writer's mean of it.
     pub known: f64,
     pub known_mean: f64,
-    /// Routers that were heard from.
-    pub heard: f64,
-    /// Each cell's share of all weight, by role.
-    pub cells: BTreeMap<CellId, [f64; 3]>,
 }
 
 impl Averages {
-    /// Older news than `from` is forgotten.
-    pub fn of(servers: &mut BTreeMap<ServerId, Server>, told: &mut Told, from: Nanos) -> Averages {
-        told.retain(|_, t| t.0 >= from);
-        for s in servers.values_mut().filter(|s| s.news_at < from) {
-            (s.others, s.others_unread, s.share) = (None, None, None);
-        }
-        let mut all = Averages::default();
+    /// Of what the list says.
+    pub fn list(&mut self, servers: &Servers) {
+        self.cells.clear();
         for role in [Role::Read, Role::Write, Role::Both] {
             let ready = || servers.values().filter(|s| s.ready && s.role == role);
-            let i = role as usize;
-            all.weight[i] = average(ready().map(|s| s.weight)).unwrap_or(1.0);
+            self.weight[role as usize] = average(ready().map(|s| s.weight)).unwrap_or(1.0);
             let whole = ready().map(|s| s.weight).sum::<f64>();
             for (s, cell) in ready().filter_map(|s| Some((s, s.cell?))) {
-                all.cells.entry(cell).or_default()[i] += s.weight / whole;
+                self.cells.entry(cell).or_default()[role as usize] += s.weight / whole;
             }
-            all.others[i] = average(ready().filter_map(|s| Some(s.others? / s.memory.max(1.0))));
-            all.others_unread[i] = average(ready().filter_map(|s| s.others_unread));
         }
-        for (_, held) in told.values() {
-            all.heard += 1.0;
-            held.iter().for_each(|(server, held)| *all.told.entry(*server).or_default() += held);
+    }
+
+    /// Of the news of the last `span`; older news is forgotten. Done once in `every`.
+    pub fn news(&mut self, now: Nanos, every: Nanos, span: Nanos, servers: &mut Servers, told: &mut Told) {
+        if now < self.at + every {
+            return;
         }
-        let writers = || servers.values().filter(|s| s.ready && s.role != Role::Read);
-        all.known = all.told.values().sum::<f64>() + writers().map(|s| s.held).sum::<f64>();
-        all.known_mean = all.known / writers().count().max(1) as f64;
-        all
+        self.at = now;
+        let from = now.saturating_sub(span);
+        told.forget(from);
+        let (mut others, mut unread) = ([(0.0, 0.0); 3], [(0.0, 0.0); 3]);
+        let (mut writers, mut held) = (0.0_f64, 0.0);
+        for s in servers.values_mut() {
+            if s.news_at < from {
+                (s.others, s.others_unread, s.share) = (None, None, None);
+            }
+            if s.ready {
+                let add = |sum: &mut (f64, f64), value: f64| *sum = (sum.0 + value, sum.1 + 1.0);
+                s.others.into_iter().for_each(|v| add(&mut others[s.role as usize], v / s.memory.max(1.0)));
+                s.others_unread.into_iter().for_each(|v| add(&mut unread[s.role as usize], v));
+                if s.role != Role::Read {
+                    (writers, held) = (writers + 1.0, held + s.held);
+                }
+            }
+        }
+        let mean = |sum: (f64, f64)| (sum.1 > 0.0).then(|| sum.0 / sum.1);
+        (self.others, self.others_unread) = (others.map(mean), unread.map(mean));
+        self.known = held + told.all.values().sum::<f64>();
+        self.known_mean = self.known / writers.max(1.0);
     }
 }
 
@@ -571,3 +618,9 @@
     all.sort_by(|a, b| value(a).total_cmp(&value(b)));
     all
 }
+
+/// The least power of four above `n`.
+pub fn power_of_four(n: usize) -> usize {
+    let power = (n + 1).next_power_of_two();
+    power << (power.trailing_zeros() & 1)
+}
