Reads are throttled while they take the whole aim; time to first token weighed by time

Each router now cuts its own reads by a fifth a second while one takes as long as its aim, and lets them grow again. Full answers don't count: a part refused as full must not slow the rest.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,6 +40,9 @@
 const STALLED: Nanos = 400 * MS; // a write not begun for this long is queued: its writer looks full
 const WRITE_PATIENCE: Nanos = 900 * MS; // and is called off if another writer has room
 const READ_WAIT: f64 = 0.25; // of the aim: a reader with a longer wait looks full, and the rest waits here
+const READ_LATE: f64 = 4.0; // times that wait, a read is lost: too many come, all routers together
+const READS_CUT: f64 = 0.8; // part of the reads lately sent that goes on then, once a second at most
+const READS_GROW: f64 = 0.2; // a second, until then
 const DEVIATIONS: f64 = 4.0; // past that and its expected time, by which a read is overdue
 const CALL_OFFS: f64 = 0.2; // attempts that may be called off for each sent: in a jam more would add to it
 const BLIND_PATIENCE: Nanos = 1500 * MS; // time-out of a send where attempts can't be called off
@@ -63,8 +66,9 @@
     shares: Vec<Bucket>,
     prompts: Vec<Mean>, // tokens by class
     answers: Vec<Mean>,
-    to_first: Mean, // from the read's send to the first token
+    to_first: Lagged, // from the read's send to the first token
     reads: Reads,
+    throttle: Throttle, // of reads
     call_offs: f64,     // attempts that may be called off yet
     usual: [Lagged; 3], // what a warm server of each role is sent, in mean requests a second
     moves: [Mean; 2],   // seconds to the first token of a write, in the reader's cell and out of it
@@ -103,8 +107,8 @@
             Event::First { id, attempt, latency, .. } => self.on_first(id, attempt, latency),
             Event::Outcome(outcome) => self.on_outcome(outcome),
             Event::Gone(id) => self.end(id, None),
-            Event::Probed { server, status, latency, report: r } => {
-                self.on_probed(server, status, latency, r)
+            Event::Probed { server: s, status, latency, report } => {
+                self.on_probed(s, status, latency, report)
             }
             Event::Timer(_) | Event::Note { .. } | Event::Peer { .. } => {}
         }
@@ -138,7 +142,7 @@
         let (id, give_up_at) = (request.id, request.give_up_at);
         let aim_at = self.now + class.aim + (class.aim_per_token * prompt) as Nanos;
         let request = Request { prompt_len: prompt, ..request };
-        self.works.insert(id, Work::new(request, self.set.seed, homes, over_share, aim_at, answer));
+        self.works.insert(id, Work::new(request, self.now, self.set.seed, homes, over_share, aim_at, answer));
         if give_up_at <= self.now + LAST_CALL {
             return self.give_up(id);
         }
@@ -167,7 +171,8 @@
     fn admit(&mut self) {
         for held in self.waiting.iter().copied().collect::<Vec<_>>() {
             let Some(work) = self.works.get(&held.2) else { continue };
-            if self.writers_have_room(work) && self.start(held.2) {
+            let allowed = self.throttle.allows(self.now, READS_GROW);
+            if allowed && self.writers_have_room(work) && self.start(held.2) {
                 self.waiting.remove(&held);
             }
         }
@@ -193,12 +198,11 @@
         readers.retain(|s| s.role != Role::Both || self.has_room(s, work.need()));
         let homes = self.homes_of(work, &readers);
         let Some(home) = homes.first().copied() else { return false };
-        let kept =
-            |s: &Server| if homes.iter().any(|h| h.id == s.id) { work.request.prefix_len } else { 0.0 };
+        let kept = |s: &Server| homes.iter().find(|h| h.id == s.id).map_or(0.0, |_| work.request.prefix_len);
         let unread = |s: &Server| READ_BASE + (work.request.prompt_len - kept(s)).max(0.0);
         let cost = |s: &Server| (s.unread + self.others_unread(s) + unread(s)) / self.speed(s);
         // A reader with a long wait looks full, but one with nothing of ours is tried all the same.
-        let long = |s: &Server| s.unbegun > 0 && cost(s) * self.reads.best > self.read_wait(work);
+        let long = |s: &Server| s.unbegun > 0 && cost(s) * self.reads.best > READ_WAIT * work.aim();
         let room = |s: &&&Server| !s.full_within(self.now, RECENTLY) && !long(s);
         let lot = |s: &Server| work.lot.rank(s.id);
         let order = |a: &&&Server, b: &&&Server| cost(a).total_cmp(&cost(b)).then(lot(a).cmp(&lot(b)));
@@ -218,15 +222,12 @@
         if self.now < look_until && self.look(&look_at) {
             return false;
         }
+        self.throttle.take(self.now, PEER_SPAN);
         self.send(id, Sent { unread, queued, ..Sent::to(chosen, stage) });
         self.look(&near);
         true
     }
 
-    fn read_wait(&self, work: &Work) -> f64 {
-        READ_WAIT * self.set.classes[work.request.class.0].aim as f64
-    }
-
     /// The homes of its shared beginning by rendezvous hashing, the one of its session first; the same on all
     /// routers. They are spread as the writers are that can take the states without a move out of the cell.
     fn homes_of<'s>(&self, work: &Work, readers: &[&'s Server]) -> Vec<&'s Server> {
@@ -400,7 +401,6 @@
         work.attempts += 1;
         work.read_at = work.read_at.or(Some(now));
         work.sent = Some(sent);
-        // Without a way to call an attempt off, its time-out has to do it.
         let safe = stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
         let timeout = if self.set.cancel || !safe { 0 } else { BLIND_PATIENCE };
         self.out.push(Action::Send { id, server, timeout });
@@ -409,18 +409,16 @@
     fn on_first(&mut self, id: RequestId, attempt: AttemptNo, latency: Nanos) {
         let now = self.now;
         let Some(work) = self.works.get_mut(&id) else { return };
-        // Whatever the stream took over is let go by itself.
         let cell = work.state.take().and_then(|(reader, _)| self.servers.get(&reader)?.cell);
         let Some(sent) = work.sent.as_mut().filter(|s| s.no == attempt && !s.begun) else { return };
-        self.to_first.add(now.saturating_sub(work.read_at.unwrap_or(now)) as f64, GAIN);
+        self.to_first.follow(now, now.saturating_sub(work.read_at.unwrap_or(now)) as f64, NEWS_FOR);
         let Some(s) = self.servers.get_mut(&sent.server) else { return };
         s.begin(now, REPORT_LAG, sent);
         s.heard_at = now;
         sent.begun = true;
         if sent.stage == Stage::Write {
             self.moves[usize::from(s.cell != cell)].add(latency as f64 / 1e9, GAIN);
-            let server = s.id;
-            learn_pace(&mut self.servers, server, latency as f64, PACE_GAIN, SAMPLES);
+            learn_pace(&mut self.servers, sent.server, latency as f64, PACE_GAIN, SAMPLES);
         }
     }
 
@@ -430,6 +428,7 @@
         let Some(sent) = work.sent.take_if(|s| s.no == o.attempt) else { return };
         work.ended |= o.closed;
         let prompt = work.request.prompt_len;
+        let wait = READ_WAIT * work.aim();
         if let Some(s) = self.servers.get_mut(&o.server) {
             s.close(self.now, REPORT_LAG, &sent);
             s.note_report(self.now, REPORT_LAG, o.report, self.reads.size.value);
@@ -440,10 +439,13 @@
             self.reads.add(per_token, GAIN, BEST_GAIN);
             learn_pace(&mut self.servers, o.server, per_token, PACE_GAIN, SAMPLES);
         }
+        let reads = sent.stage != Stage::Write && o.status == Status::Read;
+        if reads && o.latency as f64 > READ_LATE * wait {
+            self.throttle.cut(self.now, READS_CUT, PEER_SPAN, RECENTLY);
+        }
         self.settle(o, sent);
     }
 
-    /// What an outcome means for its request.
     fn settle(&mut self, o: Outcome, sent: Sent) {
         let now = self.now;
         let Some(work) = self.works.get_mut(&o.id) else { return };
@@ -565,7 +567,6 @@
         s.note_report(now, REPORT_LAG, report, self.reads.size.value);
         s.asked_at = None;
         if matches!(status, Status::Ok | Status::Timeout) {
-            // A probe is served in its turn.
             s.others_unread = Some((latency as f64 / pace - s.unread).max(0.0));
             s.news_at = now;
             if s.role != Role::Read && latency >= LOOK_LATE {
@@ -616,9 +617,7 @@
         if kind == ListKind::Failed {
             return self.out.push(Action::Timer { token: ASK_TIMER, delay: RECENTLY });
         }
-        if kind == ListKind::Cached && self.set.ask {
-            self.out.push(Action::Watch(true));
-        }
+        self.out.extend((kind == ListKind::Cached && self.set.ask).then_some(Action::Watch(true)));
         if kind != ListKind::Delta {
             self.servers.values_mut().for_each(|s| s.ready = false);
         }
@@ -660,7 +659,7 @@
     fn check_overdue(&mut self, id: RequestId, sent: Sent) {
         let age = self.now - sent.at;
         let Some(work) = self.works.get(&id) else { return };
-        let read_wait = self.read_wait(work);
+        let read_wait = READ_WAIT * work.aim();
         let cell = work.state.and_then(|(reader, _)| self.servers.get(&reader)?.cell);
         let Some(s) = self.servers.get_mut(&sent.server) else { return };
         // What crosses cells may wait for a slow link: another far writer is no better then.
--- a/src/state.rs
+++ b/src/state.rs
@@ -428,6 +428,7 @@
     pub over_share: bool,
     /// An order of servers that differs for each request and router.
     pub lot: Key,
+    pub asked_at: Nanos,
     /// Readers that its shared beginning is at home at.
     pub homes: usize,
     pub aim_at: Nanos,
@@ -450,6 +451,7 @@
 impl Work {
     pub fn new(
         request: Request,
+        now: Nanos,
         seed: u64,
         homes: usize,
         over_share: bool,
@@ -459,6 +461,7 @@
         Work {
             lot: Key(request.id.0 ^ seed),
             homes,
+            asked_at: now,
             request,
             over_share,
             aim_at,
@@ -474,6 +477,11 @@
         }
     }
 
+    /// Time to the first token that is wanted.
+    pub fn aim(&self) -> f64 {
+        self.aim_at.saturating_sub(self.asked_at) as f64
+    }
+
     pub fn part(&self) -> Part {
         (self.request.class, self.request.tenant)
     }
@@ -624,3 +632,47 @@
     let power = (n + 1).next_power_of_two();
     power << (power.trailing_zeros() & 1)
 }
+
+/// A rate of sends that falls when they do badly and grows with time.
+#[derive(Clone, Copy, Debug)]
+pub struct Throttle {
+    /// Sends a second.
+    rate: f64,
+    level: f64,
+    at: Nanos,
+    cut_at: Nanos,
+    since: Nanos,
+    sent: Recent,
+}
+
+impl Default for Throttle {
+    fn default() -> Throttle {
+        Throttle { rate: f64::MAX, level: 1.0, at: 0, cut_at: 0, since: 0, sent: Recent::default() }
+    }
+}
+
+impl Throttle {
+    /// Whether a send is allowed; the rate grows by the share `growth` a second.
+    pub fn allows(&mut self, now: Nanos, growth: f64) -> bool {
+        let span_s = now.saturating_sub(self.at) as f64 / 1e9;
+        self.rate = (self.rate * (1.0 + growth * span_s)).min(f64::MAX);
+        self.level = (self.level + self.rate * span_s).min(1.0 + self.rate / 10.0);
+        self.at = now;
+        self.level >= 1.0
+    }
+
+    pub fn take(&mut self, now: Nanos, span: Nanos) {
+        self.level -= 1.0;
+        self.since = if self.since == 0 { now } else { self.since };
+        self.sent.add(now, 1.0, span);
+    }
+
+    /// Cuts the rate to a share of what was sent lately, once in `gap` at most.
+    pub fn cut(&mut self, now: Nanos, share: f64, span: Nanos, gap: Nanos) {
+        if now >= self.cut_at + gap {
+            self.cut_at = now;
+            let span_s = now.saturating_sub(self.since).clamp(gap, span) as f64 / 1e9;
+            self.rate = (self.rate.min(self.sent.get(now, span) / span_s) * share).max(0.02);
+        }
+    }
+}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -526,3 +526,38 @@
     assert!(sent[0][1] < 12, "{sent:?}");
     assert!(sent[1][1] > 40, "{sent:?}");
 }
+
+/// Found in an incident: queues of reads for clients already gone kept all readers busy for nothing.
+#[test]
+fn reads_are_throttled_while_they_take_longer_than_the_aim() {
+    let sends = |latency: Nanos| {
+        let mut r = Router::new(settings(), pairs());
+        let mut open: Vec<(u64, u32)> = Vec::new();
+        let mut sends = 0;
+        for id in 1..300 {
+            if let Some(reader) = sent_to(&r.ask(id)) {
+                open.push((id, reader));
+            }
+            r.pass(50 * MS);
+            sends += open.len();
+            for (id, reader) in open.drain(..) {
+                let (id, attempt, server) = (RequestId(id), AttemptNo(0), ServerId(reader));
+                let (status, closed, note, report) = (Status::Read, false, 0, None);
+                r.event(Event::Outcome(Outcome {
+                    id,
+                    attempt,
+                    server,
+                    status,
+                    latency,
+                    closed,
+                    note,
+                    report,
+                }));
+                r.event(Event::Gone(id));
+            }
+        }
+        sends
+    };
+    let (quick, slow) = (sends(60 * MS), sends(4 * S));
+    assert!(quick > 50 && slow < quick * 3 / 4, "{quick} {slow}");
+}
