--- a/src/state.rs
+++ b/src/state.rs
@@ -52,6 +52,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
     since: Nanos,
+    adds: u32,
     all: Recent,
     by_prefix: BTreeMap<Key, Recent>,
 }
@@ -67,6 +68,11 @@
         let all = self.all.get(now, span);
         self.since = if self.since == 0 { now } else { self.since };
         self.all.add(now, 1.0, span);
+        // Now and then those long not seen are dropped.
+        self.adds = self.adds.wrapping_add(1);
+        if self.adds % 1024 == 0 {
+            self.by_prefix.retain(|_, seen| seen.get(now, span) >= 0.01);
+        }
         let Some(prefix) = prefix else { return (0.0, all) };
         let same = self.by_prefix.entry(prefix).or_default();
         let before = same.get(now, span);
