--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,7 +40,7 @@
 const STALLED: Nanos = 400 * MS; // a write not begun for this long is queued: its writer looks full
 const WRITE_PATIENCE: Nanos = 900 * MS; // and is called off if another writer has room
 const READ_WAIT: f64 = 0.25; // of the aim: a reader with a longer wait looks full, and the rest waits here
-const READ_LATE: f64 = 4.0; // times that wait, a read is lost: too many come, all routers together
+const READ_LATE: f64 = 1.0; // of the aim: a read is lost: too many come, all routers together
 const READS_CUT: f64 = 0.8; // part of the reads lately sent that goes on then, once a second at most
 const READS_GROW: f64 = 0.2; // a second, until then
 const DEVIATIONS: f64 = 4.0; // past that and its expected time, by which a read is overdue
@@ -213,15 +213,16 @@
         let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
         let stage = if chosen.role == Role::Both { Stage::Whole } else { Stage::Read };
         let (unread, queued) = (unread(chosen), cost(chosen));
-        let mut near = self.candidates(false, work);
-        near.retain(|s| s.cell.is_some() && s.cell == chosen.cell);
-        near.sort_by_key(|s| lot(s));
-        let near: Vec<ServerId> = near.iter().take(LOOK_WRITERS).map(|s| s.id).collect();
-        let (chosen, look_until) = (chosen.id, work.look_until.unwrap_or(self.now + LOOK_FOR));
-        self.works.entry(id).and_modify(|w| w.look_until = Some(look_until));
-        if self.now < look_until && self.look(&look_at) {
+        let (chosen, cell, until) = (chosen.id, chosen.cell, work.look_until.unwrap_or(self.now + LOOK_FOR));
+        self.works.entry(id).and_modify(|w| w.look_until = Some(until));
+        if self.now < until && self.look(&look_at) {
             return false;
         }
+        let Some(work) = self.works.get(&id) else { return true };
+        let mut near = self.candidates(false, work);
+        near.retain(|s| s.cell.is_some() && s.cell == cell);
+        near.sort_by_key(|s| work.lot.rank(s.id));
+        let near: Vec<ServerId> = near.iter().take(LOOK_WRITERS).map(|s| s.id).collect();
         self.throttle.take(self.now, PEER_SPAN);
         self.send(id, Sent { unread, queued, ..Sent::to(chosen, stage) });
         self.look(&near);
@@ -428,7 +429,7 @@
         let Some(sent) = work.sent.take_if(|s| s.no == o.attempt) else { return };
         work.ended |= o.closed;
         let prompt = work.request.prompt_len;
-        let wait = READ_WAIT * work.aim();
+        let aim = work.aim();
         if let Some(s) = self.servers.get_mut(&o.server) {
             s.close(self.now, REPORT_LAG, &sent);
             s.note_report(self.now, REPORT_LAG, o.report, self.reads.size.value);
@@ -440,7 +441,7 @@
             learn_pace(&mut self.servers, o.server, per_token, PACE_GAIN, SAMPLES);
         }
         let reads = sent.stage != Stage::Write && o.status == Status::Read;
-        if reads && o.latency as f64 > READ_LATE * wait {
+        if reads && o.latency as f64 > READ_LATE * aim {
             self.throttle.cut(self.now, READS_CUT, PEER_SPAN, RECENTLY);
         }
         self.settle(o, sent);
@@ -680,7 +681,6 @@
         if reads && s.quick_at <= sent.at && age < 2 * patience {
             return;
         }
-        let Some(work) = self.works.get(&id) else { return };
         let safe = sent.stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
         let room = |s: &Server| self.has_room(s, work.need());
         let better = |s: &&Server| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -644,8 +644,7 @@
 pub struct Throttle {
     /// Sends a second.
     rate: f64,
-    level: f64,
-    at: Nanos,
+    bucket: Bucket,
     cut_at: Nanos,
     since: Nanos,
     sent: Recent,
@@ -653,22 +652,22 @@
 
 impl Default for Throttle {
     fn default() -> Throttle {
-        Throttle { rate: f64::MAX, level: 1.0, at: 0, cut_at: 0, since: 0, sent: Recent::default() }
+        let bucket = Bucket { level: 1.0, at: 0 };
+        Throttle { rate: f64::MAX, bucket, cut_at: 0, since: 0, sent: Recent::default() }
     }
 }
 
 impl Throttle {
     /// Whether a send is allowed; the rate grows by the share `growth` a second.
     pub fn allows(&mut self, now: Nanos, growth: f64) -> bool {
-        let span_s = now.saturating_sub(self.at) as f64 / 1e9;
+        let span_s = now.saturating_sub(self.bucket.at) as f64 / 1e9;
         self.rate = (self.rate * (1.0 + growth * span_s)).min(f64::MAX);
-        self.level = (self.level + self.rate * span_s).min(1.0 + self.rate / 10.0);
-        self.at = now;
-        self.level >= 1.0
+        self.bucket.fill(now, self.rate, 1.0 + self.rate / 10.0);
+        self.bucket.level >= 1.0
     }
 
     pub fn take(&mut self, now: Nanos, span: Nanos) {
-        self.level -= 1.0;
+        self.bucket.level -= 1.0;
         self.since = if self.since == 0 { now } else { self.since };
         self.sent.add(now, 1.0, span);
     }
