Wire codecs, dialects and XML settings with a schema that is itself the check

The running router needs its seams first: what goes over its wires and what it is told at its start. gaparch-protocol holds the engine and list frames and the events of clients, parsed by winnow, without I/O; dialects name events and fields by table, two are built in. gaparch-config reads XML, judged by schema/gaparch.xsd itself, so schema and reader can't drift; every mistake comes at once with line and element.

--- /dev/null
+++ b/crates/gaparch-config/src/config.rs
@@ -0,0 +1,247 @@
+//! The settings in the terms of the program.
+
+use crate::check;
+use crate::document::{self, Problem};
+use crate::raw;
+use crate::schema::Schema;
+use crate::units::Span;
+use gaparch::api::{
+    CellId, Class, ClassId, Effect, Group, Key, KindId, Nanos, Role, ServerId, ServerState, Settings, Tenant,
+    TenantId, ZoneId,
+};
+use gaparch_protocol::client::Dialect;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The number by which every router knows an engine of this name.
+pub fn server_id(name: &str) -> ServerId {
+    let digest = Key::of(name).0;
+    ServerId((digest ^ (digest >> 32)) as u32)
+}
+
+/// All that a router is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub router: String,
+    pub listeners: Vec<Listener>,
+    /// What the decision module is told.
+    pub module: Settings,
+    pub names: Names,
+    /// Bounds of a begun stream, by class.
+    pub class_times: Vec<ClassTimes>,
+    pub default_class: Option<ClassId>,
+    /// Tenants by key; none: no key is asked for.
+    pub keys: BTreeMap<String, TenantId>,
+    pub engines: Vec<EngineConfig>,
+    pub list: Option<ListConfig>,
+    pub attempts: Attempts,
+    pub limits: Limits,
+}
+
+#[derive(Clone, Debug)]
+pub struct Listener {
+    pub address: SocketAddr,
+    pub dialect: Arc<Dialect>,
+}
+
+/// What the module knows by index only.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub classes: ClassNames,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+pub type ClassNames = Vec<String>;
+
+impl Names {
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.classes.iter().position(|n| n == name).map(ClassId)
+    }
+
+    pub fn zone(&self, name: &str) -> Option<ZoneId> {
+        self.zones.iter().position(|n| n == name).map(ZoneId)
+    }
+
+    pub fn kind(&self, name: &str) -> Option<KindId> {
+        self.kinds.iter().position(|n| n == name).map(KindId)
+    }
+
+    /// The number of a rack: the same on every router, whatever it lists.
+    pub fn cell(&self, zone: &str, rack: &str) -> Option<CellId> {
+        (!rack.is_empty()).then(|| CellId(Key::of(&format!("{zone}/{rack}")).0))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClassTimes {
+    /// An answer's whole time, once begun.
+    pub stream: Nanos,
+    /// The longest pause within it.
+    pub silence: Nanos,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineConfig {
+    pub name: String,
+    pub address: SocketAddr,
+    pub kind: String,
+    pub zone: String,
+    pub rack: String,
+    pub weight: Option<f64>,
+    pub state: ServerState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListConfig {
+    pub address: SocketAddr,
+}
+
+/// What the core has to know of attempts besides the module's settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempts {
+    pub probe_timeout: Nanos,
+    /// Wait before a connection is tried again; doubles up to the second.
+    pub reconnect_after: Nanos,
+    pub reconnect_most: Nanos,
+}
+
+/// Bounds of what is held at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of a request's body.
+    pub body: usize,
+    /// Client connections.
+    pub connections: usize,
+    /// Requests taken and not yet ended.
+    pub open_requests: usize,
+    /// Requests that wait to be taken.
+    pub inbox: usize,
+    /// Events of one stream that wait for its client.
+    pub stream_buffer: usize,
+    /// Bytes of a frame.
+    pub frame: usize,
+    /// For the head of a request, and for its body.
+    pub head_time: Span,
+    pub body_time: Span,
+    /// Between two keep-alive events while nothing else is sent.
+    pub keep_alive: Span,
+    /// For what runs when the router is asked to stop.
+    pub shutdown: Span,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            body: 1 << 20,
+            connections: 16_384,
+            open_requests: 20_000,
+            inbox: 1024,
+            stream_buffer: 256,
+            frame: gaparch_protocol::DEFAULT_MAX_FRAME,
+            head_time: Span::secs(10),
+            body_time: Span::secs(10),
+            keep_alive: Span::secs(15),
+            shutdown: Span::secs(10),
+        }
+    }
+}
+
+impl Config {
+    /// Reads and checks the text of a settings file.
+    ///
+    /// # Errors
+    /// Every mistake in it, in the order of its lines. Mistakes of meaning are looked for once there is none
+    /// against the schema.
+    pub fn parse(text: &str) -> Result<Config, Vec<Problem>> {
+        let document = document::parse(text).map_err(|problem| vec![problem])?;
+        let problems = Schema::published().judge_node(&document);
+        if !problems.is_empty() {
+            return Err(problems);
+        }
+        let raw: raw::Gaparch = quick_xml::de::from_str(text).map_err(|e| {
+            // The schema took it: what is left is for the reader of values alone.
+            vec![Problem { line: document.line, place: "settings".to_owned(), message: e.to_string() }]
+        })?;
+        let mut check = check::Check::new(&document);
+        let config = check.run(raw);
+        match (config, check.into_problems()) {
+            (Some(config), problems) if problems.is_empty() => Ok(config),
+            (_, problems) => Err(problems),
+        }
+    }
+}
+
+pub(crate) fn module_settings(raw: &raw::Gaparch, names: &Names) -> Settings {
+    let (attempts, rules) = (&raw.attempts, &raw.rules);
+    Settings {
+        seed: raw.router.seed,
+        me: raw.router.number as u32,
+        routers: raw.router.routers,
+        zone: raw.router.zone.as_deref().and_then(|z| names.zone(z)),
+        classes: raw.classes.class.iter().map(class).collect(),
+        tenants: raw.tenants.iter().flat_map(|t| &t.tenant).map(tenant).collect(),
+        over_share_worth: raw.tenants.as_ref().map_or(1.0, |t| t.over_share_worth),
+        roles: raw.kinds.kind.iter().map(|k| role(k.role)).collect(),
+        memory: raw.kinds.kind.iter().map(|k| f64::from(k.memory_tokens)).collect(),
+        self_prefill: attempts.self_prefill,
+        ahead: true,
+        resume: false,
+        release_within: rules.release_within.0,
+        ask: raw.list.as_ref().is_some_and(|l| l.mode == raw::Mode::Ask),
+        ask_within: raw.list.as_ref().map_or(0, |l| l.ask_within.0),
+        cancel: attempts.cancel,
+        probes: attempts.probes,
+        peers: false,
+        second_copies: false,
+        retry_after: attempts.retry_after,
+        max_retry_after: attempts.max_retry_after.0,
+        max_attempts: attempts.most,
+        connect_timeout: attempts.connect_timeout.0,
+        drain_grace: rules.drain_grace.0,
+        cold_from: rules.cold_from,
+        cold: rules.cold.0,
+        fall_multiple: rules.fall_multiple,
+        fall: rules.fall.0,
+        answer_slack: rules.answer_slack.0,
+        tick: 0,
+        probe_price: attempts.probe_price,
+        peer_price: 0.0,
+    }
+}
+
+fn class(raw: &raw::Class) -> Class {
+    Class {
+        effect: match raw.effect {
+            raw::Effect::Safe => Effect::Safe,
+            raw::Effect::Keyed => Effect::Keyed,
+            raw::Effect::Unsafe => Effect::Unsafe,
+        },
+        group: match raw.group {
+            raw::Group::All => Group::All,
+            raw::Group::Zone => Group::Zone,
+            raw::Group::Rack => Group::Cell,
+        },
+        window: raw.window.0,
+        aim: raw.aim.0,
+        aim_per_token: raw.aim_per_1000_tokens.0 as f64 / 1000.0,
+        deadline: raw.deadline.0,
+        token_aim: raw.token_aim.0,
+        worth: raw.worth,
+        late_worth: raw.late_worth,
+    }
+}
+
+fn tenant(raw: &raw::Tenant) -> Tenant {
+    Tenant { share: raw.share, quota_per_s: raw.requests_per_second }
+}
+
+fn role(raw: raw::Role) -> Role {
+    match raw {
+        raw::Role::Read => Role::Read,
+        raw::Role::Write => Role::Write,
+        raw::Role::Both => Role::Both,
+    }
+}
--- /dev/null
+++ b/crates/gaparch-config/tests/settings.rs
@@ -0,0 +1,151 @@
+//! Settings: the example is sound, every mistake is named with its line, schema and reader agree.
+
+use gaparch::api::{Effect, Group, ServerState};
+use gaparch_config::schema::{self, Schema};
+use gaparch_config::{server_id, Config, EXAMPLE};
+
+fn problems(text: &str) -> Vec<String> {
+    Config::parse(text).err().unwrap_or_default().iter().map(ToString::to_string).collect()
+}
+
+/// The example with one text put in place of another, which must be there.
+fn edited(from: &str, to: &str) -> String {
+    assert!(EXAMPLE.contains(from), "{from}");
+    EXAMPLE.replacen(from, to, 1)
+}
+
+#[test]
+fn the_example_is_sound_and_says_what_it_says() {
+    let config = Config::parse(EXAMPLE).expect("sound");
+    assert_eq!(config.router, "north-1");
+    assert_eq!(config.listeners.len(), 3);
+    assert_eq!(config.listeners[2].dialect.name(), "house");
+    assert_eq!(config.module.classes[1].effect, Effect::Keyed);
+    assert_eq!(config.module.classes[1].group, Group::Cell);
+    assert_eq!(config.module.classes[0].aim_per_token, 60_000.0);
+    assert_eq!(config.module.release_within, 500_000_000);
+    assert_eq!(config.engines[3].state, ServerState::Ready);
+    assert_eq!(config.keys.len(), 2);
+    assert_ne!(server_id("read-1"), server_id("read-2"));
+}
+
+#[test]
+fn each_mistake_is_named_with_line_and_element() {
+    for (from, to, wanted) in [
+        ("<zone id=\"south\"/>", "<zone id=\"north\"/>", "<zone id>: 'north' stands in line 11 already"),
+        (
+            "kind=\"reader\" zone=\"south\"",
+            "kind=\"raeder\" zone=\"south\"",
+            "<engine kind>: there is no kind 'raeder'",
+        ),
+        ("zone=\"north\" rack", "zone=\"west\" rack", "<engine zone>: there is no zone 'west'"),
+        ("aim=\"1s\"", "aim=\"9s\"", "<class aim>: must be above 0"),
+        (" window=\"5s\"", "", "<class window>: a keyed class needs"),
+        ("deadline=\"5s\"", "", "<class>: attribute 'deadline' is missing"),
+        ("deadline=\"5s\"", "deadline=\"5\"", "<class deadline>: '5' is no time"),
+        ("release-within=\"500ms\"", "release-within=\"5ms\"", "<rules release-within>: 5ms can't be kept"),
+        ("<zones>", "<zonen/><zones>", "<zonen>: unknown element 'zonen'"),
+        ("mode=\"push\"", "mode=\"pull\"", "<list mode>: 'pull' is no mode: one of push, ask"),
+        ("most=\"5\"", "most=\"0\"", "<attempts most>: '0' is no count: at least 1"),
+        ("weight=\"1\"", "weight=\"1e300\"", "<engine weight>"),
+        ("weight=\"1\"", "weight=\"NaN\"", "<engine weight>"),
+        ("weight=\"1\"", "weihgt=\"1\"", "<engine>: unknown attribute 'weihgt'"),
+        ("value=\"change-me-web\"", "value=\"change-me-app\"", "<key value>: the same key"),
+        ("share=\"0.6\"", "share=\"0.7\"", "<tenants share>: the shares add up"),
+        ("dialect=\"house\"", "dialect=\"cottage\"", "<listen dialect>: there is no dialect 'cottage'"),
+        ("spelt=\"busy\"", "spelt=\"api_error\"", "<dialect>: two words are spelt 'api_error'"),
+        ("name=\"tick\"", "name=\"error\"", "<dialect>: events 'failed' and 'keep-alive' have the same name"),
+        ("number=\"0\"", "number=\"2\"", "<router number>"),
+        ("127.0.0.1:7101", "127.0.0.1:99999", "<engine address>: '127.0.0.1:99999' is no address"),
+        ("version=\"1\">", "version=\"2\">", "<gaparch version>: version 1 is wanted"),
+    ] {
+        let found = problems(&edited(from, to));
+        let named = found.iter().any(|p| p.starts_with("line ") && p.contains(wanted));
+        assert!(named, "{from} -> {to}: {found:?}");
+    }
+}
+
+#[test]
+fn all_mistakes_come_at_once_in_the_order_of_their_lines() {
+    let text = edited("aim=\"1s\"", "aim=\"9s\"").replacen("kind=\"writer\"", "kind=\"w\"", 2);
+    let found = problems(&text);
+    assert_eq!(found.len(), 3, "{found:?}");
+    let lines: Vec<usize> =
+        found.iter().filter_map(|p| p.strip_prefix("line ")?.split(':').next()?.parse().ok()).collect();
+    assert!(lines.windows(2).all(|w| w[0] <= w[1]), "{found:?}");
+}
+
+#[test]
+fn a_text_that_is_no_xml_is_one_problem_with_its_line() {
+    for text in ["", "<gaparch>", "<gaparch version='1'>\n<router></gaparch>", "hello", "<a/><b/>"] {
+        let found = problems(text);
+        assert_eq!(found.len(), 1, "{text}: {found:?}");
+    }
+    assert!(problems("<!DOCTYPE x [<!ENTITY a \"b\">]><gaparch/>")[0].contains("document type"));
+    let deep = "<a>".repeat(100_000);
+    assert!(problems(&deep)[0].contains("too deep"));
+}
+
+/// Each element and attribute of the schema is known to the reader: the example uses every one of them, the
+/// reader takes the example, and it takes nothing that the schema does not name (`deny_unknown_fields`).
+#[test]
+fn schema_and_reader_know_the_same_words() {
+    for (element, attributes) in Schema::published().vocabulary() {
+        assert!(EXAMPLE.contains(&format!("<{element}")), "<{element}> is not in the example");
+        for attribute in attributes {
+            let used = EXAMPLE.split(&format!("<{element} ")).skip(1).any(|rest| {
+                let tag = rest.split('>').next().unwrap_or_default();
+                tag.split_whitespace().any(|word| word.starts_with(&format!("{attribute}=")))
+            });
+            assert!(used, "<{element} {attribute}> is not in the example");
+        }
+    }
+}
+
+/// And the other way round: what the reader's structs name, the schema names too.
+#[test]
+fn what_the_reader_names_is_in_the_schema() {
+    let vocabulary = Schema::published().vocabulary();
+    let mut seen = 0;
+    for item in include_str!("../src/raw.rs").split("pub(crate) struct ").skip(1) {
+        let element = item.split_whitespace().next().unwrap_or_default().to_lowercase();
+        let Some(attributes) = vocabulary.get(&element) else { panic!("<{element}> is not in the schema") };
+        let body = item.split("\n}").next().unwrap_or_default();
+        for attribute in body.split("rename = \"@").skip(1) {
+            let attribute = attribute.split('"').next().unwrap_or_default();
+            assert!(
+                attributes.iter().any(|a| a == attribute),
+                "<{element} {attribute}> is not in the schema"
+            );
+            seen += 1;
+        }
+    }
+    assert!(seen > 60, "{seen} attributes");
+}
+
+#[test]
+fn the_schema_alone_judges_shapes_as_the_reader_does() {
+    let schema = Schema::published();
+    assert_eq!(schema.judge(EXAMPLE), vec![]);
+    for (from, to) in [
+        ("<zones>", "<zonen/><zones>"),
+        ("most=\"5\"", "most=\"0\""),
+        ("mode=\"push\"", "mode=\"pull\""),
+        ("  <rules", "  <!-- --><list address=\"127.0.0.1:1\"/><rules"),
+    ] {
+        let text = edited(from, to);
+        assert!(!schema.judge(&text).is_empty(), "{to}");
+        assert!(Config::parse(&text).is_err(), "{to}");
+    }
+}
+
+#[test]
+fn a_schema_in_words_that_are_not_known_is_refused() {
+    for text in [
+        schema::TEXT.replacen("xs:sequence", "xs:choice", 2),
+        schema::TEXT.replacen("xs:pattern", "xs:length", 1),
+        schema::TEXT.replacen("type=\"router\"", "type=\"ruoter\"", 1),
+    ] {
+        assert!(Schema::parse(&text).is_err());
+    }
+}
--- /dev/null
+++ b/crates/gaparch-engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! A model of reading and writing engines, and a stand-in that serves it on a socket (begun).
--- /dev/null
+++ b/crates/gaparch-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load, faults and the checker of the rules (begun).
--- /dev/null
+++ b/crates/gaparch-protocol/src/engine/codec.rs
@@ -0,0 +1,309 @@
+//! Bytes of the engine protocol.
+
+use super::{AttemptKey, EngineFacts, EngineFrame, Job, NoState, Peer, RouterRun, StateAt, StateKey};
+use crate::frame::Frame;
+use crate::wire::{
+    f64_, flag, long_text, malformed, optional, put_long_text, put_optional, put_short_text, short_text,
+    u16_, u32_, u64_, Body,
+};
+use bytes::{BufMut, BytesMut};
+use gaparch::api::{Report, Role, Status};
+use winnow::binary::u8;
+use winnow::ModalResult;
+
+const HELLO: u8 = 1;
+const READ: u8 = 2;
+const WRITE: u8 = 3;
+const CANCEL: u8 = 4;
+const RESERVE: u8 = 5;
+const RELEASE: u8 = 6;
+const PROBE: u8 = 7;
+const READ_DONE: u8 = 16;
+const TOKENS: u8 = 17;
+const OUTCOME: u8 = 18;
+const RESERVED: u8 = 19;
+const PROBED: u8 = 20;
+const REPORT: u8 = 21;
+const FETCH: u8 = 32;
+const STATE: u8 = 33;
+const ABSENT: u8 = 34;
+const BYE: u8 = 63;
+
+impl Frame for EngineFrame {
+    fn kind(&self) -> u8 {
+        match self {
+            EngineFrame::Hello { .. } => HELLO,
+            EngineFrame::Read(_) => READ,
+            EngineFrame::Write { .. } => WRITE,
+            EngineFrame::Cancel(_) => CANCEL,
+            EngineFrame::Reserve { .. } => RESERVE,
+            EngineFrame::Release { .. } => RELEASE,
+            EngineFrame::Probe { .. } => PROBE,
+            EngineFrame::ReadDone { .. } => READ_DONE,
+            EngineFrame::Tokens { .. } => TOKENS,
+            EngineFrame::Outcome { .. } => OUTCOME,
+            EngineFrame::Reserved { .. } => RESERVED,
+            EngineFrame::Probed { .. } => PROBED,
+            EngineFrame::Report(_) => REPORT,
+            EngineFrame::Fetch { .. } => FETCH,
+            EngineFrame::State { .. } => STATE,
+            EngineFrame::Absent { .. } => ABSENT,
+            EngineFrame::Bye { .. } => BYE,
+        }
+    }
+
+    fn put_body(&self, out: &mut BytesMut) {
+        match self {
+            EngineFrame::Hello { version, peer } => {
+                out.put_u16(*version);
+                put_peer(out, peer);
+            }
+            EngineFrame::Read(job) => put_job(out, job),
+            EngineFrame::Write { job, state } => {
+                put_job(out, job);
+                put_optional(out, state.as_ref(), put_state_at);
+            }
+            EngineFrame::Cancel(key) => put_key(out, *key),
+            EngineFrame::Reserve { job, from } => {
+                put_job(out, job);
+                put_state_at(out, from);
+            }
+            EngineFrame::Release { request } => out.put_u64(*request),
+            EngineFrame::Probe { nonce } => out.put_u64(*nonce),
+            EngineFrame::ReadDone { key, kept, prompt_len, report } => {
+                put_key(out, *key);
+                out.put_u32(*kept);
+                out.put_u32(*prompt_len);
+                put_optional(out, report.as_ref(), put_report);
+            }
+            EngineFrame::Tokens { key, from, count, text } => {
+                put_key(out, *key);
+                out.put_u32(*from);
+                out.put_u16(*count);
+                put_short_text(out, text);
+            }
+            EngineFrame::Outcome { key, status, note, produced, report } => {
+                put_key(out, *key);
+                out.put_u8(status_code(*status));
+                out.put_u64(*note);
+                out.put_u32(*produced);
+                put_optional(out, report.as_ref(), put_report);
+            }
+            EngineFrame::Reserved { key, held } => {
+                put_key(out, *key);
+                out.put_u8(u8::from(*held));
+            }
+            EngineFrame::Probed { nonce, report } => {
+                out.put_u64(*nonce);
+                put_optional(out, report.as_ref(), put_report);
+            }
+            EngineFrame::Report(report) => put_report(out, report),
+            EngineFrame::Fetch { state } => put_state_key(out, *state),
+            EngineFrame::State { state, tokens, prompt } => {
+                put_state_key(out, *state);
+                out.put_u32(*tokens);
+                put_long_text(out, prompt);
+            }
+            EngineFrame::Absent { state, why } => {
+                put_state_key(out, *state);
+                out.put_u8(u8::from(*why == NoState::Unread));
+            }
+            EngineFrame::Bye { reason } => put_short_text(out, reason),
+        }
+    }
+
+    fn parse_body(kind: u8, body: &mut &[u8]) -> ModalResult<Self> {
+        Ok(match kind {
+            HELLO => EngineFrame::Hello { version: u16_(body)?, peer: peer(body)? },
+            READ => EngineFrame::Read(job(body)?),
+            WRITE => EngineFrame::Write { job: job(body)?, state: optional(state_at)(body)? },
+            CANCEL => EngineFrame::Cancel(key(body)?),
+            RESERVE => EngineFrame::Reserve { job: job(body)?, from: state_at(body)? },
+            RELEASE => EngineFrame::Release { request: u64_(body)? },
+            PROBE => EngineFrame::Probe { nonce: u64_(body)? },
+            READ_DONE => EngineFrame::ReadDone {
+                key: key(body)?,
+                kept: u32_(body)?,
+                prompt_len: u32_(body)?,
+                report: optional(report)(body)?,
+            },
+            TOKENS => EngineFrame::Tokens {
+                key: key(body)?,
+                from: u32_(body)?,
+                count: u16_(body)?,
+                text: short_text(body)?,
+            },
+            OUTCOME => EngineFrame::Outcome {
+                key: key(body)?,
+                status: status(body)?,
+                note: u64_(body)?,
+                produced: u32_(body)?,
+                report: optional(report)(body)?,
+            },
+            RESERVED => EngineFrame::Reserved { key: key(body)?, held: flag(body)? },
+            PROBED => EngineFrame::Probed { nonce: u64_(body)?, report: optional(report)(body)? },
+            REPORT => EngineFrame::Report(report(body)?),
+            FETCH => EngineFrame::Fetch { state: state_key(body)? },
+            STATE => {
+                EngineFrame::State { state: state_key(body)?, tokens: u32_(body)?, prompt: long_text(body)? }
+            }
+            ABSENT => EngineFrame::Absent {
+                state: state_key(body)?,
+                why: if flag(body)? { NoState::Unread } else { NoState::Unknown },
+            },
+            BYE => EngineFrame::Bye { reason: short_text(body)? },
+            _ => return malformed(),
+        })
+    }
+}
+
+fn put_key(out: &mut BytesMut, key: AttemptKey) {
+    out.put_u64(key.request);
+    out.put_u32(key.attempt);
+}
+
+fn key(body: &mut Body<'_>) -> ModalResult<AttemptKey> {
+    Ok(AttemptKey { request: u64_(body)?, attempt: u32_(body)? })
+}
+
+fn put_state_key(out: &mut BytesMut, key: StateKey) {
+    out.put_u64(key.router.0);
+    out.put_u64(key.request);
+}
+
+fn state_key(body: &mut Body<'_>) -> ModalResult<StateKey> {
+    Ok(StateKey { router: RouterRun(u64_(body)?), request: u64_(body)? })
+}
+
+fn put_state_at(out: &mut BytesMut, at: &StateAt) {
+    put_short_text(out, &at.engine);
+    put_short_text(out, &at.address);
+}
+
+fn state_at(body: &mut Body<'_>) -> ModalResult<StateAt> {
+    Ok(StateAt { engine: short_text(body)?, address: short_text(body)? })
+}
+
+fn put_peer(out: &mut BytesMut, peer: &Peer) {
+    match peer {
+        Peer::Router { run, name } => {
+            out.put_u8(0);
+            out.put_u64(run.0);
+            put_short_text(out, name);
+        }
+        Peer::Engine(facts) => {
+            out.put_u8(1);
+            put_short_text(out, &facts.name);
+            out.put_u8(role_code(facts.role));
+            out.put_f64(facts.memory);
+            put_short_text(out, &facts.zone);
+            put_short_text(out, &facts.rack);
+            out.put_u64(facts.started_at);
+        }
+    }
+}
+
+fn peer(body: &mut Body<'_>) -> ModalResult<Peer> {
+    match u8(body)? {
+        0 => Ok(Peer::Router { run: RouterRun(u64_(body)?), name: short_text(body)? }),
+        1 => Ok(Peer::Engine(EngineFacts {
+            name: short_text(body)?,
+            role: role(body)?,
+            memory: f64_(body)?,
+            zone: short_text(body)?,
+            rack: short_text(body)?,
+            started_at: u64_(body)?,
+        })),
+        _ => malformed(),
+    }
+}
+
+fn role_code(role: Role) -> u8 {
+    match role {
+        Role::Read => 0,
+        Role::Write => 1,
+        Role::Both => 2,
+    }
+}
+
+fn role(body: &mut Body<'_>) -> ModalResult<Role> {
+    match u8(body)? {
+        0 => Ok(Role::Read),
+        1 => Ok(Role::Write),
+        2 => Ok(Role::Both),
+        _ => malformed(),
+    }
+}
+
+fn status_code(status: Status) -> u8 {
+    match status {
+        Status::Ok => 0,
+        Status::Read => 1,
+        Status::Error => 2,
+        Status::Full => 3,
+        Status::Timeout => 4,
+        Status::ConnectFailed => 5,
+        Status::Reset => 6,
+        Status::Cancelled => 7,
+        Status::Moot => 8,
+        Status::Unknown => 255,
+    }
+}
+
+/// What an engine may say of an attempt's end. A code of a later version may have run; the ones that only a
+/// router can know are malformed.
+fn status(body: &mut Body<'_>) -> ModalResult<Status> {
+    match u8(body)? {
+        0 => Ok(Status::Ok),
+        2 => Ok(Status::Error),
+        3 => Ok(Status::Full),
+        4 => Ok(Status::Timeout),
+        6 => Ok(Status::Reset),
+        7 => Ok(Status::Cancelled),
+        1 | 5 | 8 => malformed(),
+        _ => Ok(Status::Unknown),
+    }
+}
+
+fn put_job(out: &mut BytesMut, job: &Job) {
+    put_key(out, job.key);
+    out.put_u16(job.class);
+    put_optional(out, job.tenant, |out, t| out.put_u16(t));
+    put_optional(out, job.session, |out, s| out.put_u64(s));
+    put_optional(out, job.prefix, |out, p| out.put_u64(p));
+    for number in [job.prompt_len, job.prefix_len, job.max_out, job.patience_ms] {
+        out.put_u32(number);
+    }
+    put_long_text(out, &job.prompt);
+}
+
+fn job(body: &mut Body<'_>) -> ModalResult<Job> {
+    Ok(Job {
+        key: key(body)?,
+        class: u16_(body)?,
+        tenant: optional(u16_)(body)?,
+        session: optional(u64_)(body)?,
+        prefix: optional(u64_)(body)?,
+        prompt_len: u32_(body)?,
+        prefix_len: u32_(body)?,
+        max_out: u32_(body)?,
+        patience_ms: u32_(body)?,
+        prompt: long_text(body)?,
+    })
+}
+
+fn put_report(out: &mut BytesMut, report: &Report) {
+    for value in [report.inflight, report.queue, report.util, report.memory, report.unread_k] {
+        put_optional(out, value, |out, v| out.put_f64(v));
+    }
+}
+
+fn report(body: &mut Body<'_>) -> ModalResult<Report> {
+    Ok(Report {
+        inflight: optional(f64_)(body)?,
+        queue: optional(f64_)(body)?,
+        util: optional(f64_)(body)?,
+        memory: optional(f64_)(body)?,
+        unread_k: optional(f64_)(body)?,
+    })
+}
--- /dev/null
+++ b/crates/gaparch-router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The running router (begun).
