--- /dev/null
+++ b/crates/gaparch-net/src/framed.rs
@@ -0,0 +1,100 @@
+//! Frames in and out of a socket.
+
+use bytes::BytesMut;
+use gaparch_protocol::frame::{encode, Frame};
+use gaparch_protocol::{FrameDecoder, FrameError};
+use std::io;
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::sync::mpsc;
+
+/// Room that is made for one read.
+const READ_ROOM: usize = 16 * 1024;
+/// Frames written with one call.
+const BATCH: usize = 128;
+/// A write buffer larger than this is not kept.
+const KEEP: usize = 256 * 1024;
+
+/// Why no more frames come.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    #[error("closed by the peer")]
+    Closed,
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+}
+
+/// Reads frames from one socket.
+#[derive(Debug)]
+pub struct FrameReader<R> {
+    socket: R,
+    decoder: FrameDecoder,
+}
+
+impl<R: AsyncRead + Unpin> FrameReader<R> {
+    /// `max`: the most bytes of a frame.
+    pub fn new(socket: R, max: usize) -> Self {
+        FrameReader { socket, decoder: FrameDecoder::new(max) }
+    }
+
+    /// Waits for bytes and appends all the frames that are whole then; at least one.
+    ///
+    /// # Errors
+    /// When the connection ended or its bytes make no sense. Frames before the error are in `frames`.
+    pub async fn read<F: Frame>(&mut self, frames: &mut Vec<F>) -> Result<(), ReadError> {
+        let before = frames.len();
+        loop {
+            while let Some(frame) = self.decoder.next_frame()? {
+                frames.push(frame);
+            }
+            if frames.len() > before {
+                return Ok(());
+            }
+            let buffer = self.decoder.buffer();
+            buffer.reserve(READ_ROOM);
+            if self.socket.read_buf(buffer).await? == 0 {
+                return Err(ReadError::Closed);
+            }
+        }
+    }
+
+    /// Waits for one frame. Only before [`read`](Self::read) is used: it leaves the others for later.
+    ///
+    /// # Errors
+    /// As for [`read`](Self::read).
+    pub async fn read_one<F: Frame>(&mut self) -> Result<F, ReadError> {
+        loop {
+            if let Some(frame) = self.decoder.next_frame()? {
+                return Ok(frame);
+            }
+            let buffer = self.decoder.buffer();
+            buffer.reserve(READ_ROOM);
+            if self.socket.read_buf(buffer).await? == 0 {
+                return Err(ReadError::Closed);
+            }
+        }
+    }
+}
+
+/// Writes what comes through a channel until it is closed, as many frames with one call as there are.
+///
+/// # Errors
+/// What the socket said.
+pub async fn write_frames<F: Frame, W: AsyncWrite + Unpin>(
+    socket: &mut W,
+    frames: &mut mpsc::Receiver<F>,
+) -> io::Result<()> {
+    let mut waiting = Vec::with_capacity(BATCH);
+    let mut bytes = BytesMut::new();
+    while frames.recv_many(&mut waiting, BATCH).await > 0 {
+        waiting.drain(..).for_each(|frame| encode(&frame, &mut bytes));
+        socket.write_all(&bytes).await?;
+        bytes.clear();
+        if bytes.capacity() > KEEP {
+            bytes = BytesMut::new();
+        }
+    }
+    socket.shutdown().await
+}
