--- /dev/null
+++ b/crates/gaparch-cli/src/commands/list.rs
@@ -0,0 +1,71 @@
+//! `gaparch list`
+
+use crate::Outcome;
+use clap::Args;
+use gaparch::api::ServerState;
+use gaparch_lab::list_service::ListService;
+use gaparch_lab::record::Record;
+use gaparch_net::Clock;
+use gaparch_protocol::list::ListEntry;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::io::{AsyncBufReadExt, BufReader};
+
+#[derive(Debug, Args)]
+pub struct Options {
+    /// The settings file whose engines it lists
+    file: PathBuf,
+    /// Where it listens; port 0 takes a free one
+    #[arg(long, default_value = "127.0.0.1:0")]
+    address: SocketAddr,
+}
+
+pub async fn run(options: Options) -> Outcome {
+    let config = super::settings(&options.file)?;
+    let entry = |e: &gaparch_config::EngineConfig| ListEntry {
+        engine: e.name.clone(),
+        address: e.address.to_string(),
+        kind: e.kind.clone(),
+        zone: e.zone.clone(),
+        rack: e.rack.clone(),
+        state: e.state,
+        weight: e.weight,
+        started_at: None,
+    };
+    let entries = config.engines.iter().map(entry).collect();
+    let list = ListService::start(options.address, entries, Clock::default(), Record::default()).await?;
+    println!("gaparch: list service listens at {}", list.address());
+    let mut lines = BufReader::new(tokio::io::stdin()).lines();
+    let mut open = true;
+    loop {
+        tokio::select! {
+            why = super::asked_to_stop() => {
+                tracing::info!(why = why?, "ending");
+                return Ok(ExitCode::SUCCESS);
+            }
+            line = lines.next_line(), if open => match line? {
+                Some(line) => command(&list, &line),
+                None => open = false,
+            },
+        }
+    }
+}
+
+fn command(list: &ListService, line: &str) {
+    let words: Vec<&str> = line.split_whitespace().collect();
+    let set = |engine: &str, state| {
+        if !list.set_state(engine, state) {
+            eprintln!("gaparch: there is no engine '{engine}'");
+        }
+    };
+    match words[..] {
+        [] => {}
+        ["ready", engine] => set(engine, ServerState::Ready),
+        ["drain", engine] => set(engine, ServerState::Draining),
+        ["gone", engine] => set(engine, ServerState::Gone),
+        ["silent", on] => list.silent(on == "on"),
+        ["failing", on] => list.failing(on == "on"),
+        _ => eprintln!("gaparch: ready|drain|gone ENGINE, or silent|failing on|off"),
+    }
+}
--- /dev/null
+++ b/crates/gaparch-cli/src/commands/load.rs
@@ -0,0 +1,62 @@
+//! `gaparch load`
+
+use crate::Outcome;
+use clap::Args;
+use gaparch_lab::load::{self, Mix};
+use gaparch_lab::record::Record;
+use gaparch_net::Clock;
+use gaparch_protocol::client::Dialect;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+#[derive(Debug, Args)]
+pub struct Options {
+    /// Where the router listens
+    #[arg(long, default_value = "127.0.0.1:8080")]
+    address: SocketAddr,
+    /// Requests a second
+    #[arg(long, default_value_t = 20.0)]
+    rate: f64,
+    /// For how long, in seconds
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=3600))]
+    seconds: u64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The listener's dialect: own or messages
+    #[arg(long, default_value = "own", value_parser = ["own", "messages"])]
+    dialect: String,
+    /// Class of all requests
+    #[arg(long, default_value = "question")]
+    class: String,
+    /// A tenant's key
+    #[arg(long)]
+    key: Option<String>,
+    /// Tokens of a prompt and of an answer
+    #[arg(long, default_value_t = 800)]
+    prompt: u32,
+    #[arg(long, default_value_t = 60)]
+    answer: u32,
+}
+
+pub async fn run(options: Options) -> Outcome {
+    if !(0.01..=10_000.0).contains(&options.rate) {
+        return Err("--rate: from 0.01 to 10000 requests a second".into());
+    }
+    let dialect = Dialect::builtin(&options.dialect).ok_or("no such dialect")?;
+    let client =
+        load::Client { clock: Clock::default(), record: Record::default(), dialect: Arc::new(dialect) };
+    let mix = Mix {
+        rate: options.rate,
+        seconds: Duration::from_secs(options.seconds),
+        seed: options.seed,
+        class: options.class,
+        key: options.key,
+        prompt_tokens: options.prompt,
+        answer_tokens: options.answer,
+    };
+    let summary = load::run_mix(&client, &mix, options.address).await;
+    print!("{summary}");
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/gaparch-cli/src/commands/mod.rs
@@ -0,0 +1,31 @@
+//! The sub-commands, each with its own options.
+
+pub mod check;
+pub mod engine;
+pub mod list;
+pub mod load;
+pub mod serve;
+pub mod try_out;
+
+use gaparch_config::Config;
+use std::path::Path;
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Reads a settings file; every mistake is one line with file, line and element.
+pub fn settings(file: &Path) -> Result<Config, String> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    Config::parse(&text).map_err(|problems| {
+        let lines: Vec<String> = problems.iter().map(|p| format!("{name}: {p}")).collect();
+        lines.join("\n")
+    })
+}
+
+/// Waits for Ctrl-C or SIGTERM.
+pub async fn asked_to_stop() -> std::io::Result<&'static str> {
+    let mut term = signal(SignalKind::terminate())?;
+    tokio::select! {
+        pressed = tokio::signal::ctrl_c() => pressed.map(|()| "interrupted"),
+        _ = term.recv() => Ok("terminated"),
+    }
+}
--- /dev/null
+++ b/crates/gaparch-cli/src/commands/serve.rs
@@ -0,0 +1,49 @@
+//! `gaparch serve FILE`
+
+use crate::Outcome;
+use clap::Args;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Between two looks at the owner's lag.
+const LOOK_EVERY: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Args)]
+pub struct Options {
+    /// The settings file
+    file: PathBuf,
+}
+
+pub async fn run(options: Options) -> Outcome {
+    let config = super::settings(&options.file)?;
+    let name = config.router.clone();
+    let router = gaparch_router::serve(config).await?;
+    for address in router.addresses() {
+        println!("gaparch: {name} listens at http://{address}");
+    }
+    let mut looks = tokio::time::interval(LOOK_EVERY);
+    let stop = super::asked_to_stop();
+    tokio::pin!(stop);
+    let why = loop {
+        tokio::select! {
+            why = &mut stop => break why?,
+            _ = looks.tick() => {
+                let lag = router.lag();
+                if lag.late > 0 {
+                    tracing::warn!(most_us = lag.most.as_micros() as u64, late = lag.late, rounds = lag.rounds, "owner late");
+                } else {
+                    tracing::info!(most_us = lag.most.as_micros() as u64, rounds = lag.rounds, "owner lag");
+                }
+            }
+        }
+    };
+    tracing::info!(why, "ending: nothing new is taken");
+    if let Some(counts) = router.stop().await {
+        println!(
+            "gaparch: {why}; {} requests: {} served, {} refused, {} failed, {} left",
+            counts.requests, counts.served, counts.refused, counts.failed, counts.left
+        );
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/gaparch-cli/src/logging.rs
@@ -0,0 +1,32 @@
+//! Structured logs on standard error.
+
+use clap::{Args, ValueEnum};
+use tracing_subscriber::EnvFilter;
+
+#[derive(Debug, Args)]
+pub struct Options {
+    /// What to log: a level, or `target=level` pairs with commas between them
+    #[arg(long, global = true, env = "GAPARCH_LOG", default_value = "warn")]
+    log: String,
+    /// How to write it
+    #[arg(long, global = true, value_enum, default_value_t = Format::Text)]
+    log_format: Format,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Format {
+    Text,
+    Json,
+}
+
+pub fn start(options: &Options) {
+    let filter = EnvFilter::try_new(&options.log).unwrap_or_else(|error| {
+        eprintln!("gaparch: --log: {error}; logging warnings");
+        EnvFilter::new("warn")
+    });
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match options.log_format {
+        Format::Text => logs.init(),
+        Format::Json => logs.json().init(),
+    }
+}
--- a/crates/gaparch-cli/src/main.rs
+++ b/crates/gaparch-cli/src/main.rs
@@ -1,1 +1,61 @@
-fn main() {}
+//! The gaparch program: one binary, a sub-command for each thing to do.
+
+mod commands;
+mod logging;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Routes language-model requests over engines that read prompts and engines that write answers.
+#[derive(Debug, Parser)]
+#[command(name = "gaparch", version, propagate_version = true)]
+struct Cli {
+    #[command(flatten)]
+    logging: logging::Options,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a router by a settings file, until Ctrl-C or SIGTERM
+    Serve(commands::serve::Options),
+    /// Run a stand-in engine
+    Engine(commands::engine::Options),
+    /// Run a stand-in list service; it takes commands on standard input
+    List(commands::list::Options),
+    /// Check a settings file and name every mistake in it
+    Check(commands::check::Options),
+    /// Start a small site on loopback, ask it one question and show the events as they come
+    Try(commands::try_out::Options),
+    /// Put load on a router and print what came of it
+    Load(commands::load::Options),
+}
+
+/// What goes wrong ends up here: one line on standard error, exit code 1.
+type Outcome = Result<ExitCode, Box<dyn std::error::Error + Send + Sync>>;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    logging::start(&cli.logging);
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let outcome = match runtime {
+        Ok(runtime) => runtime.block_on(run(cli.command)),
+        Err(error) => Err(error.into()),
+    };
+    outcome.unwrap_or_else(|error| {
+        eprintln!("gaparch: {error}");
+        ExitCode::FAILURE
+    })
+}
+
+async fn run(command: Command) -> Outcome {
+    match command {
+        Command::Serve(options) => commands::serve::run(options).await,
+        Command::Engine(options) => commands::engine::run(options).await,
+        Command::List(options) => commands::list::run(options).await,
+        Command::Check(options) => commands::check::run(&options),
+        Command::Try(options) => commands::try_out::run(options).await,
+        Command::Load(options) => commands::load::run(options).await,
+    }
+}
--- /dev/null
+++ b/crates/gaparch-lab/src/site.rs
@@ -0,0 +1,319 @@
+//! A whole site on loopback: engines, a list service and routers, in one process.
+//!
+//! Each router has a runtime of its own: to kill it is to drop that runtime, which closes its sockets in the
+//! middle of whatever it did, as `kill -9` does. All the rest shares one clock, so that the times in the
+//! record can be compared.
+
+use crate::list_service::ListService;
+use crate::record::{Record, What};
+use gaparch::api::{Role, ServerState};
+use gaparch_config::{Config, Problem};
+use gaparch_engine::server::{self, EngineHandle, EngineOptions};
+use gaparch_engine::{EngineSpec, Fault};
+use gaparch_net::Clock;
+use gaparch_protocol::list::ListEntry;
+use gaparch_router::core::Counts;
+use gaparch_router::{serve, RouterHandle, ServeError};
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::runtime::Runtime;
+
+/// Why a site can't be started.
+#[derive(Debug, Error)]
+pub enum SiteError {
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    #[error(transparent)]
+    Serve(#[from] ServeError),
+    #[error("settings: {}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))]
+    Settings(Vec<Problem>),
+}
+
+/// A class of the site's settings.
+#[derive(Clone, Debug)]
+pub struct SiteClass {
+    pub name: &'static str,
+    /// The rest of its attributes, as in the settings file.
+    pub attributes: &'static str,
+}
+
+/// What a site is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub engines: Vec<EngineSpec>,
+    pub routers: usize,
+    pub classes: Vec<SiteClass>,
+    /// Names and requests a second of their shares; the key is the name with `-key-0001` after it.
+    pub tenants: Vec<(&'static str, f64)>,
+    /// Further elements and attributes of the settings, where a test wants others.
+    pub limits: &'static str,
+    pub list_mode: &'static str,
+    pub dialect: &'static str,
+}
+
+/// Two safe classes.
+pub const CLASSES: [SiteClass; 2] = [
+    SiteClass {
+        name: "question",
+        attributes: r#"default="true" effect="safe" aim="1s" aim-per-1000-tokens="60ms" deadline="5s" token-aim="50ms" worth="1" late-worth="0.1" stream-limit="30s" silence-limit="3s""#,
+    },
+    SiteClass {
+        name: "transfer",
+        attributes: r#"effect="safe" aim="1500ms" aim-per-1000-tokens="40ms" deadline="6s" token-aim="70ms" worth="3" late-worth="0.3" stream-limit="30s" silence-limit="3s""#,
+    },
+];
+
+impl Plan {
+    /// Readers and writers in turn, over so many zones with racks of two and two.
+    pub fn small(readers: usize, writers: usize) -> Plan {
+        let place = |n: usize| (["north", "south"][n % 2], ["n1", "s1", "n2", "s2"][n % 4]);
+        let reader = |n: usize| EngineSpec::reader(&format!("read-{n}"), place(n).0, place(n).1);
+        let writer = |n: usize| EngineSpec::writer(&format!("write-{n}"), place(n).0, place(n).1);
+        Plan {
+            engines: (0..readers).map(reader).chain((0..writers).map(writer)).collect(),
+            routers: 1,
+            classes: CLASSES.to_vec(),
+            tenants: Vec::new(),
+            limits: "",
+            list_mode: "push",
+            dialect: "own",
+        }
+    }
+}
+
+/// A running site.
+pub struct Site {
+    pub clock: Clock,
+    pub record: Record,
+    pub list: ListService,
+    pub engines: BTreeMap<String, EngineHandle>,
+    plan: Plan,
+    routers: Vec<Option<Router>>,
+    addresses: Vec<SocketAddr>,
+}
+
+struct Router {
+    handle: RouterHandle,
+    runtime: Runtime,
+}
+
+impl Site {
+    /// Starts everything, engines warm.
+    ///
+    /// # Errors
+    /// When a socket can't be had or the plan makes no sound settings.
+    pub async fn start(plan: Plan) -> Result<Site, SiteError> {
+        let clock = Clock::default();
+        let record = Record::default();
+        let mut engines = BTreeMap::new();
+        let mut entries = Vec::new();
+        for spec in &plan.engines {
+            let options = EngineOptions {
+                spec: spec.clone(),
+                address: (Ipv4Addr::LOCALHOST, 0).into(),
+                clock,
+                observer: Arc::new(record.clone()),
+                warm: true,
+            };
+            let engine = server::start(options).await?;
+            entries.push(entry(spec, engine.address(), ServerState::Ready));
+            engines.insert(spec.name.clone(), engine);
+        }
+        let list =
+            ListService::start((Ipv4Addr::LOCALHOST, 0).into(), entries, clock, record.clone()).await?;
+        let mut site = Site {
+            clock,
+            record,
+            list,
+            engines,
+            routers: (0..plan.routers).map(|_| None).collect(),
+            addresses: free_addresses(plan.routers)?,
+            plan,
+        };
+        for number in 0..site.plan.routers {
+            site.start_router(number).await?;
+        }
+        Ok(site)
+    }
+
+    /// Where a router listens; the same after a restart.
+    pub fn address(&self, router: usize) -> SocketAddr {
+        self.addresses[router]
+    }
+
+    pub fn router_name(router: usize) -> String {
+        format!("router-{router}")
+    }
+
+    /// The settings of a router.
+    ///
+    /// # Errors
+    /// When the plan makes no sound settings.
+    pub fn config(&self, router: usize) -> Result<Config, SiteError> {
+        Config::parse(&self.settings(router)).map_err(SiteError::Settings)
+    }
+
+    fn settings(&self, router: usize) -> String {
+        let plan = &self.plan;
+        let mut xml = String::new();
+        let memory = |role: Role| {
+            let of = plan.engines.iter().filter(|e| e.role == role).map(|e| e.memory);
+            of.min().unwrap_or(100_000)
+        };
+        // Writing to a String can't fail.
+        let _ = write!(
+            xml,
+            r#"<gaparch version="1"><router name="{}" number="{router}" routers="{}" zone="{}" seed="{}">
+            <listen address="{}" dialect="{}"/></router>
+            <zones><zone id="north"/><zone id="south"/></zones><kinds>
+            <kind id="read" role="read" memory-tokens="{}"/><kind id="write" role="write" memory-tokens="{}"/>
+            <kind id="both" role="both" memory-tokens="{}"/></kinds><classes>"#,
+            Site::router_name(router),
+            plan.routers.max(1),
+            ["north", "south"][router % 2],
+            router + 1,
+            self.addresses[router],
+            plan.dialect,
+            memory(Role::Read),
+            memory(Role::Write),
+            memory(Role::Both),
+        );
+        for class in &plan.classes {
+            let _ = write!(xml, r#"<class id="{}" {}/>"#, class.name, class.attributes);
+        }
+        xml.push_str("</classes>");
+        if !plan.tenants.is_empty() {
+            xml.push_str(r#"<tenants over-share-worth="0.2">"#);
+            for (name, rate) in &plan.tenants {
+                let _ = write!(
+                    xml,
+                    r#"<tenant id="{name}" requests-per-second="{rate}"><key value="{name}-key-0001"/></tenant>"#
+                );
+            }
+            xml.push_str("</tenants>");
+        }
+        xml.push_str("<engines>");
+        for spec in &plan.engines {
+            let address = self.engines[&spec.name].address();
+            let (kind, zone, rack) = (kind(spec.role), &spec.zone, &spec.rack);
+            let _ = write!(
+                xml,
+                r#"<engine id="{}" address="{address}" kind="{kind}" zone="{zone}" rack="{rack}"/>"#,
+                spec.name
+            );
+        }
+        let _ = write!(
+            xml,
+            r#"</engines><list address="{}" mode="{}"/><attempts reconnect-most="500ms"/>
+            <rules release-within="500ms" drain-grace="500ms" cold-from="0.28" cold="14s" fall-multiple="2.5"
+             fall="2s"/>{}</gaparch>"#,
+            self.list.address(),
+            plan.list_mode,
+            plan.limits
+        );
+        xml
+    }
+
+    /// Starts a router, or starts it again after it was killed.
+    ///
+    /// # Errors
+    /// When its address can't be listened at.
+    pub async fn start_router(&mut self, router: usize) -> Result<(), SiteError> {
+        let config = self.config(router)?;
+        let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+        let handle = runtime.spawn(serve(config)).await;
+        let handle = handle.map_err(std::io::Error::other)??;
+        self.routers[router] = Some(Router { handle, runtime });
+        Ok(())
+    }
+
+    /// Ends a router in the middle of whatever it does.
+    pub fn kill_router(&mut self, router: usize) {
+        if let Some(Router { handle, runtime }) = self.routers[router].take() {
+            self.record.add(self.clock.now(), What::RouterKilled { router: Site::router_name(router) });
+            runtime.shutdown_background();
+            drop(handle);
+        }
+    }
+
+    pub fn router(&self, router: usize) -> Option<&RouterHandle> {
+        self.routers[router].as_ref().map(|r| &r.handle)
+    }
+
+    /// Ends a router in good order; what it counted.
+    pub async fn stop_router(&mut self, router: usize) -> Option<Counts> {
+        let Router { handle, runtime } = self.routers[router].take()?;
+        let counts = runtime.spawn(handle.stop()).await.ok().flatten();
+        runtime.shutdown_background();
+        counts
+    }
+
+    /// Switches a fault of an engine, and notes it where the checker has to know.
+    pub async fn fault(&self, engine: &str, fault: Fault) {
+        if let Fault::CutLink(cut) = fault {
+            self.record.add(self.clock.now(), What::Cut { engine: engine.to_owned(), cut });
+        }
+        if let Some(handle) = self.engines.get(engine) {
+            handle.fault(fault).await;
+        }
+    }
+
+    /// Waits until a router has a connection to every engine, as far as it can be seen from outside.
+    pub async fn settle(&self) {
+        let wanted = self.plan.routers * self.engines.len();
+        for _ in 0..200 {
+            let is_router = |e: &crate::record::Entry| {
+                matches!(&e.what, What::Note { note: gaparch_engine::observe::Note::Router { .. }, .. })
+            };
+            if self.record.entries().iter().filter(|e| is_router(e)).count() >= wanted {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for router in self.routers.iter_mut().filter_map(Option::take) {
+            router.runtime.shutdown_background();
+        }
+    }
+}
+
+/// The list's entry of an engine.
+pub fn entry(spec: &EngineSpec, address: SocketAddr, state: ServerState) -> ListEntry {
+    ListEntry {
+        engine: spec.name.clone(),
+        address: address.to_string(),
+        kind: kind(spec.role).to_owned(),
+        zone: spec.zone.clone(),
+        rack: spec.rack.clone(),
+        state,
+        weight: None,
+        started_at: None,
+    }
+}
+
+fn kind(role: Role) -> &'static str {
+    match role {
+        Role::Read => "read",
+        Role::Write => "write",
+        Role::Both => "both",
+    }
+}
+
+/// Ports that are free now, so that a router can come back to its own.
+fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
+    let listeners: Result<Vec<TcpListener>, _> =
+        (0..count).map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0))).collect();
+    listeners?.iter().map(TcpListener::local_addr).collect()
+}
--- /dev/null
+++ b/crates/gaparch-router/src/core/request.rs
@@ -0,0 +1,157 @@
+//! A request from its acceptance to its one final answer.
+
+use gaparch::api::{AttemptNo, ClassId, Key, Nanos, Request, RequestId, ServerId, Settings, TenantId};
+use gaparch_config::ClassTimes;
+use gaparch_protocol::client::Usage;
+use gaparch_protocol::engine::{AttemptKey, Job};
+
+/// A request whose names have been looked up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Accepted {
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    pub session: Option<Key>,
+    pub prefix: Option<Key>,
+    /// Tokens; 0 where not told.
+    pub prompt_len: u32,
+    pub prefix_len: u32,
+    pub max_out: u32,
+    /// Rough length of the answer in tokens.
+    pub hint: Option<u32>,
+    pub repeat: bool,
+    pub prompt: String,
+}
+
+impl Accepted {
+    /// As the module is told of it. The deadline grows twice as much with the prompt as the aim does.
+    pub(super) fn request(&self, id: RequestId, settings: &Settings, now: Nanos) -> Request {
+        let class = settings.classes.get(self.class.0);
+        let (deadline, per_token, token_aim) =
+            class.map_or((0, 0.0, 0), |c| (c.deadline, c.aim_per_token, c.token_aim));
+        let longer = 2.0 * per_token * f64::from(self.prompt_len);
+        Request {
+            id,
+            class: self.class,
+            tenant: self.tenant,
+            session: self.session,
+            prefix: self.prefix,
+            prompt_len: f64::from(self.prompt_len),
+            prefix_len: f64::from(self.prefix_len),
+            max_out: f64::from(self.max_out),
+            hint: self.hint.map(|tokens| Nanos::from(tokens).saturating_mul(token_aim)).filter(|h| *h > 0),
+            give_up_at: now.saturating_add(deadline).saturating_add(longer as Nanos),
+            retry: self.repeat,
+            again: false,
+        }
+    }
+
+    pub(super) fn job(&self, id: RequestId, no: AttemptNo, give_up_at: Nanos, now: Nanos) -> Job {
+        let patience_ms = give_up_at.saturating_sub(now) / 1_000_000;
+        Job {
+            key: AttemptKey { request: id.0, attempt: no.0 },
+            class: u16::try_from(self.class.0).unwrap_or(u16::MAX),
+            tenant: self.tenant.and_then(|t| u16::try_from(t.0).ok()),
+            session: self.session.map(|k| k.0),
+            prefix: self.prefix.map(|k| k.0),
+            prompt_len: self.prompt_len,
+            prefix_len: self.prefix_len,
+            max_out: self.max_out,
+            patience_ms: u32::try_from(patience_ms.max(1)).unwrap_or(u32::MAX),
+            prompt: self.prompt.clone(),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    Read,
+    Write,
+}
+
+/// The attempt that is out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Attempt {
+    pub no: AttemptNo,
+    pub server: ServerId,
+    pub stage: Stage,
+    pub sent_at: Nanos,
+    /// The answer has begun.
+    pub begun: bool,
+    /// For its connection; nothing has been written yet.
+    pub waits: bool,
+}
+
+/// Where a request is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Held,
+    Reading,
+    Read,
+    Writing,
+    Streaming,
+    Ended,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Live {
+    pub ask: Accepted,
+    pub give_up_at: Nanos,
+    pub next_attempt: u32,
+    pub attempt: Option<Attempt>,
+    /// The reader whose state a writer is to fetch.
+    pub state_at: Option<ServerId>,
+    /// Engines that hold something for it.
+    pub held_at: Vec<ServerId>,
+    /// The final answer is given: only the books are still open.
+    pub ended: bool,
+    pub usage: Usage,
+    pub begun_at: Nanos,
+    pub last_token_at: Nanos,
+}
+
+impl Live {
+    pub fn new(ask: Accepted, give_up_at: Nanos) -> Live {
+        Live {
+            usage: Usage { prompt: ask.prompt_len, ..Usage::default() },
+            ask,
+            give_up_at,
+            next_attempt: 0,
+            attempt: None,
+            state_at: None,
+            held_at: Vec::new(),
+            ended: false,
+            begun_at: 0,
+            last_token_at: 0,
+        }
+    }
+
+    pub fn phase(&self) -> Phase {
+        match self.attempt {
+            _ if self.ended => Phase::Ended,
+            Some(Attempt { begun: true, .. }) => Phase::Streaming,
+            Some(Attempt { stage: Stage::Read, .. }) => Phase::Reading,
+            Some(_) => Phase::Writing,
+            None if self.state_at.is_some() => Phase::Read,
+            None => Phase::Held,
+        }
+    }
+
+    /// Answered, with nothing out and nothing held.
+    pub fn is_done(&self) -> bool {
+        self.ended && self.attempt.is_none() && self.held_at.is_empty()
+    }
+
+    pub fn hold(&mut self, server: ServerId) {
+        if !self.held_at.contains(&server) {
+            self.held_at.push(server);
+        }
+    }
+
+    /// When a begun stream has taken too long, as things stand.
+    pub fn stream_until(&self, times: &[ClassTimes]) -> Nanos {
+        let times = times.get(self.ask.class.0).copied();
+        let times = times.unwrap_or(ClassTimes { stream: Nanos::MAX, silence: Nanos::MAX });
+        let whole = self.begun_at.saturating_add(times.stream);
+        whole.min(self.last_token_at.saturating_add(times.silence))
+    }
+}
--- /dev/null
+++ b/crates/gaparch-router/src/core/roster.rs
@@ -0,0 +1,160 @@
+//! The list of engines as this router knows it, from the settings, the list service and the engines' hellos.
+
+use super::{figures, state_at, Counts};
+use gaparch::api::{Entry, ListKind, Nanos, Role, ServerId, ServerState, Settings};
+use gaparch_config::{server_id, Config};
+use gaparch_protocol::engine::{EngineFacts, StateAt};
+use gaparch_protocol::list::{ListEntry, Scope};
+use std::collections::BTreeMap;
+
+/// One update of the list service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListUpdate {
+    pub scope: Scope,
+    /// Grows by one with each change.
+    pub version: u64,
+    pub entries: Vec<ListEntry>,
+}
+
+/// Engines a list may have; more are dropped and counted.
+const MOST_ENGINES: usize = 10_000;
+/// A start further in the future than this is no start.
+const CLOCKS_APART: Nanos = 3_600_000_000_000;
+
+#[derive(Clone, Debug)]
+struct Known {
+    listed: ListEntry,
+    entry: Entry,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Roster {
+    known: BTreeMap<ServerId, Known>,
+    version: Option<u64>,
+}
+
+impl Roster {
+    pub fn take_settings(&mut self, config: &Config) -> Vec<Entry> {
+        let mut counts = Counts::default();
+        for engine in &config.engines {
+            let listed = ListEntry {
+                engine: engine.name.clone(),
+                address: engine.address.to_string(),
+                kind: engine.kind.clone(),
+                zone: engine.zone.clone(),
+                rack: engine.rack.clone(),
+                state: engine.state,
+                weight: engine.weight,
+                started_at: None,
+            };
+            self.take(listed, config, &mut counts);
+        }
+        self.known.values().map(|k| k.entry.clone()).collect()
+    }
+
+    /// What the module is to be told; `None` where a change was missed.
+    pub fn update(
+        &mut self,
+        update: ListUpdate,
+        config: &Config,
+        counts: &mut Counts,
+    ) -> Option<(ListKind, Vec<Entry>)> {
+        let delta = update.scope == Scope::Delta;
+        let follows = |v: u64| update.version == v.saturating_add(1);
+        if delta && !self.version.is_some_and(follows) {
+            // One that is known already says nothing new.
+            let stale = self.version.is_some_and(|v| update.version <= v);
+            return stale.then_some((ListKind::Delta, Vec::new()));
+        }
+        self.version = Some(update.version);
+        if !delta {
+            // What a whole list does not name is gone.
+            self.known.values_mut().for_each(|k| k.entry.state = ServerState::Gone);
+        }
+        let mut entries = Vec::new();
+        for listed in update.entries {
+            entries.extend(self.take(listed, config, counts));
+        }
+        Some((if delta { ListKind::Delta } else { ListKind::Full }, entries))
+    }
+
+    fn take(&mut self, listed: ListEntry, config: &Config, counts: &mut Counts) -> Option<Entry> {
+        let server = server_id(&listed.engine);
+        let kind = config.names.kind(&listed.kind);
+        let known = self.known.get(&server);
+        let other = known.is_some_and(|k| k.listed.engine != listed.engine);
+        let full = known.is_none() && self.known.len() >= MOST_ENGINES;
+        let sound = listed.address.parse::<std::net::SocketAddr>().is_ok();
+        if kind.is_none() || other || full || !sound {
+            counts.dropped_entries += 1;
+            return None;
+        }
+        let weight = listed.weight.filter(|w| figures::sound(*w) && *w > 0.0);
+        counts.dropped_figures += u64::from(weight.is_none() && listed.weight.is_some());
+        // What the engine itself said of its start holds until the list knows of a later one.
+        let said = known.and_then(|k| k.entry.ready_at);
+        let entry = Entry {
+            server,
+            zone: config.names.zone(&listed.zone),
+            kind,
+            cell: config.names.cell(&listed.zone, &listed.rack),
+            state: listed.state,
+            weight,
+            ready_at: listed.started_at.max(said),
+        };
+        self.known.insert(server, Known { listed, entry: entry.clone() });
+        Some(entry)
+    }
+
+    /// An engine has said when it started; the entry to tell of, if that is news.
+    pub fn started(&mut self, server: ServerId, at: u64, now: Nanos, counts: &mut Counts) -> Option<Entry> {
+        let known = self.known.get_mut(&server)?;
+        if at > now.saturating_add(CLOCKS_APART) {
+            counts.dropped_figures += 1;
+            return None;
+        }
+        if known.entry.ready_at.is_some_and(|ready| ready >= at) {
+            return None;
+        }
+        known.entry.ready_at = Some(at);
+        Some(known.entry.clone())
+    }
+
+    /// Whether an engine is what the list says it is.
+    pub fn agrees(&self, server: ServerId, facts: &EngineFacts, config: &Config) -> Result<(), &'static str> {
+        let Some(known) = self.known.get(&server) else { return Err("an engine that is not listed") };
+        if facts.name != known.listed.engine {
+            return Err("an engine of another name than listed");
+        }
+        match known.entry.kind.map(|k| config.module.kind(Some(k)).0) {
+            Some(role) if role == facts.role => Ok(()),
+            _ => Err("an engine of another role than listed"),
+        }
+    }
+
+    pub fn engines(&self) -> Vec<ServerId> {
+        self.known.iter().filter(|(_, k)| k.entry.state != ServerState::Gone).map(|(id, _)| *id).collect()
+    }
+
+    /// It is to be connected to.
+    pub fn wanted(&self, server: ServerId) -> bool {
+        self.known.get(&server).is_some_and(|k| k.entry.state != ServerState::Gone)
+    }
+
+    pub fn ready(&self, server: ServerId) -> bool {
+        self.known.get(&server).is_some_and(|k| k.entry.state == ServerState::Ready)
+    }
+
+    pub fn role(&self, server: ServerId, settings: &Settings) -> Option<Role> {
+        self.known.get(&server).map(|k| settings.kind(k.entry.kind).0)
+    }
+
+    pub fn contact(&self, server: ServerId) -> Option<(String, String)> {
+        let known = self.known.get(&server).filter(|k| k.entry.state != ServerState::Gone)?;
+        Some((known.listed.engine.clone(), known.listed.address.clone()))
+    }
+
+    pub fn address(&self, server: ServerId) -> Option<StateAt> {
+        self.known.get(&server).map(|k| state_at(&k.listed.engine, &k.listed.address))
+    }
+}
--- /dev/null
+++ b/crates/gaparch-router/src/shell/client.rs
@@ -0,0 +1,411 @@
+//! The client side: HTTP/1.1, one JSON answer or a stream of events.
+
+use super::owner::NewRequest;
+use super::stall::Stall;
+use crate::core::{Accepted, ToClient};
+use bytes::{Bytes, BytesMut};
+use gaparch::api::{ClassId, Key, Nanos, RequestId, TenantId};
+use gaparch_config::Config;
+use gaparch_protocol::client::{parse_request, Answer, Ask, ClientEvent, Dialect, ErrorKind, Usage};
+use gaparch_protocol::engine::RouterRun;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, timeout, Instant, Sleep};
+
+/// Bytes of a request's head, and of a connection's read buffer.
+const HEAD: usize = 8 * 1024;
+/// Names an accepted request in every answer to it.
+const REQUEST_ID: &str = "x-gaparch-request-id";
+/// Events put into one piece of a body.
+const COALESCE: usize = 32;
+
+/// What all client connections share.
+pub(super) struct Shared {
+    pub run: RouterRun,
+    pub config: Config,
+    pub requests: mpsc::Sender<NewRequest>,
+    pub gone: mpsc::UnboundedSender<RequestId>,
+    pub next_id: AtomicU64,
+    pub open: Arc<Semaphore>,
+    pub connections: Arc<Semaphore>,
+}
+
+type AnyBody = UnsyncBoxBody<Bytes, BrokenOff>;
+
+/// A stream that ends without its last event.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the stream broke off")]
+pub(super) struct BrokenOff;
+
+/// Accepts connections until it is aborted.
+pub(super) async fn accept(listener: TcpListener, dialect: Arc<Dialect>, shared: Arc<Shared>) {
+    // A client that reads nothing for as long as an engine may be silent is gone.
+    let silence = shared.config.class_times.iter().map(|t| t.silence).max().unwrap_or(Nanos::MAX);
+    let silence = Duration::from_nanos(silence).min(Duration::from_secs(86_400));
+    loop {
+        let socket = match listener.accept().await {
+            Ok((socket, _)) => socket,
+            Err(error) => {
+                tracing::warn!(%error, "can't accept");
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        // Past the bound a connection is closed at once: there is nothing to answer it with.
+        let Ok(permit) = Arc::clone(&shared.connections).try_acquire_owned() else { continue };
+        let _ = socket.set_nodelay(true);
+        let (dialect, shared) = (Arc::clone(&dialect), Arc::clone(&shared));
+        tokio::spawn(async move {
+            let head_time = shared.config.limits.head_time.duration();
+            let service = service_fn(|request| answer(request, &dialect, &shared));
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(head_time)
+                .max_buf_size(HEAD)
+                .serve_connection(TokioIo::new(Stall::new(socket, silence)), service)
+                .await;
+            if let Err(error) = served {
+                tracing::debug!(%error, "a client's connection ended");
+            }
+            drop(permit);
+        });
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    dialect: &Arc<Dialect>,
+    shared: &Arc<Shared>,
+) -> Result<Response<AnyBody>, Infallible> {
+    let whole = handle(request, dialect, shared).await;
+    Ok(whole.unwrap_or_else(|refusal| refusal.response(dialect)))
+}
+
+/// An answer that is an error.
+struct Refusal {
+    status: StatusCode,
+    kind: ErrorKind,
+    message: String,
+    harmless: bool,
+    retry_after: Option<Nanos>,
+}
+
+impl Refusal {
+    fn invalid(status: StatusCode, message: impl Into<String>) -> Refusal {
+        Refusal {
+            status,
+            kind: ErrorKind::Invalid,
+            message: message.into(),
+            harmless: true,
+            retry_after: None,
+        }
+    }
+
+    /// Not accepted, or refused: either way a retry is harmless.
+    fn busy(retry_after: Nanos, message: &str) -> Refusal {
+        Refusal {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            kind: ErrorKind::Refused,
+            message: message.to_owned(),
+            harmless: true,
+            retry_after: Some(retry_after),
+        }
+    }
+
+    fn failed(why: &str) -> Refusal {
+        let late = why.contains("in time");
+        Refusal {
+            status: if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY },
+            kind: ErrorKind::Failed,
+            message: why.to_owned(),
+            harmless: false,
+            retry_after: None,
+        }
+    }
+
+    fn response(&self, dialect: &Dialect) -> Response<AnyBody> {
+        let body = dialect.encode_error(self.kind, &self.message, self.harmless).freeze();
+        let mut response = json(self.status, body);
+        if let Some(wait) = self.retry_after {
+            // Whole seconds, as HTTP has them; the exact time stands beside it.
+            let seconds = wait.div_ceil(1_000_000_000).max(1);
+            let headers = response.headers_mut();
+            headers.insert(RETRY_AFTER, seconds.into());
+            headers.insert("x-gaparch-retry-after-ms", (wait / 1_000_000).into());
+        }
+        response
+    }
+}
+
+fn json(status: StatusCode, body: Bytes) -> Response<AnyBody> {
+    let body = Full::new(body).map_err(|never: Infallible| match never {}).boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    response
+}
+
+async fn handle(
+    request: Request<Incoming>,
+    dialect: &Arc<Dialect>,
+    shared: &Arc<Shared>,
+) -> Result<Response<AnyBody>, Refusal> {
+    if request.uri().path() != "/v1/messages" {
+        return Err(Refusal::invalid(StatusCode::NOT_FOUND, "there is /v1/messages here"));
+    }
+    if request.method() != Method::POST {
+        return Err(Refusal::invalid(StatusCode::METHOD_NOT_ALLOWED, "POST is wanted"));
+    }
+    let (head, body) = request.into_parts();
+    let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+    let tenant = tenant(shared, header)?;
+    let limits = &shared.config.limits;
+    let body = timeout(limits.body_time.duration(), Limited::new(body, limits.body).collect()).await;
+    let body = match body {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let message = format!("a body has at most {} bytes here", limits.body);
+            return Err(Refusal::invalid(StatusCode::PAYLOAD_TOO_LARGE, message));
+        }
+        Ok(Err(_)) => return Err(Refusal::invalid(StatusCode::BAD_REQUEST, "the body broke off")),
+        Err(_) => return Err(Refusal::invalid(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+    };
+    let ask = parse_request(dialect, &body, header)
+        .map_err(|e| Refusal::invalid(StatusCode::BAD_REQUEST, e.to_string()))?;
+    drop(body);
+    let class = class(shared, &ask)?;
+    let (model, stream) = (ask.model.clone(), ask.stream);
+    let mut ticket = submit(shared, accepted(ask, class, tenant))?;
+    let id = format!("msg_{:x}_{}", shared.run.0, ticket.id.0);
+    let mut response = match first(&mut ticket).await {
+        Err(refusal) => refusal.response(dialect),
+        Ok(usage) if stream => {
+            let opened = ClientEvent::Opened { id: id.clone(), model, usage };
+            events(EventBody::new(ticket, Arc::clone(dialect), opened, limits.keep_alive.duration()))
+        }
+        Ok(_) => match collect(ticket, id.clone(), model).await {
+            Ok(answer) => json(StatusCode::OK, dialect.encode_answer(&answer).freeze()),
+            Err(refusal) => refusal.response(dialect),
+        },
+    };
+    if let Ok(id) = id.parse() {
+        response.headers_mut().insert(REQUEST_ID, id);
+    }
+    Ok(response)
+}
+
+fn tenant<'h>(
+    shared: &Shared,
+    header: impl Fn(&str) -> Option<&'h str>,
+) -> Result<Option<TenantId>, Refusal> {
+    if shared.config.keys.is_empty() {
+        return Ok(None);
+    }
+    let bearer = header(AUTHORIZATION.as_str()).and_then(|value| value.strip_prefix("Bearer "));
+    let key = bearer.or_else(|| header("x-api-key")).map(str::trim);
+    match key.and_then(|key| shared.config.keys.get(key)) {
+        Some(tenant) => Ok(Some(*tenant)),
+        None => Err(Refusal {
+            kind: ErrorKind::Unauthorized,
+            ..Refusal::invalid(StatusCode::UNAUTHORIZED, "a known key is wanted")
+        }),
+    }
+}
+
+fn class(shared: &Shared, ask: &Ask) -> Result<ClassId, Refusal> {
+    let names = &shared.config.names;
+    match &ask.class {
+        Some(name) => names.class(name).ok_or_else(|| {
+            Refusal::invalid(StatusCode::BAD_REQUEST, format!("'class' '{name}' is not known here"))
+        }),
+        None => {
+            let only = (names.classes.len() == 1).then_some(ClassId(0));
+            shared.config.default_class.or(only).ok_or_else(|| {
+                Refusal::invalid(StatusCode::BAD_REQUEST, "'class' is missing, and there is no default")
+            })
+        }
+    }
+}
+
+fn accepted(ask: Ask, class: ClassId, tenant: Option<TenantId>) -> Accepted {
+    Accepted {
+        class,
+        tenant,
+        session: ask.session.as_deref().map(Key::of),
+        prefix: ask.prefix.as_deref().map(Key::of),
+        prompt_len: ask.prompt_tokens,
+        prefix_len: ask.prefix_tokens,
+        max_out: ask.max_tokens,
+        hint: ask.answer_hint,
+        repeat: ask.repeat,
+        prompt: ask.prompt,
+    }
+}
+
+/// A request that the owner has, or will have. Dropped before its last event, its client has left.
+struct Ticket {
+    id: RequestId,
+    events: mpsc::Receiver<ToClient>,
+    gone: mpsc::UnboundedSender<RequestId>,
+    over: bool,
+    _open: OwnedSemaphorePermit,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.over {
+            // The owner may have ended: then nobody has to know.
+            let _ = self.gone.send(self.id);
+        }
+    }
+}
+
+fn submit(shared: &Shared, ask: Accepted) -> Result<Ticket, Refusal> {
+    let retry_after = shared.config.module.max_retry_after;
+    let full = || Refusal::busy(retry_after, "too much is open here; nothing was done");
+    let open = Arc::clone(&shared.open).try_acquire_owned().map_err(|_| full())?;
+    let id = RequestId(shared.next_id.fetch_add(1, Ordering::Relaxed));
+    let (answers, events) = mpsc::channel(shared.config.limits.stream_buffer);
+    shared.requests.try_send(NewRequest { id, ask, answers }).map_err(|_| full())?;
+    Ok(Ticket { id, events, gone: shared.gone.clone(), over: false, _open: open })
+}
+
+/// Waits until the answer begins, or it is clear that none will.
+async fn first(ticket: &mut Ticket) -> Result<Usage, Refusal> {
+    let first = ticket.events.recv().await;
+    ticket.over = first.as_ref().is_none_or(ToClient::is_last);
+    match first {
+        Some(ToClient::Opened { usage }) => Ok(usage),
+        Some(ToClient::Refused { retry_after }) => {
+            Err(Refusal::busy(retry_after, "nothing was done; a retry is harmless"))
+        }
+        Some(ToClient::Failed { why }) => Err(Refusal::failed(why)),
+        _ => Err(Refusal::failed("the router has ended")),
+    }
+}
+
+async fn collect(mut ticket: Ticket, id: String, model: String) -> Result<Answer, Refusal> {
+    let mut text = String::new();
+    loop {
+        match ticket.events.recv().await {
+            Some(ToClient::Part { text: part }) => text.push_str(&part),
+            Some(ToClient::Finished { usage, reason }) => {
+                ticket.over = true;
+                return Ok(Answer { id, model, text, usage, reason });
+            }
+            Some(ToClient::Opened { .. }) => {}
+            Some(ToClient::Failed { why }) => {
+                ticket.over = true;
+                return Err(Refusal::failed(why));
+            }
+            Some(ToClient::Refused { .. }) | None => {
+                ticket.over = true;
+                return Err(Refusal::failed("the answer broke off"));
+            }
+        }
+    }
+}
+
+fn events(body: EventBody) -> Response<AnyBody> {
+    let mut response = Response::new(body.boxed_unsync());
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("text/event-stream"));
+    headers.insert(hyper::header::CACHE_CONTROL, hyper::header::HeaderValue::from_static("no-store"));
+    response
+}
+
+/// A stream of events, with keep-alives while nothing else comes.
+struct EventBody {
+    ticket: Ticket,
+    dialect: Arc<Dialect>,
+    /// What is to be sent before anything from the channel.
+    first: Option<ClientEvent>,
+    idle: Pin<Box<Sleep>>,
+    keep_alive: Duration,
+    done: bool,
+}
+
+impl EventBody {
+    fn new(ticket: Ticket, dialect: Arc<Dialect>, opened: ClientEvent, keep_alive: Duration) -> EventBody {
+        let idle = Box::pin(sleep(keep_alive));
+        EventBody { ticket, dialect, first: Some(opened), idle, keep_alive, done: false }
+    }
+
+    fn put(&mut self, event: ToClient, out: &mut BytesMut) {
+        self.done = event.is_last();
+        self.ticket.over = self.done;
+        let mut encode = |event: ClientEvent| self.dialect.encode(&event, out);
+        match event {
+            ToClient::Opened { .. } => {}
+            ToClient::Part { text } => encode(ClientEvent::Part { text }),
+            ToClient::Finished { usage, reason } => {
+                encode(ClientEvent::PartClosed);
+                encode(ClientEvent::Usage { usage, reason });
+                encode(ClientEvent::Closed { reason });
+            }
+            // A refusal after the first event would be a broken promise; it is told as a failure.
+            ToClient::Refused { .. } => encode(failed("the answer broke off")),
+            ToClient::Failed { why } => encode(failed(why)),
+        }
+    }
+}
+
+fn failed(why: &str) -> ClientEvent {
+    ClientEvent::Failed { kind: ErrorKind::Failed, message: why.to_owned(), retry_harmless: false }
+}
+
+impl Body for EventBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        let this = self.get_mut();
+        if this.done {
+            return Poll::Ready(None);
+        }
+        let mut out = BytesMut::new();
+        if let Some(opened) = this.first.take() {
+            this.dialect.encode(&opened, &mut out);
+            this.dialect.encode(&ClientEvent::PartOpened, &mut out);
+        }
+        for _ in 0..COALESCE {
+            match this.ticket.events.poll_recv(cx) {
+                Poll::Ready(Some(event)) => this.put(event, &mut out),
+                // The owner let go of it: this client read too slowly, or the router ended.
+                Poll::Ready(None) => {
+                    this.ticket.over = true;
+                    return Poll::Ready(Some(Err(BrokenOff)));
+                }
+                Poll::Pending => break,
+            }
+            if this.done {
+                break;
+            }
+        }
+        if out.is_empty() {
+            if this.idle.as_mut().poll(cx).is_pending() {
+                return Poll::Pending;
+            }
+            this.dialect.encode(&ClientEvent::KeepAlive, &mut out);
+        }
+        this.idle.as_mut().reset(Instant::now() + this.keep_alive);
+        Poll::Ready(Some(Ok(Frame::data(out.freeze()))))
+    }
+}
--- /dev/null
+++ b/crates/gaparch-router/src/shell/mod.rs
@@ -0,0 +1,147 @@
+//! The tokio shell: sockets, clocks and tasks around the core.
+//!
+//! One task, the owner, has the core and takes everything in order. Bounds, and what happens at them:
+//!
+//! | queue | bound | full |
+//! | --- | --- | --- |
+//! | requests to the owner | `limits/inbox` | the request is refused at once, before it is accepted |
+//! | engines' frames to the owner | 1,024 batches | engines' connections are not read from |
+//! | clients that left, to the owner | open requests | can't be: one message a request |
+//! | events to one client | `limits/stream-buffer` | the client reads too slowly: its request ends as if it had left |
+//! | frames to one engine | 16,384 | the connection is closed, its attempts are reset |
+//! | open requests, connections | `limits` | refused; closed |
+
+mod client;
+mod engine;
+mod lag;
+mod list;
+mod owner;
+mod stall;
+
+pub use lag::{Lag, LagSummary};
+
+use crate::core::{Core, Counts};
+use gaparch_config::Config;
+use gaparch_net::Clock;
+use gaparch_protocol::engine::RouterRun;
+use owner::{Control, Owner, Ports};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, Semaphore};
+use tokio::task::JoinHandle;
+
+/// Why a router can't start.
+#[derive(Debug, Error)]
+pub enum ServeError {
+    #[error("can't listen at {address}: {source}")]
+    Listen { address: SocketAddr, source: std::io::Error },
+}
+
+/// A running router. It ends abruptly when this is dropped.
+#[derive(Debug)]
+pub struct RouterHandle {
+    addresses: Vec<SocketAddr>,
+    control: mpsc::Sender<Control>,
+    lag: Arc<Lag>,
+    accepting: Vec<JoinHandle<()>>,
+    owner: JoinHandle<()>,
+    shutdown: Duration,
+}
+
+impl RouterHandle {
+    /// Where it listens, in the order of the settings.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// What was counted so far; `None` once it has ended.
+    pub async fn counts(&self) -> Option<Counts> {
+        let (answer, wait) = oneshot::channel();
+        self.control.send(Control::Counts(answer)).await.ok()?;
+        wait.await.ok()
+    }
+
+    /// How late the owner was, from the start or from the last time this was asked.
+    pub fn lag(&self) -> LagSummary {
+        self.lag.take()
+    }
+
+    /// Ends in good order: nothing new is taken, what runs has the stated time, what is left then is
+    /// answered for. Returns what was counted.
+    pub async fn stop(self) -> Option<Counts> {
+        self.accepting.iter().for_each(JoinHandle::abort);
+        self.control.send(Control::Stop).await.ok()?;
+        let deadline = tokio::time::Instant::now() + self.shutdown;
+        loop {
+            let (answer, wait) = oneshot::channel();
+            self.control.send(Control::Open(answer)).await.ok()?;
+            if wait.await.ok()? == 0 || tokio::time::Instant::now() >= deadline {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.control.send(Control::StopNow).await.ok()?;
+        let counts = self.counts().await;
+        // The last answers are on their way to the clients' tasks: they get a moment to be written.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        counts
+    }
+}
+
+impl Drop for RouterHandle {
+    fn drop(&mut self) {
+        self.accepting.iter().for_each(JoinHandle::abort);
+        self.owner.abort();
+    }
+}
+
+/// Starts a router.
+///
+/// # Errors
+/// When an address can't be listened at.
+pub async fn serve(config: Config) -> Result<RouterHandle, ServeError> {
+    let clock = Clock::default();
+    // Later runs have a later number: an engine must not take one run's states for another's.
+    let run = RouterRun(clock.now() ^ (u64::from(std::process::id()) << 32) ^ run_number());
+    let mut listeners = Vec::new();
+    for listener in &config.listeners {
+        let wrong = |source| ServeError::Listen { address: listener.address, source };
+        let socket = TcpListener::bind(listener.address).await.map_err(wrong)?;
+        listeners.push((socket.local_addr().map_err(wrong)?, socket, Arc::clone(&listener.dialect)));
+    }
+    let (requests, requests_in) = mpsc::channel(config.limits.inbox);
+    let (gone, gone_in) = mpsc::unbounded_channel();
+    let (control, control_in) = mpsc::channel(64);
+    let lag = Arc::new(Lag::default());
+    let shared = Arc::new(client::Shared {
+        run,
+        requests,
+        gone,
+        next_id: AtomicU64::new(1),
+        open: Arc::new(Semaphore::new(config.limits.open_requests)),
+        connections: Arc::new(Semaphore::new(config.limits.connections)),
+        config: config.clone(),
+    });
+    let mut out = Vec::new();
+    let core = Core::new(config.clone(), run, clock.now(), &mut out);
+    let ports = Ports { requests: requests_in, gone: gone_in, control: control_in };
+    let owner = Owner::new(core, clock, config.clone(), Arc::clone(&lag));
+    let owner = tokio::spawn(owner.run(ports, out));
+    let addresses = listeners.iter().map(|(address, ..)| *address).collect();
+    let accepting = listeners
+        .into_iter()
+        .map(|(_, socket, dialect)| tokio::spawn(client::accept(socket, dialect, Arc::clone(&shared))))
+        .collect();
+    let shutdown = config.limits.shutdown.duration();
+    Ok(RouterHandle { addresses, control, lag, accepting, owner, shutdown })
+}
+
+/// Two routers of one process never have the same run.
+fn run_number() -> u64 {
+    static RUNS: AtomicU64 = AtomicU64::new(0);
+    RUNS.fetch_add(1, Ordering::Relaxed)
+}
--- /dev/null
+++ b/crates/gaparch-router/src/shell/owner.rs
@@ -0,0 +1,275 @@
+//! The one task that has the core, and the module in it.
+
+use super::engine::{self, EngineMessage};
+use super::lag::Lag;
+use super::list::{self, ListCommand, ListMessage};
+use crate::core::{Accepted, ConnNo, Core, Counts, Input, Output, ToClient};
+use gaparch::api::{RequestId, ServerId};
+use gaparch_config::Config;
+use gaparch_net::Clock;
+use gaparch_protocol::engine::EngineFrame;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, Instant};
+
+/// Batches of frames that wait; past it engines' connections are not read from.
+const ENGINE_INBOX: usize = 1024;
+/// Frames that wait for one engine; past it its connection is closed.
+const ENGINE_OUTBOX: usize = 16_384;
+const LIST_INBOX: usize = 64;
+/// Taken in one round, so that no kind of input starves another or the timers.
+const ENGINE_BATCH: usize = 64;
+const REQUEST_BATCH: usize = 32;
+const GONE_BATCH: usize = 64;
+
+/// A request on its way to the owner, with where its answers go.
+#[derive(Debug)]
+pub(super) struct NewRequest {
+    pub id: RequestId,
+    pub ask: Accepted,
+    pub answers: mpsc::Sender<ToClient>,
+}
+
+#[derive(Debug)]
+pub(super) enum Control {
+    Counts(oneshot::Sender<Counts>),
+    Open(oneshot::Sender<usize>),
+    Stop,
+    StopNow,
+}
+
+/// What comes in.
+pub(super) struct Ports {
+    pub requests: mpsc::Receiver<NewRequest>,
+    /// At most one a request, and those are bounded.
+    pub gone: mpsc::UnboundedReceiver<RequestId>,
+    pub control: mpsc::Receiver<Control>,
+}
+
+/// Dropped, its task writes what is left, closes and ends by itself.
+struct EngineTask {
+    conn: ConnNo,
+    frames: mpsc::Sender<EngineFrame>,
+}
+
+pub(super) struct Owner {
+    core: Core,
+    clock: Clock,
+    config: Config,
+    lag: Arc<Lag>,
+    clients: HashMap<RequestId, mpsc::Sender<ToClient>>,
+    engines: BTreeMap<ServerId, EngineTask>,
+    engine_inbox: mpsc::Sender<EngineMessage>,
+    engine_messages: mpsc::Receiver<EngineMessage>,
+    list: Option<mpsc::Sender<ListCommand>>,
+    list_task: Option<JoinHandle<()>>,
+    list_messages: mpsc::Receiver<ListMessage>,
+}
+
+impl Drop for Owner {
+    fn drop(&mut self) {
+        self.list_task.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl Owner {
+    pub fn new(core: Core, clock: Clock, config: Config, lag: Arc<Lag>) -> Owner {
+        let (engine_inbox, engine_messages) = mpsc::channel(ENGINE_INBOX);
+        let (list_inbox, list_messages) = mpsc::channel(LIST_INBOX);
+        let (list, list_task) = match &config.list {
+            Some(settings) => {
+                let (commands, commands_in) = mpsc::channel(LIST_INBOX);
+                let name = config.router.clone();
+                let task = tokio::spawn(list::run(*settings, name, commands_in, list_inbox));
+                (Some(commands), Some(task))
+            }
+            None => (None, None),
+        };
+        Owner {
+            core,
+            clock,
+            config,
+            lag,
+            clients: HashMap::new(),
+            engines: BTreeMap::new(),
+            engine_inbox,
+            engine_messages,
+            list,
+            list_task,
+            list_messages,
+        }
+    }
+
+    pub async fn run(mut self, mut ports: Ports, mut out: Vec<Output>) {
+        let mut engine_batch = Vec::with_capacity(ENGINE_BATCH);
+        let mut request_batch = Vec::with_capacity(REQUEST_BATCH);
+        let mut gone_batch = Vec::with_capacity(GONE_BATCH);
+        self.carry_out(&mut out);
+        loop {
+            let due = self.core.next_at().map(|at| Instant::from_std(self.clock.instant(at)));
+            let round = tokio::select! {
+                biased;
+                control = ports.control.recv() => match control {
+                    Some(control) => { self.on_control(control, &mut out); Duration::ZERO }
+                    // Nobody is left who could stop it: the handle is gone.
+                    None => return,
+                },
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
+                    due.map_or(Duration::ZERO, |due| due.elapsed())
+                }
+                _ = ports.gone.recv_many(&mut gone_batch, GONE_BATCH) => Duration::ZERO,
+                _ = self.engine_messages.recv_many(&mut engine_batch, ENGINE_BATCH) => Duration::ZERO,
+                Some(message) = self.list_messages.recv() => {
+                    self.on_list(message, &mut out);
+                    Duration::ZERO
+                }
+                _ = ports.requests.recv_many(&mut request_batch, REQUEST_BATCH) => Duration::ZERO,
+            };
+            let began = Instant::now();
+            let now = self.clock.now();
+            for id in gone_batch.drain(..) {
+                self.clients.remove(&id);
+                self.core.handle(now, Input::ClientGone(id), &mut out);
+            }
+            for message in engine_batch.drain(..) {
+                self.on_engine(now, message, &mut out);
+            }
+            for request in request_batch.drain(..) {
+                self.clients.insert(request.id, request.answers);
+                let input = Input::Ask { id: request.id, ask: request.ask };
+                self.core.handle(now, input, &mut out);
+            }
+            self.core.on_time(self.clock.now(), &mut out);
+            self.carry_out(&mut out);
+            self.lag.add(round + began.elapsed());
+        }
+    }
+
+    fn on_control(&mut self, control: Control, out: &mut Vec<Output>) {
+        let now = self.clock.now();
+        match control {
+            Control::Counts(answer) => drop(answer.send(self.core.counts())),
+            Control::Open(answer) => drop(answer.send(self.core.open())),
+            Control::Stop => self.core.handle(now, Input::Stop, out),
+            Control::StopNow => self.core.handle(now, Input::StopNow, out),
+        }
+    }
+
+    fn on_engine(&mut self, now: u64, message: EngineMessage, out: &mut Vec<Output>) {
+        match message {
+            EngineMessage::Up { engine, conn, facts } => {
+                self.core.handle(now, Input::EngineUp { engine, conn, facts }, out);
+            }
+            EngineMessage::Down { engine, conn, reason } => {
+                tracing::info!(engine = engine.0, conn = conn.0, %reason, "engine connection down");
+                self.engines.remove(&engine).filter(|e| e.conn != conn).into_iter().for_each(|other| {
+                    // Another connection is there already.
+                    self.engines.insert(engine, other);
+                });
+                self.core.handle(now, Input::EngineDown { engine, conn }, out);
+            }
+            EngineMessage::Frames { engine, conn, frames } => {
+                for frame in frames {
+                    self.core.handle(now, Input::EngineFrame { engine, conn, frame }, out);
+                }
+            }
+        }
+    }
+
+    fn on_list(&mut self, message: ListMessage, out: &mut Vec<Output>) {
+        let input = match message {
+            ListMessage::Up => Input::ListUp,
+            ListMessage::Down(reason) => {
+                tracing::warn!(%reason, "the list service can't be had");
+                Input::ListDown
+            }
+            ListMessage::Update(update) => Input::List(update),
+        };
+        self.core.handle(self.clock.now(), input, out);
+    }
+
+    /// Carries out what the core wants, and what comes of that, until nothing is left.
+    fn carry_out(&mut self, out: &mut Vec<Output>) {
+        let mut lost = Vec::new();
+        while !out.is_empty() {
+            for output in std::mem::take(out) {
+                self.perform(output, &mut lost);
+            }
+            let now = self.clock.now();
+            for input in lost.drain(..) {
+                self.core.handle(now, input, out);
+            }
+        }
+    }
+
+    fn perform(&mut self, output: Output, lost: &mut Vec<Input>) {
+        match output {
+            Output::Client { id, event } => self.pass_to_client(id, event, lost),
+            Output::Engine { engine, frame } => self.pass_to_engine(engine, frame, lost),
+            Output::Connect { engine, conn, name, address } => {
+                let (frames, frames_in) = mpsc::channel(ENGINE_OUTBOX);
+                let plan = engine::Plan {
+                    engine,
+                    conn,
+                    name,
+                    address,
+                    run: self.core.run(),
+                    router: self.config.router.clone(),
+                    connect_within: Duration::from_nanos(self.config.module.connect_timeout),
+                    write_within: engine::write_within(self.config.module.drain_grace),
+                    max_frame: self.config.limits.frame,
+                };
+                tokio::spawn(engine::run(plan, frames_in, self.engine_inbox.clone()));
+                self.engines.insert(engine, EngineTask { conn, frames });
+            }
+            Output::Disconnect { engine, reason } => {
+                tracing::warn!(engine = engine.0, reason, "closing an engine's connection");
+                if let Some(task) = self.engines.remove(&engine) {
+                    let _ = task.frames.try_send(EngineFrame::Bye { reason: reason.to_owned() });
+                }
+            }
+            Output::Watch(on) => self.pass_to_list(ListCommand::Watch(on), lost),
+            Output::Fetch => self.pass_to_list(ListCommand::Fetch, lost),
+            Output::Log(text) => tracing::info!(%text, "module"),
+        }
+    }
+
+    fn pass_to_client(&mut self, id: RequestId, event: ToClient, lost: &mut Vec<Input>) {
+        let last = event.is_last();
+        if last {
+            tracing::debug!(request = id.0, ?event, "answered");
+        }
+        let Some(answers) = self.clients.get(&id) else { return };
+        let sent = answers.try_send(event);
+        if last || sent.is_err() {
+            self.clients.remove(&id);
+        }
+        if sent.is_err() && !last {
+            tracing::info!(request = id.0, "its client reads too slowly, or has left");
+            lost.push(Input::ClientGone(id));
+        }
+    }
+
+    fn pass_to_engine(&mut self, engine: ServerId, frame: EngineFrame, lost: &mut Vec<Input>) {
+        if let Some(key) = frame.attempt() {
+            tracing::trace!(request = key.request, attempt = key.attempt, engine = engine.0, "to engine");
+        }
+        let Some(task) = self.engines.get(&engine) else { return };
+        if task.frames.try_send(frame).is_err() {
+            let conn = task.conn;
+            tracing::warn!(engine = engine.0, "an engine does not take its frames");
+            self.engines.remove(&engine);
+            lost.push(Input::EngineDown { engine, conn });
+        }
+    }
+
+    fn pass_to_list(&mut self, command: ListCommand, lost: &mut Vec<Input>) {
+        let sent = self.list.as_ref().is_some_and(|list| list.try_send(command).is_ok());
+        if !sent {
+            lost.push(Input::ListDown);
+        }
+    }
+}
