--- a/crates/gaparch-cli/src/commands/mod.rs
+++ b/crates/gaparch-cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The sub-commands, each with its own options.
 
+pub mod badday;
 pub mod check;
 pub mod engine;
 pub mod list;
--- a/crates/gaparch-cli/src/main.rs
+++ b/crates/gaparch-cli/src/main.rs
@@ -30,6 +30,8 @@
     Try(commands::try_out::Options),
     /// Put load on a router and print what came of it
     Load(commands::load::Options),
+    /// Play a bad day on loopback and judge the five rules by what went over the sockets
+    Badday(commands::badday::Options),
 }
 
 /// What goes wrong ends up here: one line on standard error, exit code 1.
@@ -57,5 +59,6 @@
         Command::Check(options) => commands::check::run(&options),
         Command::Try(options) => commands::try_out::run(options).await,
         Command::Load(options) => commands::load::run(options).await,
+        Command::Badday(options) => commands::badday::run(options).await,
     }
 }
--- a/crates/gaparch-engine/src/server.rs
+++ b/crates/gaparch-engine/src/server.rs
@@ -25,6 +25,8 @@
 const INBOX: usize = 8192;
 /// Frames that wait for one connection; a router that reads so slowly loses its connection.
 const OUTBOX: usize = 65_536;
+/// Reads kept while the link is cut; past it nothing more is read.
+const LINK_BUFFER: usize = 1024;
 /// Connections held at once; more are closed at once.
 const MOST_CONNECTIONS: usize = 1024;
 /// For a state to come from another engine.
@@ -89,7 +91,8 @@
 #[derive(Debug)]
 enum Message {
     Accepted(TcpStream),
-    Frames(ConnId, Vec<EngineFrame>),
+    /// With the time at which they came to the socket; a link that is cut keeps them after that.
+    Frames(ConnId, Nanos, Vec<EngineFrame>),
     Closed(ConnId),
     Fetched(FetchId, Option<u32>),
     Fault(Fault),
@@ -185,9 +188,9 @@
     async fn on_message(&mut self, now: Nanos, message: Message, out: &mut Vec<Output>) {
         match message {
             Message::Accepted(socket) => self.connect(socket),
-            Message::Frames(conn, frames) => {
+            Message::Frames(conn, at, frames) => {
                 for frame in frames {
-                    self.options.observer.frame(now, &self.options.spec.name, conn, Way::In, &frame);
+                    self.options.observer.frame(at, &self.options.spec.name, conn, Way::In, &frame);
                     self.model.handle(now, Input::Frame { conn, frame }, out);
                 }
             }
@@ -227,7 +230,13 @@
         let conn = ConnId(self.next_conn);
         let (read_half, write_half) = socket.into_split();
         let (outbox, frames) = mpsc::channel(OUTBOX);
-        let reading = tokio::spawn(read_all(conn, read_half, self.inbox.clone(), self.link.clone()));
+        let reading = tokio::spawn(read_all(
+            conn,
+            read_half,
+            self.inbox.clone(),
+            self.link.clone(),
+            self.options.clock,
+        ));
         tokio::spawn(write_all(conn, write_half, frames, self.inbox.clone(), self.link.clone()));
         self.connections.insert(conn, Connection { outbox, reading: reading.abort_handle() });
     }
@@ -285,28 +294,42 @@
     }
 }
 
+/// Reads on while the link is cut, as far as its buffer goes: the bytes are there, they only come later.
 async fn read_all(
     conn: ConnId,
     socket: tokio::net::tcp::OwnedReadHalf,
     inbox: mpsc::Sender<Message>,
     link: Link,
+    clock: Clock,
 ) {
-    let mut reader = FrameReader::new(socket, DEFAULT_MAX_FRAME);
-    loop {
-        let mut frames = Vec::new();
-        let read = reader.read(&mut frames).await;
-        link.open().await;
-        if !frames.is_empty() && inbox.send(Message::Frames(conn, frames)).await.is_err() {
-            return;
+    let (arrived, mut arrivals) = mpsc::channel(LINK_BUFFER);
+    let reading = async move {
+        let mut reader = FrameReader::new(socket, DEFAULT_MAX_FRAME);
+        loop {
+            let mut frames = Vec::new();
+            let read = reader.read(&mut frames).await;
+            let message = Message::Frames(conn, clock.now(), frames);
+            if arrived.send(message).await.is_err() {
+                return;
+            }
+            if let Err(error) = read {
+                if !matches!(error, ReadError::Closed) {
+                    tracing::debug!(conn = conn.0, %error, "a connection ended");
+                }
+                return;
+            }
         }
-        if let Err(error) = read {
-            if !matches!(error, ReadError::Closed) {
-                tracing::debug!(conn = conn.0, %error, "a connection ended");
+    };
+    let passing_on = async move {
+        while let Some(message) = arrivals.recv().await {
+            link.open().await;
+            if inbox.send(message).await.is_err() {
+                return;
             }
-            let _ = inbox.send(Message::Closed(conn)).await;
-            return;
         }
-    }
+        let _ = inbox.send(Message::Closed(conn)).await;
+    };
+    tokio::join!(reading, passing_on);
 }
 
 async fn write_all(
--- a/crates/gaparch-lab/src/load.rs
+++ b/crates/gaparch-lab/src/load.rs
@@ -299,8 +299,8 @@
     pub took: Duration,
 }
 
-impl Summary {
-    fn new() -> Summary {
+impl Default for Summary {
+    fn default() -> Summary {
         let histogram =
             || Histogram::new_with_max(3_600_000, 3).unwrap_or_else(|_| unreachable!("3 digits fit"));
         Summary {
@@ -315,7 +315,9 @@
             took: Duration::ZERO,
         }
     }
+}
 
+impl Summary {
     /// Counts one more.
     pub fn add(&mut self, answered: &Answered) {
         self.asked += 1;
@@ -362,7 +364,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(mix.seed);
     let began = tokio::time::Instant::now();
     let mut clients = tokio::task::JoinSet::new();
-    let mut summary = Summary::new();
+    let mut summary = Summary::default();
     let (mut at, mut number) = (Duration::ZERO, 0);
     loop {
         // Gaps of a Poisson process.
