--- a/crates/gaparch-engine/src/server.rs
+++ b/crates/gaparch-engine/src/server.rs
@@ -188,6 +188,8 @@
     async fn on_message(&mut self, now: Nanos, message: Message, out: &mut Vec<Output>) {
         match message {
             Message::Accepted(socket) => self.connect(socket),
+            // What comes to a process that is gone comes to nobody.
+            Message::Frames(..) if !self.model.alive() => {}
             Message::Frames(conn, at, frames) => {
                 for frame in frames {
                     self.options.observer.frame(at, &self.options.spec.name, conn, Way::In, &frame);
--- a/crates/gaparch-lab/src/checker.rs
+++ b/crates/gaparch-lab/src/checker.rs
@@ -1,8 +1,9 @@
 //! Judges the five rules from a record of what went over the sockets, and from nothing else.
 //!
-//! What it takes for granted, where clocks and links leave doubt: an attempt that a router calls off is over
-//! when the call arrives, and one at an engine whose link is cut is over when the cut begins; two attempts are
-//! at once if they overlap by more than [`Figures::margin`]. What a killed router held is no longer its duty.
+//! Frames have the time at which their bytes came to an engine's socket or left the engine. An attempt that a
+//! router calls off is over when the call arrives; two attempts are at once if they overlap by more than
+//! [`Figures::margin`]. A state at an engine whose link is cut can't be let go of until the cut ends. What a
+//! killed router held is no longer its duty.
 
 use crate::record::{Ask, End, Entry, Record, Seen, What};
 use gaparch::api::{Nanos, ServerState};
@@ -143,7 +144,6 @@
 /// Every attempt that reached an engine, with its time there.
 fn attempts(entries: &[Entry]) -> BTreeMap<Key, Vec<Attempt>> {
     let mut runs: BTreeMap<(&str, ConnId), RouterRun> = BTreeMap::new();
-    let mut cuts: BTreeMap<&str, Nanos> = BTreeMap::new();
     let mut open: BTreeMap<(&str, ConnId, AttemptKey), Attempt> = BTreeMap::new();
     let mut done: BTreeMap<Key, Vec<Attempt>> = BTreeMap::new();
     for entry in entries {
@@ -151,16 +151,11 @@
             What::Note { engine, note: Note::Router { conn, run } } => {
                 runs.insert((engine, *conn), *run);
             }
-            What::Cut { engine, cut } => match cut {
-                true => drop(cuts.insert(engine, entry.at)),
-                false => drop(cuts.remove(engine.as_str())),
-            },
             What::Frame { engine, conn, way, seen } => {
-                let end_at = cuts.get(engine.as_str()).copied().unwrap_or(entry.at);
                 let mut close = |key: AttemptKey, not_run: bool| {
                     let Some(run) = runs.get(&(engine.as_str(), *conn)) else { return };
                     if let Some(attempt) = open.remove(&(engine.as_str(), *conn, key)) {
-                        let to = end_at.max(attempt.from);
+                        let to = entry.at;
                         done.entry((*run, key.request)).or_default().push(Attempt { to, not_run, ..attempt });
                     }
                 };
@@ -183,13 +178,16 @@
                     _ => {}
                 }
             }
-            What::Note { engine, note: Note::ConnectionClosed { conn } } => {
-                let gone: Vec<_> =
-                    open.keys().filter(|(e, c, _)| *e == engine.as_str() && c == conn).copied().collect();
-                for place in gone {
+            // With the process, or with the connection, an attempt is over.
+            What::Note { engine, note: note @ (Note::ConnectionClosed { .. } | Note::Ended) } => {
+                let over = |(e, c, _): &&(&str, ConnId, AttemptKey)| {
+                    let all = *note == Note::Ended;
+                    *e == engine.as_str() && (all || *note == Note::ConnectionClosed { conn: *c })
+                };
+                for place in open.keys().filter(over).copied().collect::<Vec<_>>() {
                     let Some(run) = runs.get(&(place.0, place.1)) else { continue };
                     let Some(attempt) = open.remove(&place) else { continue };
-                    let to = cuts.get(place.0).copied().unwrap_or(entry.at).max(attempt.from);
+                    let to = entry.at.max(attempt.from);
                     done.entry((*run, place.2.request)).or_default().push(Attempt { to, ..attempt });
                 }
             }
@@ -198,8 +196,7 @@
     }
     for ((engine, conn, key), attempt) in open {
         if let Some(run) = runs.get(&(engine, conn)) {
-            let to = cuts.get(engine).copied().unwrap_or(Nanos::MAX).max(attempt.from);
-            done.entry((*run, key.request)).or_default().push(Attempt { to, ..attempt });
+            done.entry((*run, key.request)).or_default().push(attempt);
         }
     }
     done.values_mut().for_each(|all| all.sort_by_key(|a| a.from));
