--- a/examples/decisions.rs
+++ b/examples/decisions.rs
@@ -188,9 +188,13 @@
 }
 
 fn main() {
-    println!("{:>8} {:>8} {:>10} {:>10} {:>10} {:>8}", "engines", "held", "mean us", "median us", "99% us", "ratio");
+    println!(
+        "{:>8} {:>8} {:>10} {:>10} {:>10} {:>8}",
+        "engines", "held", "mean us", "median us", "99% us", "ratio"
+    );
     let mut first = None;
-    let rows = [(14, 0, 4000), (110, 0, 4000), (400, 0, 2000), (14, 500, 600), (14, 5000, 200), (110, 5000, 200)];
+    let rows =
+        [(14, 0, 4000), (110, 0, 4000), (400, 0, 2000), (14, 500, 600), (14, 5000, 200), (110, 5000, 200)];
     for (count, held, samples) in rows {
         let (mean, median, high) = run(count, held, samples);
         let base = *first.get_or_insert(mean);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,7 +5,6 @@
 
 use crate::api::*;
 use crate::state::*;
-use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Nanos = 1_000_000;
 const TICK: Nanos = 10 * MS; // between looks at deadlines, held requests and overdue attempts
@@ -60,9 +59,9 @@
     now: Nanos,
     out: Vec<Action>,
     servers: Servers,
-    works: BTreeMap<RequestId, Work>,
-    /// Held before their read, in the order in which they leave.
-    waiting: BTreeSet<(bool, Nanos, RequestId)>,
+    works: Works,
+    /// Held before their read.
+    waiting: Held,
     shares: Vec<Bucket>,
     prompts: Vec<Mean>, // tokens by class
     answers: Vec<Mean>,
@@ -80,6 +79,36 @@
     ticking: bool,
 }
 
+/// A part of the traffic of which some may go: the next in turn, and what there was no room for.
+struct Open {
+    part: Option<Part>,
+    first: Option<(Turn, Wants)>,
+    too_much: f64,
+}
+
+/// For whom servers are looked for: one request, or any of a part of the traffic.
+#[derive(Clone, Copy)]
+enum Asker<'w> {
+    One(&'w Work),
+    Any(Option<&'w Part>),
+}
+
+impl<'w> Asker<'w> {
+    fn work(self) -> Option<&'w Work> {
+        match self {
+            Asker::One(work) => Some(work),
+            Asker::Any(_) => None,
+        }
+    }
+
+    fn part(self) -> Option<Part> {
+        match self {
+            Asker::One(work) => Some(work.part()),
+            Asker::Any(part) => part.copied(),
+        }
+    }
+}
+
 impl Policy {
     pub fn new(set: Settings) -> Policy {
         Policy {
@@ -93,7 +122,9 @@
     }
 
     pub fn handle(&mut self, now: Nanos, event: Event) -> Vec<Action> {
-        self.now = now;
+        // A clock that went back would make ages of less than nothing.
+        self.now = now.max(self.now);
+        let now = self.now;
         if let Event::Peer { from, data } = event {
             self.told.hear(now, from, held_from_bytes(&data));
             return Vec::new();
@@ -113,8 +144,8 @@
             Event::Timer(_) | Event::Note { .. } | Event::Peer { .. } => {}
         }
         self.admit();
-        let awake = self.works.values().any(Work::unbegun) || self.servers.values().any(|s| s.unreachable);
-        if !self.ticking && awake {
+        let unbegun = !self.waiting.is_empty() || !self.works.active().is_empty();
+        if !self.ticking && (unbegun || self.servers.values().any(|s| s.unreachable)) {
             self.ticking = true;
             self.out.push(Action::Timer { token: TICK_TIMER, delay: TICK });
         }
@@ -140,19 +171,24 @@
         self.prompts[request.class.0].add(prompt, GAIN);
         self.answers[request.class.0].add(answer, GAIN);
         let (id, give_up_at) = (request.id, request.give_up_at);
-        let aim_at = self.now + class.aim + (class.aim_per_token * prompt) as Nanos;
+        let longer = (class.aim_per_token * prompt) as Nanos;
+        let aim_at = self.now.saturating_add(class.aim).saturating_add(longer);
         let request = Request { prompt_len: prompt, ..request };
         self.works.insert(id, Work::new(request, self.now, self.set.seed, homes, over_share, aim_at, answer));
-        if give_up_at <= self.now + LAST_CALL {
+        if give_up_at <= self.now.saturating_add(LAST_CALL) {
             return self.give_up(id);
         }
-        self.waiting.insert((over_share, aim_at, id));
+        self.hold(id);
+    }
+
+    fn hold(&mut self, id: RequestId) {
+        self.works.get(&id).into_iter().for_each(|work| self.waiting.insert(id, work));
     }
 
     /// Readers that a shared beginning is at home at: more where it surely is more than a reader's part of
     /// all requests, by what this router saw. Else it swamps one home and its cell. Coarse: sessions stay.
     fn homes(&mut self, prefix: Option<Key>) -> usize {
-        let readers = self.servers.values().filter(|s| s.ready && s.role != Role::Write).count();
+        let readers = self.averages.readers.len();
         let (same, all) = self.seen.add(self.now, prefix, SEEN_SPAN);
         let sure = (same - same.sqrt()).max(0.0) / all.max(1.0);
         power_of_four((sure * HOMES * readers as f64) as usize)
@@ -167,31 +203,94 @@
 
     // --- Before the read: held while all writers look full ------------------------------------------
 
-    /// Sends held requests to be read as far as writers have room for them.
+    /// Sends held requests to be read as far as writers have room for them, in their turn: the earliest aim
+    /// first, those over their tenant's share last. Of a part of the traffic for which not even the easiest
+    /// can go none is looked at.
     fn admit(&mut self) {
-        for held in self.waiting.iter().copied().collect::<Vec<_>>() {
-            let Some(work) = self.works.get(&held.2) else { continue };
-            let allowed = self.throttle.allows(self.now, READS_GROW);
-            if allowed && self.writers_have_room(work) && self.start(held.2) {
-                self.waiting.remove(&held);
+        if self.waiting.is_empty() || !self.throttle.allows(self.now, READS_GROW) {
+            return;
+        }
+        let mut open: Vec<Open> = Vec::new();
+        let mut fresh = false;
+        let mut last = None;
+        loop {
+            if !std::mem::replace(&mut fresh, true) {
+                open.clear();
+                for (part, group) in self.waiting.groups() {
+                    if self.may_open(*part, group.easiest()) {
+                        open.push(Open { part: *part, first: group.after(last), too_much: f64::INFINITY });
+                    }
+                }
+            }
+            let turn = |o: &Open| o.first.map(|(turn, _)| turn);
+            let next = open.iter_mut().filter(|o| o.first.is_some()).min_by_key(|o| turn(o));
+            let Some(Open { part, first: Some((turn, wants)), too_much }) = next else { return };
+            let (part, turn, wants, id) = (*part, *turn, *wants, turn.2);
+            // What needs no less than one that has just found no room finds none either.
+            let room =
+                wants.need < *too_much && self.works.get(&id).is_some_and(|w| self.writers_have_room(w));
+            if !room && part.is_some() {
+                *too_much = too_much.min(wants.need);
+            }
+            if room && self.reader_may_have_room(wants) && self.start(id) {
+                self.waiting.remove(&id);
+                if !self.throttle.allows(self.now, READS_GROW) {
+                    return;
+                }
+                // It has changed what there is room for.
+                fresh = false;
+            }
+            last = Some(turn);
+            if let Some(entry) = open.iter_mut().find(|o| o.part == part) {
+                entry.first = self.waiting.group(&part).and_then(|group| group.after(last));
             }
         }
     }
 
+    /// Whether one that wants so little of a part of the traffic may go; those that some servers must not be
+    /// asked for are looked at one by one.
+    fn may_open(&self, part: Option<Part>, easiest: Wants) -> bool {
+        let room = || self.room_for(self.candidates(false, Asker::Any(part.as_ref())), easiest.need);
+        part.is_none() || self.reader_may_have_room(easiest) && room()
+    }
+
+    /// False only if no reader can have room for what has so little to read and so long an aim: `start`
+    /// would find the same, one reader after the other.
+    fn reader_may_have_room(&self, wants: Wants) -> bool {
+        if self.averages.readers.is_empty() || self.set.self_prefill {
+            return true;
+        }
+        let readers = self.averages.readers.iter().filter_map(|id| self.servers.get(id));
+        let mut readers = readers.filter(|s| !s.full_within(self.now, RECENTLY));
+        readers.any(|s| s.unbegun == 0 || !self.long(s, READ_BASE + wants.unread, wants.aim))
+    }
+
     /// Room for a request besides what is being read for writers already.
     fn writers_have_room(&self, work: &Work) -> bool {
-        let need = work.need();
-        let pledged: f64 = self.works.values().filter(|w| w.pledged()).map(Work::need).sum();
-        let mut with_room = self.candidates(false, work);
-        with_room.retain(|s| self.has_room(s, need));
-        let free: f64 = with_room.iter().map(|s| (FULL_SHARE - self.memory_share(s)) * s.memory).sum();
-        !with_room.is_empty() && (free >= pledged + need || with_room.iter().any(|s| s.memory <= 0.0))
+        self.room_for(self.candidates(false, Asker::One(work)), work.need())
+    }
+
+    fn room_for(&self, mut writers: Vec<&Server>, need: f64) -> bool {
+        writers.retain(|s| self.has_room(s, need));
+        let free: f64 = writers.iter().map(|s| (FULL_SHARE - self.memory_share(s)) * s.memory).sum();
+        let some = free >= self.works.pledged() + need || writers.iter().any(|s| s.memory <= 0.0);
+        !writers.is_empty() && some
+    }
+
+    /// What a reader has to read, with so many tokens more, in tokens at the pace of an even one.
+    fn read_cost(&self, s: &Server, unread: f64) -> f64 {
+        (s.unread + self.others_unread(s) + unread) / self.speed(s)
+    }
+
+    /// A reader with a long wait looks full, but one with nothing of ours is tried all the same.
+    fn long(&self, s: &Server, unread: f64, aim: f64) -> bool {
+        s.unbegun > 0 && self.read_cost(s, unread) * self.reads.best > READ_WAIT * aim
     }
 
     /// Sends a request to its home reader, or to the least loaded one where home is clearly busier.
     fn start(&mut self, id: RequestId) -> bool {
         let Some(work) = self.works.get(&id) else { return true };
-        let mut readers = self.candidates(true, work);
+        let mut readers = self.candidates(true, Asker::One(work));
         if readers.is_empty() {
             return self.start_at_writer(id);
         }
@@ -200,26 +299,28 @@
         let Some(home) = homes.first().copied() else { return false };
         let kept = |s: &Server| homes.iter().find(|h| h.id == s.id).map_or(0.0, |_| work.request.prefix_len);
         let unread = |s: &Server| READ_BASE + (work.request.prompt_len - kept(s)).max(0.0);
-        let cost = |s: &Server| (s.unread + self.others_unread(s) + unread(s)) / self.speed(s);
-        // A reader with a long wait looks full, but one with nothing of ours is tried all the same.
-        let long = |s: &Server| s.unbegun > 0 && cost(s) * self.reads.best > READ_WAIT * work.aim();
-        let room = |s: &&&Server| !s.full_within(self.now, RECENTLY) && !long(s);
+        let cost = |s: &Server| self.read_cost(s, unread(s));
+        let aim = work.aim();
+        let room = |s: &&Server| !s.full_within(self.now, RECENTLY) && !self.long(s, unread(s), aim);
         let lot = |s: &Server| work.lot.rank(s.id);
-        let order = |a: &&&Server, b: &&&Server| cost(a).total_cmp(&cost(b)).then(lot(a).cmp(&lot(b)));
-        let Some(least) = readers.iter().filter(room).min_by(order) else { return false };
+        let costs = readers.iter().filter(|s| room(s)).map(|s| (cost(s), *s));
+        let order = |a: &(f64, &Server), b: &(f64, &Server)| {
+            a.0.total_cmp(&b.0).then_with(|| lot(a.1).cmp(&lot(b.1)))
+        };
+        let Some((_, least)) = costs.min_by(order) else { return false };
         let other = readers.iter().filter(|s| s.id != home.id).max_by_key(|s| lot(s));
         let look_at: Vec<ServerId> = homes.iter().chain(other).take(2).map(|s| s.id).collect();
-        let home = Some(home).filter(|s| room(&s)).unwrap_or(least);
+        let home = Some(home).filter(room).unwrap_or(least);
         let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
         let stage = if chosen.role == Role::Both { Stage::Whole } else { Stage::Read };
         let (unread, queued) = (unread(chosen), cost(chosen));
         let (chosen, cell, until) = (chosen.id, chosen.cell, work.look_until.unwrap_or(self.now + LOOK_FOR));
-        self.works.entry(id).and_modify(|w| w.look_until = Some(until));
+        self.works.get_mut(&id).into_iter().for_each(|w| w.look_until = Some(until));
         if self.now < until && self.look(&look_at) {
             return false;
         }
         let Some(work) = self.works.get(&id) else { return true };
-        let mut near = self.candidates(false, work);
+        let mut near = self.candidates(false, Asker::One(work));
         near.retain(|s| s.cell.is_some() && s.cell == cell);
         near.sort_by_key(|s| work.lot.rank(s.id));
         let near: Vec<ServerId> = near.iter().take(LOOK_WRITERS).map(|s| s.id).collect();
@@ -232,15 +333,10 @@
     /// The homes of its shared beginning by rendezvous hashing, the one of its session first; the same on all
     /// routers. They are spread as the writers are that can take the states without a move out of the cell.
     fn homes_of<'s>(&self, work: &Work, readers: &[&'s Server]) -> Vec<&'s Server> {
-        let weight = |s: &Server| {
-            let [read, write, _] = s.cell.and_then(|c| self.averages.cells.get(&c)).map_or([1.0; 3], |c| *c);
-            s.weight * (write / read.max(1e-9)).clamp(1e-3, HOME_MOST)
-        };
         let session = work.request.session.unwrap_or(Key(work.request.id.0));
-        let by = |key: Key| move |s: &&Server| -key.draw(s.id).ln() / weight(s);
-        let mut homes = sorted_by(readers.to_vec(), by(work.request.prefix.unwrap_or(session)));
-        homes.truncate(work.homes);
-        sorted_by(homes, by(session))
+        let by = |key: Key| move |s: &&Server| -key.draw(s.id).ln() / s.home;
+        let homes = least_by(readers.to_vec(), work.homes, by(work.request.prefix.unwrap_or(session)));
+        least_by(homes, usize::MAX, by(session))
     }
 
     /// Probes those not heard from lately, as many routers hear too seldom; whether an answer is awaited.
@@ -278,7 +374,7 @@
     /// The writer for a state. `must`: one is needed now, with room or without.
     fn pick_writer(&self, work: &Work, must: bool) -> Option<ServerId> {
         let need = work.need();
-        let all = self.candidates(false, work);
+        let all = self.candidates(false, Asker::One(work));
         let open: Vec<&Server> = all.iter().copied().filter(|s| self.has_room(s, need)).collect();
         let open = if open.is_empty() && must { all } else { open };
         let least = self.least_loaded(work, open.iter().copied())?;
@@ -346,7 +442,7 @@
         let Some(work) = self.works.get(&id) else { return };
         let Some((_, since)) = work.state.filter(|_| work.sent.is_none()) else { return };
         let patience = (self.set.release_within as f64 * RELEASE_SHARE) as Nanos;
-        let must = self.now + TICK >= since + patience;
+        let must = self.now.saturating_add(TICK) >= since.saturating_add(patience);
         if let Some(server) = self.pick_writer(work, must) {
             self.send(id, Sent::to(server, Stage::Write));
         } else if must {
@@ -355,16 +451,15 @@
     }
 
     /// Servers of one stage that may be sent to now, leaving out ill ones while enough others are left.
-    fn candidates(&self, reads: bool, work: &Work) -> Vec<&Server> {
-        let split = self.servers.values().any(|s| s.ready && s.role == Role::Write);
-        let fits = |s: &&Server| match s.role {
-            Role::Read => reads,
-            Role::Write => !reads,
-            Role::Both => reads || !split,
-        };
-        let may = |s: &&Server| s.ready && self.cold_budget_allows(s) && self.may_go_to(work, s);
-        let open: Vec<&Server> = self.servers.values().filter(may).filter(fits).collect();
-        let well = |s: &&Server| !self.ill(s, work) && !work.avoid.contains(&s.id);
+    fn candidates(&self, reads: bool, asker: Asker) -> Vec<&Server> {
+        let pool = if reads { &self.averages.readers } else { &self.averages.writers };
+        let pool = pool.iter().filter_map(|id| self.servers.get(id));
+        let may =
+            |s: &&Server| self.cold_budget_allows(s) && asker.work().is_none_or(|w| self.may_go_to(w, s));
+        let open: Vec<&Server> = pool.filter(may).collect();
+        let avoid = asker.work().map_or(&[][..], |w| &w.avoid);
+        let part = asker.part();
+        let well = |s: &&Server| !self.ill(s, part) && !avoid.contains(&s.id);
         let well: Vec<&Server> = open.iter().copied().filter(well).collect();
         // Where most look ill the cause is likely elsewhere, and the few left would be swamped.
         if !well.is_empty() && well.len() * 3 >= open.len() {
@@ -383,7 +478,9 @@
             Group::Zone => ran.zone.is_some() && ran.zone == s.zone,
             Group::Cell => ran.cell.is_some() && ran.cell == s.cell,
         };
-        class.effect != Effect::Unsafe && same && self.now + TICK < ran.at + class.window
+        class.effect != Effect::Unsafe
+            && same
+            && self.now.saturating_add(TICK) < ran.at.saturating_add(class.window)
     }
 
     fn send(&mut self, id: RequestId, plan: Sent) {
@@ -404,6 +501,7 @@
         work.sent = Some(sent);
         let safe = stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
         let timeout = if self.set.cancel || !safe { 0 } else { BLIND_PATIENCE };
+        self.works.note(&id);
         self.out.push(Action::Send { id, server, timeout });
     }
 
@@ -411,16 +509,20 @@
         let now = self.now;
         let Some(work) = self.works.get_mut(&id) else { return };
         let cell = work.state.take().and_then(|(reader, _)| self.servers.get(&reader)?.cell);
-        let Some(sent) = work.sent.as_mut().filter(|s| s.no == attempt && !s.begun) else { return };
+        let Some(sent) = work.sent.as_mut().filter(|s| s.no == attempt && !s.begun) else {
+            return self.works.note(&id);
+        };
         self.to_first.follow(now, now.saturating_sub(work.read_at.unwrap_or(now)) as f64, NEWS_FOR);
-        let Some(s) = self.servers.get_mut(&sent.server) else { return };
+        let Some(s) = self.servers.get_mut(&sent.server) else { return self.works.note(&id) };
         s.begin(now, REPORT_LAG, sent);
         s.heard_at = now;
         sent.begun = true;
-        if sent.stage == Stage::Write {
+        let (stage, server) = (sent.stage, sent.server);
+        if stage == Stage::Write {
             self.moves[usize::from(s.cell != cell)].add(latency as f64 / 1e9, GAIN);
-            learn_pace(&mut self.servers, sent.server, latency as f64, PACE_GAIN, SAMPLES);
+            learn_pace(&mut self.servers, server, latency as f64, PACE_GAIN, SAMPLES);
         }
+        self.works.note(&id);
     }
 
     fn on_outcome(&mut self, o: Outcome) {
@@ -478,14 +580,15 @@
             work.avoid.push(o.server);
         }
         // A way on needs one send with a state, two without.
-        let steps = if work.state.is_some() { 1 } else { ATTEMPTS_KEPT };
-        if unsafe_ran || o.status == Status::Moot || work.attempts + steps > self.set.max_attempts.max(steps)
-        {
+        let (state, attempts) = (work.state, work.attempts);
+        self.works.note(&o.id);
+        let steps = if state.is_some() { 1 } else { ATTEMPTS_KEPT };
+        if unsafe_ran || o.status == Status::Moot || attempts + steps > self.set.max_attempts.max(steps) {
             return self.give_up(o.id);
         }
-        match work.state {
+        match state {
             Some(_) => self.place(o.id),
-            None => drop(self.waiting.insert((work.over_share, work.aim_at, o.id))),
+            None => self.hold(o.id),
         }
     }
 
@@ -508,15 +611,17 @@
     fn end(&mut self, id: RequestId, answer: Option<Action>) {
         let Some(work) = self.works.get_mut(&id).filter(|w| !w.ended) else { return };
         work.ended = true;
-        self.waiting.remove(&(work.over_share, work.aim_at, id));
+        let (sent, state) = (work.sent, work.state);
+        self.waiting.remove(&id);
+        self.works.note(&id);
         self.out.extend(answer);
-        match work.sent {
+        match sent {
             Some(sent) if self.set.cancel && !sent.begun && !sent.cancelled => {
                 self.out.push(Action::Cancel { id, attempt: sent.no });
             }
             Some(_) => {}
             None => {
-                self.out.extend(work.state.map(|_| Action::Release(id)));
+                self.out.extend(state.map(|_| Action::Release(id)));
                 self.works.remove(&id);
             }
         }
@@ -524,8 +629,8 @@
 
     // --- Health: by symptom, against peers -----------------------------------------------------------
 
-    fn ill(&self, s: &Server, work: &Work) -> bool {
-        let rests = s.rests(self.now, None) || s.rests(self.now, Some(work.part()));
+    fn ill(&self, s: &Server, part: Option<Part>) -> bool {
+        let rests = s.rests(self.now, None) || part.is_some() && s.rests(self.now, part);
         s.unreachable || rests || s.pace_ratio >= SLOW_SHUN && s.unbegun > 0
     }
 
@@ -588,7 +693,7 @@
     }
 
     fn cold(&self, s: &Server) -> bool {
-        s.began_at() > 0 && self.now < s.began_at() + self.set.cold
+        s.began_at() > 0 && self.now < s.began_at().saturating_add(self.set.cold)
     }
 
     /// Rule 4, kept by each router alone: a part of what it sends itself to a warm peer. It begins in debt,
@@ -629,6 +734,11 @@
             s.listed(self.now, e, Key(self.set.seed).draw(e.server));
         }
         self.averages.list(&self.servers);
+        // Homes are spread as the writers are that can take the states without a move out of the cell.
+        for s in self.servers.values_mut() {
+            let [read, write, _] = s.cell.and_then(|c| self.averages.cells.get(&c)).map_or([1.0; 3], |c| *c);
+            s.home = s.weight * (write / read.max(1e-9)).clamp(1e-3, HOME_MOST);
+        }
         self.averages.news(self.now, 0, NEWS_FOR, &mut self.servers, &mut self.told);
     }
 
@@ -637,7 +747,12 @@
     fn on_tick(&mut self) {
         self.ticking = false;
         self.fill_cold_budgets();
-        let ids: Vec<RequestId> = self.works.iter().filter(|w| !w.1.ended).map(|w| *w.0).collect();
+        // Of those held, none but the ones whose time or aim runs out.
+        let aim = self.now.saturating_add(self.to_first.value as Nanos);
+        let due = self.waiting.due(self.now.saturating_add(LAST_CALL), aim);
+        let mut ids: Vec<RequestId> = due.chain(self.works.active().iter().copied()).collect();
+        ids.sort_unstable();
+        ids.dedup();
         ids.into_iter().for_each(|id| self.look_after(id));
         self.probe();
         self.tell();
@@ -645,10 +760,10 @@
 
     fn look_after(&mut self, id: RequestId) {
         let Some(work) = self.works.get(&id) else { return };
-        let late = self.now + self.to_first.value as Nanos > work.aim_at;
+        let late = self.now.saturating_add(self.to_first.value as Nanos) > work.aim_at;
         match work.sent {
             Some(sent) if sent.begun => {}
-            _ if self.now + LAST_CALL >= work.request.give_up_at => self.give_up(id),
+            _ if self.now.saturating_add(LAST_CALL) >= work.request.give_up_at => self.give_up(id),
             Some(sent) => self.check_overdue(id, sent),
             // Held, it can't make its aim any more: it ends now, so that others can.
             None if late && work.state.is_none() => self.give_up(id),
@@ -685,11 +800,15 @@
         let room = |s: &Server| self.has_room(s, work.need());
         let better = |s: &&Server| {
             s.id != sent.server
-                && !self.ill(s, work)
+                && !self.ill(s, Some(work.part()))
                 && (reads || room(s) && (near || silent || s.cell == cell))
         };
         let left = work.attempts + ATTEMPTS_KEPT <= self.set.max_attempts && self.set.cancel;
-        if !safe || !left || self.call_offs < 1.0 || !self.candidates(reads, work).iter().any(better) {
+        if !safe
+            || !left
+            || self.call_offs < 1.0
+            || !self.candidates(reads, Asker::One(work)).iter().any(better)
+        {
             return;
         }
         self.call_offs -= 1.0;
@@ -698,7 +817,7 @@
         if reads {
             self.reads.add(age as f64 / sent.queued.max(READ_BASE), GAIN, BEST_GAIN);
         }
-        self.works.entry(id).and_modify(|w| w.sent = Some(Sent { cancelled: true, ..sent }));
+        self.works.get_mut(&id).into_iter().for_each(|w| w.sent = Some(Sent { cancelled: true, ..sent }));
         self.out.push(Action::Cancel { id, attempt: sent.no });
     }
 
--- /dev/null
+++ b/tests/plain/policy.rs
@@ -0,0 +1,730 @@
+//! The module with every sum computed anew at each event, as a reference. Every decision of the router. The interface (settings, events, actions) is in `src/api.rs`,
+//! the tables are in `src/state.rs`, the reasons at length in `docs/design.md`.
+//! Read it along a request's path: asked -> held while all writers look full -> read at its home reader
+//! -> written near that reader -> answered. Then come health, cold servers and the clock.
+
+use super::state::*;
+use gaparch::api::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: Nanos = 1_000_000;
+const TICK: Nanos = 10 * MS; // between looks at deadlines, held requests and overdue attempts
+const LAST_CALL: Nanos = 25 * MS; // an unanswered request ends so long before its client leaves: two ticks
+const RELEASE_SHARE: f64 = 0.7; // of the release time, until a state is sent somewhere or let go
+const RECENTLY: Nanos = 1000 * MS; // the design's: a full server is left alone, news needs no probe
+const FULL_SHARE: f64 = 0.92; // of its memory, from which a writer looks full: answers in progress grow
+const WRITER_YIELD: f64 = 0.25; // a near writer yields with this share of memory more held than the least
+const MOVE_YIELD: f64 = 0.5; // and this more for each second that far writes begin later: slow links
+const READER_YIELD: f64 = 5000.0; // home yields with a wait of this many tokens more than the least
+const HOME_MOST: f64 = 1.6; // times an even share that a reader is home to, whatever writers its cell has
+const HOMES: f64 = 3.0; // of a shared beginning, for each reader's even part of all requests it makes up
+const SEEN_SPAN: Nanos = 60_000 * MS; // over which requests are counted for that
+const READ_BASE: f64 = 400.0; // tokens that a read costs whatever its length: steps, hand-over
+const PROMPT_UNKNOWN: f64 = 500.0; // prompt length taken when none is told
+const NEWS_FOR: Nanos = 3000 * MS; // older news is none: many routers hear seldom from each server
+const NEWS_WORTH: f64 = 0.015; // of all service, that messages and probes before a choice may cost, each
+const TELL_EVERY: Nanos = 300 * MS; // least gap between messages, some 50 bytes each; more where it must pay
+const LOOK_FOR: Nanos = 30 * MS; // how long a read waits for the answers of probes
+const LOOK_WRITERS: usize = 2; // of the reader's cell, probed during a read
+const LOOK_LATE: Nanos = 120 * MS; // a writer whose probe takes longer has a queue: it looks full
+const REPORT_LAG: Nanos = 500 * MS; // of reports, when own work is told from that of other routers
+const GAIN: f64 = 0.1; // of a new sample in running means: about the last ten count
+const BEST_GAIN: f64 = 0.02; // of a slower sample in the pace of a read that waits for nothing
+const PACE_GAIN: f64 = 0.25; // of a new sample in a server's own pace
+const REST_VISITS: f64 = 1.0; // a server that fails rests until this router would come to it so often again
+const REST_MOST: Nanos = 16_000 * MS; // at most
+const SLOW_FROM: f64 = 2.0; // times its peers' median latency, a server counts as so much smaller
+const SLOW_SHUN: f64 = 3.0; // and from here on it gets one request at a time
+const SAMPLES: u32 = 3; // before a server's own pace is believed
+const PROBE_EVERY: Nanos = 400 * MS; // to a server that could not be reached
+const STALLED: Nanos = 400 * MS; // a write not begun for this long is queued: its writer looks full
+const WRITE_PATIENCE: Nanos = 900 * MS; // and is called off if another writer has room
+const READ_WAIT: f64 = 0.25; // of the aim: a reader with a longer wait looks full, and the rest waits here
+const READ_LATE: f64 = 1.0; // of the aim: a read is lost: too many come, all routers together
+const READS_CUT: f64 = 0.8; // part of the reads lately sent that goes on then, once a second at most
+const READS_GROW: f64 = 0.2; // a second, until then
+const DEVIATIONS: f64 = 4.0; // past that and its expected time, by which a read is overdue
+const CALL_OFFS: f64 = 0.2; // attempts that may be called off for each sent: in a jam more would add to it
+const BLIND_PATIENCE: Nanos = 1500 * MS; // time-out of a send where attempts can't be called off
+const ATTEMPTS_KEPT: u32 = 2; // for a read and a write from the start
+const PEER_SPAN: Nanos = 5000 * MS; // over which the load of warm peers is averaged, for the cold budget
+const COLD_FLOOR: f64 = 0.5; // mean requests a window that a cold server gets when peers tell nothing
+const SHARE_SLACK: f64 = 1.5; // times its share before a tenant is over it: routers see uneven parts
+const SHARE_BURST: f64 = 2.0; // seconds of its share that may come at once, and one request besides
+const TICK_TIMER: TimerToken = TimerToken(0);
+const ASK_TIMER: TimerToken = TimerToken(1);
+
+#[derive(Default)]
+pub struct Policy {
+    set: Settings,
+    now: Nanos,
+    out: Vec<Action>,
+    servers: Servers,
+    works: BTreeMap<RequestId, Work>,
+    /// Held before their read, in the order in which they leave.
+    waiting: BTreeSet<(bool, Nanos, RequestId)>,
+    shares: Vec<Bucket>,
+    prompts: Vec<Mean>, // tokens by class
+    answers: Vec<Mean>,
+    to_first: Lagged, // from the read's send to the first token
+    reads: Reads,
+    throttle: Throttle, // of reads
+    call_offs: f64,     // attempts that may be called off yet
+    usual: [Lagged; 3], // what a warm server of each role is sent, in mean requests a second
+    moves: [Mean; 2],   // seconds to the first token of a write, in the reader's cell and out of it
+    seen: Seen,
+    told: Told, // what other routers told that they hold
+    told_at: Nanos,
+    purses: [f64; 2], // what may be spent on messages and on probes, in points of service a request
+    averages: Averages,
+    ticking: bool,
+}
+
+impl Policy {
+    pub fn new(set: Settings) -> Policy {
+        Policy {
+            shares: vec![Bucket::default(); set.tenants.len()],
+            prompts: vec![Mean::default(); set.classes.len()],
+            answers: vec![Mean::default(); set.classes.len()],
+            call_offs: 1.0,
+            set,
+            ..Policy::default()
+        }
+    }
+
+    pub fn handle(&mut self, now: Nanos, event: Event) -> Vec<Action> {
+        self.now = now;
+        if let Event::Peer { from, data } = event {
+            self.told.hear(now, from, held_from_bytes(&data));
+            return Vec::new();
+        }
+        self.averages.news(now, TICK, NEWS_FOR, &mut self.servers, &mut self.told);
+        match event {
+            Event::Members { kind, entries } => self.on_members(kind, &entries),
+            Event::Request(request) => self.on_request(request),
+            Event::Timer(TICK_TIMER) => self.on_tick(),
+            Event::Timer(ASK_TIMER) => self.out.push(Action::Watch(true)),
+            Event::First { id, attempt, latency, .. } => self.on_first(id, attempt, latency),
+            Event::Outcome(outcome) => self.on_outcome(outcome),
+            Event::Gone(id) => self.end(id, None),
+            Event::Probed { server: s, status, latency, report } => {
+                self.on_probed(s, status, latency, report)
+            }
+            Event::Timer(_) | Event::Note { .. } | Event::Peer { .. } => {}
+        }
+        self.admit();
+        let awake = self.works.values().any(Work::unbegun) || self.servers.values().any(|s| s.unreachable);
+        if !self.ticking && awake {
+            self.ticking = true;
+            self.out.push(Action::Timer { token: TICK_TIMER, delay: TICK });
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    // --- A request comes in -------------------------------------------------------------------------
+
+    fn on_request(&mut self, request: Request) {
+        let Some(class) = self.set.classes.get(request.class.0).cloned() else {
+            return self.out.push(Action::Fail(request.id));
+        };
+        let prompt = if request.prompt_len > 0.0 { request.prompt_len } else { PROMPT_UNKNOWN };
+        // The design's guess of a stream's memory: the hint, else half of what is allowed.
+        let answer = match request.hint {
+            Some(hint) if class.token_aim > 0 => hint as f64 / class.token_aim as f64,
+            _ => request.max_out / 2.0,
+        };
+        let answer = if request.max_out > 0.0 { answer.min(request.max_out) } else { answer };
+        let over_share = self.over_share(request.tenant);
+        self.purses = self.purses.map(|purse| (purse + NEWS_WORTH).min(NEWS_WORTH * 100.0));
+        let homes = self.homes(request.prefix);
+        self.prompts[request.class.0].add(prompt, GAIN);
+        self.answers[request.class.0].add(answer, GAIN);
+        let (id, give_up_at) = (request.id, request.give_up_at);
+        let aim_at = self.now + class.aim + (class.aim_per_token * prompt) as Nanos;
+        let request = Request { prompt_len: prompt, ..request };
+        self.works.insert(id, Work::new(request, self.now, self.set.seed, homes, over_share, aim_at, answer));
+        if give_up_at <= self.now + LAST_CALL {
+            return self.give_up(id);
+        }
+        self.waiting.insert((over_share, aim_at, id));
+    }
+
+    /// Readers that a shared beginning is at home at: more where it surely is more than a reader's part of
+    /// all requests, by what this router saw. Else it swamps one home and its cell. Coarse: sessions stay.
+    fn homes(&mut self, prefix: Option<Key>) -> usize {
+        let readers = self.servers.values().filter(|s| s.ready && s.role != Role::Write).count();
+        let (same, all) = self.seen.add(self.now, prefix, SEEN_SPAN);
+        let sure = (same - same.sqrt()).max(0.0) / all.max(1.0);
+        power_of_four((sure * HOMES * readers as f64) as usize)
+    }
+
+    /// Whether this request is beyond its tenant's share, of which each router takes an even part.
+    fn over_share(&mut self, tenant: Option<TenantId>) -> bool {
+        let Some(tenant) = tenant.filter(|t| t.0 < self.shares.len()) else { return false };
+        let rate = self.set.tenants[tenant.0].quota_per_s / f64::from(self.set.routers) * SHARE_SLACK;
+        rate > 0.0 && !self.shares[tenant.0].take(self.now, rate, rate * SHARE_BURST + 1.0)
+    }
+
+    // --- Before the read: held while all writers look full ------------------------------------------
+
+    /// Sends held requests to be read as far as writers have room for them.
+    fn admit(&mut self) {
+        for held in self.waiting.iter().copied().collect::<Vec<_>>() {
+            let Some(work) = self.works.get(&held.2) else { continue };
+            let allowed = self.throttle.allows(self.now, READS_GROW);
+            if allowed && self.writers_have_room(work) && self.start(held.2) {
+                self.waiting.remove(&held);
+            }
+        }
+    }
+
+    /// Room for a request besides what is being read for writers already.
+    fn writers_have_room(&self, work: &Work) -> bool {
+        let need = work.need();
+        let pledged: f64 = self.works.values().filter(|w| w.pledged()).map(Work::need).sum();
+        let mut with_room = self.candidates(false, work);
+        with_room.retain(|s| self.has_room(s, need));
+        let free: f64 = with_room.iter().map(|s| (FULL_SHARE - self.memory_share(s)) * s.memory).sum();
+        !with_room.is_empty() && (free >= pledged + need || with_room.iter().any(|s| s.memory <= 0.0))
+    }
+
+    /// Sends a request to its home reader, or to the least loaded one where home is clearly busier.
+    fn start(&mut self, id: RequestId) -> bool {
+        let Some(work) = self.works.get(&id) else { return true };
+        let mut readers = self.candidates(true, work);
+        if readers.is_empty() {
+            return self.start_at_writer(id);
+        }
+        readers.retain(|s| s.role != Role::Both || self.has_room(s, work.need()));
+        let homes = self.homes_of(work, &readers);
+        let Some(home) = homes.first().copied() else { return false };
+        let kept = |s: &Server| homes.iter().find(|h| h.id == s.id).map_or(0.0, |_| work.request.prefix_len);
+        let unread = |s: &Server| READ_BASE + (work.request.prompt_len - kept(s)).max(0.0);
+        let cost = |s: &Server| (s.unread + self.others_unread(s) + unread(s)) / self.speed(s);
+        // A reader with a long wait looks full, but one with nothing of ours is tried all the same.
+        let long = |s: &Server| s.unbegun > 0 && cost(s) * self.reads.best > READ_WAIT * work.aim();
+        let room = |s: &&&Server| !s.full_within(self.now, RECENTLY) && !long(s);
+        let lot = |s: &Server| work.lot.rank(s.id);
+        let order = |a: &&&Server, b: &&&Server| cost(a).total_cmp(&cost(b)).then(lot(a).cmp(&lot(b)));
+        let Some(least) = readers.iter().filter(room).min_by(order) else { return false };
+        let other = readers.iter().filter(|s| s.id != home.id).max_by_key(|s| lot(s));
+        let look_at: Vec<ServerId> = homes.iter().chain(other).take(2).map(|s| s.id).collect();
+        let home = Some(home).filter(|s| room(&s)).unwrap_or(least);
+        let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
+        let stage = if chosen.role == Role::Both { Stage::Whole } else { Stage::Read };
+        let (unread, queued) = (unread(chosen), cost(chosen));
+        let (chosen, cell, until) = (chosen.id, chosen.cell, work.look_until.unwrap_or(self.now + LOOK_FOR));
+        self.works.entry(id).and_modify(|w| w.look_until = Some(until));
+        if self.now < until && self.look(&look_at) {
+            return false;
+        }
+        let Some(work) = self.works.get(&id) else { return true };
+        let mut near = self.candidates(false, work);
+        near.retain(|s| s.cell.is_some() && s.cell == cell);
+        near.sort_by_key(|s| work.lot.rank(s.id));
+        let near: Vec<ServerId> = near.iter().take(LOOK_WRITERS).map(|s| s.id).collect();
+        self.throttle.take(self.now, PEER_SPAN);
+        self.send(id, Sent { unread, queued, ..Sent::to(chosen, stage) });
+        self.look(&near);
+        true
+    }
+
+    /// The homes of its shared beginning by rendezvous hashing, the one of its session first; the same on all
+    /// routers. They are spread as the writers are that can take the states without a move out of the cell.
+    fn homes_of<'s>(&self, work: &Work, readers: &[&'s Server]) -> Vec<&'s Server> {
+        let weight = |s: &Server| {
+            let [read, write, _] = s.cell.and_then(|c| self.averages.cells.get(&c)).map_or([1.0; 3], |c| *c);
+            s.weight * (write / read.max(1e-9)).clamp(1e-3, HOME_MOST)
+        };
+        let session = work.request.session.unwrap_or(Key(work.request.id.0));
+        let by = |key: Key| move |s: &&Server| -key.draw(s.id).ln() / weight(s);
+        let mut homes = sorted_by(readers.to_vec(), by(work.request.prefix.unwrap_or(session)));
+        homes.truncate(work.homes);
+        sorted_by(homes, by(session))
+    }
+
+    /// Probes those not heard from lately, as many routers hear too seldom; whether an answer is awaited.
+    fn look(&mut self, at: &[ServerId]) -> bool {
+        let (now, price) = (self.now, self.set.probe_price);
+        for id in at.iter().filter(|_| self.set.probes) {
+            let Some(s) = self.servers.get_mut(id) else { continue };
+            if s.asked_at.is_none() && s.heard_at + RECENTLY < now && self.purses[1] >= price {
+                self.purses[1] -= price;
+                s.asked_at = Some(now);
+                self.out.push(Action::Probe(*id));
+            }
+        }
+        at.iter().any(|id| self.servers.get(id).is_some_and(|s| s.asked_at.is_some()))
+    }
+
+    /// What others have to read there, as the reports or a probe's wait say; else as the average.
+    fn others_unread(&self, s: &Server) -> f64 {
+        let asked = s.asked_at.map_or(0.0, |at| (self.now - at) as f64 / self.reads.best.max(1.0));
+        let known = s.others_unread.or(self.averages.others_unread[s.role as usize]);
+        known.unwrap_or(0.0).max(asked)
+    }
+
+    /// With no reader at all a writer that reads by itself takes the request whole.
+    fn start_at_writer(&mut self, id: RequestId) -> bool {
+        let Some(work) = self.works.get(&id).filter(|_| self.set.self_prefill) else { return false };
+        let unread = READ_BASE + work.request.prompt_len;
+        let Some(server) = self.pick_writer(work, false) else { return false };
+        self.send(id, Sent { unread, queued: unread, ..Sent::to(server, Stage::Whole) });
+        true
+    }
+
+    // --- After the read: a writer with room, near the state ------------------------------------------
+
+    /// The writer for a state. `must`: one is needed now, with room or without.
+    fn pick_writer(&self, work: &Work, must: bool) -> Option<ServerId> {
+        let need = work.need();
+        let all = self.candidates(false, work);
+        let open: Vec<&Server> = all.iter().copied().filter(|s| self.has_room(s, need)).collect();
+        let open = if open.is_empty() && must { all } else { open };
+        let least = self.least_loaded(work, open.iter().copied())?;
+        let reader = work.state.and_then(|(r, _)| self.servers.get(&r));
+        let cell = |s: &&&Server| s.cell.is_some() && reader.is_some_and(|r| r.cell == s.cell);
+        let zone = |s: &&&Server| s.zone.is_some() && reader.is_some_and(|r| r.zone == s.zone);
+        let margin = WRITER_YIELD + MOVE_YIELD * (self.moves[1].value - self.moves[0].value).max(0.0);
+        let in_cell = self.least_loaded(work, open.iter().filter(cell).copied());
+        let in_zone = self.least_loaded(work, open.iter().filter(zone).copied());
+        let near = in_cell.into_iter().chain(in_zone).find(|s| self.load(s) <= self.load(least) + margin);
+        Some(near.unwrap_or(least).id)
+    }
+
+    /// Ties go to the least guessed memory, then by lot, or many routers that know little pick the same one.
+    fn least_loaded<'s>(&self, w: &Work, all: impl Iterator<Item = &'s Server>) -> Option<&'s Server> {
+        all.min_by(|a, b| {
+            let lot = || w.lot.rank(a.id).cmp(&w.lot.rank(b.id));
+            self.load(a).total_cmp(&self.load(b)).then(a.held.total_cmp(&b.held)).then_with(lot)
+        })
+    }
+
+    /// Full: as it reported, as it answered within the last second, or as guessed.
+    fn has_room(&self, s: &Server, need: f64) -> bool {
+        let fits = s.memory <= 0.0 || self.memory_share(s) + need / s.memory <= FULL_SHARE || s.held <= 0.0;
+        let late = s.asked_at.is_some_and(|at| self.now >= at + LOOK_LATE);
+        !s.full_within(self.now, RECENTLY) && s.share.is_none_or(|share| share < FULL_SHARE) && !late && fits
+    }
+
+    /// Share of a writer's memory that is held, by guess: own sends, and the others'.
+    fn memory_share(&self, s: &Server) -> f64 {
+        let others = self.others(s).unwrap_or_else(|| self.told(s) / s.memory.max(1.0));
+        s.held / s.memory.max(1.0) + others
+    }
+
+    /// Share that others hold, as the reports say; a server not heard from lately counts as average.
+    fn others(&self, s: &Server) -> Option<f64> {
+        s.others.map(|held| held / s.memory.max(1.0)).or(self.averages.others[s.role as usize])
+    }
+
+    /// Without any report: what routers told; one not heard from counts as the mean of those known, less
+    /// what chance may do: a handful of streams tells little of hundreds of routers. Only for fullness.
+    fn told(&self, s: &Server) -> f64 {
+        let all = &self.averages;
+        let heard = self.told.routers();
+        let unheard = (f64::from(self.set.routers) - 1.0 - heard).max(0.0);
+        let streams = all.known / (mean(&self.prompts) + mean(&self.answers)).max(1.0);
+        let sure = 1.0 - streams.max(1.0).sqrt().recip();
+        self.told.all.get(&s.id).map_or(0.0, |t| *t) + unheard * sure * all.known_mean / (1.0 + heard)
+    }
+
+    fn load(&self, s: &Server) -> f64 {
+        (s.held / s.memory.max(1.0) + self.others(s).unwrap_or(0.0)) / self.speed(s)
+    }
+
+    /// Its weight beside the mean of its role, less while it is slow or cold.
+    fn speed(&self, s: &Server) -> f64 {
+        let mean = self.averages.weight[s.role as usize];
+        let relative = if mean > 0.0 { s.weight / mean } else { 1.0 };
+        let relative = if s.pace_ratio >= SLOW_FROM { relative / s.pace_ratio } else { relative };
+        relative.max(0.02) * if self.cold(s) { self.set.cold_from.clamp(0.1, 1.0) } else { 1.0 }
+    }
+
+    /// A state waits: send it on, let it wait a little, or let it go when the release time runs out.
+    fn place(&mut self, id: RequestId) {
+        let Some(work) = self.works.get(&id) else { return };
+        let Some((_, since)) = work.state.filter(|_| work.sent.is_none()) else { return };
+        let patience = (self.set.release_within as f64 * RELEASE_SHARE) as Nanos;
+        let must = self.now + TICK >= since + patience;
+        if let Some(server) = self.pick_writer(work, must) {
+            self.send(id, Sent::to(server, Stage::Write));
+        } else if must {
+            self.give_up(id);
+        }
+    }
+
+    /// Servers of one stage that may be sent to now, leaving out ill ones while enough others are left.
+    fn candidates(&self, reads: bool, work: &Work) -> Vec<&Server> {
+        let split = self.servers.values().any(|s| s.ready && s.role == Role::Write);
+        let fits = |s: &&Server| match s.role {
+            Role::Read => reads,
+            Role::Write => !reads,
+            Role::Both => reads || !split,
+        };
+        let may = |s: &&Server| s.ready && self.cold_budget_allows(s) && self.may_go_to(work, s);
+        let open: Vec<&Server> = self.servers.values().filter(may).filter(fits).collect();
+        let well = |s: &&Server| !self.ill(s, work) && !work.avoid.contains(&s.id);
+        let well: Vec<&Server> = open.iter().copied().filter(well).collect();
+        // Where most look ill the cause is likely elsewhere, and the few left would be swamped.
+        if !well.is_empty() && well.len() * 3 >= open.len() {
+            return well;
+        }
+        let none = open.iter().all(|s| s.unreachable);
+        open.into_iter().filter(|s| none || !s.unreachable).collect()
+    }
+
+    /// Rule 2 for keyed requests that may have run: same group, within the window.
+    fn may_go_to(&self, work: &Work, s: &Server) -> bool {
+        let Some(ran) = work.may_have_run else { return true };
+        let Some(class) = self.set.classes.get(work.request.class.0) else { return false };
+        let same = match class.group {
+            Group::All => true,
+            Group::Zone => ran.zone.is_some() && ran.zone == s.zone,
+            Group::Cell => ran.cell.is_some() && ran.cell == s.cell,
+        };
+        class.effect != Effect::Unsafe && same && self.now + TICK < ran.at + class.window
+    }
+
+    fn send(&mut self, id: RequestId, plan: Sent) {
+        let (now, server, stage) = (self.now, plan.server, plan.stage);
+        // What it weighs at a cold server: its class's mean work, in mean requests.
+        let means = if stage == Stage::Read { &self.prompts } else { &self.answers };
+        let class = self.works.get(&id).map_or(0, |w| w.request.class.0);
+        let cost = (means.get(class).map_or(0.0, |m| m.value) / mean(means).max(1.0)).max(0.1);
+        let (Some(work), Some(s)) = (self.works.get_mut(&id), self.servers.get_mut(&server)) else { return };
+        let held = if stage == Stage::Read { 0.0 } else { work.need() };
+        let sent = Sent { no: AttemptNo(work.attempts), at: now, held, ..plan };
+        s.take(now, REPORT_LAG, &sent);
+        s.sent.add(now, cost, PEER_SPAN);
+        s.budget.level -= cost;
+        self.call_offs = (self.call_offs + CALL_OFFS).min(1.0 + CALL_OFFS * 10.0);
+        work.attempts += 1;
+        work.read_at = work.read_at.or(Some(now));
+        work.sent = Some(sent);
+        let safe = stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
+        let timeout = if self.set.cancel || !safe { 0 } else { BLIND_PATIENCE };
+        self.out.push(Action::Send { id, server, timeout });
+    }
+
+    fn on_first(&mut self, id: RequestId, attempt: AttemptNo, latency: Nanos) {
+        let now = self.now;
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let cell = work.state.take().and_then(|(reader, _)| self.servers.get(&reader)?.cell);
+        let Some(sent) = work.sent.as_mut().filter(|s| s.no == attempt && !s.begun) else { return };
+        self.to_first.follow(now, now.saturating_sub(work.read_at.unwrap_or(now)) as f64, NEWS_FOR);
+        let Some(s) = self.servers.get_mut(&sent.server) else { return };
+        s.begin(now, REPORT_LAG, sent);
+        s.heard_at = now;
+        sent.begun = true;
+        if sent.stage == Stage::Write {
+            self.moves[usize::from(s.cell != cell)].add(latency as f64 / 1e9, GAIN);
+            learn_pace(&mut self.servers, sent.server, latency as f64, PACE_GAIN, SAMPLES);
+        }
+    }
+
+    fn on_outcome(&mut self, o: Outcome) {
+        self.note_health(&o);
+        let Some(work) = self.works.get_mut(&o.id) else { return };
+        let Some(sent) = work.sent.take_if(|s| s.no == o.attempt) else { return };
+        work.ended |= o.closed;
+        let prompt = work.request.prompt_len;
+        let aim = work.aim();
+        if let Some(s) = self.servers.get_mut(&o.server) {
+            s.close(self.now, REPORT_LAG, &sent);
+            s.note_report(self.now, REPORT_LAG, o.report, self.reads.size.value);
+        }
+        if sent.stage == Stage::Read && o.status == Status::Read {
+            let per_token = o.latency as f64 / sent.queued.max(READ_BASE);
+            self.reads.size.add(READ_BASE + (prompt - o.note as f64).max(0.0), GAIN);
+            self.reads.add(per_token, GAIN, BEST_GAIN);
+            learn_pace(&mut self.servers, o.server, per_token, PACE_GAIN, SAMPLES);
+        }
+        let reads = sent.stage != Stage::Write && o.status == Status::Read;
+        if reads && o.latency as f64 > READ_LATE * aim {
+            self.throttle.cut(self.now, READS_CUT, PEER_SPAN, RECENTLY);
+        }
+        self.settle(o, sent);
+    }
+
+    fn settle(&mut self, o: Outcome, sent: Sent) {
+        let now = self.now;
+        let Some(work) = self.works.get_mut(&o.id) else { return };
+        let read = sent.stage == Stage::Read;
+        match work.state.as_mut() {
+            // The release time starts again with each outcome.
+            Some((_, since)) if !read => *since = now,
+            _ if o.status == Status::Read => work.state = Some((o.server, now)),
+            _ => {}
+        }
+        if work.ended {
+            self.out.extend((!sent.begun).then_some(Action::Release(o.id)));
+            self.works.remove(&o.id);
+            return;
+        }
+        let effect = self.set.classes[work.request.class.0].effect;
+        let not_run = matches!(o.status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Read);
+        if !read && !not_run && effect != Effect::Safe && work.may_have_run.is_none() {
+            let (zone, cell) = self.servers.get(&o.server).map_or((None, None), |s| (s.zone, s.cell));
+            work.may_have_run = Some(MayHaveRun { zone, cell, at: sent.at });
+        }
+        let unsafe_ran = effect == Effect::Unsafe && work.may_have_run.is_some();
+        let no_state = o.status == Status::Full && o.note == 1 && !read;
+        if no_state {
+            // Out of the writer's reach is not gone: a cut-off reader holds it still, and it must be let go.
+            work.state = None;
+            self.out.push(Action::Release(o.id));
+        } else if o.status != Status::Read && !work.avoid.contains(&o.server) {
+            work.avoid.push(o.server);
+        }
+        // A way on needs one send with a state, two without.
+        let steps = if work.state.is_some() { 1 } else { ATTEMPTS_KEPT };
+        if unsafe_ran || o.status == Status::Moot || work.attempts + steps > self.set.max_attempts.max(steps)
+        {
+            return self.give_up(o.id);
+        }
+        match work.state {
+            Some(_) => self.place(o.id),
+            None => drop(self.waiting.insert((work.over_share, work.aim_at, o.id))),
+        }
+    }
+
+    /// A refusal where trying again is harmless, else a failure; nothing stays pinned.
+    fn give_up(&mut self, id: RequestId) {
+        let Some(work) = self.works.get(&id) else { return };
+        let Some(class) = self.set.classes.get(work.request.class.0) else { return };
+        let ran = work.may_have_run.is_some() || work.sent.is_some_and(|s| s.stage != Stage::Read);
+        let harmless = match class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => !ran || class.group == Group::All,
+            Effect::Unsafe => !ran,
+        };
+        let retry_after = if self.set.retry_after { self.set.max_retry_after } else { 0 };
+        let answer = if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) };
+        self.end(id, Some(answer));
+    }
+
+    /// Closes a request: by a final answer of ours, or because its client has left.
+    fn end(&mut self, id: RequestId, answer: Option<Action>) {
+        let Some(work) = self.works.get_mut(&id).filter(|w| !w.ended) else { return };
+        work.ended = true;
+        self.waiting.remove(&(work.over_share, work.aim_at, id));
+        self.out.extend(answer);
+        match work.sent {
+            Some(sent) if self.set.cancel && !sent.begun && !sent.cancelled => {
+                self.out.push(Action::Cancel { id, attempt: sent.no });
+            }
+            Some(_) => {}
+            None => {
+                self.out.extend(work.state.map(|_| Action::Release(id)));
+                self.works.remove(&id);
+            }
+        }
+    }
+
+    // --- Health: by symptom, against peers -----------------------------------------------------------
+
+    fn ill(&self, s: &Server, work: &Work) -> bool {
+        let rests = s.rests(self.now, None) || s.rests(self.now, Some(work.part()));
+        s.unreachable || rests || s.pace_ratio >= SLOW_SHUN && s.unbegun > 0
+    }
+
+    /// Takes a server out for a while, for all traffic or for a part that it refuses or leaves unanswered
+    /// while it serves the rest. One failure has to tell where a router seldom meets a server.
+    fn rest(&mut self, server: ServerId, part: Option<Part>) {
+        let visits = REST_VISITS * self.seen.gap(self.now, SEEN_SPAN) * self.servers.len() as f64;
+        let least = (visits as Nanos).clamp(RECENTLY, REST_MOST);
+        self.servers.entry(server).and_modify(|s| s.rest(self.now, part, least, REST_MOST));
+    }
+
+    fn note_health(&mut self, o: &Outcome) {
+        let now = self.now;
+        let part = self.works.get(&o.id).map(Work::part);
+        let Some(s) = self.servers.get_mut(&o.server) else { return };
+        let unheard = [Status::Timeout, Status::Cancelled, Status::ConnectFailed, Status::Moot];
+        s.heard_at = if unheard.contains(&o.status) { s.heard_at } else { now };
+        match o.status {
+            Status::Ok | Status::Read => {
+                (s.unreachable, s.lost) = (false, false);
+                part.into_iter().for_each(|part| s.served(part));
+            }
+            Status::Error | Status::Unknown => self.rest(o.server, None),
+            Status::Full if o.note != 1 || s.role == Role::Read => {
+                s.full_at = Some(now);
+                self.rest(o.server, part);
+            }
+            Status::Timeout => self.rest(o.server, part),
+            // Dead, cut off, or with all connections taken: a probe tells when it is back.
+            Status::ConnectFailed | Status::Reset => {
+                (s.unreachable, s.lost, s.probe_at) = (true, true, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_probed(&mut self, server: ServerId, status: Status, latency: Nanos, report: Option<Report>) {
+        let (now, pace) = (self.now, self.reads.best.max(1.0));
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.note_report(now, REPORT_LAG, report, self.reads.size.value);
+        s.asked_at = None;
+        if matches!(status, Status::Ok | Status::Timeout) {
+            s.others_unread = Some((latency as f64 / pace - s.unread).max(0.0));
+            s.news_at = now;
+            if s.role != Role::Read && latency >= LOOK_LATE {
+                s.full_at = Some(now);
+            }
+        }
+        if status == Status::ConnectFailed {
+            (s.unreachable, s.lost, s.probe_at) = (true, true, now + PROBE_EVERY);
+        } else if status == Status::Ok {
+            if s.lost {
+                // It may be a new process that the list has not told of: cold, or all routers pour onto it.
+                s.back_at = now;
+                s.budget = Bucket::owing(now, Key(self.set.seed).draw(server));
+            }
+            (s.unreachable, s.lost) = (false, false);
+            (s.heard_at, s.quick_at) = (now, if latency < LOOK_LATE { now } else { s.quick_at });
+        }
+    }
+
+    fn cold(&self, s: &Server) -> bool {
+        s.began_at() > 0 && self.now < s.began_at() + self.set.cold
+    }
+
+    /// Rule 4, kept by each router alone: a part of what it sends itself to a warm peer. It begins in debt,
+    /// each router by another part of a request, or all would pay it off at the same moment.
+    fn cold_budget_allows(&self, s: &Server) -> bool {
+        !self.cold(s) || s.budget.level >= 0.0
+    }
+
+    fn fill_cold_budgets(&mut self) {
+        let (now, span_s) = (self.now, PEER_SPAN as f64 / 1e9);
+        let floor = COLD_FLOOR / (self.set.fall as f64 / 1e9).max(0.1) / f64::from(self.set.routers);
+        let part = (self.set.fall_multiple * self.set.cold_from).min(1.0);
+        for role in [Role::Read, Role::Write, Role::Both] {
+            let warm = self.servers.values().filter(|p| p.ready && p.role == role && !self.cold(p));
+            let sent = average(warm.map(|p| p.sent.get(now, PEER_SPAN) / span_s));
+            let usual = &mut self.usual[role as usize];
+            let peers = sent.unwrap_or(usual.value);
+            usual.follow(now, peers, PEER_SPAN);
+            let rate = (peers.max(usual.value) * part).max(floor);
+            for s in self.servers.values_mut().filter(|s| s.role == role) {
+                s.budget.fill(now, rate, 0.0);
+            }
+        }
+    }
+
+    fn on_members(&mut self, kind: ListKind, entries: &[Entry]) {
+        if kind == ListKind::Failed {
+            return self.out.push(Action::Timer { token: ASK_TIMER, delay: RECENTLY });
+        }
+        self.out.extend((kind == ListKind::Cached && self.set.ask).then_some(Action::Watch(true)));
+        if kind != ListKind::Delta {
+            self.servers.values_mut().for_each(|s| s.ready = false);
+        }
+        for e in entries {
+            let (role, memory) = self.set.kind(e.kind);
+            let s = self.servers.entry(e.server).or_insert_with(|| new_server(e.server, role, memory));
+            // Nothing new goes to a draining or gone server from now on: rule 3 with its grace unused.
+            s.listed(self.now, e, Key(self.set.seed).draw(e.server));
+        }
+        self.averages.list(&self.servers);
+        self.averages.news(self.now, 0, NEWS_FOR, &mut self.servers, &mut self.told);
+    }
+
+    // --- The clock ----------------------------------------------------------------------------------
+
+    fn on_tick(&mut self) {
+        self.ticking = false;
+        self.fill_cold_budgets();
+        let ids: Vec<RequestId> = self.works.iter().filter(|w| !w.1.ended).map(|w| *w.0).collect();
+        ids.into_iter().for_each(|id| self.look_after(id));
+        self.probe();
+        self.tell();
+    }
+
+    fn look_after(&mut self, id: RequestId) {
+        let Some(work) = self.works.get(&id) else { return };
+        let late = self.now + self.to_first.value as Nanos > work.aim_at;
+        match work.sent {
+            Some(sent) if sent.begun => {}
+            _ if self.now + LAST_CALL >= work.request.give_up_at => self.give_up(id),
+            Some(sent) => self.check_overdue(id, sent),
+            // Held, it can't make its aim any more: it ends now, so that others can.
+            None if late && work.state.is_none() => self.give_up(id),
+            None => self.place(id),
+        }
+    }
+
+    /// An attempt that takes too long: its server queues, is slow, is cut off or died without a word.
+    fn check_overdue(&mut self, id: RequestId, sent: Sent) {
+        let age = self.now - sent.at;
+        let Some(work) = self.works.get(&id) else { return };
+        let read_wait = READ_WAIT * work.aim();
+        let cell = work.state.and_then(|(reader, _)| self.servers.get(&reader)?.cell);
+        let Some(s) = self.servers.get_mut(&sent.server) else { return };
+        // What crosses cells may wait for a slow link: another far writer is no better then.
+        let (silent, near) = (s.heard_at < sent.at, s.cell == cell);
+        if sent.stage == Stage::Write && age >= STALLED {
+            s.full_at = Some(self.now);
+        }
+        let reads = sent.stage != Stage::Write;
+        let patience = (read_wait + sent.queued * self.reads.late(DEVIATIONS)) as Nanos;
+        let patience = if reads { patience } else { WRITE_PATIENCE };
+        if age < patience || sent.cancelled {
+            return;
+        }
+        if silent && self.set.probes && !s.unreachable {
+            (s.unreachable, s.probe_at) = (true, self.now);
+        }
+        // A reader that answers a probe at once has left the read unanswered; one that does not may be busy.
+        if reads && s.quick_at <= sent.at && age < 2 * patience {
+            return;
+        }
+        let safe = sent.stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
+        let room = |s: &Server| self.has_room(s, work.need());
+        let better = |s: &&Server| {
+            s.id != sent.server
+                && !self.ill(s, work)
+                && (reads || room(s) && (near || silent || s.cell == cell))
+        };
+        let left = work.attempts + ATTEMPTS_KEPT <= self.set.max_attempts && self.set.cancel;
+        if !safe || !left || self.call_offs < 1.0 || !self.candidates(reads, work).iter().any(better) {
+            return;
+        }
+        self.call_offs -= 1.0;
+        let part = work.part();
+        self.rest(sent.server, Some(part));
+        if reads {
+            self.reads.add(age as f64 / sent.queued.max(READ_BASE), GAIN, BEST_GAIN);
+        }
+        self.works.entry(id).and_modify(|w| w.sent = Some(Sent { cancelled: true, ..sent }));
+        self.out.push(Action::Cancel { id, attempt: sent.no });
+    }
+
+    /// Tells the other routers what we hold, where no server does and as often as that is worth its price.
+    fn tell(&mut self) {
+        let silent = self.servers.values().all(|s| s.others.is_none());
+        if !self.set.peers || self.set.routers < 2 || !silent || self.now < self.told_at + TELL_EVERY {
+            return;
+        }
+        let data = held_to_bytes(self.servers.values().map(|s| (s.id, s.held)));
+        let price = self.set.peer_price * f64::from(self.set.routers - 1) * data.len() as f64 / 256.0;
+        if self.purses[0] >= price {
+            self.purses[0] -= price;
+            self.told_at = self.now;
+            self.out.push(Action::Tell { peer: None, data });
+        }
+    }
+
+    fn probe(&mut self) {
+        for s in self.servers.values_mut().filter(|s| s.ready && s.unreachable && s.probe_at <= self.now) {
+            if self.set.probes {
+                s.probe_at = self.now + PROBE_EVERY;
+                self.out.push(Action::Probe(s.id));
+            } else if self.now >= s.probe_at + RECENTLY {
+                s.unreachable = false;
+            }
+        }
+    }
+}
