--- a/crates/gaparch-lab/src/site.rs
+++ b/crates/gaparch-lab/src/site.rs
@@ -4,13 +4,16 @@
 //! middle of whatever it did, as `kill -9` does. All the rest shares one clock, so that the times in the
 //! record can be compared.
 
+use crate::checker::{self, Effect, Figures, Verdict};
 use crate::list_service::ListService;
-use crate::record::{Record, What};
+use crate::load::{Answered, Client, Patience, Question};
+use crate::record::{Ask, Record, What};
 use gaparch::api::{Role, ServerState};
 use gaparch_config::{Config, Problem};
 use gaparch_engine::server::{self, EngineHandle, EngineOptions};
 use gaparch_engine::{EngineSpec, Fault};
 use gaparch_net::Clock;
+use gaparch_protocol::client::Dialect;
 use gaparch_protocol::list::ListEntry;
 use gaparch_router::core::Counts;
 use gaparch_router::{serve, RouterHandle, ServeError};
@@ -317,3 +320,71 @@
         (0..count).map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0))).collect();
     listeners?.iter().map(TcpListener::local_addr).collect()
 }
+
+impl Site {
+    /// A plain question to the first router: a class-0 stream of so many tokens from a client that stays.
+    pub fn question(&self, number: u64, answer_tokens: u32) -> Question {
+        Question {
+            ask: Ask(number),
+            router: Site::router_name(0),
+            address: self.address(0),
+            key: None,
+            class: 0,
+            class_name: self.plan.classes[0].name.to_owned(),
+            tenant: 0,
+            session: Some(format!("session-{number}")),
+            prefix: None,
+            prompt_tokens: 400,
+            max_tokens: answer_tokens.max(1) * 2,
+            answer_tokens,
+            stream: true,
+            aim: 1_000_000_000,
+            deadline: 5_000_000_000 + 48_000_000,
+            patience: Patience::Stays,
+        }
+    }
+
+    /// A client of this site that speaks its dialect.
+    pub fn client(&self) -> Option<Client> {
+        let dialect = Arc::new(Dialect::builtin(self.plan.dialect)?);
+        Some(Client { clock: self.clock, record: self.record.clone(), dialect })
+    }
+
+    /// Puts questions at even gaps and waits for all of them; in the order of their numbers.
+    pub async fn ask_all(&self, questions: Vec<Question>, gap: Duration) -> Vec<Answered> {
+        let Some(client) = self.client() else { return Vec::new() };
+        let mut tasks = Vec::new();
+        for question in questions {
+            let client = client.clone();
+            tasks.push(tokio::spawn(async move { client.put(question).await }));
+            tokio::time::sleep(gap).await;
+        }
+        let mut answers = Vec::new();
+        for task in tasks {
+            answers.extend(task.await);
+        }
+        answers
+    }
+
+    /// Stops the routers in good order after what is held has had time to be let go of, and judges all that
+    /// went over the sockets.
+    pub async fn judge(&mut self, effects: &[Effect]) -> (Verdict, Counts) {
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        let mut counts = Counts::default();
+        for router in 0..self.plan.routers {
+            if let Some(of_one) = self.stop_router(router).await {
+                counts.overdue += of_one.overdue;
+                counts.requests += of_one.requests;
+                counts.served += of_one.served;
+                counts.refused += of_one.refused;
+                counts.failed += of_one.failed;
+                counts.left += of_one.left;
+                counts.late_frames += of_one.late_frames;
+                counts.violations += of_one.violations;
+            }
+        }
+        let figures = crate::badday::figures(&self.plan);
+        let effects = if effects.is_empty() { figures.effects.clone() } else { effects.to_vec() };
+        (checker::check(&self.record, &Figures { effects, ..figures }), counts)
+    }
+}
