--- /dev/null
+++ b/crates/gaparch-router/tests/core.rs
@@ -0,0 +1,316 @@
+//! The core alone: frames that make no sense, outcomes that come twice or late, drains, the end.
+
+use gaparch::api::{Nanos, RequestId, Role, ServerId, ServerState, Status};
+use gaparch_config::{server_id, Config, EXAMPLE};
+use gaparch_protocol::engine::{AttemptKey, EngineFacts, EngineFrame, RouterRun};
+use gaparch_protocol::list::{ListEntry, Scope};
+use gaparch_router::core::{Accepted, ConnNo, Core, Input, ListUpdate, Output, Phase, ToClient};
+use std::collections::BTreeMap;
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1_000 * MS;
+
+struct Bench {
+    core: Core,
+    now: Nanos,
+    conns: BTreeMap<ServerId, ConnNo>,
+    seen: Vec<Output>,
+}
+
+impl Bench {
+    /// The example's site, with all its engines connected.
+    fn new() -> Bench {
+        let config = Config::parse(EXAMPLE).expect("sound");
+        let names: Vec<(String, Role)> = config
+            .engines
+            .iter()
+            .map(|e| (e.name.clone(), if e.kind == "reader" { Role::Read } else { Role::Write }))
+            .collect();
+        let mut out = Vec::new();
+        let core = Core::new(config, RouterRun(1), 1000 * S, &mut out);
+        let mut bench = Bench { core, now: 1000 * S, conns: BTreeMap::new(), seen: Vec::new() };
+        for output in out {
+            if let Output::Connect { engine, conn, .. } = output {
+                bench.conns.insert(engine, conn);
+            }
+        }
+        for (name, role) in names {
+            bench.up(&name, role, 1);
+        }
+        bench
+    }
+
+    fn up(&mut self, name: &str, role: Role, started_at: u64) {
+        let engine = server_id(name);
+        let (zone, rack) = ("north".to_owned(), "n1".to_owned());
+        let facts = EngineFacts { name: name.to_owned(), role, memory: 1e5, zone, rack, started_at };
+        let conn = self.conns[&engine];
+        self.input(Input::EngineUp { engine, conn, facts });
+    }
+
+    fn input(&mut self, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.core.handle(self.now, input, &mut out);
+        self.note(&out);
+        out
+    }
+
+    fn note(&mut self, out: &[Output]) {
+        for output in out {
+            if let Output::Connect { engine, conn, .. } = output {
+                self.conns.insert(*engine, *conn);
+            }
+        }
+        self.seen.extend(out.iter().cloned());
+    }
+
+    fn frame(&mut self, engine: ServerId, frame: EngineFrame) -> Vec<Output> {
+        let conn = self.conns[&engine];
+        self.input(Input::EngineFrame { engine, conn, frame })
+    }
+
+    fn pass(&mut self, span: Nanos) -> Vec<Output> {
+        let until = self.now + span;
+        let mut out = Vec::new();
+        while let Some(at) = self.core.next_at().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            self.core.on_time(self.now, &mut out);
+        }
+        self.now = until;
+        self.note(&out);
+        out
+    }
+
+    fn ask(&mut self, id: u64) -> (ServerId, AttemptKey) {
+        self.ask_if_room(id).expect("a read")
+    }
+
+    fn ask_if_room(&mut self, id: u64) -> Option<(ServerId, AttemptKey)> {
+        let mut out = self.input(Input::Ask { id: RequestId(id), ask: question() });
+        // The module may look before it sends.
+        out.extend(self.pass(100 * MS));
+        sent(&out)
+    }
+
+    fn read(&mut self, id: u64) -> (ServerId, AttemptKey) {
+        let (engine, key) = self.ask(id);
+        let done = EngineFrame::ReadDone { key, kept: 0, prompt_len: 500, report: None };
+        let out = self.frame(engine, done);
+        sent(&out).expect("a write")
+    }
+}
+
+fn question() -> Accepted {
+    Accepted {
+        class: gaparch::api::ClassId(0),
+        tenant: None,
+        session: None,
+        prefix: None,
+        prompt_len: 500,
+        prefix_len: 0,
+        max_out: 50,
+        hint: None,
+        repeat: false,
+        prompt: "hello".to_owned(),
+    }
+}
+
+fn sent(out: &[Output]) -> Option<(ServerId, AttemptKey)> {
+    out.iter().find_map(|o| match o {
+        Output::Engine { engine, frame: EngineFrame::Read(job) | EngineFrame::Write { job, .. } } => {
+            Some((*engine, job.key))
+        }
+        _ => None,
+    })
+}
+
+fn tokens(key: AttemptKey, from: u32) -> EngineFrame {
+    EngineFrame::Tokens { key, from, count: 1, text: "x".to_owned() }
+}
+
+fn outcome(key: AttemptKey, status: Status, produced: u32) -> EngineFrame {
+    EngineFrame::Outcome { key, status, note: 0, produced, report: None }
+}
+
+fn answers(seen: &[Output], id: u64) -> Vec<ToClient> {
+    let of = |o: &Output| match o {
+        Output::Client { id: i, event } if i.0 == id && event.is_last() => Some(event.clone()),
+        _ => None,
+    };
+    seen.iter().filter_map(of).collect()
+}
+
+fn disconnects(out: &[Output]) -> usize {
+    out.iter().filter(|o| matches!(o, Output::Disconnect { .. })).count()
+}
+
+#[test]
+fn a_request_goes_through_its_phases_to_one_answer() {
+    let mut bench = Bench::new();
+    let (writer, key) = bench.read(1);
+    assert_eq!(bench.core.phase(RequestId(1)), Some(Phase::Writing));
+    bench.frame(writer, tokens(key, 0));
+    assert_eq!(bench.core.phase(RequestId(1)), Some(Phase::Streaming));
+    bench.frame(writer, tokens(key, 1));
+    bench.frame(writer, outcome(key, Status::Ok, 2));
+    assert_eq!(bench.core.phase(RequestId(1)), None);
+    assert!(matches!(answers(&bench.seen, 1)[..], [ToClient::Finished { .. }]));
+}
+
+#[test]
+fn a_second_outcome_and_one_after_the_time_out_change_nothing() {
+    let mut bench = Bench::new();
+    let (writer, key) = bench.read(1);
+    bench.frame(writer, tokens(key, 0));
+    bench.frame(writer, outcome(key, Status::Ok, 1));
+    let before = bench.core.counts();
+    assert_eq!(bench.frame(writer, outcome(key, Status::Ok, 1)), vec![]);
+    assert_eq!(bench.core.counts().late_frames, before.late_frames + 1);
+    let (reader, key) = bench.ask(2);
+    bench.pass(20 * S);
+    assert_eq!(answers(&bench.seen, 2).len(), 1);
+    assert_eq!(
+        sent(&bench.frame(reader, EngineFrame::ReadDone { key, kept: 0, prompt_len: 5, report: None })),
+        None
+    );
+    assert_eq!(answers(&bench.seen, 2).len(), 1);
+    let release = |o: &Output| matches!(o, Output::Engine { frame: EngineFrame::Release { request: 2 }, .. });
+    assert!(bench.seen.iter().any(release), "what was read for nobody is let go of");
+}
+
+#[test]
+fn frames_that_make_no_sense_close_their_connection_and_cost_only_its_requests() {
+    type Wrong = fn(AttemptKey) -> EngineFrame;
+    let cases: [(&str, Wrong); 6] = [
+        ("an attempt never made", |k| outcome(AttemptKey { attempt: 9, ..k }, Status::Ok, 0)),
+        ("tokens missing", |k| tokens(k, 5)),
+        ("a read's end for a write", |k| EngineFrame::ReadDone {
+            key: k,
+            kept: 0,
+            prompt_len: 1,
+            report: None,
+        }),
+        ("an end that lost tokens", |k| outcome(k, Status::Ok, 7)),
+        ("a router's frame", |_| EngineFrame::Release { request: 1 }),
+        ("a read for the router", |k| EngineFrame::Cancel(k)),
+    ];
+    for (name, wrong) in cases {
+        let mut bench = Bench::new();
+        let (writer, key) = bench.read(1);
+        let (other, other_key) = bench.ask(2);
+        assert_ne!(writer, other);
+        let out = bench.frame(writer, wrong(key));
+        assert_eq!((disconnects(&out), bench.core.counts().violations), (1, 1), "{name}");
+        let done = EngineFrame::ReadDone { key: other_key, kept: 0, prompt_len: 5, report: None };
+        assert!(sent(&bench.frame(other, done)).is_some(), "{name}: the other goes on");
+        bench.pass(20 * S);
+        assert_eq!(answers(&bench.seen, 1).len(), 1, "{name}");
+    }
+}
+
+#[test]
+fn an_engine_that_is_not_what_the_list_says_is_turned_away() {
+    let mut bench = Bench::new();
+    let engine = server_id("read-1");
+    let conn = bench.conns[&engine];
+    bench.input(Input::EngineDown { engine, conn });
+    bench.pass(S);
+    assert_ne!(bench.conns[&engine], conn, "it is connected to again");
+    bench.up("read-1", Role::Write, 1);
+    assert_eq!(bench.core.counts().violations, 1);
+}
+
+#[test]
+fn figures_of_engines_and_the_list_that_make_no_sense_are_dropped_and_counted() {
+    let mut bench = Bench::new();
+    let (reader, key) = bench.ask(1);
+    let report = gaparch::api::Report {
+        inflight: Some(f64::NAN),
+        queue: Some(-1.0),
+        util: Some(1e300),
+        memory: Some(f64::INFINITY),
+        unread_k: Some(1.0),
+    };
+    let done = EngineFrame::ReadDone { key, kept: 0, prompt_len: 5, report: Some(report) };
+    assert!(sent(&bench.frame(reader, done)).is_some());
+    assert_eq!(bench.core.counts().dropped_figures, 4);
+    let entry = |engine: &str, kind: &str, weight| ListEntry {
+        engine: engine.to_owned(),
+        address: "127.0.0.1:7201".to_owned(),
+        kind: kind.to_owned(),
+        zone: "north".to_owned(),
+        rack: "n1".to_owned(),
+        state: ServerState::Ready,
+        weight,
+        started_at: None,
+    };
+    let entries = vec![entry("write-1", "writer", Some(f64::NAN)), entry("new", "no-such-kind", None)];
+    bench.input(Input::List(ListUpdate { scope: Scope::Full, version: 1, entries }));
+    let counts = bench.core.counts();
+    assert_eq!((counts.dropped_figures, counts.dropped_entries), (5, 1));
+}
+
+#[test]
+fn a_missed_change_of_the_list_is_asked_for_and_a_drain_stops_sends_at_once() {
+    let mut bench = Bench::new();
+    let full = |version| ListUpdate { scope: Scope::Full, version, entries: vec![] };
+    bench.input(Input::List(full(3)));
+    let gap = ListUpdate { scope: Scope::Delta, version: 9, entries: vec![] };
+    assert_eq!(bench.input(Input::List(gap)), vec![Output::Fetch]);
+    // The whole list named none: nothing is sent any more, and the request is answered in time.
+    bench.now += 10 * MS;
+    let before = bench.seen.len();
+    bench.input(Input::Ask { id: RequestId(5), ask: question() });
+    bench.pass(10 * S);
+    assert_eq!(sent(&bench.seen[before..]), None);
+    assert!(matches!(answers(&bench.seen, 5)[..], [ToClient::Refused { .. }]));
+    assert_eq!(bench.core.counts().overdue, 0);
+}
+
+#[test]
+fn a_silent_stream_ends_with_a_failure_and_its_writer_is_told() {
+    let mut bench = Bench::new();
+    let (writer, key) = bench.read(1);
+    bench.frame(writer, tokens(key, 0));
+    bench.pass(4 * S);
+    bench.frame(writer, tokens(key, 1));
+    bench.pass(4 * S);
+    assert!(answers(&bench.seen, 1).is_empty(), "it is silent for less than is allowed");
+    let out = bench.pass(2 * S);
+    assert!(matches!(answers(&out, 1)[..], [ToClient::Failed { .. }]));
+    assert!(out.contains(&Output::Engine { engine: writer, frame: EngineFrame::Cancel(key) }));
+}
+
+#[test]
+fn the_end_answers_all_that_is_open_and_takes_nothing_new() {
+    let mut bench = Bench::new();
+    bench.read(1);
+    bench.ask(2);
+    bench.input(Input::Stop);
+    let refused = bench.input(Input::Ask { id: RequestId(3), ask: question() });
+    assert!(matches!(answers(&refused, 3)[..], [ToClient::Refused { .. }]));
+    bench.input(Input::StopNow);
+    for id in 1..=3 {
+        assert_eq!(answers(&bench.seen, id).len(), 1, "{id}");
+    }
+    assert_eq!(bench.core.open(), 0);
+}
+
+#[test]
+fn the_same_inputs_give_the_same_outputs() {
+    let play = || {
+        let mut bench = Bench::new();
+        for id in 1..40 {
+            let Some((engine, key)) = bench.ask_if_room(id) else { continue };
+            if id % 3 > 0 {
+                bench.frame(engine, EngineFrame::ReadDone { key, kept: 0, prompt_len: 500, report: None });
+            }
+            if id % 7 == 0 {
+                bench.input(Input::ClientGone(RequestId(id)));
+            }
+        }
+        bench.pass(20 * S);
+        bench.seen
+    };
+    assert_eq!(play(), play());
+}
