--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,5 +1,5 @@
 //! Every decision of the router. The interface (settings, events, actions) is in `src/api.rs`,
-//! the tables are in `src/state.rs`, the reasons at length in `docs/design.md`.
+//! the tables are in `src/state/`, the reasons at length in `docs/design.md`.
 //! Read it along a request's path: asked -> held while all writers look full -> read at its home reader
 //! -> written near that reader -> answered. Then come health, cold servers and the clock.
 
@@ -72,7 +72,8 @@
     usual: [Lagged; 3], // what a warm server of each role is sent, in mean requests a second
     moves: [Mean; 2],   // seconds to the first token of a write, in the reader's cell and out of it
     seen: Seen,
-    told: Told, // what other routers told that they hold
+    told: Told,  // what other routers told that they hold
+    untold: f64, // and what those not heard from may hold at each server
     told_at: Nanos,
     purses: [f64; 2], // what may be spent on messages and on probes, in points of service a request
     averages: Averages,
@@ -130,6 +131,7 @@
             return Vec::new();
         }
         self.averages.news(now, TICK, NEWS_FOR, &mut self.servers, &mut self.told);
+        self.note_untold();
         match event {
             Event::Members { kind, entries } => self.on_members(kind, &entries),
             Event::Request(request) => self.on_request(request),
@@ -170,6 +172,7 @@
         let homes = self.homes(request.prefix);
         self.prompts[request.class.0].add(prompt, GAIN);
         self.answers[request.class.0].add(answer, GAIN);
+        self.note_untold();
         let (id, give_up_at) = (request.id, request.give_up_at);
         let longer = (class.aim_per_token * prompt) as Nanos;
         let aim_at = self.now.saturating_add(class.aim).saturating_add(longer);
@@ -217,7 +220,7 @@
             if !std::mem::replace(&mut fresh, true) {
                 open.clear();
                 for (part, group) in self.waiting.groups() {
-                    if self.may_open(*part, group.easiest()) {
+                    if group.is_single() || self.may_open(*part, group.easiest()) {
                         open.push(Open { part: *part, first: group.after(last), too_much: f64::INFINITY });
                     }
                 }
@@ -260,8 +263,8 @@
         if self.averages.readers.is_empty() || self.set.self_prefill {
             return true;
         }
-        let readers = self.averages.readers.iter().filter_map(|id| self.servers.get(id));
-        let mut readers = readers.filter(|s| !s.full_within(self.now, RECENTLY));
+        let mut readers =
+            self.servers.at(&self.averages.readers).filter(|s| !s.full_within(self.now, RECENTLY));
         readers.any(|s| s.unbegun == 0 || !self.long(s, READ_BASE + wants.unread, wants.aim))
     }
 
@@ -270,11 +273,16 @@
         self.room_for(self.candidates(false, Asker::One(work)), work.need())
     }
 
-    fn room_for(&self, mut writers: Vec<&Server>, need: f64) -> bool {
-        writers.retain(|s| self.has_room(s, need));
-        let free: f64 = writers.iter().map(|s| (FULL_SHARE - self.memory_share(s)) * s.memory).sum();
-        let some = free >= self.works.pledged() + need || writers.iter().any(|s| s.memory <= 0.0);
-        !writers.is_empty() && some
+    fn room_for(&self, writers: Vec<&Server>, need: f64) -> bool {
+        let (mut free, mut some, mut unknown) = (0.0, false, false);
+        for s in writers {
+            let share = self.memory_share(s);
+            if self.fits(s, need, share) {
+                free += (FULL_SHARE - share) * s.memory;
+                (some, unknown) = (true, unknown || s.memory <= 0.0);
+            }
+        }
+        some && (unknown || free >= self.works.pledged() + need)
     }
 
     /// What a reader has to read, with so many tokens more, in tokens at the pace of an even one.
@@ -320,7 +328,10 @@
             return false;
         }
         let Some(work) = self.works.get(&id) else { return true };
-        let mut near = self.candidates(false, Asker::One(work));
+        let near = |s: &&Server| s.cell.is_some() && s.cell == cell;
+        let unheard = self.servers.at(&self.averages.writers).filter(near).any(|s| self.unheard(s));
+        let mut near: Vec<&Server> =
+            if !unheard { Vec::new() } else { self.candidates(false, Asker::One(work)) };
         near.retain(|s| s.cell.is_some() && s.cell == cell);
         near.sort_by_key(|s| work.lot.rank(s.id));
         let near: Vec<ServerId> = near.iter().take(LOOK_WRITERS).map(|s| s.id).collect();
@@ -339,14 +350,19 @@
         least_by(homes, usize::MAX, by(session))
     }
 
+    /// Worth a probe, where probes are allowed.
+    fn unheard(&self, s: &Server) -> bool {
+        self.set.probes && s.asked_at.is_none() && s.heard_at + RECENTLY < self.now
+    }
+
     /// Probes those not heard from lately, as many routers hear too seldom; whether an answer is awaited.
     fn look(&mut self, at: &[ServerId]) -> bool {
-        let (now, price) = (self.now, self.set.probe_price);
-        for id in at.iter().filter(|_| self.set.probes) {
-            let Some(s) = self.servers.get_mut(id) else { continue };
-            if s.asked_at.is_none() && s.heard_at + RECENTLY < now && self.purses[1] >= price {
+        let price = self.set.probe_price;
+        for id in at {
+            let unheard = self.servers.get(id).is_some_and(|s| self.unheard(s));
+            if let Some(s) = self.servers.get_mut(id).filter(|_| unheard && self.purses[1] >= price) {
                 self.purses[1] -= price;
-                s.asked_at = Some(now);
+                s.asked_at = Some(self.now);
                 self.out.push(Action::Probe(*id));
             }
         }
@@ -398,7 +414,11 @@
 
     /// Full: as it reported, as it answered within the last second, or as guessed.
     fn has_room(&self, s: &Server, need: f64) -> bool {
-        let fits = s.memory <= 0.0 || self.memory_share(s) + need / s.memory <= FULL_SHARE || s.held <= 0.0;
+        self.fits(s, need, self.memory_share(s))
+    }
+
+    fn fits(&self, s: &Server, need: f64, share: f64) -> bool {
+        let fits = s.memory <= 0.0 || share + need / s.memory <= FULL_SHARE || s.held <= 0.0;
         let late = s.asked_at.is_some_and(|at| self.now >= at + LOOK_LATE);
         !s.full_within(self.now, RECENTLY) && s.share.is_none_or(|share| share < FULL_SHARE) && !late && fits
     }
@@ -417,12 +437,17 @@
     /// Without any report: what routers told; one not heard from counts as the mean of those known, less
     /// what chance may do: a handful of streams tells little of hundreds of routers. Only for fullness.
     fn told(&self, s: &Server) -> f64 {
+        self.told.all.get(&s.id).map_or(0.0, |t| *t) + self.untold
+    }
+
+    /// The part of that which is the same for all servers; it changes with each event's news and requests.
+    fn note_untold(&mut self) {
         let all = &self.averages;
         let heard = self.told.routers();
         let unheard = (f64::from(self.set.routers) - 1.0 - heard).max(0.0);
         let streams = all.known / (mean(&self.prompts) + mean(&self.answers)).max(1.0);
         let sure = 1.0 - streams.max(1.0).sqrt().recip();
-        self.told.all.get(&s.id).map_or(0.0, |t| *t) + unheard * sure * all.known_mean / (1.0 + heard)
+        self.untold = unheard * sure * all.known_mean / (1.0 + heard);
     }
 
     fn load(&self, s: &Server) -> f64 {
@@ -453,10 +478,9 @@
     /// Servers of one stage that may be sent to now, leaving out ill ones while enough others are left.
     fn candidates(&self, reads: bool, asker: Asker) -> Vec<&Server> {
         let pool = if reads { &self.averages.readers } else { &self.averages.writers };
-        let pool = pool.iter().filter_map(|id| self.servers.get(id));
         let may =
             |s: &&Server| self.cold_budget_allows(s) && asker.work().is_none_or(|w| self.may_go_to(w, s));
-        let open: Vec<&Server> = pool.filter(may).collect();
+        let open: Vec<&Server> = self.servers.at(pool).filter(may).collect();
         let avoid = asker.work().map_or(&[][..], |w| &w.avoid);
         let part = asker.part();
         let well = |s: &&Server| !self.ill(s, part) && !avoid.contains(&s.id);
@@ -639,7 +663,8 @@
     fn rest(&mut self, server: ServerId, part: Option<Part>) {
         let visits = REST_VISITS * self.seen.gap(self.now, SEEN_SPAN) * self.servers.len() as f64;
         let least = (visits as Nanos).clamp(RECENTLY, REST_MOST);
-        self.servers.entry(server).and_modify(|s| s.rest(self.now, part, least, REST_MOST));
+        let s = self.servers.get_mut(&server);
+        s.into_iter().for_each(|s| s.rest(self.now, part, least, REST_MOST));
     }
 
     fn note_health(&mut self, o: &Outcome) {
@@ -729,7 +754,7 @@
         }
         for e in entries {
             let (role, memory) = self.set.kind(e.kind);
-            let s = self.servers.entry(e.server).or_insert_with(|| new_server(e.server, role, memory));
+            let s = self.servers.get_or_insert(e.server, || new_server(e.server, role, memory));
             // Nothing new goes to a draining or gone server from now on: rule 3 with its grace unused.
             s.listed(self.now, e, Key(self.set.seed).draw(e.server));
         }
@@ -740,6 +765,7 @@
             s.home = s.weight * (write / read.max(1e-9)).clamp(1e-3, HOME_MOST);
         }
         self.averages.news(self.now, 0, NEWS_FOR, &mut self.servers, &mut self.told);
+        self.note_untold();
     }
 
     // --- The clock ----------------------------------------------------------------------------------
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,8 +6,10 @@
 };
 use std::collections::BTreeMap;
 
+mod servers;
 mod works;
 
+pub use servers::Servers;
 pub use works::{Held, Turn, Wants, Works};
 
 /// A mean that forgets: each sample counts `gain` of the whole.
@@ -517,8 +519,6 @@
     }
 }
 
-pub type Servers = BTreeMap<ServerId, Server>;
-
 /// What other routers told that they hold, by router and in all.
 #[derive(Clone, Debug, Default)]
 pub struct Told {
@@ -560,9 +560,9 @@
     pub weight: [f64; 3],
     /// Each cell's share of all weight, by role.
     pub cells: BTreeMap<CellId, [f64; 3]>,
-    /// Ready servers that read, and that are asked to write, in the order of their ids.
-    pub readers: Vec<ServerId>,
-    pub writers: Vec<ServerId>,
+    /// Places of ready servers that read, and that are asked to write.
+    pub readers: Vec<usize>,
+    pub writers: Vec<usize>,
     /// By role, of those with fresh news: what others hold, as a share of memory; what others have to read.
     pub others: [Option<f64>; 3],
     pub others_unread: [Option<f64>; 3],
@@ -577,11 +577,9 @@
         self.cells.clear();
         // Mixed servers get states from readers only where there are no writers.
         let split = servers.values().any(|s| s.ready && s.role == Role::Write);
-        let of = |fits: &dyn Fn(&Server) -> bool| {
-            servers.values().filter(|s| s.ready && fits(s)).map(|s| s.id).collect::<Vec<_>>()
-        };
-        self.readers = of(&|s| s.role != Role::Write);
-        self.writers = of(&|s| s.role == if split { Role::Write } else { Role::Both });
+        self.readers = servers.places(|s| s.ready && s.role != Role::Write);
+        let writes = if split { Role::Write } else { Role::Both };
+        self.writers = servers.places(|s| s.ready && s.role == writes);
         for role in [Role::Read, Role::Write, Role::Both] {
             let ready = || servers.values().filter(|s| s.ready && s.role == role);
             self.weight[role as usize] = average(ready().map(|s| s.weight)).unwrap_or(1.0);
--- a/src/state/works.rs
+++ b/src/state/works.rs
@@ -106,6 +106,10 @@
         Wants { need: first(&self.needs), unread: first(&self.unread), aim: last(&self.aims) }
     }
 
+    pub fn is_single(&self) -> bool {
+        self.turns.len() == 1
+    }
+
     fn add(&mut self, turn: Turn, wants: Wants) {
         self.turns.insert(turn, wants);
         // Figures are never negative: their bits are in their order.
