--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,24 @@
+//! A request event at the module, with criterion: `cargo bench --bench decisions`.
+
+mod driver;
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use driver::Day;
+use std::time::Duration;
+
+fn decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("request event");
+    group.sample_size(20);
+    for (count, held) in [(14, 0), (110, 0), (400, 0), (14, 500), (14, 5000)] {
+        let mut day = Day::with_held(count, held);
+        let id = BenchmarkId::from_parameter(format!("{count} engines, {held} held"));
+        // The time until the next request passes in between: only the event itself is measured.
+        group.bench_function(id, |bencher| {
+            bencher.iter_custom(|turns| Duration::from_nanos((0..turns).map(|_| day.turn(count)).sum()));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- /dev/null
+++ b/benches/driver/mod.rs
@@ -0,0 +1,189 @@
+//! A made-up world around one module: engines that answer, requests at even gaps. Shared by the criterion bench and
+//! by `examples/decisions.rs`.
+
+use gaparch::api::*;
+use gaparch::policy::Policy;
+use std::time::Instant;
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1_000 * MS;
+
+fn settings() -> Settings {
+    let class = |aim: Nanos, worth: f64| Class {
+        effect: Effect::Safe,
+        group: Group::All,
+        window: 0,
+        aim,
+        aim_per_token: 50_000.0,
+        deadline: 60 * S,
+        token_aim: 50 * MS,
+        worth,
+        late_worth: 0.1,
+    };
+    Settings {
+        routers: 1,
+        classes: vec![class(40 * S, 1.0), class(50 * S, 3.0)],
+        tenants: vec![Tenant { share: 0.5, quota_per_s: 0.0 }; 3],
+        roles: vec![Role::Read, Role::Write],
+        memory: vec![240_000.0, 130_000.0],
+        release_within: S / 2,
+        cancel: true,
+        probes: true,
+        max_attempts: 5,
+        drain_grace: S / 2,
+        cold_from: 0.28,
+        cold: 14 * S,
+        fall_multiple: 2.5,
+        fall: 2 * S,
+        answer_slack: 8 * MS,
+        probe_price: 0.003,
+        ..Settings::default()
+    }
+}
+
+fn engines(count: u32) -> Vec<Entry> {
+    let entry = |n: u32| Entry {
+        server: ServerId(n.wrapping_mul(2_654_435_761)),
+        zone: Some(ZoneId((n % 3) as usize)),
+        kind: Some(KindId((n % 2) as usize)),
+        cell: Some(CellId(u64::from(n / 5))),
+        state: ServerState::Ready,
+        weight: Some(1.0),
+        ready_at: None,
+    };
+    (1..=count).map(entry).collect()
+}
+
+pub struct Day {
+    policy: Policy,
+    now: Nanos,
+    id: u64,
+    /// Attempts that are answered at the times given.
+    due: std::collections::BTreeMap<(Nanos, u64), Event>,
+    number: u64,
+    attempts: std::collections::HashMap<u64, u32>,
+    overload: bool,
+}
+
+impl Day {
+    /// So many engines, half readers and half writers; in overload their answers never end.
+    fn new(count: u32, overload: bool) -> Day {
+        let mut day = Day {
+            policy: Policy::new(settings()),
+            now: 100 * S,
+            id: 0,
+            due: Default::default(),
+            number: 0,
+            attempts: Default::default(),
+            overload,
+        };
+        day.event(Event::Members { kind: ListKind::Full, entries: engines(count).into() });
+        day
+    }
+
+    fn later(&mut self, after: Nanos, event: Event) {
+        self.number += 1;
+        self.due.insert((self.now + after, self.number), event);
+    }
+
+    fn event(&mut self, event: Event) -> Nanos {
+        let began = Instant::now();
+        let actions = self.policy.handle(self.now, event);
+        let took = began.elapsed().as_nanos() as Nanos;
+        for action in actions {
+            match action {
+                Action::Timer { token, delay } => self.later(delay, Event::Timer(token)),
+                Action::Probe(server) => {
+                    let probed = Event::Probed { server, status: Status::Ok, latency: MS, report: None };
+                    self.later(MS, probed);
+                }
+                Action::Send { id, server, .. } => self.answer(id, server),
+                _ => {}
+            }
+        }
+        took
+    }
+
+    fn answer(&mut self, id: RequestId, server: ServerId) {
+        let no = self.attempts.entry(id.0).or_default();
+        let attempt = AttemptNo(*no);
+        *no += 1;
+        let outcome = |status, latency| {
+            Event::Outcome(Outcome {
+                id,
+                attempt,
+                server,
+                status,
+                latency,
+                closed: status == Status::Ok,
+                note: 0,
+                report: None,
+            })
+        };
+        if attempt.0 == 0 {
+            self.later(30 * MS, outcome(Status::Read, 30 * MS));
+        } else {
+            self.later(20 * MS, Event::First { id, attempt, server, latency: 20 * MS });
+            // In overload the answers last longer than the day: what is held stays held.
+            let length = if self.overload { 3000 * S } else { 2 * S };
+            self.later(length, outcome(Status::Ok, length));
+        }
+    }
+
+    /// Lets time pass, and answers what falls due.
+    fn pass(&mut self, span: Nanos) {
+        let until = self.now + span;
+        while let Some(entry) = self.due.first_entry().filter(|e| e.key().0 <= until) {
+            self.now = entry.key().0;
+            let event = entry.remove();
+            self.event(event);
+        }
+        self.now = until;
+    }
+
+    /// One request; the nanoseconds that the module took.
+    fn ask(&mut self) -> Nanos {
+        self.id += 1;
+        let mixed = self.id.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let class = ClassId((mixed >> 60) as usize % 2);
+        let request = Request {
+            id: RequestId(self.id),
+            class,
+            tenant: Some(TenantId((mixed >> 56) as usize % 3)),
+            session: Some(Key(mixed % 5000)),
+            prefix: (mixed % 4 > 0).then_some(Key(mixed % 50)),
+            prompt_len: 500.0 + (mixed >> 40) as f64 % 2000.0,
+            prefix_len: 300.0,
+            max_out: 400.0,
+            hint: Some(3 * S + (mixed >> 33) % S),
+            give_up_at: self.now + 60 * S,
+            retry: false,
+            again: false,
+        };
+        self.event(Event::Request(request))
+    }
+}
+
+impl Day {
+    /// A day on which so many requests are held; with none, one at light load.
+    pub fn with_held(count: u32, held: usize) -> Day {
+        let mut day = Day::new(count, held > 0);
+        if held > 0 {
+            // Fills the writers and then what is held.
+            for n in 0..count as usize / 2 * 140 + held {
+                day.ask();
+                if n % 8 == 0 {
+                    day.pass(MS);
+                }
+            }
+        }
+        day
+    }
+
+    /// One request and the time until the next one.
+    pub fn turn(&mut self, count: u32) -> Nanos {
+        let took = self.ask();
+        self.pass(if self.overload { MS / 2 } else { 40 * MS * 14 / Nanos::from(count) });
+        took
+    }
+}
--- a/crates/gaparch-cli/src/commands/engine.rs
+++ b/crates/gaparch-cli/src/commands/engine.rs
@@ -39,6 +39,12 @@
     /// Prompt tokens read a second
     #[arg(long)]
     read_rate: Option<f64>,
+    /// Requests in work at once
+    #[arg(long)]
+    slots: Option<usize>,
+    /// Milliseconds of a step of work, in which each answer grows by a token
+    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=60_000))]
+    step_ms: Option<u64>,
     /// Begin warm, as if it had been running for long
     #[arg(long)]
     warm: bool,
@@ -64,6 +70,9 @@
     };
     let spec = EngineSpec {
         memory: options.memory.unwrap_or(spec.memory),
+        slots: options.slots.unwrap_or(spec.slots),
+        step: options.step_ms.map_or(spec.step, |ms| ms * 1_000_000),
+        step_per_answer: if options.step_ms.is_some() { 0 } else { spec.step_per_answer },
         read_rate: options.read_rate.unwrap_or(spec.read_rate).max(1.0),
         ..spec
     };
