--- a/crates/gaparch-cli/src/logging.rs
+++ b/crates/gaparch-cli/src/logging.rs
@@ -1,6 +1,7 @@
 //! Structured logs on standard error.
 
 use clap::{Args, ValueEnum};
+use std::io::IsTerminal;
 use tracing_subscriber::EnvFilter;
 
 #[derive(Debug, Args)]
@@ -24,7 +25,9 @@
         eprintln!("gaparch: --log: {error}; logging warnings");
         EnvFilter::new("warn")
     });
-    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let colours = std::io::stderr().is_terminal() && std::env::var_os("NO_COLOR").is_none();
+    let logs =
+        tracing_subscriber::fmt().with_env_filter(filter).with_ansi(colours).with_writer(std::io::stderr);
     match options.log_format {
         Format::Text => logs.init(),
         Format::Json => logs.json().init(),
--- a/crates/gaparch-router/src/shell/owner.rs
+++ b/crates/gaparch-router/src/shell/owner.rs
@@ -20,8 +20,9 @@
 /// Frames that wait for one engine; past it its connection is closed.
 const ENGINE_OUTBOX: usize = 16_384;
 const LIST_INBOX: usize = 64;
-/// Taken in one round, so that no kind of input starves another or the timers.
-const ENGINE_BATCH: usize = 64;
+/// Taken in one round, so that no kind of input starves another or the timers. A batch of an engine may hold some
+/// hundred frames: ten thousand streams that step at once kept the owner busy for 83 ms with 64 of them.
+const ENGINE_BATCH: usize = 4;
 const REQUEST_BATCH: usize = 32;
 const GONE_BATCH: usize = 64;
 
