--- a/crates/gaparch-lab/src/plain_relay.rs
+++ b/crates/gaparch-lab/src/plain_relay.rs
@@ -22,6 +22,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -29,6 +30,9 @@
 /// Frames that wait for one request or one engine; past it they are lost, as this is no real relay.
 const WAITING: usize = 65_536;
 
+/// For an engine that takes no bytes.
+const WRITE_WITHIN: Duration = Duration::from_secs(5);
+
 type Waiting = Arc<Mutex<HashMap<AttemptKey, mpsc::Sender<EngineFrame>>>>;
 
 struct Engine {
@@ -43,7 +47,7 @@
         socket.set_nodelay(true)?;
         let (read_half, mut write_half) = socket.into_split();
         let (frames, mut outbox) = mpsc::channel(WAITING);
-        tokio::spawn(async move { write_frames(&mut write_half, &mut outbox).await });
+        tokio::spawn(async move { write_frames(&mut write_half, &mut outbox, WRITE_WITHIN).await });
         let waiting = Waiting::default();
         let found = Arc::clone(&waiting);
         tokio::spawn(async move {
--- a/crates/gaparch-net/src/framed.rs
+++ b/crates/gaparch-net/src/framed.rs
@@ -4,9 +4,11 @@
 use gaparch_protocol::frame::{encode, Frame};
 use gaparch_protocol::{FrameDecoder, FrameError};
 use std::io;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 /// Room that is made for one read.
 const READ_ROOM: usize = 16 * 1024;
@@ -81,16 +83,17 @@
 /// Writes what comes through a channel until it is closed, as many frames with one call as there are.
 ///
 /// # Errors
-/// What the socket said.
+/// What the socket said, or that it took no bytes for as long as `within`.
 pub async fn write_frames<F: Frame, W: AsyncWrite + Unpin>(
     socket: &mut W,
     frames: &mut mpsc::Receiver<F>,
+    within: Duration,
 ) -> io::Result<()> {
     let mut waiting = Vec::with_capacity(BATCH);
     let mut bytes = BytesMut::new();
     while frames.recv_many(&mut waiting, BATCH).await > 0 {
         waiting.drain(..).for_each(|frame| encode(&frame, &mut bytes));
-        socket.write_all(&bytes).await?;
+        timeout(within, socket.write_all(&bytes)).await.map_err(|_| io::ErrorKind::TimedOut)??;
         bytes.clear();
         if bytes.capacity() > KEEP {
             bytes = BytesMut::new();
--- a/crates/gaparch-protocol/src/client/builtin.rs
+++ b/crates/gaparch-protocol/src/client/builtin.rs
@@ -1,6 +1,6 @@
 //! The two dialects that need no settings.
 
-use super::dialect::{optional_path, Dialect, DialectParts, EventKind, EventShape, Field, RequestField};
+use super::dialect::{Dialect, DialectParts, EventKind, EventShape, Field, Path, RequestField};
 use super::dialect::{Source, Value, Word};
 use serde_json::Value as Json;
 
@@ -188,7 +188,7 @@
             Is(value) => Source::Value(*value),
             Fixed(json) => Source::Fixed(serde_json::from_str(json).unwrap_or(Json::Null)),
         };
-        Some(Field { path: optional_path(path)?, source })
+        Some(Field { path: Path::parse(path)?, source })
     };
     let shape =
         |row: &Row| EventShape { name: row.1.to_owned(), fields: row.2.iter().filter_map(field).collect() };
@@ -196,7 +196,7 @@
         name: name.to_owned(),
         events: rows.iter().map(|row| (row.0, shape(row))).collect(),
         words: words.iter().map(|(word, text)| (*word, (*text).to_owned())).collect(),
-        request: request_paths(extras).filter_map(|(f, p)| Some((f, optional_path(&p)?))).collect(),
+        request: request_paths(extras).filter_map(|(f, p)| Some((f, Path::parse(&p)?))).collect(),
     }
 }
 
--- a/crates/gaparch-protocol/src/client/dialect.rs
+++ b/crates/gaparch-protocol/src/client/dialect.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use thiserror::Error;
 use winnow::ascii::digit1;
-use winnow::combinator::{alt, delimited, opt, preceded, repeat};
+use winnow::combinator::{alt, delimited, preceded, repeat};
 use winnow::token::take_while;
 use winnow::{ModalResult, Parser};
 
@@ -700,8 +700,3 @@
         out.put_slice(Json::String(text.to_owned()).to_string().as_bytes());
     }
 }
-
-/// For [`Path`]s of the built-in tables, and a field that a table gives no path.
-pub(super) fn optional_path(text: &str) -> Option<Path> {
-    opt(path).parse(text).ok().flatten().map(Path)
-}
--- a/crates/gaparch-protocol/tests/codecs.rs
+++ b/crates/gaparch-protocol/tests/codecs.rs
@@ -184,7 +184,9 @@
         let mut bytes = encoded(std::slice::from_ref(&frame));
         let at = at % bytes.len();
         bytes[at] ^= 0x55;
-        let _ = decode_cut::<EngineFrame>(&bytes, &[7]);
+        // Every code of a later version means the same.
+        let unknown = matches!(frame, EngineFrame::Outcome { status: Status::Unknown, .. });
+        prop_assert!(unknown || decode_cut::<EngineFrame>(&bytes, &[7]) != Ok(vec![frame]));
     }
 
     #[test]
--- a/crates/gaparch-router/src/shell/engine.rs
+++ b/crates/gaparch-router/src/shell/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::core::ConnNo;
 use gaparch::api::{Nanos, ServerId};
-use gaparch_net::{FrameReader, ReadError};
+use gaparch_net::{write_frames, FrameReader, ReadError};
 use gaparch_protocol::engine::{EngineFacts, EngineFrame, Peer, RouterRun, VERSION};
 use gaparch_protocol::frame::encode;
 use std::time::Duration;
@@ -12,9 +12,6 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-/// Frames written with one call.
-const BATCH: usize = 128;
-
 pub(super) struct Plan {
     pub engine: ServerId,
     pub conn: ConnNo,
@@ -113,17 +110,9 @@
     frames: &mut mpsc::Receiver<EngineFrame>,
     within: Duration,
 ) -> String {
-    let mut waiting = Vec::with_capacity(BATCH);
-    let mut bytes = bytes::BytesMut::new();
-    while frames.recv_many(&mut waiting, BATCH).await > 0 {
-        bytes.clear();
-        waiting.drain(..).for_each(|frame| encode(&frame, &mut bytes));
-        match timeout(within, writer.write_all(&bytes)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(error)) => return error.to_string(),
-            Err(_) => return "it takes no bytes".to_owned(),
-        }
+    match write_frames(writer, frames, within).await {
+        Ok(()) => "closed by the router".to_owned(),
+        Err(error) if error.kind() == std::io::ErrorKind::TimedOut => "it takes no bytes".to_owned(),
+        Err(error) => error.to_string(),
     }
-    let _ = writer.shutdown().await;
-    "closed by the router".to_owned()
 }
