--- /dev/null
+++ b/crates/gaparch-cli/src/commands/ctl/mod.rs
@@ -0,0 +1,379 @@
+//! `gaparch ctl`: all that the console does, for scripts.
+
+mod show;
+mod table;
+
+use crate::Outcome;
+use clap::{Args, Subcommand, ValueEnum};
+use gaparch_config::KeySource;
+use gaparch_net::{Credentials, Incoming, OpsClient, OpsError, Place};
+use gaparch_ops::limits::OPEN_REQUESTS;
+use gaparch_protocol::ops::ending::{Cause, EndKind, EndingFilter, RequestName, WaitedFor};
+use gaparch_protocol::ops::intent::{Change, Hold};
+use gaparch_protocol::ops::{Answer, DenyCode, OpsRole, Order, Query};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The order was denied, and nothing was changed.
+const DENIED: u8 = 3;
+/// It is in force, but a restart would forget it.
+const NOT_KEPT: u8 = 4;
+/// There is nothing of that name.
+const NOTHING: u8 = 5;
+
+/// Where the router is, and who asks.
+#[derive(Clone, Debug, Args)]
+pub struct Target {
+    /// The router's settings file, which says where its operators come in
+    #[arg(long, default_value = "gaparch.xml", env = "GAPARCH_SETTINGS")]
+    settings: PathBuf,
+    /// The router's local socket, instead of the settings'
+    #[arg(long, env = "GAPARCH_SOCKET", conflicts_with = "address")]
+    socket: Option<PathBuf>,
+    /// The router's operations address, instead of the settings'
+    #[arg(long)]
+    address: Option<SocketAddr>,
+    /// A file whose first line is the key
+    #[arg(long)]
+    key_file: Option<PathBuf>,
+    /// Who asks, where no key says it
+    #[arg(long, env = "USER", default_value = "someone")]
+    who: String,
+    /// Look only
+    #[arg(long)]
+    watch_only: bool,
+}
+
+impl Target {
+    /// The place and the credentials.
+    pub fn resolve(&self) -> Result<(Place, Credentials), String> {
+        let mut key = match &self.key_file {
+            Some(file) => {
+                let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+                Some(text.lines().next().unwrap_or_default().trim().to_owned())
+            }
+            None => None,
+        };
+        let place = match (&self.socket, self.address) {
+            (Some(socket), _) => Place::Socket(socket.clone()),
+            (None, Some(address)) => Place::Address(address),
+            (None, None) => {
+                let config = super::settings(&self.settings)?;
+                let file = self.settings.display();
+                let operations = config.operations.ok_or(format!("{file}: has no <operations>"))?;
+                match (operations.socket, operations.address) {
+                    (Some(socket), _) => Place::Socket(socket),
+                    (None, Some(address)) => {
+                        let first = operations.operators.first().map(|o| &o.key);
+                        key = key.or(match first {
+                            Some(KeySource::Text(key)) => Some(key.clone()),
+                            Some(KeySource::File(file)) => std::fs::read_to_string(file)
+                                .ok()
+                                .and_then(|t| t.lines().next().map(|l| l.trim().to_owned())),
+                            None => None,
+                        });
+                        Place::Address(address)
+                    }
+                    (None, None) => return Err(format!("{file}: <operations> has no socket and no address")),
+                }
+            }
+        };
+        let role = if self.watch_only { OpsRole::Watch } else { OpsRole::Change };
+        Ok((place, Credentials { key, role, who: self.who.clone() }))
+    }
+
+    pub async fn connect(&self) -> Result<OpsClient, String> {
+        let (place, credentials) = self.resolve()?;
+        OpsClient::connect(&place, &credentials).await.map_err(|e| e.to_string())
+    }
+}
+
+#[derive(Debug, Args)]
+pub struct Options {
+    #[command(flatten)]
+    target: Target,
+    /// JSON instead of tables
+    #[arg(long, global = true)]
+    json: bool,
+    #[command(subcommand)]
+    command: Command,
+}
+
+/// Why, for whoever reads it in the morning.
+#[derive(Clone, Debug, Args)]
+struct Reason {
+    /// Why, for whoever reads it in the morning
+    #[arg(long)]
+    why: String,
+    /// Only if nobody has changed it since this revision
+    #[arg(long)]
+    if_revision: Option<u64>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// How all stands
+    Status,
+    /// The engines, and why one is avoided
+    Engines,
+    /// Give an engine nothing new
+    Drain {
+        engine: String,
+        #[command(flatten)]
+        reason: Reason,
+        /// Even if it is the last of its role
+        #[arg(long)]
+        force: bool,
+    },
+    /// Treat an engine as if it were not listed
+    Aside {
+        engine: String,
+        #[command(flatten)]
+        reason: Reason,
+        /// Even if it is the last of its role
+        #[arg(long)]
+        force: bool,
+    },
+    /// Make an engine what the list says again
+    Undrain {
+        engine: String,
+        #[command(flatten)]
+        reason: Reason,
+    },
+    /// Refuse all new requests
+    Pause {
+        #[command(flatten)]
+        reason: Reason,
+    },
+    /// Take new requests again
+    Resume {
+        #[command(flatten)]
+        reason: Reason,
+    },
+    /// The limits that can be changed
+    Limits,
+    /// Change a limit, or set it to what the settings say
+    Limit {
+        name: String,
+        /// A number, or `default`
+        value: String,
+        #[command(flatten)]
+        reason: Reason,
+    },
+    /// What operators have ordered and is in force
+    Intents,
+    /// Requests that were not served, grouped by why
+    Refusals(Filter),
+    /// The story of one request
+    Why {
+        /// As in the answer's x-gaparch-request-id header
+        request: RequestName,
+    },
+    /// Open requests, and those that ended last
+    Live {
+        #[arg(long, default_value_t = 50)]
+        most: u32,
+    },
+    /// What happened
+    Events {
+        /// Of one engine
+        #[arg(long)]
+        engine: Option<String>,
+        /// From so long ago, as 90s, 30m or 12h
+        #[arg(long, default_value = "24h")]
+        since: String,
+        #[arg(long, default_value_t = 200)]
+        most: u32,
+    },
+    /// One engine: how it stands and what happened to it
+    History { engine: String },
+    /// Follow what happens, a line each, until interrupted
+    Follow,
+    /// Stop the router in good order
+    Stop {
+        #[arg(long, default_value = "")]
+        why: String,
+    },
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Kind {
+    Refused,
+    Failed,
+    Left,
+}
+
+#[derive(Clone, Debug, Args)]
+struct Filter {
+    #[arg(long)]
+    kind: Option<Kind>,
+    /// A reason, as in the tables
+    #[arg(long)]
+    cause: Option<String>,
+    /// What it waited for, as in the tables
+    #[arg(long)]
+    waited_for: Option<String>,
+    #[arg(long)]
+    class: Option<String>,
+    #[arg(long)]
+    tenant: Option<String>,
+    /// It was sent there, or that engine was avoided then
+    #[arg(long)]
+    engine: Option<String>,
+    /// From so long ago, as 90s, 30m or 12h
+    #[arg(long)]
+    since: Option<String>,
+    /// One by one instead of grouped
+    #[arg(long)]
+    list: bool,
+    #[arg(long, default_value_t = 100)]
+    most: u32,
+}
+
+/// Nanoseconds since the Unix epoch.
+fn now() -> u64 {
+    gaparch_net::Clock::default().now()
+}
+
+fn since(text: &str) -> Result<u64, String> {
+    let span: gaparch_config::Span =
+        text.parse().map_err(|_| format!("--since: '{text}' is no span of time: try 30m"))?;
+    Ok(now().saturating_sub(span.0))
+}
+
+fn known<T: Copy>(
+    what: &str,
+    word: &Option<String>,
+    parse: fn(&str) -> Option<T>,
+    all: &[T],
+    name: fn(T) -> &'static str,
+) -> Result<Option<T>, String> {
+    let Some(word) = word else { return Ok(None) };
+    let words = || all.iter().map(|one| name(*one)).collect::<Vec<_>>().join(", ");
+    parse(word).map(Some).ok_or_else(|| format!("--{what}: '{word}' is none of {}", words()))
+}
+
+impl Filter {
+    fn wanted(&self) -> Result<EndingFilter, String> {
+        Ok(EndingFilter {
+            kind: self.kind.map(|kind| match kind {
+                Kind::Refused => EndKind::Refused,
+                Kind::Failed => EndKind::Failed,
+                Kind::Left => EndKind::Left,
+            }),
+            cause: known("cause", &self.cause, Cause::from_word, Cause::ALL, Cause::word)?,
+            waited_for: known(
+                "waited-for",
+                &self.waited_for,
+                WaitedFor::from_word,
+                WaitedFor::ALL,
+                WaitedFor::word,
+            )?,
+            class: self.class.clone(),
+            tenant: self.tenant.clone(),
+            engine: self.engine.clone(),
+            since: self.since.as_deref().map(since).transpose()?,
+            until: None,
+            most: self.most,
+        })
+    }
+}
+
+fn order(change: Change, reason: &Reason, force: bool) -> Query {
+    let order = Order { change, why: reason.why.clone(), force, revision: reason.if_revision };
+    Query::Order { order }
+}
+
+fn query(command: &Command) -> Result<Query, String> {
+    let hold = |engine: &String, hold| Change::Hold { engine: engine.clone(), hold };
+    Ok(match command {
+        Command::Status | Command::Engines | Command::Follow => Query::Snapshot {},
+        Command::Drain { engine, reason, force } => order(hold(engine, Hold::Drain), reason, *force),
+        Command::Aside { engine, reason, force } => order(hold(engine, Hold::Aside), reason, *force),
+        Command::Undrain { engine, reason } => order(Change::Free { engine: engine.clone() }, reason, false),
+        Command::Pause { reason } => order(Change::Pause {}, reason, false),
+        Command::Resume { reason } => order(Change::Resume {}, reason, false),
+        Command::Limits => Query::Limits {},
+        Command::Limit { name, value, reason } => {
+            let value = match value.as_str() {
+                "default" => None,
+                number => Some(number.parse().map_err(|_| {
+                    format!("'{number}' is neither a number nor `default`; limits are {OPEN_REQUESTS} and others: see `gaparch ctl limits`")
+                })?),
+            };
+            order(Change::Limit { name: name.clone(), value }, reason, false)
+        }
+        Command::Intents => Query::Intents {},
+        Command::Refusals(filter) if filter.list => Query::Endings { filter: filter.wanted()? },
+        Command::Refusals(filter) => Query::Groups { filter: filter.wanted()? },
+        Command::Why { request } => Query::Story { request: *request },
+        Command::Live { most } => Query::Live { most: *most },
+        Command::Events { engine, since: from, most } => {
+            Query::Events { engine: engine.clone(), since: since(from)?, most: *most }
+        }
+        Command::History { engine } => Query::Events { engine: Some(engine.clone()), since: 0, most: 200 },
+        Command::Stop { why } => {
+            let reason = Reason { why: why.clone(), if_revision: None };
+            order(Change::Stop {}, &reason, false)
+        }
+    })
+}
+
+pub async fn run(options: Options) -> Outcome {
+    let query = query(&options.command)?;
+    let mut client = options.target.connect().await?;
+    if let Command::Follow = options.command {
+        return follow(&mut client, options.json).await;
+    }
+    let mut answer = client.ask(query).await?;
+    if let Command::History { engine } = &options.command {
+        let Answer::Snapshot { snapshot } = client.ask(Query::Snapshot {}).await? else {
+            return Err(OpsError::Protocol.into());
+        };
+        if let Some(view) = snapshot.engines.iter().find(|e| e.name == *engine) {
+            print!("{}", show::engine(view, &snapshot));
+        } else if matches!(&answer, Answer::Events { events } if events.is_empty()) {
+            let message = format!("there is no engine '{engine}'");
+            answer = Answer::Denied { code: DenyCode::Unknown, message };
+        }
+    }
+    let code = code(&answer);
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(&answer)?);
+    } else if let Answer::Denied { message, .. } = &answer {
+        eprintln!("gaparch: {message}");
+    } else {
+        let engines = matches!(options.command, Command::Engines);
+        print!("{}", show::answer(&answer, now(), engines));
+    }
+    Ok(code)
+}
+
+fn code(answer: &Answer) -> ExitCode {
+    match answer {
+        Answer::Denied { code: DenyCode::NotKept, .. } => ExitCode::from(NOT_KEPT),
+        Answer::Denied { .. } => ExitCode::from(DENIED),
+        Answer::Story { ending: None, live: None } => ExitCode::from(NOTHING),
+        _ => ExitCode::SUCCESS,
+    }
+}
+
+async fn follow(client: &mut OpsClient, json: bool) -> Outcome {
+    client.put(Query::Subscribe {}).await?;
+    let stop = super::asked_to_stop();
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            _ = &mut stop => return Ok(ExitCode::SUCCESS),
+            came = client.next() => {
+                if let Incoming::Update(update) = came? {
+                    match json {
+                        true => println!("{}", serde_json::to_string(&update)?),
+                        false => print!("{}", show::update(&update, now())),
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gaparch-cli/src/commands/ctl/show.rs
@@ -0,0 +1,219 @@
+//! Answers as text.
+
+use super::table::Table;
+use gaparch_console::words;
+use gaparch_protocol::ops::ending::Ending;
+use gaparch_protocol::ops::view::{EngineView, Happening, LiveView, Snapshot};
+use gaparch_protocol::ops::{Answer, Update};
+
+/// An answer as tables; of a snapshot the engines alone if that is what was asked for.
+pub fn answer(answer: &Answer, now: u64, engines_only: bool) -> String {
+    match answer {
+        Answer::Snapshot { snapshot } if engines_only => engines(snapshot),
+        Answer::Snapshot { snapshot } => status(snapshot, now),
+        Answer::Done { revision, effect } => format!("{effect} (kept as change {revision})\n"),
+        Answer::Denied { message, .. } => format!("{message}\n"),
+        Answer::Groups { groups, total } => {
+            let mut table = Table::new(&[
+                "count",
+                "kind",
+                "cause",
+                "waited for",
+                "class",
+                "tenant",
+                "last",
+                "came back",
+                "served then",
+                "example",
+            ]);
+            for g in groups {
+                table.row(vec![
+                    g.count.to_string(),
+                    g.kind.to_string(),
+                    g.cause.to_string(),
+                    g.waited_for.map_or("-", |w| w.word()).to_owned(),
+                    g.class.clone(),
+                    or_dash(&g.tenant),
+                    words::time(g.last_at, now),
+                    g.came_back.to_string(),
+                    g.served_then.to_string(),
+                    g.example.to_string(),
+                ]);
+            }
+            format!("{total} requests were not served, as far as they are kept\n{table}")
+        }
+        Answer::Endings { endings, total } => {
+            let mut table = Table::new(&["request", "at", "kind", "class", "tenant", "why"]);
+            endings.iter().for_each(|e| table.row(ending_row(e, now)));
+            format!("{table}{} of {total}\n", endings.len())
+        }
+        Answer::Story { ending: Some(ending), .. } => words::story(ending, now).join("\n") + "\n",
+        Answer::Story { live: Some(live), .. } => live_table(std::slice::from_ref(live), now),
+        Answer::Story { .. } => {
+            "nothing is known of that request: it is not open, and either was served some time ago, \
+             or is too old to be kept\n"
+                .to_owned()
+        }
+        Answer::Live { live, total } => format!("{}{} of {total}\n", live_table(live, now), live.len()),
+        Answer::Events { events } => events.iter().map(|e| event(e, now)).collect(),
+        Answer::Limits { limits } => {
+            let mut table = Table::new(&["limit", "now", "by settings", "from", "to", "unit"]);
+            for l in limits {
+                let figures = [l.value, l.by_settings, l.least, l.most].map(|f| f.to_string());
+                let mut row = vec![l.name.clone()];
+                row.extend(figures);
+                row.push(l.unit.clone());
+                table.row(row);
+            }
+            table.to_string()
+        }
+        Answer::Intents { intents } => {
+            let mut table = Table::new(&["change", "what", "by", "at", "kept", "why"]);
+            for i in intents {
+                table.row(vec![
+                    i.revision.to_string(),
+                    words::subject(&i.subject),
+                    i.note.who.clone(),
+                    words::time(i.note.at, now),
+                    if i.kept { "yes" } else { "NO" }.to_owned(),
+                    i.note.why.clone(),
+                ]);
+            }
+            if intents.is_empty() {
+                "no operator has ordered anything\n".to_owned()
+            } else {
+                table.to_string()
+            }
+        }
+        Answer::Subscribed {} | Answer::Unsubscribed {} => String::new(),
+    }
+}
+
+fn or_dash(text: &str) -> String {
+    if text.is_empty() {
+        "-".to_owned()
+    } else {
+        text.to_owned()
+    }
+}
+
+fn ending_row(e: &Ending, now: u64) -> Vec<String> {
+    vec![
+        e.request.to_string(),
+        words::time(e.ended_at, now),
+        e.kind.to_string(),
+        e.class.clone(),
+        or_dash(&e.tenant),
+        words::cause(e.cause, e.waited_for),
+    ]
+}
+
+fn status(s: &Snapshot, now: u64) -> String {
+    let f = &s.figures;
+    let mut text = format!(
+        "router {}, up {}{}\n{} held, {} reading, {} read, {} writing, {} streaming\n\
+         {} requests: {} served ({} in time), {} refused, {} failed, {} left\n",
+        s.router,
+        words::ago(s.began_at, now),
+        if f.paused { "; INTAKE PAUSED" } else { "" },
+        f.held,
+        f.reading,
+        f.read,
+        f.writing,
+        f.streaming,
+        f.requests,
+        f.served,
+        f.in_time,
+        f.refused,
+        f.failed,
+        f.left
+    );
+    if !s.not_kept.is_empty() {
+        text.push_str(&format!("NOT KEPT ON DISK: {}\n", s.not_kept));
+    }
+    text + &engines(s)
+}
+
+fn engines(s: &Snapshot) -> String {
+    let mut table = Table::new(&[
+        "engine",
+        "role",
+        "place",
+        "state",
+        "link",
+        "waiting",
+        "streaming",
+        "memory",
+        "pace",
+        "failed",
+        "avoided",
+    ]);
+    for e in &s.engines {
+        table.row(vec![
+            e.name.clone(),
+            e.role.to_string(),
+            format!("{}/{}", e.zone, e.rack),
+            words::state(e, &s.intents),
+            if e.connected { "up" } else { "down" }.to_owned(),
+            e.waiting.to_string(),
+            e.streaming.to_string(),
+            words::percent(e.memory),
+            format!("{:.1}", e.pace),
+            format!("{}/{}", e.failed, e.attempts),
+            or_dash(&words::avoided(e)),
+        ]);
+    }
+    table.to_string()
+}
+
+/// One engine at length.
+pub fn engine(e: &EngineView, s: &Snapshot) -> String {
+    format!(
+        "{} ({}, {}/{}, {}): {}, by the list {}; {}\n{} attempts, {} failed, {} called off; last heard {} ago\n",
+        e.name,
+        e.role,
+        e.zone,
+        e.rack,
+        e.address,
+        words::state(e, &s.intents),
+        e.listed,
+        or_dash(&words::avoided(e)),
+        e.attempts,
+        e.failed,
+        e.called_off,
+        words::ago(e.heard_at, s.figures.at)
+    )
+}
+
+fn live_table(live: &[LiveView], now: u64) -> String {
+    let mut table = Table::new(&["request", "asked", "class", "tenant", "phase", "engine", "tokens", "took"]);
+    for l in live {
+        table.row(vec![
+            l.request.to_string(),
+            words::time(l.asked_at, now),
+            l.class.clone(),
+            or_dash(&l.tenant),
+            l.kind.map_or(l.phase.word(), |k| k.word()).to_owned(),
+            or_dash(&l.engine),
+            l.tokens.to_string(),
+            words::micros(l.took_us),
+        ]);
+    }
+    table.to_string()
+}
+
+fn event(e: &Happening, now: u64) -> String {
+    let engine = e.engine.as_deref().unwrap_or("-");
+    format!("{}  {:<7}  {engine:<12}  {}\n", words::time(e.at, now), words::severity(e.severity), e.text)
+}
+
+/// An update as lines; figures alone are not worth one.
+pub fn update(update: &Update, now: u64) -> String {
+    match update {
+        Update::Figures { .. } | Update::Engines { .. } | Update::Intents { .. } => String::new(),
+        Update::Happened { event: e } => event(e, now),
+        Update::Ended { ending } => ending_row(ending, now).join("  ") + "\n",
+        Update::Missed { updates } => format!("{updates} updates were missed\n"),
+        Update::Fresh { snapshot } => status(snapshot, now),
+    }
+}
--- a/crates/gaparch-cli/src/commands/mod.rs
+++ b/crates/gaparch-cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod badday;
 pub mod check;
+pub mod ctl;
 pub mod engine;
 pub mod list;
 pub mod load;
@@ -16,10 +17,13 @@
 pub fn settings(file: &Path) -> Result<Config, String> {
     let name = file.display();
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
-    Config::parse(&text).map_err(|problems| {
+    let mut config = Config::parse(&text).map_err(|problems| {
         let lines: Vec<String> = problems.iter().map(|p| format!("{name}: {p}")).collect();
         lines.join("\n")
-    })
+    })?;
+    let folder = file.parent().unwrap_or(Path::new(""));
+    config.operations = config.operations.map(|operations| operations.at(folder));
+    Ok(config)
 }
 
 /// Waits for Ctrl-C or SIGTERM.
--- a/crates/gaparch-cli/src/commands/serve.rs
+++ b/crates/gaparch-cli/src/commands/serve.rs
@@ -22,12 +22,19 @@
     for address in router.addresses() {
         println!("gaparch: {name} listens at http://{address}");
     }
+    if let Some(socket) = router.operations_socket() {
+        println!("gaparch: {name} is operated at {}", socket.display());
+    }
+    if let Some(address) = router.operations_address() {
+        println!("gaparch: {name} is operated at {address}");
+    }
     let mut looks = tokio::time::interval(LOOK_EVERY);
     let stop = super::asked_to_stop();
     tokio::pin!(stop);
     let why = loop {
         tokio::select! {
             why = &mut stop => break why?,
+            () = router.asked_to_stop() => break "stopped by an operator",
             _ = looks.tick() => {
                 let lag = router.lag();
                 if lag.late > 0 {
--- a/crates/gaparch-cli/src/main.rs
+++ b/crates/gaparch-cli/src/main.rs
@@ -26,6 +26,8 @@
     List(commands::list::Options),
     /// Check a settings file and name every mistake in it
     Check(commands::check::Options),
+    /// Look at a running router and change what it does, for scripts
+    Ctl(commands::ctl::Options),
     /// Start a small site on loopback, ask it one question and show the events as they come
     Try(commands::try_out::Options),
     /// Put load on a router and print what came of it
@@ -57,6 +59,7 @@
         Command::Engine(options) => commands::engine::run(options).await,
         Command::List(options) => commands::list::run(options).await,
         Command::Check(options) => commands::check::run(&options),
+        Command::Ctl(options) => commands::ctl::run(options).await,
         Command::Try(options) => commands::try_out::run(options).await,
         Command::Load(options) => commands::load::run(options).await,
         Command::Badday(options) => commands::badday::run(options).await,
--- a/crates/gaparch-config/src/check.rs
+++ b/crates/gaparch-config/src/check.rs
@@ -1,8 +1,8 @@
 //! What a schema can't say: names that must be known or unique, times that can't be kept.
 
 use crate::config::{
-    module_settings, server_id, Attempts, ClassTimes, Config, EngineConfig, Limits, ListConfig, Listener,
-    Names,
+    module_settings, server_id, Attempts, ClassTimes, Config, EngineConfig, KeySource, Limits, ListConfig,
+    Listener, Names, Operations, Operator,
 };
 use crate::document::{Node, Problem};
 use crate::raw;
@@ -70,6 +70,7 @@
         if raw.attempts.reconnect_after > raw.attempts.reconnect_most || raw.attempts.reconnect_after.0 == 0 {
             self.wrong("attempts", 0, "reconnect-after", "must be above 0 and at most reconnect-most");
         }
+        let operations = raw.operations.as_ref().map(|o| self.operations(o));
         let default = raw.classes.class.iter().position(|c| c.default);
         Some(Config {
             router: raw.router.name.clone(),
@@ -92,9 +93,52 @@
                 reconnect_most: raw.attempts.reconnect_most.0,
             },
             limits,
+            operations,
         })
     }
 
+    fn operations(&mut self, raw: &raw::Operations) -> Operations {
+        let address = raw.address.as_ref().and_then(|a| self.address("operations", 0, a));
+        if let Some(outside) = address.filter(|a| !a.ip().is_loopback()) {
+            let message = format!("{} is not on loopback: what is said there is not encrypted", outside.ip());
+            self.wrong("operations", 0, "address", message);
+        }
+        if raw.socket.is_none() && raw.address.is_none() {
+            self.wrong("operations", 0, "socket", "neither a socket nor an address: nobody could come in");
+        }
+        if raw.address.is_some() && raw.operator.is_empty() {
+            self.wrong("operations", 0, "address", "an address wants an <operator> with a key");
+        }
+        for (name, bytes) in [("history", raw.history.0), ("refusals", raw.refusals.0)] {
+            if bytes < 1 << 20 {
+                self.wrong("operations", 0, name, "1MiB at least");
+            }
+        }
+        self.unique("operator", "name", raw.operator.iter().map(|o| o.name.as_str()));
+        let mut operators = Vec::new();
+        for (n, operator) in raw.operator.iter().enumerate() {
+            let key = match (&operator.key_file, &operator.key) {
+                (Some(file), None) => KeySource::File(file.into()),
+                (None, Some(key)) => KeySource::Text(key.clone()),
+                _ => {
+                    self.wrong("operator", n, "key-file", "one of key-file and key is wanted");
+                    continue;
+                }
+            };
+            let may_change = operator.role == raw::OperatorRole::Change;
+            operators.push(Operator { name: operator.name.clone(), may_change, key });
+        }
+        Operations {
+            state: raw.state.clone().into(),
+            socket: raw.socket.as_ref().map(Into::into),
+            address,
+            sessions: raw.sessions,
+            history: raw.history.0,
+            refusals: raw.refusals.0,
+            operators,
+        }
+    }
+
     fn unique<'n>(&mut self, element: &str, attribute: &str, names: impl Iterator<Item = &'n str>) {
         let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
         for (n, name) in names.enumerate() {
--- a/crates/gaparch-config/src/config.rs
+++ b/crates/gaparch-config/src/config.rs
@@ -12,6 +12,7 @@
 use gaparch_protocol::client::Dialect;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 /// The number by which every router knows an engine of this name.
@@ -37,6 +38,61 @@
     pub list: Option<ListConfig>,
     pub attempts: Attempts,
     pub limits: Limits,
+    pub operations: Option<Operations>,
+}
+
+/// How the router is run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Operations {
+    /// The folder for what must survive a restart.
+    pub state: PathBuf,
+    pub socket: Option<PathBuf>,
+    pub address: Option<SocketAddr>,
+    /// Consoles and scripts at once.
+    pub sessions: usize,
+    /// Bytes of history on disk, and of refusals in memory.
+    pub history: usize,
+    pub refusals: usize,
+    pub operators: Vec<Operator>,
+}
+
+impl Operations {
+    /// With relative paths counted from a folder.
+    pub fn at(mut self, folder: &Path) -> Operations {
+        self.state = folder.join(&self.state);
+        self.socket = self.socket.map(|socket| folder.join(socket));
+        for operator in &mut self.operators {
+            if let KeySource::File(file) = &mut operator.key {
+                *file = folder.join(&*file);
+            }
+        }
+        self
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Operator {
+    pub name: String,
+    /// May change things; else look only.
+    pub may_change: bool,
+    pub key: KeySource,
+}
+
+#[derive(Clone, PartialEq)]
+pub enum KeySource {
+    /// Its first line is the key.
+    File(PathBuf),
+    Text(String),
+}
+
+impl std::fmt::Debug for KeySource {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            KeySource::File(file) => write!(f, "File({})", file.display()),
+            // Keys must not end up in logs.
+            KeySource::Text(_) => f.write_str("Text(..)"),
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
--- a/crates/gaparch-config/src/lib.rs
+++ b/crates/gaparch-config/src/lib.rs
@@ -12,7 +12,8 @@
 mod units;
 
 pub use config::{
-    server_id, Attempts, ClassNames, ClassTimes, Config, EngineConfig, Limits, ListConfig, Listener, Names,
+    server_id, Attempts, ClassNames, ClassTimes, Config, EngineConfig, KeySource, Limits, ListConfig,
+    Listener, Names, Operations, Operator,
 };
 pub use document::Problem;
 pub use units::{Bytes, Span};
--- a/crates/gaparch-config/src/raw.rs
+++ b/crates/gaparch-config/src/raw.rs
@@ -26,6 +26,10 @@
     reconnect_most: Span = Span::secs(2);
     max_retry_after: Span = Span::secs(1);
     answer_slack: Span = Span::millis(50);
+    sessions: usize = 32;
+    history: Bytes = Bytes(64 << 20);
+    refusals: Bytes = Bytes(32 << 20);
+    change: OperatorRole = OperatorRole::Change;
 }
 
 #[derive(Debug, Deserialize)]
@@ -45,6 +49,7 @@
     pub rules: Rules,
     #[serde(default)]
     pub limits: Limits,
+    pub operations: Option<Operations>,
     pub dialects: Option<Dialects>,
 }
 
@@ -337,6 +342,45 @@
     pub shutdown: Option<Span>,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Operations {
+    #[serde(rename = "@state")]
+    pub state: String,
+    #[serde(rename = "@socket")]
+    pub socket: Option<String>,
+    #[serde(rename = "@address")]
+    pub address: Option<String>,
+    #[serde(rename = "@sessions", default = "sessions")]
+    pub sessions: usize,
+    #[serde(rename = "@history", default = "history")]
+    pub history: Bytes,
+    #[serde(rename = "@refusals", default = "refusals")]
+    pub refusals: Bytes,
+    #[serde(default)]
+    pub operator: Vec<Operator>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Operator {
+    #[serde(rename = "@name")]
+    pub name: String,
+    #[serde(rename = "@role", default = "change")]
+    pub role: OperatorRole,
+    #[serde(rename = "@key-file")]
+    pub key_file: Option<String>,
+    #[serde(rename = "@key")]
+    pub key: Option<String>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum OperatorRole {
+    Watch,
+    Change,
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Dialects {
--- a/crates/gaparch-config/tests/settings.rs
+++ b/crates/gaparch-config/tests/settings.rs
@@ -57,6 +57,11 @@
         ("name=\"tick\"", "name=\"error\"", "<dialect>: events 'failed' and 'keep-alive' have the same name"),
         ("number=\"0\"", "number=\"2\"", "<router number>"),
         ("127.0.0.1:7101", "127.0.0.1:99999", "<engine address>: '127.0.0.1:99999' is no address"),
+        ("127.0.0.1:8090", "10.1.2.3:8090", "<operations address>: 10.1.2.3 is not on loopback"),
+        (" key=\"change-me-wall\"", "", "<operator key-file>: one of key-file and key"),
+        ("name=\"wall\"", "name=\"office\"", "<operator name>: 'office' stands in line"),
+        ("role=\"watch\"", "role=\"root\"", "<operator role>: 'root' is no operator-role"),
+        ("history=\"64MiB\"", "history=\"64\"", "<operations history>: 1MiB at least"),
         ("version=\"1\">", "version=\"2\">", "<gaparch version>: version 1 is wanted"),
     ] {
         let found = problems(&edited(from, to));
--- /dev/null
+++ b/crates/gaparch-protocol/src/ops/view.rs
@@ -0,0 +1,188 @@
+//! What a router shows of itself.
+
+use super::ending::{EndKind, RequestName, Step};
+use super::intent::{Intent, LimitView};
+use crate::wire::{closed_set, record};
+
+closed_set! {
+    pub enum EngineRole {
+        Read = 1, "read";
+        Write = 2, "write";
+        Both = 3, "both";
+    }
+}
+
+closed_set! {
+    pub enum EngineState {
+        Ready = 1, "ready";
+        Draining = 2, "draining";
+        Gone = 3, "gone";
+    }
+}
+
+closed_set! {
+    /// Why the module sends an engine nothing, or less than its peers.
+    pub enum Avoid {
+        NotReady = 1, "not-ready";
+        Unreachable = 2, "unreachable";
+        Resting = 3, "resting";
+        Slow = 4, "slow";
+        Cold = 5, "cold";
+        Full = 6, "full";
+    }
+}
+
+record! {
+    /// A part of the traffic that an engine refuses or leaves unanswered.
+    pub struct PartRest {
+        pub class: String,
+        pub tenant: String,
+        pub until: u64,
+    }
+}
+
+record! {
+    pub struct EngineView {
+        pub name: String,
+        pub role: EngineRole,
+        pub zone: String,
+        pub rack: String,
+        pub address: String,
+        /// By the list, and with the operators' word.
+        pub listed: EngineState,
+        pub state: EngineState,
+        pub connected: bool,
+        pub avoided: Option<Avoid>,
+        pub rests: Vec<PartRest>,
+        /// Own attempts there: not begun, and streaming.
+        pub waiting: u32,
+        pub streaming: u32,
+        pub unread: f64,
+        /// Shares of its memory: by guess, and as it last said.
+        pub memory: f64,
+        pub memory_said: Option<f64>,
+        pub pace: f64,
+        pub cold_budget: Option<f64>,
+        /// When its process began, if known, and when it last answered anything: nanoseconds since the Unix epoch.
+        pub started_at: Option<u64>,
+        pub heard_at: u64,
+        /// Counted since the router began: attempts, those that failed there, those called off.
+        pub attempts: u64,
+        pub failed: u64,
+        pub called_off: u64,
+    }
+}
+
+record! {
+    /// The router's own figures now.
+    #[derive(Copy, Default)]
+    pub struct Figures {
+        pub at: u64,
+        /// Requests by where they are.
+        pub held: u32,
+        pub reading: u32,
+        pub read: u32,
+        pub writing: u32,
+        pub streaming: u32,
+        /// Counted since the router began.
+        pub requests: u64,
+        pub served: u64,
+        pub in_time: u64,
+        pub refused: u64,
+        pub failed: u64,
+        pub left: u64,
+        pub tokens: u64,
+        pub paused: bool,
+        /// The longest that the owner task was late since the last look.
+        pub lag_us: u64,
+    }
+}
+
+record! {
+    #[derive(Default)]
+    pub struct TenantView {
+        pub name: String,
+        pub requests: u64,
+        pub served: u64,
+        pub refused: u64,
+        pub failed: u64,
+        pub left: u64,
+        pub tokens: u64,
+        /// Its share, all routers together; 0: not bounded.
+        pub per_s: f64,
+    }
+}
+
+closed_set! {
+    pub enum Severity {
+        Info = 1, "info";
+        Warning = 2, "warning";
+        Trouble = 3, "trouble";
+    }
+}
+
+record! {
+    /// Something worth knowing in the morning.
+    pub struct Happening {
+        pub at: u64,
+        pub severity: Severity,
+        /// Of which engine, if of one.
+        pub engine: Option<String>,
+        pub text: String,
+    }
+}
+
+closed_set! {
+    pub enum Phase {
+        Held = 1, "held";
+        Reading = 2, "reading";
+        Read = 3, "read";
+        Writing = 4, "writing";
+        Streaming = 5, "streaming";
+        Ended = 6, "ended";
+    }
+}
+
+record! {
+    /// A request that is open, or lately ended.
+    pub struct LiveView {
+        pub request: RequestName,
+        pub asked_at: u64,
+        pub class: String,
+        pub tenant: String,
+        pub phase: Phase,
+        pub kind: Option<EndKind>,
+        /// The engine where it is.
+        pub engine: String,
+        pub tokens: u32,
+        pub took_us: u64,
+        pub steps: Vec<Step>,
+    }
+}
+
+record! {
+    pub struct Setting {
+        pub name: String,
+        pub value: String,
+    }
+}
+
+record! {
+    pub struct Snapshot {
+        pub router: String,
+        pub run: u64,
+        /// Of the operators' changes.
+        pub revision: u64,
+        pub began_at: u64,
+        pub figures: Figures,
+        pub engines: Vec<EngineView>,
+        pub tenants: Vec<TenantView>,
+        pub intents: Vec<Intent>,
+        pub limits: Vec<LimitView>,
+        /// The latest, the last one last.
+        pub events: Vec<Happening>,
+        pub settings: Vec<Setting>,
+        /// What is not being kept on disk, and why; empty if all is.
+        pub not_kept: String,
+    }
+}
--- a/crates/gaparch-protocol/src/wire.rs
+++ b/crates/gaparch-protocol/src/wire.rs
@@ -97,3 +97,199 @@
     out.put_u32(u32::try_from(text.len()).unwrap_or(u32::MAX));
     out.put_slice(text.as_bytes());
 }
+
+/// A value that has one form as bytes.
+pub trait Wire: Sized {
+    fn put(&self, out: &mut BytesMut);
+
+    fn take(body: &mut &[u8]) -> ModalResult<Self>;
+}
+
+macro_rules! plain_wire {
+    ($($type:ty, $put:ident, $take:ident;)*) => {$(
+        impl Wire for $type {
+            fn put(&self, out: &mut BytesMut) {
+                out.$put(*self);
+            }
+
+            fn take(body: &mut &[u8]) -> ModalResult<Self> {
+                $take(body)
+            }
+        }
+    )*};
+}
+
+plain_wire! {
+    u8, put_u8, u8;
+    u16, put_u16, u16_;
+    u32, put_u32, u32_;
+    u64, put_u64, u64_;
+    f64, put_f64, f64_;
+}
+
+impl Wire for bool {
+    fn put(&self, out: &mut BytesMut) {
+        out.put_u8(u8::from(*self));
+    }
+
+    fn take(body: &mut &[u8]) -> ModalResult<Self> {
+        flag(body)
+    }
+}
+
+/// As a short text: at most 65,535 bytes.
+impl Wire for String {
+    fn put(&self, out: &mut BytesMut) {
+        put_short_text(out, self);
+    }
+
+    fn take(body: &mut &[u8]) -> ModalResult<Self> {
+        short_text(body)
+    }
+}
+
+impl<T: Wire> Wire for Option<T> {
+    fn put(&self, out: &mut BytesMut) {
+        put_optional(out, self.as_ref(), |out, value| value.put(out));
+    }
+
+    fn take(body: &mut &[u8]) -> ModalResult<Self> {
+        optional(T::take)(body)
+    }
+}
+
+impl<T: Wire> Wire for Box<T> {
+    fn put(&self, out: &mut BytesMut) {
+        self.as_ref().put(out);
+    }
+
+    fn take(body: &mut &[u8]) -> ModalResult<Self> {
+        T::take(body).map(Box::new)
+    }
+}
+
+impl<T: Wire> Wire for Vec<T> {
+    fn put(&self, out: &mut BytesMut) {
+        out.put_u32(u32::try_from(self.len()).unwrap_or(u32::MAX));
+        self.iter().for_each(|item| item.put(out));
+    }
+
+    fn take(body: &mut &[u8]) -> ModalResult<Self> {
+        let count = usize::try_from(be_u32(body)?).unwrap_or(usize::MAX);
+        // Every item takes a byte at least: a count past that is a lie, and must not make room.
+        if count > body.len() {
+            return malformed();
+        }
+        repeat(count, T::take).parse_next(body)
+    }
+}
+
+/// A struct whose fields stand on the wire one after the other.
+macro_rules! record {
+    ($(#[$meta:meta])* pub struct $name:ident { $($(#[$field_meta:meta])* pub $field:ident: $type:ty,)* }) => {
+        $(#[$meta])*
+        #[derive(Clone, Debug, PartialEq, serde::Serialize)]
+        pub struct $name {
+            $($(#[$field_meta])* pub $field: $type,)*
+        }
+
+        impl crate::wire::Wire for $name {
+            fn put(&self, out: &mut bytes::BytesMut) {
+                $(crate::wire::Wire::put(&self.$field, out);)*
+            }
+
+            fn take(body: &mut &[u8]) -> winnow::ModalResult<Self> {
+                Ok($name { $($field: crate::wire::Wire::take(body)?,)* })
+            }
+        }
+    };
+}
+
+/// An enum without values: a number on the wire, a word for people and scripts.
+macro_rules! closed_set {
+    ($(#[$meta:meta])* pub enum $name:ident {
+        $($(#[$variant_meta:meta])* $variant:ident = $code:literal, $word:literal;)*
+    }) => {
+        $(#[$meta])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum $name {
+            $($(#[$variant_meta])* $variant,)*
+        }
+
+        impl $name {
+            pub const ALL: &'static [$name] = &[$($name::$variant,)*];
+
+            pub fn word(self) -> &'static str {
+                match self {
+                    $($name::$variant => $word,)*
+                }
+            }
+
+            pub fn from_word(word: &str) -> Option<$name> {
+                $name::ALL.iter().copied().find(|one| one.word() == word)
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.pad(self.word())
+            }
+        }
+
+        impl serde::Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(self.word())
+            }
+        }
+
+        impl crate::wire::Wire for $name {
+            fn put(&self, out: &mut bytes::BytesMut) {
+                let code: u8 = match self {
+                    $($name::$variant => $code,)*
+                };
+                crate::wire::Wire::put(&code, out);
+            }
+
+            fn take(body: &mut &[u8]) -> winnow::ModalResult<Self> {
+                match <u8 as crate::wire::Wire>::take(body)? {
+                    $($code => Ok($name::$variant),)*
+                    _ => crate::wire::malformed(),
+                }
+            }
+        }
+    };
+}
+
+/// An enum with values: a number, then the values.
+macro_rules! choice {
+    ($(#[$meta:meta])* pub enum $name:ident {
+        $($(#[$variant_meta:meta])* $code:literal => $variant:ident { $($(#[$field_meta:meta])* $field:ident: $type:ty,)* },)*
+    }) => {
+        $(#[$meta])*
+        #[derive(Clone, Debug, PartialEq, serde::Serialize)]
+        #[serde(rename_all = "kebab-case")]
+        pub enum $name {
+            $($(#[$variant_meta])* $variant { $($(#[$field_meta])* $field: $type,)* },)*
+        }
+
+        impl crate::wire::Wire for $name {
+            fn put(&self, out: &mut bytes::BytesMut) {
+                match self {
+                    $($name::$variant { $($field,)* } => {
+                        crate::wire::Wire::put(&($code as u8), out);
+                        $(crate::wire::Wire::put($field, out);)*
+                    })*
+                }
+            }
+
+            fn take(body: &mut &[u8]) -> winnow::ModalResult<Self> {
+                match <u8 as crate::wire::Wire>::take(body)? {
+                    $($code => Ok($name::$variant { $($field: crate::wire::Wire::take(body)?,)* }),)*
+                    _ => crate::wire::malformed(),
+                }
+            }
+        }
+    };
+}
+
+pub(crate) use {choice, closed_set, record};
--- a/crates/gaparch-router/src/core/engines.rs
+++ b/crates/gaparch-router/src/core/engines.rs
@@ -28,6 +28,15 @@
     pub probes: BTreeMap<u64, Nanos>,
     /// The last report that came by itself.
     pub report: Option<Report>,
+    pub tally: Tally,
+}
+
+/// Attempts at an engine, counted from the start of the router.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Tally {
+    pub attempts: u64,
+    pub failed: u64,
+    pub called_off: u64,
 }
 
 /// What a lost connection leaves behind.
--- a/crates/gaparch-router/src/core/mod.rs
+++ b/crates/gaparch-router/src/core/mod.rs
@@ -2,11 +2,13 @@
 
 mod engines;
 mod figures;
+mod operate;
 mod request;
 mod roster;
 mod timers;
 
 pub use engines::ConnNo;
+pub use operate::Proposal;
 pub use request::{Accepted, Phase};
 pub use roster::ListUpdate;
 
@@ -17,8 +19,12 @@
 };
 use gaparch::policy::Policy;
 use gaparch_config::Config;
+use gaparch_ops::book::Book;
+use gaparch_ops::limits::OPEN_REQUESTS;
 use gaparch_protocol::client::{StopReason, Usage};
 use gaparch_protocol::engine::{AttemptKey, EngineFacts, EngineFrame, RouterRun, StateAt};
+use gaparch_protocol::ops::ending::{Cause, Ending, Evidence, WaitedFor};
+use gaparch_protocol::ops::intent::Taken;
 use request::{Attempt, Live, Stage};
 use roster::Roster;
 use std::collections::{BTreeMap, VecDeque};
@@ -55,6 +61,8 @@
     /// It can't, or it says that it can't answer.
     ListDown,
     List(ListUpdate),
+    /// An operator's change, [proposed](Core::propose) or found again at the start.
+    Taken(Taken),
     /// Takes nothing new from now on.
     Stop,
     /// Ends what still runs.
@@ -79,10 +87,13 @@
     /// Not done; a retry is harmless.
     Refused {
         retry_after: Nanos,
+        cause: Cause,
+        waited_for: Option<WaitedFor>,
     },
     /// Nothing is promised.
     Failed {
         why: &'static str,
+        cause: Cause,
     },
 }
 
@@ -121,6 +132,8 @@
     /// Ask it for the whole list once.
     Fetch,
     Log(String),
+    /// A request has ended. Only where there is somebody to keep it.
+    Ended(Box<Ending>),
 }
 
 /// What went wrong that was survived, counted from the start.
@@ -131,6 +144,9 @@
     pub refused: u64,
     pub failed: u64,
     pub left: u64,
+    /// Served with the first token within the aim, and tokens sent to clients.
+    pub in_time: u64,
+    pub tokens: u64,
     /// Answered by the core since the module had not when the client's time was up. Should stay 0.
     pub overdue: u64,
     /// Frames about attempts that are no more.
@@ -158,6 +174,12 @@
     timers: Timers,
     counts: Counts,
     stopping: bool,
+    /// The operators' orders.
+    book: Book,
+    /// Requests whose final answer is owed.
+    owed: usize,
+    /// How the engines looked a moment ago, for requests that are given up in one go.
+    evidence: Option<(Nanos, Vec<Evidence>)>,
     /// Frames to hand over at the end of the action.
     wire: Vec<Output>,
     next_conn: u64,
@@ -165,8 +187,9 @@
 }
 
 impl Core {
-    /// A router that starts now. `run` must differ from that of any earlier run.
-    pub fn new(config: Config, run: RouterRun, now: Nanos, out: &mut Vec<Output>) -> Core {
+    /// A router that starts now, with what its operators have ordered before. `run` must differ from that of
+    /// any earlier run.
+    pub fn new(config: Config, book: Book, run: RouterRun, now: Nanos, out: &mut Vec<Output>) -> Core {
         let mut core = Core {
             policy: Policy::new(config.module.clone()),
             roster: Roster::default(),
@@ -178,12 +201,16 @@
             timers: Timers::default(),
             counts: Counts::default(),
             stopping: false,
+            book,
+            owed: 0,
+            evidence: None,
             wire: Vec::new(),
             next_conn: 0,
             next_nonce: 0,
             config,
         };
-        let entries = core.roster.take_settings(&core.config);
+        core.set_quotas();
+        let entries = core.roster.take_settings(&core.config, &core.book);
         core.events.push_back(Event::Members { kind: ListKind::Cached, entries: entries.into() });
         core.follow_roster(out);
         core.pump(out);
@@ -200,7 +227,7 @@
 
     /// Requests whose final answer is still owed.
     pub fn open(&self) -> usize {
-        self.live.values().filter(|l| !l.ended).count()
+        self.owed
     }
 
     /// Where a request is, if it is still known.
@@ -227,13 +254,14 @@
         self.now = now.max(self.now);
         match input {
             Input::Ask { id, ask } => self.on_ask(id, ask, out),
-            Input::ClientGone(id) => self.on_gone(id),
+            Input::ClientGone(id) => self.on_gone(id, out),
             Input::EngineUp { engine, conn, facts } => self.on_engine_up(engine, conn, &facts, out),
             Input::EngineDown { engine, conn } => self.on_engine_down(engine, conn, out),
             Input::EngineFrame { engine, conn, frame } => self.on_frame(engine, conn, frame, out),
             Input::ListUp => self.on_list_up(out),
             Input::ListDown => self.on_list_down(),
             Input::List(update) => self.on_list(update, out),
+            Input::Taken(taken) => self.on_taken(taken, out),
             Input::Stop => self.stopping = true,
             Input::StopNow => self.stop_now(out),
         }
@@ -254,21 +282,45 @@
 
     fn on_ask(&mut self, id: RequestId, ask: Accepted, out: &mut Vec<Output>) {
         self.counts.requests += 1;
-        if self.stopping || self.live.contains_key(&id) {
+        if self.live.contains_key(&id) {
             self.counts.refused += 1;
-            return out.push(Output::Client { id, event: ToClient::Refused { retry_after: 0 } });
+            return out.push(Output::Client { id, event: self.closed(Cause::TooMuchOpen) });
         }
         let request = ask.request(id, &self.config.module, self.now);
+        let most = self.book.limit(OPEN_REQUESTS).map_or(usize::MAX, |most| most as usize);
+        let closed = match () {
+            () if self.stopping => Some(Cause::Stopping),
+            () if self.book.paused() => Some(Cause::Paused),
+            () if self.owed >= most => Some(Cause::TooMuchOpen),
+            () => None,
+        };
+        self.owed += 1;
+        if let Some(cause) = closed {
+            // The module never hears of it: it is not accepted.
+            self.live.insert(id, Live::new(ask, request.give_up_at, self.now));
+            self.answer(id, self.closed(cause), out);
+            return self.forget_if_done(id);
+        }
         let overdue = request.give_up_at.saturating_add(self.config.module.answer_slack);
         self.timers.set(overdue, Timer::Overdue(id));
-        self.live.insert(id, Live::new(ask, request.give_up_at));
+        self.live.insert(id, Live::new(ask, request.give_up_at, self.now));
         self.events.push_back(Event::Request(request));
     }
 
-    fn on_gone(&mut self, id: RequestId) {
+    /// The refusal of what is not accepted.
+    fn closed(&self, cause: Cause) -> ToClient {
+        let module = &self.config.module;
+        let retry_after = if module.retry_after { module.max_retry_after } else { 0 };
+        ToClient::Refused { retry_after, cause, waited_for: None }
+    }
+
+    fn on_gone(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(live) = self.live.get_mut(&id).filter(|l| !l.ended) else { return };
         live.ended = true;
+        self.owed -= 1;
         self.counts.left += 1;
+        self.note_ending(id, None, out);
+        let Some(live) = self.live.get(&id) else { return };
         let begun = live.attempt.filter(|a| a.begun);
         self.events.push_back(Event::Gone(id));
         // Nobody reads the stream: it ends, and the module hears of its attempt.
@@ -283,11 +335,14 @@
     fn answer(&mut self, id: RequestId, event: ToClient, out: &mut Vec<Output>) {
         let Some(live) = self.live.get_mut(&id).filter(|l| !l.ended) else { return };
         live.ended = true;
+        self.owed -= 1;
         match event {
             ToClient::Finished { .. } => self.counts.served += 1,
             ToClient::Refused { .. } => self.counts.refused += 1,
             _ => self.counts.failed += 1,
         }
+        self.counts.in_time += u64::from(self.is_in_time(id, &event));
+        self.note_ending(id, Some(&event), out);
         out.push(Output::Client { id, event });
     }
 
@@ -304,8 +359,8 @@
             // What was never sent anywhere is harmless to repeat; of the rest nothing is promised.
             let untouched = self.live.get(&id).is_some_and(|l| l.next_attempt == 0);
             let answer = match untouched {
-                true => ToClient::Refused { retry_after: 0 },
-                false => ToClient::Failed { why: "the router was stopped" },
+                true => self.closed(Cause::Stopping),
+                false => ToClient::Failed { why: "the router was stopped", cause: Cause::Stopping },
             };
             self.answer(id, answer, out);
             self.events.push_back(Event::Gone(id));
@@ -322,16 +377,15 @@
         match action {
             Action::Send { id, server, timeout } => self.send(id, server, timeout),
             Action::Cancel { id, attempt } => self.cancel(id, attempt),
-            Action::Refuse { id, retry_after } => {
-                self.answer(id, ToClient::Refused { retry_after }, out);
+            Action::Refuse { id, retry_after, why } => {
+                let (cause, waited_for) = (why.reason.into(), why.held_by.map(Into::into));
+                self.answer(id, ToClient::Refused { retry_after, cause, waited_for }, out);
                 self.forget_if_done(id);
             }
-            Action::Fail(id) => {
-                self.answer(
-                    id,
-                    ToClient::Failed { why: "it may have been tried, and could not be ended" },
-                    out,
-                );
+            Action::Fail { id, why } => {
+                let cause = why.reason.into();
+                let why = "it may have been tried, and could not be ended";
+                self.answer(id, ToClient::Failed { why, cause }, out);
                 self.forget_if_done(id);
             }
             Action::Release(id) => self.release(id),
@@ -366,10 +420,12 @@
             if timeout == 0 { live.give_up_at } else { live.give_up_at.min(now.saturating_add(timeout)) };
         let stage = if role == Some(Role::Read) { Stage::Read } else { Stage::Write };
         live.attempt = Some(Attempt { no, server, stage, sent_at: now, begun: false, waits: false });
+        live.step_begins(server, stage, now);
         self.timers.set(until, Timer::Attempt(id, no));
         let Some(link) = self.engines.get_mut(&server) else {
             return self.close_by(id, no, Status::ConnectFailed);
         };
+        link.tally.attempts += 1;
         if link.is_up() {
             self.write_attempt(id);
         } else if link.is_coming() {
@@ -496,8 +552,14 @@
     fn close(&mut self, id: RequestId, attempt: Attempt, status: Status, note: u64, report: Option<Report>) {
         let Some(live) = self.live.get_mut(&id) else { return };
         live.attempt = None;
+        live.step_ends(status, self.now);
         if let Some(link) = self.engines.get_mut(&attempt.server) {
             link.attempts.remove(&id);
+            match status {
+                Status::Ok | Status::Read | Status::Moot => {}
+                Status::Cancelled => link.tally.called_off += 1,
+                _ => link.tally.failed += 1,
+            }
         }
         if status == Status::Read {
             live.state_at = Some(attempt.server);
@@ -518,7 +580,8 @@
 
     /// A begun stream has broken: its client is told, the request is finished by it.
     fn break_stream(&mut self, id: RequestId, attempt: Attempt, status: Status, out: &mut Vec<Output>) {
-        self.answer(id, ToClient::Failed { why: "the answer broke off" }, out);
+        let cause = if status == Status::Timeout { Cause::Stalled } else { Cause::BrokeOff };
+        self.answer(id, ToClient::Failed { why: "the answer broke off", cause }, out);
         self.close(id, attempt, status, 0, None);
     }
 
@@ -557,7 +620,7 @@
             return;
         }
         self.counts.overdue += 1;
-        self.answer(id, ToClient::Failed { why: "it was not ended in time" }, out);
+        self.answer(id, ToClient::Failed { why: "it was not ended in time", cause: Cause::Overdue }, out);
         self.events.push_back(Event::Gone(id));
         self.forget_if_done(id);
     }
@@ -736,6 +799,7 @@
             return self.counts.late_frames += 1;
         }
         live.usage.output = have.saturating_add(u32::from(count));
+        self.counts.tokens += u64::from(count);
         live.last_token_at = self.now;
         if !attempt.begun {
             self.begin(id, attempt, out);
@@ -748,6 +812,7 @@
         let Some(live) = self.live.get_mut(&id) else { return };
         live.attempt = Some(Attempt { begun: true, ..attempt });
         live.begun_at = self.now;
+        live.first_at = Some(self.now);
         live.last_token_at = self.now;
         let usage = Usage { output: 0, ..live.usage };
         let until = live.stream_until(&self.config.class_times);
@@ -786,7 +851,8 @@
         if status != Status::Ok {
             return match attempt.begun {
                 true => {
-                    self.answer(id, ToClient::Failed { why: "the answer broke off" }, out);
+                    let cause = Cause::BrokeOff;
+                    self.answer(id, ToClient::Failed { why: "the answer broke off", cause }, out);
                     self.close(id, attempt, status, note, report);
                 }
                 false => self.close(id, attempt, status, note, report),
@@ -826,7 +892,8 @@
     }
 
     fn on_list(&mut self, update: ListUpdate, out: &mut Vec<Output>) {
-        let Some((kind, entries)) = self.roster.update(update, &self.config, &mut self.counts) else {
+        let Some((kind, entries)) = self.roster.update(update, &self.config, &self.book, &mut self.counts)
+        else {
             // A change was missed: the whole list tells.
             return out.push(Output::Fetch);
         };
--- /dev/null
+++ b/crates/gaparch-router/src/core/operate.rs
@@ -0,0 +1,381 @@
+//! What operators order and look at, as far as the core has to do with it.
+
+use super::request::{Live, Stage};
+use super::{Core, Output, ToClient};
+use gaparch::api::{Event, ListKind, Nanos, RequestId, Role, ServerId, ServerState, TenantId};
+use gaparch::view::{Avoided, ServerView};
+use gaparch_ops::book::{Denied, EngineStanding, Standing};
+use gaparch_ops::limits::{limited_tenant, tenant_limit, OPEN_REQUESTS};
+use gaparch_protocol::ops::ending::{
+    self, Cause, EndKind, Ending, Evidence, RequestName, Step, MAX_EVIDENCE,
+};
+use gaparch_protocol::ops::intent::{Change, LimitView, Taken};
+use gaparch_protocol::ops::view::{
+    Avoid, EngineRole, EngineState, EngineView, Figures, LiveView, PartRest, Phase, Setting,
+};
+use gaparch_protocol::ops::Order;
+
+/// Evidence younger than this is used again: requests given up together saw the same.
+const EVIDENCE_FOR: Nanos = 50_000_000;
+/// Requests a second that a tenant's share may be set to.
+const MOST_PER_S: f64 = 1e6;
+
+pub(super) fn listed_state(state: ServerState) -> EngineState {
+    match state {
+        ServerState::Ready => EngineState::Ready,
+        ServerState::Draining => EngineState::Draining,
+        ServerState::Gone => EngineState::Gone,
+    }
+}
+
+pub(super) fn server_state(state: EngineState) -> ServerState {
+    match state {
+        EngineState::Ready => ServerState::Ready,
+        EngineState::Draining => ServerState::Draining,
+        EngineState::Gone => ServerState::Gone,
+    }
+}
+
+fn role(role: Role) -> EngineRole {
+    match role {
+        Role::Read => EngineRole::Read,
+        Role::Write => EngineRole::Write,
+        Role::Both => EngineRole::Both,
+    }
+}
+
+fn avoid(avoided: Avoided) -> Avoid {
+    match avoided {
+        Avoided::NotReady => Avoid::NotReady,
+        Avoided::Unreachable => Avoid::Unreachable,
+        Avoided::Resting { .. } => Avoid::Resting,
+        Avoided::Slow => Avoid::Slow,
+        Avoided::Cold => Avoid::Cold,
+        Avoided::Full => Avoid::Full,
+    }
+}
+
+fn micros(nanos: Nanos) -> u64 {
+    nanos / 1000
+}
+
+/// An order that may be carried out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Proposal {
+    pub taken: Taken,
+    /// What it does to the requests at hand, in words.
+    pub effect: String,
+}
+
+impl Core {
+    /// Whether an order may be carried out as all stands; nothing is changed by asking.
+    ///
+    /// # Errors
+    /// When it may not; the message says why.
+    pub fn propose(&self, now: Nanos, order: &Order, who: &str) -> Result<Proposal, Denied> {
+        let (taken, effect) = self.book.propose(order, who, now, &self.standing())?;
+        Ok(Proposal { taken, effect })
+    }
+
+    fn standing(&self) -> Standing {
+        let standing = |view: EngineView| EngineStanding {
+            takes_new: view.state == EngineState::Ready && view.avoided != Some(Avoid::Unreachable),
+            name: view.name,
+            role: view.role,
+            waiting: view.waiting,
+            streaming: view.streaming,
+        };
+        let figures = self.figures();
+        Standing {
+            engines: self.engine_views().into_iter().map(standing).collect(),
+            held: figures.held,
+            reading: figures.reading,
+            self_prefill: self.config.module.self_prefill,
+            limits: self.limits(),
+        }
+    }
+
+    /// Limits that operators may change, as they are now.
+    pub fn limits(&self) -> Vec<LimitView> {
+        let most = self.config.limits.open_requests as f64;
+        let limit = |name: String, by_settings: f64, least, most, unit: &str| LimitView {
+            value: self.book.limit(&name).unwrap_or(by_settings),
+            name,
+            by_settings,
+            least,
+            most,
+            unit: unit.to_owned(),
+        };
+        let tenants = self.config.names.tenants.iter().zip(&self.config.module.tenants);
+        let of_tenant = |(name, tenant): (&String, &gaparch::api::Tenant)| {
+            let unit = "requests a second, 0: not bounded";
+            limit(tenant_limit(name), tenant.quota_per_s, 0.0, MOST_PER_S, unit)
+        };
+        let open = limit(OPEN_REQUESTS.to_owned(), most, 1.0, most, "requests");
+        std::iter::once(open).chain(tenants.map(of_tenant)).collect()
+    }
+
+    /// Tells the module of all quotas that operators have set.
+    pub(super) fn set_quotas(&mut self) {
+        for (n, name) in self.config.names.tenants.iter().enumerate() {
+            if let Some(per_s) = self.book.limit(&tenant_limit(name)) {
+                self.events.push_back(Event::Quota { tenant: TenantId(n), per_s });
+            }
+        }
+    }
+
+    pub(super) fn on_taken(&mut self, taken: Taken, out: &mut Vec<Output>) {
+        let change = taken.change.clone();
+        self.book.apply(taken);
+        match change {
+            Change::Hold { engine, .. } | Change::Free { engine } => {
+                if let Some(entry) = self.roster.hold_changed(&engine, &self.book) {
+                    let entries = vec![entry].into();
+                    self.events.push_back(Event::Members { kind: ListKind::Delta, entries });
+                    self.follow_roster(out);
+                }
+            }
+            Change::Limit { name, value } => {
+                let tenant = limited_tenant(&name);
+                let tenant = tenant.and_then(|t| self.config.names.tenants.iter().position(|n| n == t));
+                if let Some(tenant) = tenant.map(TenantId) {
+                    let by_settings = self.config.module.tenants.get(tenant.0).map_or(0.0, |t| t.quota_per_s);
+                    let per_s = value.unwrap_or(by_settings);
+                    self.events.push_back(Event::Quota { tenant, per_s });
+                }
+            }
+            // Looked at where requests come in; the shell stops.
+            Change::Pause {} | Change::Resume {} | Change::Stop {} => {}
+        }
+    }
+
+    // --- What is shown --------------------------------------------------------------------------------
+
+    /// All engines that were ever listed, in the order of their names.
+    pub fn engine_views(&self) -> Vec<EngineView> {
+        let mut streaming: std::collections::BTreeMap<ServerId, u32> = std::collections::BTreeMap::new();
+        let begun = self.live.values().filter_map(|l| l.attempt).filter(|a| a.begun);
+        begun.for_each(|a| *streaming.entry(a.server).or_default() += 1);
+        let seen: std::collections::BTreeMap<ServerId, ServerView> =
+            self.policy.views().map(|v| (v.server, v)).collect();
+        let view = |(id, known): (&ServerId, &super::roster::Known)| {
+            let seen = seen.get(id)?;
+            let link = self.engines.get(id);
+            let tally = link.map(|l| l.tally).unwrap_or_default();
+            let part = |rest: &gaparch::view::PartRest| PartRest {
+                class: self.config.names.classes.get(rest.class.0).cloned().unwrap_or_default(),
+                tenant: self.tenant_name(rest.tenant).to_owned(),
+                until: rest.until,
+            };
+            Some(EngineView {
+                name: known.listed.engine.clone(),
+                role: role(seen.role),
+                zone: known.listed.zone.clone(),
+                rack: known.listed.rack.clone(),
+                address: known.listed.address.clone(),
+                listed: listed_state(known.listed.state),
+                state: listed_state(known.entry.state),
+                connected: link.is_some_and(|l| l.is_up()),
+                avoided: seen.avoided.map(avoid),
+                rests: seen.part_rests.iter().map(part).collect(),
+                waiting: seen.unbegun,
+                streaming: streaming.get(id).copied().unwrap_or(0),
+                unread: seen.unread,
+                memory: seen.memory,
+                memory_said: seen.memory_reported,
+                pace: seen.pace,
+                cold_budget: seen.cold_budget,
+                started_at: known.entry.ready_at,
+                heard_at: seen.heard_at,
+                attempts: tally.attempts,
+                failed: tally.failed,
+                called_off: tally.called_off,
+            })
+        };
+        let mut views: Vec<EngineView> = self.roster.all().filter_map(view).collect();
+        views.sort_by(|a, b| a.name.cmp(&b.name));
+        views
+    }
+
+    /// The router's own figures; the owner's lag is for the shell to fill in.
+    pub fn figures(&self) -> Figures {
+        let counts = self.counts;
+        let mut figures = Figures {
+            at: self.now,
+            requests: counts.requests,
+            served: counts.served,
+            in_time: counts.in_time,
+            refused: counts.refused,
+            failed: counts.failed,
+            left: counts.left,
+            tokens: counts.tokens,
+            paused: self.book.paused(),
+            ..Figures::default()
+        };
+        for live in self.live.values() {
+            match live.phase() {
+                super::Phase::Held => figures.held += 1,
+                super::Phase::Reading => figures.reading += 1,
+                super::Phase::Read => figures.read += 1,
+                super::Phase::Writing => figures.writing += 1,
+                super::Phase::Streaming => figures.streaming += 1,
+                super::Phase::Ended => {}
+            }
+        }
+        figures
+    }
+
+    /// The oldest open requests, at most so many.
+    pub fn live_views(&self, most: usize) -> Vec<LiveView> {
+        let open = self.live.iter().filter(|(_, l)| !l.ended);
+        open.take(most).map(|(id, live)| self.live_view(*id, live)).collect()
+    }
+
+    /// One that is open.
+    pub fn live_one(&self, id: RequestId) -> Option<LiveView> {
+        self.live.get(&id).filter(|l| !l.ended).map(|live| self.live_view(id, live))
+    }
+
+    fn live_view(&self, id: RequestId, live: &Live) -> LiveView {
+        let phase = match live.phase() {
+            super::Phase::Held => Phase::Held,
+            super::Phase::Reading => Phase::Reading,
+            super::Phase::Read => Phase::Read,
+            super::Phase::Writing => Phase::Writing,
+            super::Phase::Streaming => Phase::Streaming,
+            super::Phase::Ended => Phase::Ended,
+        };
+        let at = live.attempt.map(|a| a.server).or(live.state_at);
+        LiveView {
+            request: RequestName { run: self.run.0, number: id.0 },
+            asked_at: live.asked_at,
+            class: self.class_name(live).to_owned(),
+            tenant: self.tenant_name(live.ask.tenant).to_owned(),
+            phase,
+            kind: None,
+            engine: at.map(|server| self.roster.name(server)).unwrap_or_default().to_owned(),
+            tokens: live.usage.output,
+            took_us: micros(self.now.saturating_sub(live.asked_at)),
+            steps: self.steps(live),
+        }
+    }
+
+    fn class_name(&self, live: &Live) -> &str {
+        self.config.names.classes.get(live.ask.class.0).map_or("", String::as_str)
+    }
+
+    fn tenant_name(&self, tenant: Option<TenantId>) -> &str {
+        tenant.and_then(|t| self.config.names.tenants.get(t.0)).map_or("", String::as_str)
+    }
+
+    fn steps(&self, live: &Live) -> Vec<Step> {
+        let step = |note: &super::request::StepNote| Step {
+            engine: self.roster.name(note.server).to_owned(),
+            stage: match note.stage {
+                Stage::Read => ending::Stage::Read,
+                Stage::Write => ending::Stage::Write,
+            },
+            from_us: micros(note.from.saturating_sub(live.asked_at)),
+            took_us: micros(note.took),
+            end: note.end,
+        };
+        live.steps.iter().map(step).collect()
+    }
+
+    // --- How requests ended ---------------------------------------------------------------------------
+
+    pub(super) fn is_in_time(&self, id: RequestId, event: &ToClient) -> bool {
+        let Some(live) = self.live.get(&id) else { return false };
+        let Some(class) = self.config.module.classes.get(live.ask.class.0) else { return false };
+        let longer = (class.aim_per_token * f64::from(live.ask.prompt_len)) as Nanos;
+        let aim_at = live.asked_at.saturating_add(class.aim).saturating_add(longer);
+        matches!(event, ToClient::Finished { .. }) && live.first_at.is_some_and(|first| first <= aim_at)
+    }
+
+    /// Hands over how a request ended, where there is somebody to keep it; `None`: its client left.
+    pub(super) fn note_ending(&mut self, id: RequestId, event: Option<&ToClient>, out: &mut Vec<Output>) {
+        if self.config.operations.is_none() {
+            return;
+        }
+        let (kind, cause, waited_for, retry_after) = match event {
+            None => (EndKind::Left, Cause::ClientLeft, None, None),
+            Some(ToClient::Refused { retry_after, cause, waited_for }) => {
+                (EndKind::Refused, *cause, *waited_for, Some(*retry_after))
+            }
+            Some(ToClient::Failed { cause, .. }) => (EndKind::Failed, *cause, None, None),
+            Some(_) => (EndKind::Served, Cause::Answered, None, None),
+        };
+        let lost = matches!(kind, EndKind::Refused | EndKind::Failed);
+        let evidence = if lost { self.evidence() } else { Vec::new() };
+        let Some(live) = self.live.get(&id) else { return };
+        let ending = Ending {
+            request: RequestName { run: self.run.0, number: id.0 },
+            asked_at: live.asked_at,
+            ended_at: self.now,
+            class: self.class_name(live).to_owned(),
+            tenant: self.tenant_name(live.ask.tenant).to_owned(),
+            kind,
+            cause,
+            waited_for,
+            retry_after_ms: retry_after.map(|wait| wait / 1_000_000),
+            first_after_us: live.first_at.map(|at| micros(at.saturating_sub(live.asked_at))),
+            tokens: live.usage.output,
+            steps: self.steps(live),
+            evidence,
+            fingerprint: live.ask.fingerprint,
+            follow_up: None,
+        };
+        out.push(Output::Ended(Box::new(ending)));
+    }
+
+    /// How the engines look now, those avoided first.
+    fn evidence(&mut self) -> Vec<Evidence> {
+        if let Some((at, evidence)) = &self.evidence {
+            if self.now < at.saturating_add(EVIDENCE_FOR) {
+                return evidence.clone();
+            }
+        }
+        let mut views: Vec<ServerView> = self.policy.views().collect();
+        views.sort_by_key(|v| v.avoided.is_none());
+        let one = |view: &ServerView| Evidence {
+            engine: self.roster.name(view.server).to_owned(),
+            avoided: view.avoided.map(|a| avoid(a).word().to_owned()).unwrap_or_default(),
+            memory: view.memory,
+            unread: view.unread,
+            pace: view.pace,
+        };
+        let evidence: Vec<Evidence> = views.iter().take(MAX_EVIDENCE).map(one).collect();
+        self.evidence = Some((self.now, evidence.clone()));
+        evidence
+    }
+
+    /// The settings in force, for people.
+    pub fn settings(&self) -> Vec<Setting> {
+        let module = &self.config.module;
+        let seconds = |nanos: Nanos| format!("{} s", nanos as f64 / 1e9);
+        let mut all = vec![
+            ("router", format!("{}, {} of {}", self.config.router, module.me, module.routers)),
+            ("drain grace", seconds(module.drain_grace)),
+            ("release within", seconds(module.release_within)),
+            ("cold", format!("{} from {} of full speed", seconds(module.cold), module.cold_from)),
+            ("attempts at most", module.max_attempts.to_string()),
+            ("calls off attempts", module.cancel.to_string()),
+            ("probes", module.probes.to_string()),
+            ("retry-after at most", seconds(module.max_retry_after)),
+        ]
+        .into_iter()
+        .map(|(name, value)| Setting { name: name.to_owned(), value })
+        .collect::<Vec<_>>();
+        for (name, class) in self.config.names.classes.iter().zip(&module.classes) {
+            let value = format!(
+                "{:?}, aim {}, deadline {}, worth {}",
+                class.effect,
+                seconds(class.aim),
+                seconds(class.deadline),
+                class.worth
+            );
+            all.push(Setting { name: format!("class {name}"), value: value.to_lowercase() });
+        }
+        all
+    }
+}
--- a/crates/gaparch-router/src/core/request.rs
+++ b/crates/gaparch-router/src/core/request.rs
@@ -1,9 +1,12 @@
 //! A request from its acceptance to its one final answer.
 
-use gaparch::api::{AttemptNo, ClassId, Key, Nanos, Request, RequestId, ServerId, Settings, TenantId};
+use gaparch::api::{
+    AttemptNo, ClassId, Key, Nanos, Request, RequestId, ServerId, Settings, Status, TenantId,
+};
 use gaparch_config::ClassTimes;
 use gaparch_protocol::client::Usage;
 use gaparch_protocol::engine::{AttemptKey, Job};
+use gaparch_protocol::ops::ending::{StepEnd, MAX_STEPS};
 
 /// A request whose names have been looked up.
 #[derive(Clone, Debug, PartialEq)]
@@ -20,6 +23,8 @@
     pub hint: Option<u32>,
     pub repeat: bool,
     pub prompt: String,
+    /// The same for the same question of the same client, as far as can be told.
+    pub fingerprint: u64,
 }
 
 impl Accepted {
@@ -107,10 +112,24 @@
     pub usage: Usage,
     pub begun_at: Nanos,
     pub last_token_at: Nanos,
+    pub asked_at: Nanos,
+    pub first_at: Option<Nanos>,
+    /// The first [`MAX_STEPS`] attempts.
+    pub steps: Vec<StepNote>,
+}
+
+/// An attempt, for whoever asks what became of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct StepNote {
+    pub server: ServerId,
+    pub stage: Stage,
+    pub from: Nanos,
+    pub took: Nanos,
+    pub end: StepEnd,
 }
 
 impl Live {
-    pub fn new(ask: Accepted, give_up_at: Nanos) -> Live {
+    pub fn new(ask: Accepted, give_up_at: Nanos, now: Nanos) -> Live {
         Live {
             usage: Usage { prompt: ask.prompt_len, ..Usage::default() },
             ask,
@@ -122,6 +141,33 @@
             ended: false,
             begun_at: 0,
             last_token_at: 0,
+            asked_at: now,
+            first_at: None,
+            steps: Vec::new(),
+        }
+    }
+
+    /// Notes an attempt that begins.
+    pub fn step_begins(&mut self, server: ServerId, stage: Stage, now: Nanos) {
+        if self.steps.len() < MAX_STEPS {
+            self.steps.push(StepNote { server, stage, from: now, took: 0, end: StepEnd::Out });
+        }
+    }
+
+    /// Notes how the last attempt ended.
+    pub fn step_ends(&mut self, status: Status, now: Nanos) {
+        let out = self.steps.last_mut().filter(|s| s.end == StepEnd::Out);
+        if let Some(step) = out {
+            step.took = now.saturating_sub(step.from);
+            step.end = match status {
+                Status::Ok | Status::Read => StepEnd::Done,
+                Status::Error | Status::Unknown | Status::Moot => StepEnd::Error,
+                Status::Full => StepEnd::Full,
+                Status::Timeout => StepEnd::Timeout,
+                Status::ConnectFailed => StepEnd::ConnectFailed,
+                Status::Reset => StepEnd::Reset,
+                Status::Cancelled => StepEnd::CalledOff,
+            };
         }
     }
 
--- a/crates/gaparch-router/src/core/roster.rs
+++ b/crates/gaparch-router/src/core/roster.rs
@@ -1,8 +1,11 @@
 //! The list of engines as this router knows it, from the settings, the list service and the engines' hellos.
 
 use super::{figures, state_at, Counts};
+use crate::core::operate::{listed_state, server_state};
 use gaparch::api::{Entry, ListKind, Nanos, Role, ServerId, ServerState, Settings};
 use gaparch_config::{server_id, Config};
+use gaparch_ops::book::Book;
+use gaparch_ops::combine::combine;
 use gaparch_protocol::engine::{EngineFacts, StateAt};
 use gaparch_protocol::list::{ListEntry, Scope};
 use std::collections::BTreeMap;
@@ -22,9 +25,16 @@
 const CLOCKS_APART: Nanos = 3_600_000_000_000;
 
 #[derive(Clone, Debug)]
-struct Known {
-    listed: ListEntry,
-    entry: Entry,
+pub(super) struct Known {
+    pub listed: ListEntry,
+    /// As the module is told: with the operators' word.
+    pub entry: Entry,
+}
+
+/// What the list and the operators say together.
+fn state_of(listed: &ListEntry, book: &Book) -> ServerState {
+    let hold = book.hold(&listed.engine).map(|(hold, _)| hold);
+    server_state(combine(hold, listed_state(listed.state)))
 }
 
 #[derive(Clone, Debug, Default)]
@@ -34,7 +44,7 @@
 }
 
 impl Roster {
-    pub fn take_settings(&mut self, config: &Config) -> Vec<Entry> {
+    pub fn take_settings(&mut self, config: &Config, book: &Book) -> Vec<Entry> {
         let mut counts = Counts::default();
         for engine in &config.engines {
             let listed = ListEntry {
@@ -47,7 +57,7 @@
                 weight: engine.weight,
                 started_at: None,
             };
-            self.take(listed, config, &mut counts);
+            self.take(listed, config, book, &mut counts);
         }
         self.known.values().map(|k| k.entry.clone()).collect()
     }
@@ -57,6 +67,7 @@
         &mut self,
         update: ListUpdate,
         config: &Config,
+        book: &Book,
         counts: &mut Counts,
     ) -> Option<(ListKind, Vec<Entry>)> {
         let delta = update.scope == Scope::Delta;
@@ -69,16 +80,39 @@
         self.version = Some(update.version);
         if !delta {
             // What a whole list does not name is gone.
-            self.known.values_mut().for_each(|k| k.entry.state = ServerState::Gone);
+            for known in self.known.values_mut() {
+                (known.listed.state, known.entry.state) = (ServerState::Gone, ServerState::Gone);
+            }
         }
         let mut entries = Vec::new();
         for listed in update.entries {
-            entries.extend(self.take(listed, config, counts));
+            entries.extend(self.take(listed, config, book, counts));
         }
         Some((if delta { ListKind::Delta } else { ListKind::Full }, entries))
     }
 
-    fn take(&mut self, listed: ListEntry, config: &Config, counts: &mut Counts) -> Option<Entry> {
+    /// An operator has changed his word on an engine; the entry to tell of, if the engine is known.
+    pub fn hold_changed(&mut self, engine: &str, book: &Book) -> Option<Entry> {
+        let known = self.known.get_mut(&server_id(engine)).filter(|k| k.listed.engine == engine)?;
+        known.entry.state = state_of(&known.listed, book);
+        Some(known.entry.clone())
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = (&ServerId, &Known)> {
+        self.known.iter()
+    }
+
+    pub fn name(&self, server: ServerId) -> &str {
+        self.known.get(&server).map_or("", |k| k.listed.engine.as_str())
+    }
+
+    fn take(
+        &mut self,
+        listed: ListEntry,
+        config: &Config,
+        book: &Book,
+        counts: &mut Counts,
+    ) -> Option<Entry> {
         let server = server_id(&listed.engine);
         let kind = config.names.kind(&listed.kind);
         let known = self.known.get(&server);
@@ -98,7 +132,7 @@
             zone: config.names.zone(&listed.zone),
             kind,
             cell: config.names.cell(&listed.zone, &listed.rack),
-            state: listed.state,
+            state: state_of(&listed, book),
             weight,
             ready_at: listed.started_at.max(said),
         };
--- a/crates/gaparch-router/src/shell/client.rs
+++ b/crates/gaparch-router/src/shell/client.rs
@@ -4,10 +4,11 @@
 use super::stall::Stall;
 use crate::core::{Accepted, ToClient};
 use bytes::{Bytes, BytesMut};
-use gaparch::api::{ClassId, Key, Nanos, RequestId, TenantId};
+use gaparch::api::{ClassId, Key, Nanos, RequestId, ServerId, TenantId};
 use gaparch_config::Config;
 use gaparch_protocol::client::{parse_request, Answer, Ask, ClientEvent, Dialect, ErrorKind, Usage};
 use gaparch_protocol::engine::RouterRun;
+use gaparch_protocol::ops::ending::WaitedFor;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Frame, Incoming};
@@ -252,10 +253,19 @@
         max_out: ask.max_tokens,
         hint: ask.answer_hint,
         repeat: ask.repeat,
+        fingerprint: fingerprint(&ask, class, tenant),
         prompt: ask.prompt,
     }
 }
 
+/// The same for the same question in the same session of a tenant.
+fn fingerprint(ask: &Ask, class: ClassId, tenant: Option<TenantId>) -> u64 {
+    let session = ask.session.as_deref().unwrap_or_default();
+    let tenant = tenant.map_or(0, |t| t.0 as u64 + 1);
+    let all = [Key::of(&ask.prompt), Key::of(session), Key(tenant), Key(class.0 as u64)];
+    all.into_iter().fold(0, |sum, key| key.rank(ServerId(sum as u32)) ^ sum.rotate_left(17))
+}
+
 /// A request that the owner has, or will have. Dropped before its last event, its client has left.
 struct Ticket {
     id: RequestId,
@@ -290,10 +300,16 @@
     ticket.over = first.as_ref().is_none_or(ToClient::is_last);
     match first {
         Some(ToClient::Opened { usage }) => Ok(usage),
-        Some(ToClient::Refused { retry_after }) => {
-            Err(Refusal::busy(retry_after, "nothing was done; a retry is harmless"))
+        Some(ToClient::Refused { retry_after, cause, waited_for }) => {
+            let over_share = waited_for == Some(WaitedFor::OverShare);
+            let why = waited_for.map_or(cause.word(), WaitedFor::word);
+            let message = format!("nothing was done; a retry is harmless ({why})");
+            let refusal = Refusal::busy(retry_after, &message);
+            // Its own share is what stands in its way: 429; else it is the site.
+            let status = if over_share { StatusCode::TOO_MANY_REQUESTS } else { refusal.status };
+            Err(Refusal { status, ..refusal })
         }
-        Some(ToClient::Failed { why }) => Err(Refusal::failed(why)),
+        Some(ToClient::Failed { why, .. }) => Err(Refusal::failed(why)),
         _ => Err(Refusal::failed("the router has ended")),
     }
 }
@@ -308,7 +324,7 @@
                 return Ok(Answer { id, model, text, usage, reason });
             }
             Some(ToClient::Opened { .. }) => {}
-            Some(ToClient::Failed { why }) => {
+            Some(ToClient::Failed { why, .. }) => {
                 ticket.over = true;
                 return Err(Refusal::failed(why));
             }
@@ -359,7 +375,7 @@
             }
             // A refusal after the first event would be a broken promise; it is told as a failure.
             ToClient::Refused { .. } => encode(failed("the answer broke off")),
-            ToClient::Failed { why } => encode(failed(why)),
+            ToClient::Failed { why, .. } => encode(failed(why)),
         }
     }
 }
--- a/crates/gaparch-router/src/shell/mod.rs
+++ b/crates/gaparch-router/src/shell/mod.rs
@@ -15,10 +15,12 @@
 mod engine;
 mod lag;
 mod list;
+mod ops;
 mod owner;
 mod stall;
 
 pub use lag::{Lag, LagSummary};
+pub use ops::{key_of, Disks, OperationsError};
 
 use crate::core::{Core, Counts};
 use gaparch_config::Config;
@@ -26,6 +28,7 @@
 use gaparch_protocol::engine::RouterRun;
 use owner::{Control, Owner, Ports};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +42,8 @@
 pub enum ServeError {
     #[error("can't listen at {address}: {source}")]
     Listen { address: SocketAddr, source: std::io::Error },
+    #[error("operations: {0}")]
+    Operations(#[from] OperationsError),
 }
 
 /// A running router. It ends abruptly when this is dropped.
@@ -49,6 +54,7 @@
     lag: Arc<Lag>,
     accepting: Vec<JoinHandle<()>>,
     owner: JoinHandle<()>,
+    operations: Option<ops::Running>,
     shutdown: Duration,
 }
 
@@ -58,6 +64,24 @@
         &self.addresses
     }
 
+    /// Where operators come in over TCP.
+    pub fn operations_address(&self) -> Option<SocketAddr> {
+        self.operations.as_ref().and_then(|o| o.address)
+    }
+
+    /// Where operators come in locally.
+    pub fn operations_socket(&self) -> Option<&Path> {
+        self.operations.as_ref().and_then(|o| o.socket.as_deref())
+    }
+
+    /// Waits until an operator orders a stop; without an operations side for ever.
+    pub async fn asked_to_stop(&self) {
+        match &self.operations {
+            Some(operations) => operations.stop.notified().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// What was counted so far; `None` once it has ended.
     pub async fn counts(&self) -> Option<Counts> {
         let (answer, wait) = oneshot::channel();
@@ -102,8 +126,21 @@
 /// Starts a router.
 ///
 /// # Errors
-/// When an address can't be listened at.
+/// When an address can't be listened at, or the state folder can't be had.
 pub async fn serve(config: Config) -> Result<RouterHandle, ServeError> {
+    serve_on(config, None).await
+}
+
+/// Starts a router whose state is kept on other disks than the settings' folder, for tests.
+///
+/// # Errors
+/// As for [`serve`].
+pub async fn serve_on(config: Config, disks: Option<Disks>) -> Result<RouterHandle, ServeError> {
+    // What operators have ordered holds before the first request can come.
+    let prepared = match &config.operations {
+        Some(settings) => Some(ops::prepare(settings.clone(), disks).await?),
+        None => None,
+    };
     let clock = Clock::default();
     // Later runs have a later number: an engine must not take one run's states for another's.
     let run = RouterRun(clock.now() ^ (u64::from(std::process::id()) << 32) ^ run_number());
@@ -127,9 +164,18 @@
         config: config.clone(),
     });
     let mut out = Vec::new();
-    let core = Core::new(config.clone(), run, clock.now(), &mut out);
+    let book = prepared.as_ref().map(|p| p.book.clone()).unwrap_or_default();
+    let core = Core::new(config.clone(), book, run, clock.now(), &mut out);
+    let (desk, operations) = match prepared {
+        Some(prepared) => {
+            let control = control.clone();
+            let (desk, running) = ops::start(prepared, &config, run, clock, core.settings(), control).await?;
+            (Some(desk), Some(running))
+        }
+        None => (None, None),
+    };
     let ports = Ports { requests: requests_in, gone: gone_in, control: control_in };
-    let owner = Owner::new(core, clock, config.clone(), Arc::clone(&lag));
+    let owner = Owner::new(core, clock, config.clone(), Arc::clone(&lag), desk);
     let owner = tokio::spawn(owner.run(ports, out));
     let addresses = listeners.iter().map(|(address, ..)| *address).collect();
     let accepting = listeners
@@ -137,7 +183,7 @@
         .map(|(_, socket, dialect)| tokio::spawn(client::accept(socket, dialect, Arc::clone(&shared))))
         .collect();
     let shutdown = config.limits.shutdown.duration();
-    Ok(RouterHandle { addresses, control, lag, accepting, owner, shutdown })
+    Ok(RouterHandle { addresses, control, lag, accepting, owner, operations, shutdown })
 }
 
 /// Two routers of one process never have the same run.
--- /dev/null
+++ b/crates/gaparch-router/src/shell/ops/historian.rs
@@ -0,0 +1,85 @@
+//! Puts what happened on disk, as far as there is time and room.
+
+use super::News;
+use gaparch_ops::chronicle::Chronicle;
+use gaparch_ops::ledger::{self, Followed, Ledger};
+use gaparch_protocol::ops::ending::Kept;
+use gaparch_protocol::ops::from_bytes;
+use gaparch_protocol::ops::view::Happening;
+use gaparch_store::{Disk, History, HistoryLimits, StoreError};
+use tokio::sync::mpsc;
+
+/// Batches that wait; past them the hub collects on.
+pub(super) const INBOX: usize = 4;
+/// Files of one kind.
+const SEGMENTS: usize = 16;
+
+/// Records to be kept.
+#[derive(Debug, Default)]
+pub(super) struct Batch {
+    pub events: Vec<Vec<u8>>,
+    pub endings: Vec<Vec<u8>>,
+}
+
+type Part = History<Box<dyn Disk>>;
+
+pub(super) struct Historian {
+    parts: Option<(Part, Part)>,
+}
+
+impl Historian {
+    /// Reads what is kept: a quarter of the room is for events, the rest for endings.
+    pub fn open(
+        events: Box<dyn Disk>,
+        endings: Box<dyn Disk>,
+        bytes: u64,
+        chronicle: &mut Chronicle,
+        ledger: &mut Ledger,
+    ) -> Result<Historian, StoreError> {
+        let limits = |bytes: u64| HistoryLimits { segment: bytes / SEGMENTS as u64, segments: SEGMENTS };
+        let take_event = |_, bytes: &[u8]| {
+            from_bytes::<Happening>(bytes).into_iter().for_each(|event| chronicle.add(event));
+        };
+        let events = History::open(events, "events", 1, limits(bytes / 4), take_event)?;
+        let take_ending = |_, bytes: &[u8]| match from_bytes::<Kept>(bytes) {
+            Some(Kept::Ending { ending }) => ledger.restore(*ending),
+            Some(Kept::FollowUp { request, follow_up }) => {
+                ledger.restore_follow_up(Followed { request, follow_up });
+            }
+            None => {}
+        };
+        let endings = History::open(endings, "endings", ledger::SCHEMA, limits(bytes / 4 * 3), take_ending)?;
+        Ok(Historian { parts: Some((events, endings)) })
+    }
+
+    pub async fn run(mut self, mut batches: mpsc::Receiver<Batch>, news: mpsc::Sender<News>) {
+        let mut told = None;
+        while let Some(batch) = batches.recv().await {
+            let Some((mut events, mut endings)) = self.parts.take() else { return };
+            // A disk may take seconds.
+            let work = tokio::task::spawn_blocking(move || {
+                let result = write(&mut events, &mut endings, &batch);
+                (events, endings, result)
+            });
+            let Ok((events, endings, result)) = work.await else { return };
+            let dropped = events.dropped() + endings.dropped();
+            self.parts = Some((events, endings));
+            let trouble = result.err().map(|e| format!("{e}; {dropped} records were left out so far"));
+            if told.as_ref() != Some(&trouble) {
+                if news.send(News::NotKept("history", trouble.clone())).await.is_err() {
+                    return;
+                }
+                told = Some(trouble);
+            }
+        }
+    }
+}
+
+fn write(events: &mut Part, endings: &mut Part, batch: &Batch) -> Result<(), StoreError> {
+    let pushed = batch.events.iter().try_for_each(|record| events.push(record));
+    let pushed = pushed.and(batch.endings.iter().try_for_each(|record| endings.push(record)));
+    // One disk may be full and the other not.
+    let flushed = events.flush();
+    endings.flush()?;
+    flushed.and(pushed)
+}
--- /dev/null
+++ b/crates/gaparch-router/src/shell/ops/mod.rs
@@ -0,0 +1,322 @@
+//! The operations side of a running router.
+//!
+//! The owner of the core carries out orders and shows how all stands, four times a second; all else is done beside
+//! it. The [`keeper`] puts orders on disk, the [`historian`] what happened, the [`hub`] keeps both in memory and
+//! tells subscribers, and each [`session`] talks to one console or script. None of them can hold up the owner:
+//!
+//! | queue | bound | full |
+//! | --- | --- | --- |
+//! | orders to the keeper | 256 | the order is denied, and not carried out |
+//! | news to the hub | 16,384 | left out, and counted |
+//! | updates to one subscriber | 64 | left out; it is told so, and shown all anew |
+//! | batches to the historian | 4 | the hub collects on, up to 1 MiB of each kind |
+//! | sessions | `operations/sessions` | sent away |
+
+mod historian;
+mod hub;
+mod keeper;
+mod session;
+
+use super::owner::Control;
+use crate::core::Proposal;
+use gaparch_config::{Config, KeySource, Operations};
+use gaparch_net::Clock;
+use gaparch_ops::book::{Book, Denied};
+use gaparch_ops::chronicle::Chronicle;
+use gaparch_ops::ledger::{Bounds, Ledger};
+use gaparch_protocol::engine::RouterRun;
+use gaparch_protocol::ops::ending::Ending;
+use gaparch_protocol::ops::intent::{LimitView, Taken};
+use gaparch_protocol::ops::view::{EngineView, Figures, Happening, Setting, Severity};
+use gaparch_protocol::ops::OpsRole;
+use gaparch_store::{Disk, Folder, StoreError};
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::PathBuf;
+use std::sync::Arc;
+use thiserror::Error;
+use tokio::net::{TcpListener, UnixListener};
+use tokio::sync::{mpsc, oneshot, Notify, Semaphore};
+use tokio::task::JoinHandle;
+
+const HUB_INBOX: usize = 16_384;
+const KEEPER_INBOX: usize = 256;
+
+/// Why the operations side can't start.
+#[derive(Debug, Error)]
+pub enum OperationsError {
+    #[error("the state folder: {0}")]
+    Store(#[from] StoreError),
+    #[error("{what}: {source}")]
+    Io { what: String, source: std::io::Error },
+}
+
+/// Where the state is kept. Tests give disks that fail.
+pub struct Disks {
+    pub intents: Box<dyn Disk>,
+    pub events: Box<dyn Disk>,
+    pub endings: Box<dyn Disk>,
+}
+
+impl Disks {
+    /// The folder of the settings, locked.
+    ///
+    /// # Errors
+    /// When it can't be had, or another router has it.
+    pub fn open(settings: &Operations) -> Result<Disks, StoreError> {
+        let folder = Folder::open(&settings.state)?;
+        let (events, endings) = (Box::new(folder.share()), Box::new(folder.share()));
+        Ok(Disks { intents: Box::new(folder), events, endings })
+    }
+}
+
+impl std::fmt::Debug for Disks {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Disks")
+    }
+}
+
+/// How all stands, as the owner shows it.
+#[derive(Clone, Debug)]
+pub(super) struct Board {
+    pub figures: Figures,
+    pub engines: Vec<EngineView>,
+    pub limits: Vec<LimitView>,
+    /// News that there was no room for, since the start.
+    pub lost: u64,
+}
+
+/// A reply to an order.
+pub(super) type OrderReply = oneshot::Sender<Result<Done, Denied>>;
+
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Done {
+    pub revision: u64,
+    pub effect: String,
+}
+
+pub(super) enum News {
+    Board(Box<Board>),
+    Ended(Box<Ending>),
+    Taken(Taken),
+    Happened(Happening),
+    /// All changes up to that one are on disk.
+    Kept(u64),
+    /// What is not being kept on disk now, and why; no reason: it is again.
+    NotKept(&'static str, Option<String>),
+    Ask(gaparch_protocol::ops::Query, oneshot::Sender<gaparch_protocol::ops::Answer>),
+    Subscribe(u64, mpsc::Sender<gaparch_protocol::ops::Update>),
+    Unsubscribe(u64),
+}
+
+/// The owner's side of it.
+pub(super) struct Desk {
+    news: mpsc::Sender<News>,
+    keeper: mpsc::Sender<keeper::Keep>,
+    lost: u64,
+    stop: Arc<Notify>,
+}
+
+impl Desk {
+    /// Tells the hub; past its bound the news is left out and counted.
+    pub fn tell(&mut self, news: News) {
+        self.lost += u64::from(self.news.try_send(news).is_err());
+    }
+
+    pub fn show(&mut self, figures: Figures, engines: Vec<EngineView>, limits: Vec<LimitView>) {
+        let board = Board { figures, engines, limits, lost: self.lost };
+        self.tell(News::Board(Box::new(board)));
+    }
+
+    /// Room for one more order, if the keeper has any.
+    pub fn reserve(&self) -> Option<mpsc::OwnedPermit<keeper::Keep>> {
+        self.keeper.clone().try_reserve_owned().ok()
+    }
+
+    /// Has an order kept that was carried out; the reply is given once it is.
+    pub fn keep(&mut self, permit: mpsc::OwnedPermit<keeper::Keep>, proposal: Proposal, reply: OrderReply) {
+        self.tell(News::Taken(proposal.taken.clone()));
+        permit.send(keeper::Keep { taken: proposal.taken, effect: proposal.effect, reply });
+    }
+
+    /// An operator wants the router to end.
+    pub fn stop(&mut self, at: u64, who: &str, why: &str) {
+        let text = format!("{who} stops the router: {why}");
+        self.tell(News::Happened(Happening { at, severity: Severity::Warning, engine: None, text }));
+        self.stop.notify_one();
+    }
+}
+
+/// Who may come in by a key.
+#[derive(Clone)]
+pub(super) struct KnownOperator {
+    pub name: String,
+    pub role: OpsRole,
+    pub key: Vec<u8>,
+}
+
+impl std::fmt::Debug for KnownOperator {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} ({})", self.name, self.role)
+    }
+}
+
+/// What all sessions share.
+pub(super) struct Lobby {
+    pub router: String,
+    pub run: RouterRun,
+    pub operators: Vec<KnownOperator>,
+    pub sessions: Arc<Semaphore>,
+    pub control: mpsc::Sender<Control>,
+    pub news: mpsc::Sender<News>,
+}
+
+/// The state that was found, before anything runs.
+pub(super) struct Prepared {
+    pub book: Book,
+    keeper: keeper::Keeper,
+    historian: historian::Historian,
+    chronicle: Chronicle,
+    ledger: Ledger,
+    operators: Vec<KnownOperator>,
+    /// Operators that can't come in, and why.
+    locked_out: Vec<String>,
+    settings: Operations,
+}
+
+/// Reads the state folder. What operators have ordered is known before the first request comes.
+pub(super) async fn prepare(settings: Operations, disks: Option<Disks>) -> Result<Prepared, OperationsError> {
+    let read = move || {
+        let (operators, locked_out) = operators(&settings);
+        let disks = match disks {
+            Some(disks) => disks,
+            None => Disks::open(&settings)?,
+        };
+        let (keeper, book) = keeper::Keeper::open(disks.intents)?;
+        let mut ledger = Ledger::new(Bounds { bytes: settings.refusals });
+        let mut chronicle = Chronicle::default();
+        let historian = historian::Historian::open(
+            disks.events,
+            disks.endings,
+            settings.history as u64,
+            &mut chronicle,
+            &mut ledger,
+        )?;
+        Ok(Prepared { book, keeper, historian, chronicle, ledger, operators, locked_out, settings })
+    };
+    let wrong = |e: tokio::task::JoinError| OperationsError::Io {
+        what: "reading the state folder".to_owned(),
+        source: std::io::Error::other(e),
+    };
+    tokio::task::spawn_blocking(read).await.map_err(wrong)?
+}
+
+/// Those who may come in, and why others can't: a missing key must not keep a router from routing.
+fn operators(settings: &Operations) -> (Vec<KnownOperator>, Vec<String>) {
+    let (mut known, mut locked_out) = (Vec::new(), Vec::new());
+    for operator in &settings.operators {
+        let key = match &operator.key {
+            KeySource::Text(key) => Ok(key.clone()),
+            KeySource::File(file) => key_of(file).map_err(|e| format!("key file {}: {e}", file.display())),
+        };
+        let role = if operator.may_change { OpsRole::Change } else { OpsRole::Watch };
+        match key {
+            Ok(key) => known.push(KnownOperator { name: operator.name.clone(), role, key: key.into_bytes() }),
+            Err(why) => locked_out.push(format!("operator {} can't come in by a key: {why}", operator.name)),
+        }
+    }
+    (known, locked_out)
+}
+
+/// The key in a file: its first line. A file that others may read is no secret.
+pub fn key_of(file: &std::path::Path) -> Result<String, String> {
+    let mode = std::fs::metadata(file).map_err(|e| e.to_string())?.permissions().mode();
+    if mode & 0o077 != 0 {
+        return Err(format!("others may read it (mode {:o}); chmod 600 it", mode & 0o777));
+    }
+    let text = std::fs::read_to_string(file).map_err(|e| e.to_string())?;
+    let key = text.lines().next().unwrap_or_default().trim();
+    if key.len() < 16 {
+        return Err("its first line is no key of 16 bytes or more".to_owned());
+    }
+    Ok(key.to_owned())
+}
+
+/// Everything that runs beside the owner.
+#[derive(Debug)]
+pub(super) struct Running {
+    pub address: Option<SocketAddr>,
+    pub socket: Option<PathBuf>,
+    pub stop: Arc<Notify>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+        if let Some(socket) = &self.socket {
+            // One that stays is replaced by the next start.
+            let _ = std::fs::remove_file(socket);
+        }
+    }
+}
+
+/// Starts the keeper, the historian, the hub and the listeners.
+pub(super) async fn start(
+    prepared: Prepared,
+    config: &Config,
+    run: RouterRun,
+    clock: Clock,
+    settings: Vec<Setting>,
+    control: mpsc::Sender<Control>,
+) -> Result<(Desk, Running), OperationsError> {
+    let (news, news_in) = mpsc::channel(HUB_INBOX);
+    let (keeper_in, keeper_out) = mpsc::channel(KEEPER_INBOX);
+    let (history, history_in) = mpsc::channel(historian::INBOX);
+    let sessions = prepared.settings.sessions;
+    let lobby = Arc::new(Lobby {
+        router: config.router.clone(),
+        run,
+        operators: prepared.operators,
+        sessions: Arc::new(Semaphore::new(sessions)),
+        control,
+        news: news.clone(),
+    });
+    let mut listeners = Vec::new();
+    let mut bound = None;
+    if let Some(address) = prepared.settings.address {
+        let wrong = |source| OperationsError::Io { what: format!("can't listen at {address}"), source };
+        let listener = TcpListener::bind(address).await.map_err(wrong)?;
+        bound = Some(listener.local_addr().map_err(wrong)?);
+        listeners.push(tokio::spawn(session::accept_tcp(listener, Arc::clone(&lobby))));
+    }
+    if let Some(path) = &prepared.settings.socket {
+        let wrong =
+            |source| OperationsError::Io { what: format!("can't listen at {}", path.display()), source };
+        // The folder's lock says that no router lives that would listen there.
+        match std::fs::remove_file(path) {
+            Err(error) if error.kind() != std::io::ErrorKind::NotFound => return Err(wrong(error)),
+            _ => {}
+        }
+        let listener = UnixListener::bind(path).map_err(wrong)?;
+        std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600)).map_err(wrong)?;
+        listeners.push(tokio::spawn(session::accept_unix(listener, Arc::clone(&lobby))));
+    }
+    let hub = hub::Hub::new(
+        hub::Identity { router: config.router.clone(), run: run.0, began_at: clock.now(), settings },
+        prepared.book,
+        prepared.chronicle,
+        prepared.ledger,
+        history,
+    );
+    let mut tasks = vec![
+        tokio::spawn(prepared.keeper.run(keeper_out, news.clone())),
+        tokio::spawn(prepared.historian.run(history_in, news.clone())),
+        tokio::spawn(hub.run(news_in, clock, prepared.locked_out)),
+    ];
+    tasks.append(&mut listeners);
+    let stop = Arc::new(Notify::new());
+    let running =
+        Running { address: bound, socket: prepared.settings.socket, stop: Arc::clone(&stop), tasks };
+    Ok((Desk { news, keeper: keeper_in, lost: 0, stop }, running))
+}
--- a/crates/gaparch-router/src/shell/owner.rs
+++ b/crates/gaparch-router/src/shell/owner.rs
@@ -3,11 +3,16 @@
 use super::engine::{self, EngineMessage};
 use super::lag::Lag;
 use super::list::{self, ListCommand, ListMessage};
+use super::ops::{Desk, Done, News, OrderReply};
 use crate::core::{Accepted, ConnNo, Core, Counts, Input, Output, ToClient};
 use gaparch::api::{RequestId, ServerId};
 use gaparch_config::Config;
 use gaparch_net::Clock;
+use gaparch_ops::book::Denied;
 use gaparch_protocol::engine::EngineFrame;
+use gaparch_protocol::ops::intent::Change;
+use gaparch_protocol::ops::view::{Figures, LiveView};
+use gaparch_protocol::ops::{DenyCode, Order};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +25,8 @@
 /// Frames that wait for one engine; past it its connection is closed.
 const ENGINE_OUTBOX: usize = 16_384;
 const LIST_INBOX: usize = 64;
+/// Between two looks that operators get.
+const SHOW_EVERY: Duration = Duration::from_millis(250);
 /// Taken in one round, so that no kind of input starves another or the timers. A batch of an engine may hold some
 /// hundred frames: ten thousand streams that step at once kept the owner busy for 83 ms with 64 of them.
 const ENGINE_BATCH: usize = 4;
@@ -34,10 +41,17 @@
     pub answers: mpsc::Sender<ToClient>,
 }
 
-#[derive(Debug)]
 pub(super) enum Control {
     Counts(oneshot::Sender<Counts>),
     Open(oneshot::Sender<usize>),
+    Order {
+        order: Order,
+        who: String,
+        reply: OrderReply,
+    },
+    /// The oldest open requests, at most so many, and how many there are.
+    Live(usize, oneshot::Sender<(Vec<LiveView>, u64)>),
+    One(RequestId, oneshot::Sender<Option<LiveView>>),
     Stop,
     StopNow,
 }
@@ -68,6 +82,9 @@
     list: Option<mpsc::Sender<ListCommand>>,
     list_task: Option<JoinHandle<()>>,
     list_messages: mpsc::Receiver<ListMessage>,
+    desk: Option<Desk>,
+    /// The owner's lag since the board was last shown.
+    board_lag: Duration,
 }
 
 impl Drop for Owner {
@@ -77,7 +94,7 @@
 }
 
 impl Owner {
-    pub fn new(core: Core, clock: Clock, config: Config, lag: Arc<Lag>) -> Owner {
+    pub fn new(core: Core, clock: Clock, config: Config, lag: Arc<Lag>, desk: Option<Desk>) -> Owner {
         let (engine_inbox, engine_messages) = mpsc::channel(ENGINE_INBOX);
         let (list_inbox, list_messages) = mpsc::channel(LIST_INBOX);
         let (list, list_task) = match &config.list {
@@ -101,6 +118,8 @@
             list,
             list_task,
             list_messages,
+            desk,
+            board_lag: Duration::ZERO,
         }
     }
 
@@ -109,6 +128,8 @@
         let mut request_batch = Vec::with_capacity(REQUEST_BATCH);
         let mut gone_batch = Vec::with_capacity(GONE_BATCH);
         self.carry_out(&mut out);
+        let mut show = tokio::time::interval(SHOW_EVERY);
+        show.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             let due = self.core.next_at().map(|at| Instant::from_std(self.clock.instant(at)));
             let round = tokio::select! {
@@ -121,6 +142,10 @@
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
                     due.map_or(Duration::ZERO, |due| due.elapsed())
                 }
+                _ = show.tick(), if self.desk.is_some() => {
+                    self.show();
+                    Duration::ZERO
+                }
                 _ = ports.gone.recv_many(&mut gone_batch, GONE_BATCH) => Duration::ZERO,
                 _ = self.engine_messages.recv_many(&mut engine_batch, ENGINE_BATCH) => Duration::ZERO,
                 Some(message) = self.list_messages.recv() => {
@@ -145,7 +170,9 @@
             }
             self.core.on_time(self.clock.now(), &mut out);
             self.carry_out(&mut out);
-            self.lag.add(round + began.elapsed());
+            let lag = round + began.elapsed();
+            self.board_lag = self.board_lag.max(lag);
+            self.lag.add(lag);
         }
     }
 
@@ -154,11 +181,47 @@
         match control {
             Control::Counts(answer) => drop(answer.send(self.core.counts())),
             Control::Open(answer) => drop(answer.send(self.core.open())),
+            Control::Order { order, who, reply } => self.on_order(&order, &who, reply, out),
+            Control::Live(most, answer) => {
+                let live = (self.core.live_views(most), self.core.open() as u64);
+                drop(answer.send(live));
+            }
+            Control::One(id, answer) => drop(answer.send(self.core.live_one(id))),
             Control::Stop => self.core.handle(now, Input::Stop, out),
             Control::StopNow => self.core.handle(now, Input::StopNow, out),
         }
     }
 
+    /// Carries out an order at once; it is acknowledged when it is kept.
+    fn on_order(&mut self, order: &Order, who: &str, reply: OrderReply, out: &mut Vec<Output>) {
+        let now = self.clock.now();
+        let Some(desk) = &mut self.desk else { return };
+        let proposal = match self.core.propose(now, order, who) {
+            Ok(proposal) => proposal,
+            // Who asked may have left; so in all that follows.
+            Err(denied) => return drop(reply.send(Err(denied))),
+        };
+        if proposal.taken.change == (Change::Stop {}) {
+            desk.stop(now, who, &order.why);
+            let done = Done { revision: proposal.taken.revision - 1, effect: proposal.effect };
+            return drop(reply.send(Ok(done)));
+        }
+        let Some(permit) = desk.reserve() else {
+            let message = "too many orders wait to be kept; nothing was changed";
+            return drop(reply.send(Err(Denied::new(DenyCode::Busy, message))));
+        };
+        self.core.handle(now, Input::Taken(proposal.taken.clone()), out);
+        desk.keep(permit, proposal, reply);
+    }
+
+    /// Shows how all stands.
+    fn show(&mut self) {
+        let Some(desk) = &mut self.desk else { return };
+        let lag_us = u64::try_from(std::mem::take(&mut self.board_lag).as_micros()).unwrap_or(u64::MAX);
+        let figures = Figures { at: self.clock.now(), lag_us, ..self.core.figures() };
+        desk.show(figures, self.core.engine_views(), self.core.limits());
+    }
+
     fn on_engine(&mut self, now: u64, message: EngineMessage, out: &mut Vec<Output>) {
         match message {
             EngineMessage::Up { engine, conn, facts } => {
@@ -234,6 +297,11 @@
             }
             Output::Watch(on) => self.pass_to_list(ListCommand::Watch(on), lost),
             Output::Fetch => self.pass_to_list(ListCommand::Fetch, lost),
+            Output::Ended(ending) => {
+                if let Some(desk) = &mut self.desk {
+                    desk.tell(News::Ended(ending));
+                }
+            }
             Output::Log(text) => tracing::info!(%text, "module"),
         }
     }
--- /dev/null
+++ b/crates/gaparch-store/tests/crashes.rs
@@ -0,0 +1,189 @@
+//! What is acknowledged is there again, wherever the power goes; what fails is never taken for kept.
+
+use gaparch_store::faulty::{Faults, FaultyDisk, Unsynced};
+use gaparch_store::{Folder, History, HistoryLimits, Journal, StoreError};
+use proptest::prelude::*;
+
+fn open(disk: &FaultyDisk) -> (Journal<FaultyDisk>, Vec<Vec<u8>>) {
+    let (journal, found) = Journal::open(disk.clone(), "intents", 1).expect("opens");
+    (journal, found.records)
+}
+
+fn fresh(disk: &FaultyDisk) -> Journal<FaultyDisk> {
+    let (mut journal, _) = open(disk);
+    if journal.is_broken() {
+        journal.rewrite::<Vec<u8>>([]).expect("written");
+    }
+    journal
+}
+
+/// Appends records, and begins a new generation after every third, until the power goes. What was
+/// acknowledged, and what was asked for.
+fn work(disk: &FaultyDisk) -> (Vec<Vec<u8>>, usize) {
+    let (mut journal, mut kept) = open(disk);
+    let mut asked = kept.len();
+    if journal.is_broken() && journal.rewrite(&kept).is_err() {
+        return (kept, asked);
+    }
+    for n in 0..10u8 {
+        asked += 1;
+        let record = vec![n; 5 + usize::from(n)];
+        if journal.append(std::slice::from_ref(&record)).is_ok() {
+            kept.push(record);
+        }
+        if n % 3 == 2 {
+            let _ = journal.rewrite(&kept);
+        }
+    }
+    (kept, asked)
+}
+
+#[test]
+fn acknowledged_records_are_there_after_a_crash_at_every_operation() {
+    let whole = FaultyDisk::default();
+    work(&whole);
+    let operations = whole.operations();
+    assert!(operations > 20);
+    for crash_at in 0..operations {
+        for unsynced in [Unsynced::Lost, Unsynced::Kept, Unsynced::Half] {
+            let disk = FaultyDisk::default();
+            disk.set(Faults { crash_at: Some(crash_at), ..Faults::default() });
+            let (kept, asked) = work(&disk);
+            assert!(disk.has_crashed());
+            let disk = disk.after_crash(unsynced);
+            let (_, found) = open(&disk);
+            assert!(found.starts_with(&kept), "crash at {crash_at}, {unsynced:?}: {kept:?}, {found:?}");
+            assert!(found.len() <= asked, "nothing that was not asked for");
+            // And it goes on from there.
+            let (more, _) = work(&disk);
+            let (_, found) = open(&disk.after_crash(Unsynced::Lost));
+            assert_eq!(found, more, "after a crash at {crash_at}, {unsynced:?}");
+        }
+    }
+}
+
+#[test]
+fn a_full_disk_keeps_what_is_there_and_takes_more_once_there_is_room() {
+    let disk = FaultyDisk::default();
+    let mut journal = fresh(&disk);
+    journal.append(&[b"one"]).expect("room");
+    disk.set(Faults { room: Some(disk.bytes() + 4), ..Faults::default() });
+    assert!(matches!(journal.append(&[b"two"]), Err(StoreError::Io { .. })));
+    disk.set(Faults::default());
+    journal.append(&[b"three"]).expect("room again");
+    assert_eq!(open(&disk.after_crash(Unsynced::Lost)).1, [b"one".to_vec(), b"three".to_vec()]);
+}
+
+#[test]
+fn after_a_failed_sync_nothing_is_taken_until_all_is_written_anew() {
+    let disk = FaultyDisk::default();
+    let mut journal = fresh(&disk);
+    journal.append(&[b"one"]).expect("kept");
+    disk.set(Faults { sync_fails: true, ..Faults::default() });
+    assert!(journal.append(&[b"two"]).is_err());
+    disk.set(Faults::default());
+    assert!(matches!(journal.append(&[b"two"]), Err(StoreError::Broken { .. })));
+    journal.rewrite([b"one", b"two"]).expect("anew");
+    journal.append(&[b"three"]).expect("kept");
+    let all = [&b"one"[..], b"two", b"three"].map(<[u8]>::to_vec);
+    assert_eq!(open(&disk.after_crash(Unsynced::Lost)).1, all);
+}
+
+#[test]
+fn a_harmed_record_costs_itself_and_the_file_is_kept() {
+    let disk = FaultyDisk::default();
+    let mut journal = fresh(&disk);
+    journal.append(&[b"first", b"other", b"third"]).expect("kept");
+    disk.harm("intents.1.log", |bytes| bytes[16 + 8 + 5 + 8] ^= 1);
+    let (mut journal, found) = Journal::open(disk.clone(), "intents", 1).expect("opens");
+    assert_eq!((found.records.len(), found.damaged, found.torn), (2, 1, 0));
+    assert!(journal.is_broken(), "what is left has to be written anew");
+    journal.rewrite(&found.records).expect("written");
+    assert_eq!(open(&disk).1, [b"first".to_vec(), b"third".to_vec()]);
+    let names = gaparch_store::Disk::list(journal.disk()).expect("listed");
+    assert!(names.contains(&"intents.1.log.damaged".to_owned()), "{names:?}");
+}
+
+#[test]
+fn a_later_version_is_not_touched() {
+    let disk = FaultyDisk::default();
+    let (mut journal, _) = Journal::open(disk.clone(), "intents", 7).expect("opens");
+    journal.rewrite([b"later"]).expect("written");
+    let before = disk.bytes();
+    let error = Journal::open(disk.clone(), "intents", 6).err().expect("refused");
+    assert!(matches!(error, StoreError::Later { schema: 7, .. }), "{error}");
+    assert_eq!(disk.bytes(), before);
+    // An older one says so, and wants to be written anew.
+    let (journal, found) = Journal::open(disk, "intents", 9).expect("opens");
+    assert_eq!((found.schema, journal.is_broken()), (Some(7), true));
+}
+
+#[test]
+fn a_history_is_bounded_and_survives_full_and_harmed_disks() {
+    let limits = HistoryLimits { segment: 1024, segments: 3 };
+    let disk = FaultyDisk::default();
+    let read = |disk: &FaultyDisk| {
+        let mut seen = Vec::new();
+        let history = History::open(disk.clone(), "events", 1, limits, |_, r| seen.push(r.to_vec()));
+        (history.expect("opens"), seen)
+    };
+    let (mut history, _) = read(&disk);
+    for n in 0..200u32 {
+        history.push(&[n as u8; 92]).expect("short");
+        history.flush().expect("written");
+        assert!(disk.bytes() <= 3 * (1024 + 100 + 16), "{}", disk.bytes());
+    }
+    let (_, seen) = read(&disk);
+    assert!(seen.len() >= 20 && seen.last() == Some(&vec![199; 92]), "{}", seen.len());
+    disk.set(Faults { room: Some(disk.bytes() + 10), ..Faults::default() });
+    history.push(&[200; 92]).expect("short");
+    assert!(history.flush().is_err());
+    disk.set(Faults::default());
+    history.flush().expect("it waited");
+    assert_eq!(read(&disk).1.last(), Some(&vec![200; 92]));
+    for _ in 0..20_000 {
+        history.push(&[1; 92]).expect("short");
+    }
+    assert!(history.dropped() > 0, "what waits is bounded");
+}
+
+#[test]
+fn a_folder_is_one_router_s_alone() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("state");
+    let first = Folder::open(&path).expect("free");
+    let error = Folder::open(&path).expect_err("in use").to_string();
+    assert!(error.contains(&format!("process {}", std::process::id())), "{error}");
+    drop(first);
+    let (mut journal, _) = Journal::open(Folder::open(&path).expect("free again"), "a", 1).expect("opens");
+    journal.rewrite([b"x"]).expect("written");
+    journal.append(&[b"y"]).expect("kept");
+    drop(journal);
+    let (_, found) = Journal::open(Folder::open(&path).expect("free"), "a", 1).expect("opens");
+    assert_eq!(found.records, [b"x".to_vec(), b"y".to_vec()]);
+}
+
+proptest! {
+    /// Whatever bytes stand at the end, what was acknowledged before is found.
+    #[test]
+    fn any_tail_is_survived(tail in proptest::collection::vec(any::<u8>(), 0..60), cut in 0usize..40) {
+        let disk = FaultyDisk::default();
+        let mut journal = fresh(&disk);
+        journal.append(&[b"one", b"two"]).expect("kept");
+        journal.append(&[[9u8; 32]]).expect("kept");
+        disk.harm("intents.1.log", |bytes| {
+            bytes.truncate(bytes.len() - cut);
+            bytes.extend_from_slice(&tail);
+        });
+        let (mut journal, found) = Journal::open(disk.clone(), "intents", 1).expect("opens");
+        prop_assert!(found.records.starts_with(&[b"one".to_vec(), b"two".to_vec()]));
+        let before = found.records.clone();
+        if journal.is_broken() {
+            journal.rewrite(&before).expect("written");
+        }
+        journal.append(&[b"more"]).expect("kept");
+        let (_, after) = open(&disk);
+        prop_assert_eq!(&after[..before.len()], &before[..]);
+        prop_assert_eq!(after.last(), Some(&b"more".to_vec()));
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -150,6 +150,14 @@
     }
 }
 
+impl Settings {
+    /// Another quota for a tenant; one that is no number or below nothing is none.
+    pub fn quota(&mut self, tenant: TenantId, per_s: f64) {
+        let sound = per_s.is_finite() && per_s >= 0.0;
+        self.tenants.get_mut(tenant.0).filter(|_| sound).into_iter().for_each(|t| t.quota_per_s = per_s);
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Settings {
@@ -280,17 +288,97 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    Members { kind: ListKind, entries: Arc<[Entry]> },
+    Members {
+        kind: ListKind,
+        entries: Arc<[Entry]>,
+    },
     Request(Request),
     Timer(TimerToken),
-    Peer { from: u32, data: Vec<u8> },
-    First { id: RequestId, attempt: AttemptNo, server: ServerId, latency: Nanos },
-    Note { id: RequestId, attempt: AttemptNo, server: ServerId, held: bool },
+    Peer {
+        from: u32,
+        data: Vec<u8>,
+    },
+    First {
+        id: RequestId,
+        attempt: AttemptNo,
+        server: ServerId,
+        latency: Nanos,
+    },
+    Note {
+        id: RequestId,
+        attempt: AttemptNo,
+        server: ServerId,
+        held: bool,
+    },
     Gone(RequestId),
-    Probed { server: ServerId, status: Status, latency: Nanos, report: Option<Report> },
+    Probed {
+        server: ServerId,
+        status: Status,
+        latency: Nanos,
+        report: Option<Report>,
+    },
+    /// A tenant's requests a second within its share are others from now on.
+    Quota {
+        tenant: TenantId,
+        per_s: f64,
+    },
     Outcome(Outcome),
 }
 
+/// Why a request is given up: the module's own reason, not a guess from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reason {
+    /// Its class is not one of the settings.
+    UnknownClass,
+    /// Its client's time is up.
+    Deadline,
+    /// Held, it could not make its aim any more.
+    AimLost,
+    /// Its read state may not wait any longer, and no writer can be sent to.
+    ReleaseTime,
+    /// No attempts are left for a way that ends in an answer.
+    AttemptsUsed,
+    /// It may have run, and may not be tried again.
+    MayHaveRun,
+    /// The router found a send too late to be made.
+    TooLate,
+}
+
+impl Reason {
+    /// It ended a wait, so that what was waited for can be told.
+    pub fn waited(self) -> bool {
+        matches!(self, Reason::Deadline | Reason::AimLost | Reason::ReleaseTime)
+    }
+}
+
+/// What a request that was given up while it waited was waiting for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Holdup {
+    /// No writer may be sent to.
+    NoWriter,
+    /// No reader may be sent to.
+    NoReader,
+    /// There is no room for all, and its tenant is over its share.
+    OverShare,
+    /// All writers look full.
+    WritersFull,
+    /// All readers have long waits.
+    ReadersFull,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Why {
+    pub reason: Reason,
+    /// `None` where an attempt was out, or it did not wait.
+    pub held_by: Option<Holdup>,
+}
+
+impl From<Reason> for Why {
+    fn from(reason: Reason) -> Why {
+        Why { reason, held_by: None }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// `timeout` 0: until the client gives up.
@@ -306,8 +394,12 @@
     Refuse {
         id: RequestId,
         retry_after: Nanos,
+        why: Why,
+    },
+    Fail {
+        id: RequestId,
+        why: Why,
     },
-    Fail(RequestId),
     Release(RequestId),
     Ahead {
         id: RequestId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! gaparch decides, for one router, which reader and which writer serves each request.
 //!
-//! [`policy`] holds every decision, [`api`] is its interface, [`state`] keeps the books.
+//! [`policy`] holds every decision, [`api`] is its interface, [`state`] keeps the books, [`view`] shows them.
 
 pub mod api;
 pub mod policy;
 pub mod state;
+pub mod view;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,10 +55,10 @@
 
 #[derive(Default)]
 pub struct Policy {
-    set: Settings,
-    now: Nanos,
+    pub(crate) set: Settings,
+    pub(crate) now: Nanos,
     out: Vec<Action>,
-    servers: Servers,
+    pub(crate) servers: Servers,
     works: Works,
     /// Held before their read.
     waiting: Held,
@@ -140,6 +140,7 @@
             Event::First { id, attempt, latency, .. } => self.on_first(id, attempt, latency),
             Event::Outcome(outcome) => self.on_outcome(outcome),
             Event::Gone(id) => self.end(id, None),
+            Event::Quota { tenant, per_s } => self.set.quota(tenant, per_s),
             Event::Probed { server: s, status, latency, report } => {
                 self.on_probed(s, status, latency, report)
             }
@@ -158,7 +159,7 @@
 
     fn on_request(&mut self, request: Request) {
         let Some(class) = self.set.classes.get(request.class.0).cloned() else {
-            return self.out.push(Action::Fail(request.id));
+            return self.out.push(Action::Fail { id: request.id, why: Reason::UnknownClass.into() });
         };
         let prompt = if request.prompt_len > 0.0 { request.prompt_len } else { PROMPT_UNKNOWN };
         // The design's guess of a stream's memory: the hint, else half of what is allowed.
@@ -179,7 +180,7 @@
         let request = Request { prompt_len: prompt, ..request };
         self.works.insert(id, Work::new(request, self.now, self.set.seed, homes, over_share, aim_at, answer));
         if give_up_at <= self.now.saturating_add(LAST_CALL) {
-            return self.give_up(id);
+            return self.give_up(id, Reason::Deadline);
         }
         self.hold(id);
     }
@@ -413,7 +414,7 @@
     }
 
     /// Full: as it reported, as it answered within the last second, or as guessed.
-    fn has_room(&self, s: &Server, need: f64) -> bool {
+    pub(crate) fn has_room(&self, s: &Server, need: f64) -> bool {
         self.fits(s, need, self.memory_share(s))
     }
 
@@ -424,7 +425,7 @@
     }
 
     /// Share of a writer's memory that is held, by guess: own sends, and the others'.
-    fn memory_share(&self, s: &Server) -> f64 {
+    pub(crate) fn memory_share(&self, s: &Server) -> f64 {
         let others = self.others(s).unwrap_or_else(|| self.told(s) / s.memory.max(1.0));
         s.held / s.memory.max(1.0) + others
     }
@@ -471,7 +472,7 @@
         if let Some(server) = self.pick_writer(work, must) {
             self.send(id, Sent::to(server, Stage::Write));
         } else if must {
-            self.give_up(id);
+            self.give_up(id, Reason::ReleaseTime);
         }
     }
 
@@ -608,7 +609,8 @@
         self.works.note(&o.id);
         let steps = if state.is_some() { 1 } else { ATTEMPTS_KEPT };
         if unsafe_ran || o.status == Status::Moot || attempts + steps > self.set.max_attempts.max(steps) {
-            return self.give_up(o.id);
+            let moot = if o.status == Status::Moot { Reason::TooLate } else { Reason::AttemptsUsed };
+            return self.give_up(o.id, if unsafe_ran { Reason::MayHaveRun } else { moot });
         }
         match state {
             Some(_) => self.place(o.id),
@@ -616,8 +618,21 @@
         }
     }
 
+    /// What has kept a request that has no attempt out, as far as it can be told now.
+    fn held_by(&self, work: &Work, reason: Reason) -> Option<Holdup> {
+        let none = |reads| self.candidates(reads, Asker::One(work)).is_empty();
+        Some(match work {
+            w if w.sent.is_some() || !reason.waited() => return None,
+            _ if none(false) => Holdup::NoWriter,
+            w if w.state.is_none() && !self.set.self_prefill && none(true) => Holdup::NoReader,
+            w if w.over_share => Holdup::OverShare,
+            w if !self.writers_have_room(w) => Holdup::WritersFull,
+            _ => Holdup::ReadersFull,
+        })
+    }
+
     /// A refusal where trying again is harmless, else a failure; nothing stays pinned.
-    fn give_up(&mut self, id: RequestId) {
+    fn give_up(&mut self, id: RequestId, reason: Reason) {
         let Some(work) = self.works.get(&id) else { return };
         let Some(class) = self.set.classes.get(work.request.class.0) else { return };
         let ran = work.may_have_run.is_some() || work.sent.is_some_and(|s| s.stage != Stage::Read);
@@ -627,7 +642,9 @@
             Effect::Unsafe => !ran,
         };
         let retry_after = if self.set.retry_after { self.set.max_retry_after } else { 0 };
-        let answer = if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) };
+        let why = Why { reason, held_by: self.held_by(work, reason) };
+        let refusal = Action::Refuse { id, retry_after, why };
+        let answer = if harmless { refusal } else { Action::Fail { id, why } };
         self.end(id, Some(answer));
     }
 
@@ -653,7 +670,7 @@
 
     // --- Health: by symptom, against peers -----------------------------------------------------------
 
-    fn ill(&self, s: &Server, part: Option<Part>) -> bool {
+    pub(crate) fn ill(&self, s: &Server, part: Option<Part>) -> bool {
         let rests = s.rests(self.now, None) || part.is_some() && s.rests(self.now, part);
         s.unreachable || rests || s.pace_ratio >= SLOW_SHUN && s.unbegun > 0
     }
@@ -717,13 +734,13 @@
         }
     }
 
-    fn cold(&self, s: &Server) -> bool {
+    pub(crate) fn cold(&self, s: &Server) -> bool {
         s.began_at() > 0 && self.now < s.began_at().saturating_add(self.set.cold)
     }
 
     /// Rule 4, kept by each router alone: a part of what it sends itself to a warm peer. It begins in debt,
     /// each router by another part of a request, or all would pay it off at the same moment.
-    fn cold_budget_allows(&self, s: &Server) -> bool {
+    pub(crate) fn cold_budget_allows(&self, s: &Server) -> bool {
         !self.cold(s) || s.budget.level >= 0.0
     }
 
@@ -789,10 +806,12 @@
         let late = self.now.saturating_add(self.to_first.value as Nanos) > work.aim_at;
         match work.sent {
             Some(sent) if sent.begun => {}
-            _ if self.now.saturating_add(LAST_CALL) >= work.request.give_up_at => self.give_up(id),
+            _ if self.now.saturating_add(LAST_CALL) >= work.request.give_up_at => {
+                self.give_up(id, Reason::Deadline)
+            }
             Some(sent) => self.check_overdue(id, sent),
             // Held, it can't make its aim any more: it ends now, so that others can.
-            None if late && work.state.is_none() => self.give_up(id),
+            None if late && work.state.is_none() => self.give_up(id, Reason::AimLost),
             None => self.place(id),
         }
     }
