--- a/crates/gaparch-lab/src/checker.rs
+++ b/crates/gaparch-lab/src/checker.rs
@@ -365,6 +365,7 @@
     let mut names: BTreeMap<RouterRun, &str> = BTreeMap::new();
     let mut runs: BTreeMap<(&str, ConnId), RouterRun> = BTreeMap::new();
     let mut told: BTreeMap<(&str, &str), Nanos> = BTreeMap::new();
+    let mut ordered: BTreeMap<(&str, &str), Nanos> = BTreeMap::new();
     for entry in entries {
         match &entry.what {
             What::Frame { engine, conn, seen: Seen::Hello { run, router }, .. } => {
@@ -375,13 +376,20 @@
                 ServerState::Ready => drop(told.remove(&(router.as_str(), engine.as_str()))),
                 _ => drop(told.entry((router, engine)).or_insert(entry.at)),
             },
+            What::Ordered { router, engine, drained } => match drained {
+                false => drop(ordered.remove(&(router.as_str(), engine.as_str()))),
+                true => drop(ordered.entry((router, engine)).or_insert(entry.at)),
+            },
             What::Frame { engine, conn, way: Way::In, seen } => {
                 let key = match seen {
                     Seen::Read { key, .. } | Seen::Write { key, .. } | Seen::Reserve { key } => key,
                     _ => continue,
                 };
                 let name = runs.get(&(engine.as_str(), *conn)).and_then(|run| names.get(run));
-                let since = name.and_then(|name| told.get(&(*name, engine.as_str())));
+                let by = |all: &BTreeMap<(&str, &str), Nanos>| {
+                    name.and_then(|n| all.get(&(*n, engine.as_str())).copied())
+                };
+                let since = by(&told).into_iter().chain(by(&ordered)).min();
                 let late = since.map_or(0, |at| entry.at - at);
                 let share = late as f64 / figures.drain_grace as f64;
                 found.case(share, late > figures.drain_grace, || {
--- a/crates/gaparch-lab/src/record.rs
+++ b/crates/gaparch-lab/src/record.rs
@@ -86,6 +86,12 @@
         engine: String,
         state: ServerState,
     },
+    /// An operator's drain was ordered there, or taken back.
+    Ordered {
+        router: String,
+        engine: String,
+        drained: bool,
+    },
     RouterKilled {
         router: String,
     },
--- a/crates/gaparch-lab/src/site.rs
+++ b/crates/gaparch-lab/src/site.rs
@@ -8,20 +8,25 @@
 use crate::list_service::ListService;
 use crate::load::{Answered, Client, Patience, Question};
 use crate::record::{Ask, Record, What};
-use gaparch::api::{Role, ServerState};
+use gaparch::api::{Nanos, Role, ServerState};
 use gaparch_config::{Config, Problem};
 use gaparch_engine::server::{self, EngineHandle, EngineOptions};
 use gaparch_engine::{EngineSpec, Fault};
-use gaparch_net::Clock;
+use gaparch_net::{Clock, Credentials, OpsClient, OpsError, Place};
 use gaparch_protocol::client::Dialect;
 use gaparch_protocol::list::ListEntry;
+use gaparch_protocol::ops::intent::{Change, Hold};
+use gaparch_protocol::ops::view::Snapshot;
+use gaparch_protocol::ops::{Answer, OpsRole, Order, Query};
 use gaparch_router::core::Counts;
-use gaparch_router::{serve, RouterHandle, ServeError};
+use gaparch_router::shell::{serve_on, Disks};
+use gaparch_router::{RouterHandle, ServeError};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
+use tempfile::TempDir;
 use thiserror::Error;
 use tokio::runtime::Runtime;
 
@@ -55,6 +60,8 @@
     /// Further elements and attributes of the settings, where a test wants others.
     pub limits: &'static str,
     pub list_mode: &'static str,
+    /// Routers have an operations side, at an address of loopback.
+    pub operations: bool,
     pub dialect: &'static str,
 }
 
@@ -83,6 +90,7 @@
             tenants: Vec::new(),
             limits: "",
             list_mode: "push",
+            operations: false,
             dialect: "own",
         }
     }
@@ -97,8 +105,14 @@
     plan: Plan,
     routers: Vec<Option<Router>>,
     addresses: Vec<SocketAddr>,
+    /// Where routers keep their state.
+    state: TempDir,
 }
 
+/// Keys of the operators of a site's routers: one who may change things, one who may look.
+pub const OFFICE_KEY: &str = "office-key-0000001";
+pub const WALL_KEY: &str = "wall-key-00000001";
+
 struct Router {
     handle: RouterHandle,
     runtime: Runtime,
@@ -135,6 +149,7 @@
             engines,
             routers: (0..plan.routers).map(|_| None).collect(),
             addresses: free_addresses(plan.routers)?,
+            state: tempfile::tempdir()?,
             plan,
         };
         for number in 0..site.plan.routers {
@@ -213,11 +228,22 @@
             xml,
             r#"</engines><list address="{}" mode="{}"/><attempts reconnect-most="500ms"/>
             <rules release-within="500ms" drain-grace="500ms" cold-from="0.28" cold="14s" fall-multiple="2.5"
-             fall="2s"/>{}</gaparch>"#,
+             fall="2s"/>{}"#,
             self.list.address(),
             plan.list_mode,
             plan.limits
         );
+        if plan.operations {
+            let state = self.state.path().join(Site::router_name(router));
+            let _ = write!(
+                xml,
+                r#"<operations state="{}" address="127.0.0.1:0" history="2MiB" refusals="4MiB">
+                <operator name="office" role="change" key="{OFFICE_KEY}"/>
+                <operator name="wall" role="watch" key="{WALL_KEY}"/></operations>"#,
+                state.display()
+            );
+        }
+        xml.push_str("</gaparch>");
         xml
     }
 
@@ -226,9 +252,17 @@
     /// # Errors
     /// When its address can't be listened at.
     pub async fn start_router(&mut self, router: usize) -> Result<(), SiteError> {
+        self.start_router_on(router, None).await
+    }
+
+    /// The same with other disks than a folder.
+    ///
+    /// # Errors
+    /// As for [`start_router`](Site::start_router).
+    pub async fn start_router_on(&mut self, router: usize, disks: Option<Disks>) -> Result<(), SiteError> {
         let config = self.config(router)?;
         let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-        let handle = runtime.spawn(serve(config)).await;
+        let handle = runtime.spawn(serve_on(config, disks)).await;
         let handle = handle.map_err(std::io::Error::other)??;
         self.routers[router] = Some(Router { handle, runtime });
         Ok(())
@@ -279,6 +313,24 @@
         }
     }
 
+    /// Where a router's operators come in.
+    pub fn operations(&self, router: usize) -> Option<Place> {
+        self.router(router)?.operations_address().map(Place::Address)
+    }
+
+    /// Comes in at a router as one who may change things.
+    ///
+    /// # Errors
+    /// When it has no operations side, or is not there.
+    pub async fn operator(&self, router: usize) -> Result<Operator, OpsError> {
+        let place = self.operations(router).ok_or(OpsError::Protocol)?;
+        let office =
+            Credentials { key: Some(OFFICE_KEY.to_owned()), role: OpsRole::Change, who: String::new() };
+        let client = OpsClient::connect(&place, &office).await?;
+        let router = Site::router_name(router);
+        Ok(Operator { client, router, clock: self.clock, record: self.record.clone() })
+    }
+
     pub fn plan(&self) -> &Plan {
         &self.plan
     }
@@ -292,6 +344,69 @@
     }
 }
 
+/// An operator at a router, whose drains are noted for the checker.
+pub struct Operator {
+    pub client: OpsClient,
+    router: String,
+    clock: Clock,
+    record: Record,
+}
+
+impl Operator {
+    /// Orders a change; from when it was ordered, and what was answered.
+    ///
+    /// # Errors
+    /// When the connection is gone.
+    pub async fn order(&mut self, change: Change, force: bool) -> Result<(Nanos, Answer), OpsError> {
+        let hold = match &change {
+            Change::Hold { engine, .. } => Some((engine.clone(), true)),
+            Change::Free { engine } => Some((engine.clone(), false)),
+            _ => None,
+        };
+        let at = self.clock.now();
+        let note = |at, (engine, drained): (String, bool)| {
+            let router = self.router.clone();
+            self.record.add(at, What::Ordered { router, engine, drained });
+        };
+        // What may be sent again is so before the router knows; what may not, from when it was told.
+        let freed = hold.clone().filter(|(_, drained)| !drained);
+        freed.into_iter().for_each(|freed| note(at, freed));
+        let order = Order { change, why: "an operator's test".to_owned(), force, revision: None };
+        let answer = self.client.ask(Query::Order { order }).await?;
+        if matches!(answer, Answer::Done { .. }) {
+            hold.filter(|(_, drained)| *drained).into_iter().for_each(|drained| note(at, drained));
+        }
+        Ok((at, answer))
+    }
+
+    /// Drains an engine.
+    ///
+    /// # Errors
+    /// As for [`order`](Operator::order).
+    pub async fn drain(&mut self, engine: &str) -> Result<(Nanos, Answer), OpsError> {
+        self.order(Change::Hold { engine: engine.to_owned(), hold: Hold::Drain }, false).await
+    }
+
+    /// Takes a drain back.
+    ///
+    /// # Errors
+    /// As for [`order`](Operator::order).
+    pub async fn undrain(&mut self, engine: &str) -> Result<(Nanos, Answer), OpsError> {
+        self.order(Change::Free { engine: engine.to_owned() }, false).await
+    }
+
+    /// How all stands.
+    ///
+    /// # Errors
+    /// When the connection is gone, or the router answers something else.
+    pub async fn snapshot(&mut self) -> Result<Snapshot, OpsError> {
+        match self.client.ask(Query::Snapshot {}).await? {
+            Answer::Snapshot { snapshot } => Ok(*snapshot),
+            _ => Err(OpsError::Protocol),
+        }
+    }
+}
+
 /// The list's entry of an engine.
 pub fn entry(spec: &EngineSpec, address: SocketAddr, state: ServerState) -> ListEntry {
     ListEntry {
