A terminal console, a scripted session in a pseudo-terminal, and ctl's twins

Need: an operator at a terminal sees the engines, drains one, reads why a request was refused, and loses nothing when the console is killed. Change: gaparch console (state and drawing without I/O, a thread of its own that draws), gaparch demo with a recording, the pty driver in the lab, tests of both.

--- a/crates/gaparch-cli/src/commands/mod.rs
+++ b/crates/gaparch-cli/src/commands/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod badday;
 pub mod check;
+pub mod console;
 pub mod ctl;
+pub mod demo;
 pub mod engine;
 pub mod list;
 pub mod load;
--- a/crates/gaparch-cli/src/main.rs
+++ b/crates/gaparch-cli/src/main.rs
@@ -26,10 +26,14 @@
     List(commands::list::Options),
     /// Check a settings file and name every mistake in it
     Check(commands::check::Options),
+    /// Look at a running router and run it, from a terminal
+    Console(commands::console::Options),
     /// Look at a running router and change what it does, for scripts
     Ctl(commands::ctl::Options),
     /// Start a small site on loopback, ask it one question and show the events as they come
     Try(commands::try_out::Options),
+    /// Play a session at the console on a site of stand-ins, and show or record it
+    Demo(commands::demo::Options),
     /// Put load on a router and print what came of it
     Load(commands::load::Options),
     /// Play a bad day on loopback and judge the five rules by what went over the sockets
@@ -59,8 +63,10 @@
         Command::Engine(options) => commands::engine::run(options).await,
         Command::List(options) => commands::list::run(options).await,
         Command::Check(options) => commands::check::run(&options),
+        Command::Console(options) => commands::console::run(options).await,
         Command::Ctl(options) => commands::ctl::run(options).await,
         Command::Try(options) => commands::try_out::run(options).await,
+        Command::Demo(options) => commands::demo::run(options).await,
         Command::Load(options) => commands::load::run(options).await,
         Command::Badday(options) => commands::badday::run(options).await,
     }
--- a/crates/gaparch-lab/src/lib.rs
+++ b/crates/gaparch-lab/src/lib.rs
@@ -2,13 +2,16 @@
 //!
 //! [`site`] starts a whole site on loopback: engines, a list service, routers. [`load`] is its clients.
 //! [`record`] keeps what went over the sockets, and [`checker`] judges the five rules from that record
-//! alone: it shares no code with the router's core. [`badday`] puts them together.
+//! alone: it shares no code with the router's core. [`badday`] puts them together. [`terminal`] is an
+//! operator's terminal, and [`demo`] a session at it.
 
 pub mod badday;
 pub mod checker;
+pub mod demo;
 pub mod list_service;
 pub mod load;
 pub mod plain_relay;
 pub mod record;
 pub mod scripted;
 pub mod site;
+pub mod terminal;
--- a/crates/gaparch-lab/src/site.rs
+++ b/crates/gaparch-lab/src/site.rs
@@ -237,7 +237,7 @@
             let state = self.state.path().join(Site::router_name(router));
             let _ = write!(
                 xml,
-                r#"<operations state="{}" address="127.0.0.1:0" history="2MiB" refusals="4MiB">
+                r#"<operations state="{}" socket="{0}.sock" address="127.0.0.1:0" history="2MiB" refusals="4MiB">
                 <operator name="office" role="change" key="{OFFICE_KEY}"/>
                 <operator name="wall" role="watch" key="{WALL_KEY}"/></operations>"#,
                 state.display()
