A closed standard output ends no router; an order is seen by whoever asks next

Need: the test of ctl found that a limit looked unchanged for a quarter second after its acknowledgement, and that a router whose output was closed ended with a panic. Change: the hub puts an order into what it shows at once; serve writes its lines without caring who reads. Measured: the four tests of the program in a pseudo-terminal pass, blind drains within 500 ms.

--- a/crates/gaparch-cli/src/commands/serve.rs
+++ b/crates/gaparch-cli/src/commands/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::Outcome;
 use clap::Args;
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -15,18 +16,23 @@
     file: PathBuf,
 }
 
+/// A line on standard output; whoever started the router may have closed it since, which is no reason to end badly.
+fn say(line: &str) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
 pub async fn run(options: Options) -> Outcome {
     let config = super::settings(&options.file)?;
     let name = config.router.clone();
     let router = gaparch_router::serve(config).await?;
     for address in router.addresses() {
-        println!("gaparch: {name} listens at http://{address}");
+        say(&format!("gaparch: {name} listens at http://{address}"));
     }
     if let Some(socket) = router.operations_socket() {
-        println!("gaparch: {name} is operated at {}", socket.display());
+        say(&format!("gaparch: {name} is operated at {}", socket.display()));
     }
     if let Some(address) = router.operations_address() {
-        println!("gaparch: {name} is operated at {address}");
+        say(&format!("gaparch: {name} is operated at {address}"));
     }
     let mut looks = tokio::time::interval(LOOK_EVERY);
     let stop = super::asked_to_stop();
@@ -47,10 +53,10 @@
     };
     tracing::info!(why, "ending: nothing new is taken");
     if let Some(counts) = router.stop().await {
-        println!(
+        say(&format!(
             "gaparch: {why}; {} requests: {} served, {} refused, {} failed, {} left",
             counts.requests, counts.served, counts.refused, counts.failed, counts.left
-        );
+        ));
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/gaparch-router/src/shell/ops/hub.rs
+++ b/crates/gaparch-router/src/shell/ops/hub.rs
@@ -5,6 +5,7 @@
 use gaparch_net::Clock;
 use gaparch_ops::book::{words, Book};
 use gaparch_ops::chronicle::Chronicle;
+use gaparch_ops::combine::combine;
 use gaparch_ops::feed::{Feed, Offer};
 use gaparch_ops::ledger::Ledger;
 use gaparch_ops::watch::Watch;
@@ -173,9 +174,22 @@
         let text = format!("{} by {}: {}", words(&taken.change), taken.note.who, taken.note.why);
         self.happened(Happening { at: taken.note.at, severity: Severity::Info, engine, text });
         self.book.apply(taken);
+        self.adjust_board();
         self.tell_intents();
     }
 
+    /// Whoever asks after an order sees what it did, though the owner shows all only four times a second.
+    fn adjust_board(&mut self) {
+        let Some(board) = &mut self.board else { return };
+        board.figures.paused = self.book.paused();
+        for limit in &mut board.limits {
+            limit.value = self.book.limit(&limit.name).unwrap_or(limit.by_settings);
+        }
+        for engine in &mut board.engines {
+            engine.state = combine(self.book.hold(&engine.name).map(|(hold, _)| hold), engine.listed);
+        }
+    }
+
     fn on_not_kept(&mut self, what: &'static str, trouble: Option<String>, now: u64) {
         let was = match &trouble {
             Some(why) => self.not_kept.insert(what, why.clone()),
