--- a/crates/gaparch-cli/src/main.rs
+++ b/crates/gaparch-cli/src/main.rs
@@ -20,6 +20,10 @@
 enum Command {
     /// Run a router by a settings file, until Ctrl-C or SIGTERM
     Serve(commands::serve::Options),
+    /// Write the files of a new router: checked settings, keys, a service unit
+    Init(commands::init::Options),
+    /// Say in plain words what is wrong around a router, and what to do
+    Doctor(commands::doctor::Options),
     /// Run a stand-in engine
     Engine(commands::engine::Options),
     /// Run a stand-in list service; it takes commands on standard input
@@ -60,6 +64,8 @@
 async fn run(command: Command) -> Outcome {
     match command {
         Command::Serve(options) => commands::serve::run(options).await,
+        Command::Init(options) => commands::init::run(options),
+        Command::Doctor(options) => commands::doctor::run(options).await,
         Command::Engine(options) => commands::engine::run(options).await,
         Command::List(options) => commands::list::run(options).await,
         Command::Check(options) => commands::check::run(&options),
--- a/crates/gaparch-cli/tests/cli.rs
+++ b/crates/gaparch-cli/tests/cli.rs
@@ -87,3 +87,38 @@
     assert!(last.contains("terminated; 0 requests"), "{last}");
     assert!(router.wait().expect("ended").success());
 }
+
+#[test]
+fn init_writes_what_serve_takes_and_doctor_says_what_is_wrong() {
+    let folder = std::env::temp_dir().join(format!("gaparch-{}-init", std::process::id()));
+    let there = folder.display().to_string();
+    let init = || {
+        let engines = ["r=read@127.0.0.1:1", "w=write@127.0.0.1:1/b"].map(|e| ["--engine", e]).concat();
+        let listen = ["init", there.as_str(), "--no-questions", "--listen", "127.0.0.1:0"];
+        gaparch(&[&listen[..], &engines].concat())
+    };
+    let output = init();
+    // Two engines at one address make no sound settings: nothing is written.
+    assert!(text(&output.stderr).contains("<engine address>"), "{}", text(&output.stderr));
+    assert!(!folder.join("gaparch.xml").exists());
+    let engines = ["--engine", "r=read@127.0.0.1:1", "--engine", "w=write@127.0.0.1:2"];
+    let good =
+        [&["init", there.as_str(), "--no-questions", "--listen", "127.0.0.1:0"][..], &engines].concat();
+    assert!(gaparch(&good).status.success());
+    let mode = |name: &str| {
+        use std::os::unix::fs::PermissionsExt;
+        std::fs::metadata(folder.join(name)).expect("there").permissions().mode() & 0o777
+    };
+    assert_eq!(["gaparch.xml", "office.key", "gaparch.service"].map(mode), [0o600, 0o600, 0o644]);
+    let again = gaparch(&good);
+    assert!(text(&again.stderr).contains("is there already; nothing was written"));
+    let settings = folder.join("gaparch.xml").display().to_string();
+    let doctor = gaparch(&["doctor", &settings]);
+    let said = text(&doctor.stdout);
+    assert_eq!(doctor.status.code(), Some(1));
+    for words in ["engine r at 127.0.0.1:1 does not answer", "ok      the state folder", "2 things are wrong"]
+    {
+        assert!(said.contains(words), "{words}: {said}");
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
