--- a/crates/gaparch-cli/src/commands/ctl/show.rs
+++ b/crates/gaparch-cli/src/commands/ctl/show.rs
@@ -152,7 +152,7 @@
         table.row(vec![
             e.name.clone(),
             e.role.to_string(),
-            format!("{}/{}", e.zone, e.rack),
+            words::place(e),
             words::state(e, &s.intents),
             if e.connected { "up" } else { "down" }.to_owned(),
             e.waiting.to_string(),
@@ -169,11 +169,10 @@
 /// One engine at length.
 pub fn engine(e: &EngineView, s: &Snapshot) -> String {
     format!(
-        "{} ({}, {}/{}, {}): {}, by the list {}; {}\n{} attempts, {} failed, {} called off; last heard {} ago\n",
+        "{} ({}, {}, {}): {}, by the list {}; {}\n{} attempts, {} failed, {} called off; last heard {} ago\n",
         e.name,
         e.role,
-        e.zone,
-        e.rack,
+        words::place(e),
         e.address,
         words::state(e, &s.intents),
         e.listed,
--- a/crates/gaparch-console/src/app/lists.rs
+++ b/crates/gaparch-console/src/app/lists.rs
@@ -131,7 +131,7 @@
                 Cell::ranked(format!("{:.1}x", e.pace), e.pace),
                 or_dash(&avoided),
                 Cell::ranked(format!("{}/{}", e.failed, words::count(e.attempts)), e.failed as f64),
-                format!("{}/{}", e.zone, e.rack).into(),
+                words::place(e).into(),
                 Cell::ranked(words::count(e.unread as u64), e.unread),
                 e.memory_said.map_or("-".into(), |m| Cell::ranked(words::percent(m), m)),
                 e.cold_budget.map_or("-".into(), |b| Cell::ranked(format!("{b:.1}"), b)),
--- a/crates/gaparch-console/src/screen/mod.rs
+++ b/crates/gaparch-console/src/screen/mod.rs
@@ -213,7 +213,7 @@
         return frame.render_widget(Paragraph::new("nothing is known yet"), area);
     };
     let [figures, lines, engines, events] = Layout::vertical([
-        Constraint::Length(3),
+        Constraint::Length(4),
         Constraint::Length(4),
         Constraint::Min(5),
         Constraint::Length((area.height / 4).clamp(4, 14)),
@@ -226,16 +226,16 @@
         Line::from(vec![
             Span::styled("now  ", theme.title()),
             Span::raw(format!(
-                "{} held  {} reading  {} read  {} writing  {} streaming    served {:.1}/s  lost {:.1}/s",
-                f.held,
-                f.reading,
-                f.read,
-                f.writing,
-                f.streaming,
-                recent(&app.series.served),
-                recent(&app.series.lost)
+                "{} held  {} reading  {} read  {} writing  {} streaming",
+                f.held, f.reading, f.read, f.writing, f.streaming
             )),
         ]),
+        Line::from(format!(
+            "     {:.1} served a second, {:.1} lost; late by {} at most",
+            recent(&app.series.served),
+            recent(&app.series.lost),
+            words::micros(f.lag_us)
+        )),
         Line::from(vec![
             Span::styled("all  ", theme.title()),
             Span::raw(format!(
@@ -248,37 +248,41 @@
                 format!("{} refused, {} failed", words::count(f.refused), words::count(f.failed)),
                 theme.tone(if lost > 0 { Tone::Warn } else { Tone::Plain }),
             ),
-            Span::raw(format!(", {} left; late {}", words::count(f.left), words::micros(f.lag_us))),
+            Span::raw(format!(", {} left", words::count(f.left))),
         ]),
         match snapshot.not_kept.as_str() {
-            "" => Line::from(format!("{} orders of operators in force, all kept", snapshot.intents.len())),
+            "" if snapshot.intents.is_empty() => Line::from("no orders of operators are in force"),
+            "" => Line::from(format!("orders of operators in force: {}, all kept", snapshot.intents.len())),
             why => Line::styled(format!("NOT KEPT ON DISK: {why}"), theme.tone(Tone::Bad)),
         },
     ];
     frame.render_widget(Paragraph::new(text), figures);
     let series = [
-        ("served a quarter second", &app.series.served),
-        ("refused and failed", &app.series.lost),
+        ("served", &app.series.served),
+        ("lost", &app.series.lost),
         ("held", &app.series.held),
         ("streaming", &app.series.streaming),
     ];
     let places = Layout::horizontal([Constraint::Ratio(1, 4); 4]).split(lines);
     for ((title, series), place) in series.into_iter().zip(places.iter()) {
         let most = series.iter().max().copied().unwrap_or(0);
-        let block = Block::bordered().title(format!(" {title} {most} "));
+        let block = Block::bordered().title(format!(" {title}, most {most} "));
         let room = usize::from(place.width.saturating_sub(2));
         let data: Vec<u64> = series.iter().skip(series.len().saturating_sub(room)).copied().collect();
         let line = Sparkline::default().block(block).data(data).style(theme.tone(Tone::Warn));
         frame.render_widget(line, *place);
     }
     let rows = app.rows();
-    let troubled: Vec<Row> = rows.iter().filter(|r| r.tone != Tone::Plain).cloned().collect();
-    let ready = rows.len() - troubled.len();
-    let title = format!(" engines: {ready} of {} as they should be; the others ", rows.len());
+    let well = rows.iter().filter(|r| r.tone == Tone::Plain).count();
+    // All where there is room; else those that are not as they should be.
+    let all = rows.len() + 3 <= usize::from(engines.height);
+    let shown: Vec<Row> = rows.iter().filter(|r| all || r.tone != Tone::Plain).cloned().collect();
+    let others = if all { "" } else { "; the others" };
+    let title = format!(" engines: {well} of {} as they should be{others} ", rows.len());
     let block = Block::bordered().title(title);
     let inner = block.inner(engines);
     frame.render_widget(block, engines);
-    draw_table(frame, inner, app.columns(), &troubled, None, theme);
+    draw_table(frame, inner, app.columns(), &shown, None, theme);
     let block = Block::bordered().title(" lately ");
     let inner = block.inner(events);
     frame.render_widget(block, events);
@@ -326,7 +330,7 @@
     let avoided = words::avoided(e);
     let said = e.memory_said.map_or("-".to_owned(), words::percent);
     let mut lines = vec![
-        format!("{}, {} in {}/{} at {}", e.name, e.role, e.zone, e.rack, e.address),
+        format!("{}, {} in {} at {}", e.name, e.role, words::place(e), e.address),
         format!(
             "  link {}; last heard {} ago; process began {}",
             if e.connected { "up" } else { "DOWN" },
--- a/crates/gaparch-console/src/words.rs
+++ b/crates/gaparch-console/src/words.rs
@@ -115,6 +115,16 @@
     }
 }
 
+/// Where an engine stands, as far as the settings say.
+pub fn place(engine: &EngineView) -> String {
+    match (engine.zone.as_str(), engine.rack.as_str()) {
+        ("", "") => "-".to_owned(),
+        ("", rack) => rack.to_owned(),
+        (zone, "") => zone.to_owned(),
+        (zone, rack) => format!("{zone}/{rack}"),
+    }
+}
+
 /// An engine's state, with who made it so.
 pub fn state(engine: &EngineView, intents: &[Intent]) -> String {
     match hold(&engine.name, intents) {
--- a/crates/gaparch-setup/src/doctor.rs
+++ b/crates/gaparch-setup/src/doctor.rs
@@ -138,8 +138,11 @@
     let mut say = |level, what: String, to_do: &str| all.push(finding(level, what, to_do));
     for (name, class) in config.names.classes.iter().zip(&module.classes) {
         if class.effect == Effect::Keyed && class.window < class.deadline {
+            // The module makes no attempt after the window, so no rule is at stake.
             let what = format!("class {name}: repeats are dropped for a shorter time than a client waits");
-            say(Level::Trouble, what, "a repeat after the window would run twice: make `window` at least `deadline`, or the class unsafe");
+            let to_do =
+                "what has failed after the window is not tried again: make `window` at least `deadline`";
+            say(Level::Advice, what, to_do);
         }
         if class.effect != Effect::Safe && module.max_attempts < 3 {
             let what = format!(
