--- a/crates/gaparch-lab/examples/relay.rs
+++ b/crates/gaparch-lab/examples/relay.rs
@@ -3,15 +3,14 @@
 //!
 //! `cargo run --release -p gaparch-lab --example relay`
 
-use gaparch_engine::EngineSpec;
-use gaparch_lab::load::{Client, Patience, Question, Summary};
+use gaparch_lab::load::{closed, Client, Patience, Question};
 use gaparch_lab::plain_relay::PlainRelay;
 use gaparch_lab::record::Record;
 use gaparch_lab::site::{Plan, Site};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 static NUMBER: AtomicU64 = AtomicU64::new(1);
 
@@ -20,40 +19,6 @@
     Question { address, patience: Patience::Stays, prompt_tokens: 50, ..site.question(number, tokens) }
 }
 
-/// So many clients, each with one question after the other.
-async fn closed(
-    site: &Site,
-    client: &Client,
-    address: SocketAddr,
-    clients: usize,
-    span: Duration,
-) -> Summary {
-    let began = Instant::now();
-    let tasks: Vec<_> = (0..clients)
-        .map(|_| {
-            let client = client.clone();
-            let questions: Vec<Question> =
-                (0..20_000 / clients).map(|_| question(site, address, 60)).collect();
-            tokio::spawn(async move {
-                let mut answers = Vec::new();
-                for question in questions {
-                    if began.elapsed() >= span {
-                        break;
-                    }
-                    answers.push(client.put(question).await);
-                }
-                answers
-            })
-        })
-        .collect();
-    let mut summary = Summary::default();
-    for task in tasks {
-        task.await.iter().flatten().for_each(|answered| summary.add(answered));
-    }
-    summary.took = began.elapsed();
-    summary
-}
-
 /// Questions at even gaps; times to the first token in microseconds.
 async fn paced(site: &Site, client: &Client, address: SocketAddr, rate: f64, count: usize) -> Vec<u64> {
     let began = tokio::time::Instant::now();
@@ -74,19 +39,7 @@
 
 #[tokio::main]
 async fn main() {
-    let quick = |spec: EngineSpec| EngineSpec {
-        slots: 4096,
-        queue: 4096,
-        memory: 50_000_000,
-        read_rate: 50_000_000.0,
-        step: 1_000_000,
-        step_per_answer: 0,
-        near_rate: 1e9,
-        far_rate: 1e9,
-        ..spec
-    };
-    let plan = Plan::small(2, 4);
-    let plan = Plan { engines: plan.engines.into_iter().map(quick).collect(), ..plan };
+    let plan = Plan::small(2, 4).quick();
     let site = Site::start(plan).await.expect("a site");
     site.settle().await;
     let relay = PlainRelay::start(&site).await.expect("a relay");
@@ -98,7 +51,8 @@
     for round in 0..3 {
         let mut rates = Vec::new();
         for (name, address) in places {
-            let summary = closed(&site, &client, address, 256, Duration::from_secs(3)).await;
+            let ask = || question(&site, address, 60);
+            let summary = closed(&client, 256, Duration::from_secs(3), ask).await;
             let seconds = summary.took.as_secs_f64();
             let (requests, tokens) = (summary.served as f64 / seconds, summary.tokens as f64 / seconds);
             println!(
--- a/crates/gaparch-lab/src/load.rs
+++ b/crates/gaparch-lab/src/load.rs
@@ -407,3 +407,28 @@
     summary.took = began.elapsed();
     summary
 }
+
+/// Questions that a run of [`closed`] may put at most.
+const MOST_CLOSED: usize = 200_000;
+
+/// So many clients, each with one question after the other, for so long.
+pub async fn closed(client: &Client, clients: usize, span: Duration, ask: impl Fn() -> Question) -> Summary {
+    let began = std::time::Instant::now();
+    let mut tasks = tokio::task::JoinSet::new();
+    let put = |question| {
+        let client = client.clone();
+        async move { client.put(question).await }
+    };
+    (0..clients).for_each(|_| drop(tasks.spawn(put(ask()))));
+    let mut summary = Summary::default();
+    let mut asked = clients;
+    while let Some(answered) = tasks.join_next().await {
+        answered.iter().for_each(|a| summary.add(a));
+        if began.elapsed() < span && asked < MOST_CLOSED {
+            asked += 1;
+            tasks.spawn(put(ask()));
+        }
+    }
+    summary.took = began.elapsed();
+    summary
+}
--- a/crates/gaparch-lab/src/site.rs
+++ b/crates/gaparch-lab/src/site.rs
@@ -94,6 +94,22 @@
             dialect: "own",
         }
     }
+
+    /// With engines that cost nothing, so that the router is what is measured.
+    pub fn quick(self) -> Plan {
+        let quick = |spec: EngineSpec| EngineSpec {
+            slots: 4096,
+            queue: 4096,
+            memory: 50_000_000,
+            read_rate: 50_000_000.0,
+            step: 1_000_000,
+            step_per_answer: 0,
+            near_rate: 1e9,
+            far_rate: 1e9,
+            ..spec
+        };
+        Plan { engines: self.engines.into_iter().map(quick).collect(), ..self }
+    }
 }
 
 /// A running site.
