The core in files by concern; requests turned away at the door are told of

Need: the core had grown to 970 lines in one file, and what was refused before the owner heard of it was in no record. Change: clients, actions, attempts, links and the following of the list have files of their own, nothing else in them changed; the door tells the hub of each request that it turns away, and its count stands in the figures.

--- a/crates/gaparch-lab/tests/appliance.rs
+++ b/crates/gaparch-lab/tests/appliance.rs
@@ -456,6 +456,27 @@
     assert_eq!(story.ok(), Some(Answer::Story { ending: Some(ending), live: None }));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_turned_away_at_the_door_are_told_of_too() {
+    let site = site(Plan { limits: r#"<limits open-requests="2"/>"#, ..plan(1, 1) }).await;
+    let answers = site.ask_all((0..8).map(|n| site.question(n, 60)).collect(), ms(5)).await;
+    let refused = answers.iter().filter(|a| matches!(a.end, Some(End::Refused { .. }))).count() as u64;
+    assert!(refused >= 4, "{answers:?}");
+    let mut operator = site.operator(0).await.expect("in");
+    let filter = EndingFilter { cause: Some(Cause::TooMuchOpen), ..EndingFilter::default() };
+    let until = Instant::now() + Duration::from_secs(10);
+    loop {
+        let answer = operator.client.ask(Query::Groups { filter: filter.clone() }).await;
+        let Ok(Answer::Groups { total, .. }) = answer else { panic!("{answer:?}") };
+        let counted = operator.snapshot().await.expect("shown").figures.refused;
+        if (total, counted) == (refused, refused) {
+            break;
+        }
+        assert!(Instant::now() < until, "{total} told, {counted} counted of {refused}");
+        sleep(ms(50)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn in_the_morning_the_night_can_be_read() {
     let site = site(plan(2, 3)).await;
--- /dev/null
+++ b/crates/gaparch-router/src/core/actions.rs
@@ -0,0 +1,183 @@
+//! What the module wants done.
+
+use super::engines::EngineLink;
+use super::request::{Attempt, Stage};
+use super::timers::Timer;
+use super::{Core, Output, ToClient};
+use gaparch::api::{Action, AttemptNo, Event, Nanos, Outcome, Report, RequestId, Role, ServerId, Status};
+use gaparch_protocol::engine::{AttemptKey, EngineFrame};
+
+impl Core {
+    pub(super) fn act(&mut self, action: Action, out: &mut Vec<Output>) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Cancel { id, attempt } => self.cancel(id, attempt),
+            Action::Refuse { id, retry_after, why } => {
+                let (cause, waited_for) = (why.reason.into(), why.held_by.map(Into::into));
+                self.answer(id, ToClient::Refused { retry_after, cause, waited_for }, out);
+                self.forget_if_done(id);
+            }
+            Action::Fail { id, why } => {
+                let cause = why.reason.into();
+                let why = "it may have been tried, and could not be ended";
+                self.answer(id, ToClient::Failed { why, cause }, out);
+                self.forget_if_done(id);
+            }
+            Action::Release(id) => self.release(id),
+            Action::Ahead { id, server } => self.ahead(id, server),
+            Action::Probe(server) => self.probe(server),
+            Action::Timer { token, delay } => {
+                self.timers.set(self.now.saturating_add(delay), Timer::Module(token));
+            }
+            Action::Watch(on) => out.push(Output::Watch(on)),
+            Action::Fetch => out.push(Output::Fetch),
+            Action::Log(text) => out.push(Output::Log(text)),
+            // One connection to each engine stays; there are no messages between routers yet, and a stream
+            // that breaks can't be resumed: the module is told so in its settings and does none of these.
+            Action::Close(_) | Action::Tell { .. } | Action::Move(_) => {}
+        }
+        out.append(&mut self.wire);
+    }
+
+    pub(super) fn send(&mut self, id: RequestId, server: ServerId, timeout: Nanos) {
+        let now = self.now;
+        let most = self.config.module.max_attempts;
+        let Some(live) = self.live.get_mut(&id) else { return self.moot(id, AttemptNo(0), server, true) };
+        let no = AttemptNo(live.next_attempt);
+        live.next_attempt += 1;
+        let second = live.attempt.is_some() && !self.config.module.second_copies;
+        if live.ended || second || no.0 >= most || now >= live.give_up_at {
+            let ended = live.ended;
+            return self.moot(id, no, server, ended);
+        }
+        let role = self.roster.role(server, &self.config.module);
+        let until =
+            if timeout == 0 { live.give_up_at } else { live.give_up_at.min(now.saturating_add(timeout)) };
+        let stage = if role == Some(Role::Read) { Stage::Read } else { Stage::Write };
+        live.attempt = Some(Attempt { no, server, stage, sent_at: now, begun: false, waits: false });
+        live.step_begins(server, stage, now);
+        self.timers.set(until, Timer::Attempt(id, no));
+        let Some(link) = self.engines.get_mut(&server) else {
+            return self.close_by(id, no, Status::ConnectFailed);
+        };
+        link.tally.attempts += 1;
+        if link.is_up() {
+            self.write_attempt(id);
+        } else if link.is_coming() {
+            if let Some(attempt) = live.attempt.as_mut() {
+                attempt.waits = true;
+            }
+            self.timers.set(now.saturating_add(self.config.module.connect_timeout), Timer::Connect(id, no));
+        } else {
+            self.close_by(id, no, Status::ConnectFailed);
+        }
+    }
+
+    pub(super) fn moot(&mut self, id: RequestId, attempt: AttemptNo, server: ServerId, closed: bool) {
+        self.counts.moot += 1;
+        self.events.push_back(Event::Outcome(Outcome {
+            id,
+            attempt,
+            server,
+            status: Status::Moot,
+            latency: 0,
+            closed,
+            note: 0,
+            report: None,
+        }));
+    }
+
+    /// Puts an attempt's frame on its engine's connection, which is up.
+    pub(super) fn write_attempt(&mut self, id: RequestId) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let Some(attempt) = live.attempt.as_mut() else { return };
+        attempt.waits = false;
+        let attempt = *attempt;
+        let job = live.ask.job(id, attempt.no, live.give_up_at, self.now);
+        let state = live.state_at.and_then(|server| self.roster.address(server));
+        let frame = match attempt.stage {
+            Stage::Read => EngineFrame::Read(job),
+            Stage::Write => EngineFrame::Write { job, state },
+        };
+        if let Some(link) = self.engines.get_mut(&attempt.server) {
+            self.wire.push(Output::Engine { engine: attempt.server, frame });
+            link.attempts.insert(id);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, id: RequestId, no: AttemptNo) {
+        let attempt = self.live.get(&id).and_then(|l| l.attempt).filter(|a| a.no == no && !a.begun);
+        let Some(attempt) = attempt else { return };
+        self.call_off(id, attempt);
+        self.close(id, attempt, Status::Cancelled, 0, None);
+    }
+
+    /// Tells the engine that nobody waits. A read may have ended meanwhile: its state goes too.
+    pub(super) fn call_off(&mut self, id: RequestId, attempt: Attempt) {
+        if attempt.waits {
+            return;
+        }
+        let key = AttemptKey { request: id.0, attempt: attempt.no.0 };
+        self.tell(attempt.server, EngineFrame::Cancel(key));
+        if attempt.stage == Stage::Read {
+            self.tell(attempt.server, EngineFrame::Release { request: id.0 });
+        }
+    }
+
+    /// Lets go of all that is held for the request, but for a state that a write is out for.
+    pub(super) fn release(&mut self, id: RequestId) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let fetched_from = live.state_at.filter(|_| live.attempt.is_some_and(|a| a.stage == Stage::Write));
+        let held = std::mem::take(&mut live.held_at);
+        live.held_at.extend(fetched_from.filter(|s| held.contains(s)));
+        live.state_at = fetched_from;
+        for server in held.into_iter().filter(|s| Some(*s) != fetched_from) {
+            self.tell(server, EngineFrame::Release { request: id.0 });
+            self.may_leave(server);
+        }
+        self.forget_if_done(id);
+    }
+
+    /// Puts a frame on the connection of an engine, if it is up.
+    pub(super) fn tell(&mut self, engine: ServerId, frame: EngineFrame) {
+        if self.engines.get(&engine).is_some_and(EngineLink::is_up) {
+            self.wire.push(Output::Engine { engine, frame });
+        }
+    }
+
+    pub(super) fn ahead(&mut self, id: RequestId, server: ServerId) {
+        let Some(live) = self.live.get_mut(&id).filter(|l| !l.ended) else { return };
+        let Some(reading) = live.attempt.filter(|a| a.stage == Stage::Read) else { return };
+        let Some(from) = self.roster.address(reading.server) else { return };
+        let job = live.ask.job(id, reading.no, live.give_up_at, self.now);
+        live.hold(server);
+        self.tell(server, EngineFrame::Reserve { job, from });
+    }
+
+    pub(super) fn probe(&mut self, server: ServerId) {
+        self.next_nonce += 1;
+        let nonce = self.next_nonce;
+        let now = self.now;
+        let Some(link) = self.engines.get_mut(&server) else {
+            return self.probed(server, 0, Status::ConnectFailed, None);
+        };
+        if link.is_up() {
+            link.probes.insert(nonce, now);
+            self.wire.push(Output::Engine { engine: server, frame: EngineFrame::Probe { nonce } });
+            self.timers
+                .set(now.saturating_add(self.config.attempts.probe_timeout), Timer::Probe(server, nonce));
+        } else {
+            self.probed(server, 0, Status::ConnectFailed, None);
+        }
+    }
+
+    pub(super) fn probed(
+        &mut self,
+        server: ServerId,
+        latency: Nanos,
+        status: Status,
+        report: Option<Report>,
+    ) {
+        self.events.push_back(Event::Probed { server, status, latency, report });
+    }
+}
--- /dev/null
+++ b/crates/gaparch-router/src/core/attempts.rs
@@ -0,0 +1,120 @@
+//! How attempts end, and what falls due.
+
+use super::request::Attempt;
+use super::timers::Timer;
+use super::{Core, Output, ToClient};
+use gaparch::api::{AttemptNo, Event, Outcome, Report, RequestId, Status};
+use gaparch_protocol::ops::ending::Cause;
+
+impl Core {
+    /// Ends the attempt that is out, if it is that one, with what the router itself has seen.
+    pub(super) fn close_by(&mut self, id: RequestId, no: AttemptNo, status: Status) {
+        if let Some(attempt) = self.live.get(&id).and_then(|l| l.attempt).filter(|a| a.no == no) {
+            self.close(id, attempt, status, 0, None);
+        }
+    }
+
+    /// An attempt's one outcome, told to the module.
+    pub(super) fn close(
+        &mut self,
+        id: RequestId,
+        attempt: Attempt,
+        status: Status,
+        note: u64,
+        report: Option<Report>,
+    ) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        live.attempt = None;
+        live.step_ends(status, self.now);
+        if let Some(link) = self.engines.get_mut(&attempt.server) {
+            link.attempts.remove(&id);
+            match status {
+                Status::Ok | Status::Read | Status::Moot => {}
+                Status::Cancelled => link.tally.called_off += 1,
+                _ => link.tally.failed += 1,
+            }
+        }
+        if status == Status::Read {
+            live.state_at = Some(attempt.server);
+            live.hold(attempt.server);
+        }
+        let closed = live.ended;
+        self.may_leave(attempt.server);
+        self.events.push_back(Event::Outcome(Outcome {
+            id,
+            attempt: attempt.no,
+            server: attempt.server,
+            status,
+            latency: self.now.saturating_sub(attempt.sent_at),
+            closed,
+            note,
+            report,
+        }));
+        self.forget_if_done(id);
+    }
+
+    /// A begun stream has broken: its client is told, the request is finished by it.
+    pub(super) fn break_stream(
+        &mut self,
+        id: RequestId,
+        attempt: Attempt,
+        status: Status,
+        out: &mut Vec<Output>,
+    ) {
+        let cause = if status == Status::Timeout { Cause::Stalled } else { Cause::BrokeOff };
+        self.answer(id, ToClient::Failed { why: "the answer broke off", cause }, out);
+        self.close(id, attempt, status, 0, None);
+    }
+
+    pub(super) fn on_timer(&mut self, timer: Timer, out: &mut Vec<Output>) {
+        match timer {
+            Timer::Module(token) => self.events.push_back(Event::Timer(token)),
+            Timer::Attempt(id, no) => {
+                let attempt = self.live.get(&id).and_then(|l| l.attempt);
+                let Some(attempt) = attempt.filter(|a| a.no == no && !a.begun) else { return };
+                self.call_off(id, attempt);
+                self.close(id, attempt, Status::Timeout, 0, None);
+            }
+            Timer::Connect(id, no) => {
+                let waits = self.live.get(&id).and_then(|l| l.attempt).is_some_and(|a| a.no == no && a.waits);
+                if waits {
+                    self.close_by(id, no, Status::ConnectFailed);
+                }
+            }
+            Timer::Overdue(id) => self.on_overdue(id, out),
+            Timer::Stream(id) => self.on_stream_time(id, out),
+            Timer::Probe(server, nonce) => {
+                let sent = self.engines.get_mut(&server).and_then(|l| l.probes.remove(&nonce));
+                if let Some(sent) = sent {
+                    self.probed(server, self.now.saturating_sub(sent), Status::Timeout, None);
+                }
+            }
+            Timer::Reconnect(server) => self.connect(server, out),
+        }
+        out.append(&mut self.wire);
+    }
+
+    /// The client's time is up and the module has not answered: that should never be.
+    pub(super) fn on_overdue(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(live) = self.live.get(&id).filter(|l| !l.ended) else { return };
+        if live.attempt.is_some_and(|a| a.begun) {
+            return;
+        }
+        self.counts.overdue += 1;
+        self.answer(id, ToClient::Failed { why: "it was not ended in time", cause: Cause::Overdue }, out);
+        self.events.push_back(Event::Gone(id));
+        self.forget_if_done(id);
+    }
+
+    /// Whether a begun stream has gone on for too long, or has been silent for too long.
+    pub(super) fn on_stream_time(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(live) = self.live.get(&id) else { return };
+        let Some(attempt) = live.attempt.filter(|a| a.begun) else { return };
+        let until = live.stream_until(&self.config.class_times);
+        if self.now < until {
+            return self.timers.set(until, Timer::Stream(id));
+        }
+        self.call_off(id, attempt);
+        self.break_stream(id, attempt, Status::Timeout, out);
+    }
+}
--- /dev/null
+++ b/crates/gaparch-router/src/core/clients.rs
@@ -0,0 +1,101 @@
+//! Requests come in, and get their one final answer.
+
+use super::request::{Accepted, Live};
+use super::timers::Timer;
+use super::{Core, Output, ToClient};
+use gaparch::api::{Event, RequestId, Status};
+use gaparch_ops::limits::OPEN_REQUESTS;
+use gaparch_protocol::ops::ending::Cause;
+
+impl Core {
+    pub(super) fn on_ask(&mut self, id: RequestId, ask: Accepted, out: &mut Vec<Output>) {
+        self.counts.requests += 1;
+        if self.live.contains_key(&id) {
+            self.counts.refused += 1;
+            return out.push(Output::Client { id, event: self.closed(Cause::TooMuchOpen) });
+        }
+        let request = ask.request(id, &self.config.module, self.now);
+        let most = self.book.limit(OPEN_REQUESTS).map_or(usize::MAX, |most| most as usize);
+        let closed = match () {
+            () if self.stopping => Some(Cause::Stopping),
+            () if self.book.paused() => Some(Cause::Paused),
+            () if self.owed >= most => Some(Cause::TooMuchOpen),
+            () => None,
+        };
+        self.owed += 1;
+        if let Some(cause) = closed {
+            // The module never hears of it: it is not accepted.
+            self.live.insert(id, Live::new(ask, request.give_up_at, self.now));
+            self.answer(id, self.closed(cause), out);
+            return self.forget_if_done(id);
+        }
+        let overdue = request.give_up_at.saturating_add(self.config.module.answer_slack);
+        self.timers.set(overdue, Timer::Overdue(id));
+        self.live.insert(id, Live::new(ask, request.give_up_at, self.now));
+        self.events.push_back(Event::Request(request));
+    }
+
+    /// The refusal of what is not accepted.
+    pub(super) fn closed(&self, cause: Cause) -> ToClient {
+        let module = &self.config.module;
+        let retry_after = if module.retry_after { module.max_retry_after } else { 0 };
+        ToClient::Refused { retry_after, cause, waited_for: None }
+    }
+
+    pub(super) fn on_gone(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(live) = self.live.get_mut(&id).filter(|l| !l.ended) else { return };
+        live.ended = true;
+        self.owed -= 1;
+        self.counts.left += 1;
+        self.note_ending(id, None, out);
+        let Some(live) = self.live.get(&id) else { return };
+        let begun = live.attempt.filter(|a| a.begun);
+        self.events.push_back(Event::Gone(id));
+        // Nobody reads the stream: it ends, and the module hears of its attempt.
+        if let Some(attempt) = begun {
+            self.call_off(id, attempt);
+            self.close(id, attempt, Status::Cancelled, 0, None);
+        }
+        self.forget_if_done(id);
+    }
+
+    /// The one final answer. Whatever comes second is dropped.
+    pub(super) fn answer(&mut self, id: RequestId, event: ToClient, out: &mut Vec<Output>) {
+        let Some(live) = self.live.get_mut(&id).filter(|l| !l.ended) else { return };
+        live.ended = true;
+        self.owed -= 1;
+        match event {
+            ToClient::Finished { .. } => self.counts.served += 1,
+            ToClient::Refused { .. } => self.counts.refused += 1,
+            _ => self.counts.failed += 1,
+        }
+        self.counts.in_time += u64::from(self.is_in_time(id, &event));
+        self.note_ending(id, Some(&event), out);
+        out.push(Output::Client { id, event });
+    }
+
+    pub(super) fn forget_if_done(&mut self, id: RequestId) {
+        if self.live.get(&id).is_some_and(Live::is_done) {
+            self.live.remove(&id);
+        }
+    }
+
+    pub(super) fn stop_now(&mut self, out: &mut Vec<Output>) {
+        self.stopping = true;
+        let open: Vec<RequestId> = self.live.iter().filter(|(_, l)| !l.ended).map(|(id, _)| *id).collect();
+        for id in open {
+            // What was never sent anywhere is harmless to repeat; of the rest nothing is promised.
+            let untouched = self.live.get(&id).is_some_and(|l| l.next_attempt == 0);
+            let answer = match untouched {
+                true => self.closed(Cause::Stopping),
+                false => ToClient::Failed { why: "the router was stopped", cause: Cause::Stopping },
+            };
+            self.answer(id, answer, out);
+            self.events.push_back(Event::Gone(id));
+            if let Some(attempt) = self.live.get(&id).and_then(|l| l.attempt) {
+                self.call_off(id, attempt);
+                self.close(id, attempt, Status::Cancelled, 0, None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gaparch-router/src/core/following.rs
@@ -0,0 +1,80 @@
+//! The list, and the engines that it makes the router connect to.
+
+use super::request::{Attempt, Live};
+use super::roster::ListUpdate;
+use super::{Core, Output};
+use gaparch::api::{Event, ListKind, RequestId, ServerId, Status};
+
+impl Core {
+    pub(super) fn on_list_up(&mut self, out: &mut Vec<Output>) {
+        // Where it must be asked, the module asks.
+        if !self.config.module.ask {
+            out.push(Output::Watch(true));
+        }
+    }
+
+    pub(super) fn on_list_down(&mut self) {
+        if self.config.module.ask {
+            self.events.push_back(Event::Members { kind: ListKind::Failed, entries: Vec::new().into() });
+        }
+    }
+
+    pub(super) fn on_list(&mut self, update: ListUpdate, out: &mut Vec<Output>) {
+        let Some((kind, entries)) = self.roster.update(update, &self.config, &self.book, &mut self.counts)
+        else {
+            // A change was missed: the whole list tells.
+            return out.push(Output::Fetch);
+        };
+        self.events.push_back(Event::Members { kind, entries: entries.into() });
+        self.follow_roster(out);
+    }
+
+    /// Connects to what is listed anew, and lets go of what is gone.
+    pub(super) fn follow_roster(&mut self, out: &mut Vec<Output>) {
+        for engine in self.roster.engines() {
+            self.engines.entry(engine).or_default();
+        }
+        let all: Vec<ServerId> = self.engines.keys().copied().collect();
+        for engine in all {
+            if !self.roster.ready(engine) {
+                // Sends that wait for a connection are not to go out after the drain.
+                let waits = |l: &Live| l.attempt.filter(|a| a.server == engine && a.waits);
+                let waiting: Vec<(RequestId, Attempt)> =
+                    self.live.iter().filter_map(|(id, l)| Some((*id, waits(l)?))).collect();
+                for (id, attempt) in waiting {
+                    self.close(id, attempt, Status::ConnectFailed, 0, None);
+                }
+            }
+            let Some(link) = self.engines.get(&engine) else { continue };
+            if self.roster.wanted(engine) {
+                if link.is_new() {
+                    self.connect(engine, out);
+                }
+            } else {
+                self.let_go(engine, out);
+            }
+        }
+    }
+
+    /// Something of ours has ended at an engine: if it is not wanted any more, that may have been the last.
+    pub(super) fn may_leave(&mut self, engine: ServerId) {
+        if !self.roster.wanted(engine) && !self.leaving.contains(&engine) {
+            self.leaving.push(engine);
+        }
+    }
+
+    /// Closes the connection to an engine that is not wanted any more, once nothing of ours runs or waits there: a
+    /// state that is still to be fetched would go with it.
+    pub(super) fn let_go(&mut self, engine: ServerId, out: &mut Vec<Output>) {
+        let Some(link) = self.engines.get(&engine).filter(|_| !self.roster.wanted(engine)) else { return };
+        let holds = |l: &Live| l.held_at.contains(&engine);
+        if !link.attempts.is_empty() || self.live.values().any(holds) {
+            return;
+        }
+        if let Some(conn) = link.conn() {
+            out.push(Output::Disconnect { engine, reason: "no longer listed, or set aside" });
+            self.on_engine_down(engine, conn, out);
+        }
+        self.engines.remove(&engine);
+    }
+}
--- a/crates/gaparch-router/src/shell/client.rs
+++ b/crates/gaparch-router/src/shell/client.rs
@@ -1,5 +1,6 @@
 //! The client side: HTTP/1.1, one JSON answer or a stream of events.
 
+use super::ops::Door;
 use super::owner::NewRequest;
 use super::stall::Stall;
 use crate::core::{Accepted, ToClient};
@@ -24,6 +25,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout, Instant, Sleep};
 
@@ -43,6 +45,21 @@
     pub next_id: AtomicU64,
     pub open: Arc<Semaphore>,
     pub connections: Arc<Semaphore>,
+    pub door: Option<Arc<Door>>,
+}
+
+impl Shared {
+    /// Refuses a request that the owner never hears of.
+    fn turn_away(&self, id: RequestId, ask: &Accepted) -> Refusal {
+        let retry_after = self.config.module.max_retry_after;
+        if let Some(door) = &self.door {
+            let names = &self.config.names;
+            let class = names.classes.get(ask.class.0).map_or("", String::as_str);
+            let tenant = ask.tenant.and_then(|t| names.tenants.get(t.0)).map_or("", String::as_str);
+            door.turn_away(id, class, tenant, retry_after, ask.fingerprint);
+        }
+        Refusal::busy(retry_after, "too much is open here; nothing was done")
+    }
 }
 
 type AnyBody = UnsyncBoxBody<Bytes, BrokenOff>;
@@ -285,12 +302,15 @@
 }
 
 fn submit(shared: &Shared, ask: Accepted) -> Result<Ticket, Refusal> {
-    let retry_after = shared.config.module.max_retry_after;
-    let full = || Refusal::busy(retry_after, "too much is open here; nothing was done");
-    let open = Arc::clone(&shared.open).try_acquire_owned().map_err(|_| full())?;
     let id = RequestId(shared.next_id.fetch_add(1, Ordering::Relaxed));
+    let Ok(open) = Arc::clone(&shared.open).try_acquire_owned() else {
+        return Err(shared.turn_away(id, &ask));
+    };
     let (answers, events) = mpsc::channel(shared.config.limits.stream_buffer);
-    shared.requests.try_send(NewRequest { id, ask, answers }).map_err(|_| full())?;
+    let sent = shared.requests.try_send(NewRequest { id, ask, answers });
+    if let Err(TrySendError::Full(request) | TrySendError::Closed(request)) = sent {
+        return Err(shared.turn_away(id, &request.ask));
+    }
     Ok(Ticket { id, events, gone: shared.gone.clone(), over: false, _open: open })
 }
 
--- a/crates/gaparch-router/src/shell/mod.rs
+++ b/crates/gaparch-router/src/shell/mod.rs
@@ -154,15 +154,6 @@
     let (gone, gone_in) = mpsc::unbounded_channel();
     let (control, control_in) = mpsc::channel(64);
     let lag = Arc::new(Lag::default());
-    let shared = Arc::new(client::Shared {
-        run,
-        requests,
-        gone,
-        next_id: AtomicU64::new(1),
-        open: Arc::new(Semaphore::new(config.limits.open_requests)),
-        connections: Arc::new(Semaphore::new(config.limits.connections)),
-        config: config.clone(),
-    });
     let mut out = Vec::new();
     let book = prepared.as_ref().map(|p| p.book.clone()).unwrap_or_default();
     let core = Core::new(config.clone(), book, run, clock.now(), &mut out);
@@ -174,6 +165,16 @@
         }
         None => (None, None),
     };
+    let shared = Arc::new(client::Shared {
+        run,
+        requests,
+        gone,
+        next_id: AtomicU64::new(1),
+        open: Arc::new(Semaphore::new(config.limits.open_requests)),
+        connections: Arc::new(Semaphore::new(config.limits.connections)),
+        door: desk.as_ref().map(ops::Desk::door),
+        config: config.clone(),
+    });
     let ports = Ports { requests: requests_in, gone: gone_in, control: control_in };
     let owner = Owner::new(core, clock, config.clone(), Arc::clone(&lag), desk);
     let owner = tokio::spawn(owner.run(ports, out));
--- a/crates/gaparch-router/src/shell/ops/mod.rs
+++ b/crates/gaparch-router/src/shell/ops/mod.rs
@@ -19,13 +19,14 @@
 
 use super::owner::Control;
 use crate::core::Proposal;
+use gaparch::api::{Nanos, RequestId};
 use gaparch_config::{Config, KeySource, Operations};
 use gaparch_net::Clock;
 use gaparch_ops::book::{Book, Denied};
 use gaparch_ops::chronicle::Chronicle;
 use gaparch_ops::ledger::{Bounds, Ledger};
 use gaparch_protocol::engine::RouterRun;
-use gaparch_protocol::ops::ending::Ending;
+use gaparch_protocol::ops::ending::{Cause, EndKind, Ending, RequestName};
 use gaparch_protocol::ops::intent::{LimitView, Taken};
 use gaparch_protocol::ops::view::{EngineView, Figures, Happening, Setting, Severity};
 use gaparch_protocol::ops::OpsRole;
@@ -33,6 +34,7 @@
 use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use thiserror::Error;
 use tokio::net::{TcpListener, UnixListener};
@@ -109,21 +111,65 @@
     Unsubscribe(u64),
 }
 
+/// Where requests are turned away before the owner hears of them, since too much is open.
+#[derive(Debug)]
+pub(super) struct Door {
+    news: mpsc::Sender<News>,
+    run: RouterRun,
+    clock: Clock,
+    turned_away: AtomicU64,
+}
+
+impl Door {
+    /// Tells the hub of one that was turned away; past the hub's bound it is only counted.
+    pub fn turn_away(&self, id: RequestId, class: &str, tenant: &str, retry_after: Nanos, fingerprint: u64) {
+        self.turned_away.fetch_add(1, Ordering::Relaxed);
+        let now = self.clock.now();
+        let ending = Ending {
+            request: RequestName { run: self.run.0, number: id.0 },
+            asked_at: now,
+            ended_at: now,
+            class: class.to_owned(),
+            tenant: tenant.to_owned(),
+            kind: EndKind::Refused,
+            cause: Cause::TooMuchOpen,
+            waited_for: None,
+            retry_after_ms: Some(retry_after / 1_000_000),
+            first_after_us: None,
+            tokens: 0,
+            steps: Vec::new(),
+            evidence: Vec::new(),
+            fingerprint,
+            follow_up: None,
+        };
+        // The count is what must not be lost.
+        let _ = self.news.try_send(News::Ended(Box::new(ending)));
+    }
+}
+
 /// The owner's side of it.
 pub(super) struct Desk {
     news: mpsc::Sender<News>,
+    door: Arc<Door>,
     keeper: mpsc::Sender<keeper::Keep>,
     lost: u64,
     stop: Arc<Notify>,
 }
 
 impl Desk {
+    pub fn door(&self) -> Arc<Door> {
+        Arc::clone(&self.door)
+    }
+
     /// Tells the hub; past its bound the news is left out and counted.
     pub fn tell(&mut self, news: News) {
         self.lost += u64::from(self.news.try_send(news).is_err());
     }
 
     pub fn show(&mut self, figures: Figures, engines: Vec<EngineView>, limits: Vec<LimitView>) {
+        let turned_away = self.door.turned_away.load(Ordering::Relaxed);
+        let (requests, refused) = (figures.requests + turned_away, figures.refused + turned_away);
+        let figures = Figures { requests, refused, ..figures };
         let board = Board { figures, engines, limits, lost: self.lost };
         self.tell(News::Board(Box::new(board)));
     }
@@ -318,5 +364,6 @@
     let stop = Arc::new(Notify::new());
     let running =
         Running { address: bound, socket: prepared.settings.socket, stop: Arc::clone(&stop), tasks };
-    Ok((Desk { news, keeper: keeper_in, lost: 0, stop }, running))
+    let door = Arc::new(Door { news: news.clone(), run, clock, turned_away: AtomicU64::new(0) });
+    Ok((Desk { news, door, keeper: keeper_in, lost: 0, stop }, running))
 }
