--- a/crates/gaparch-cli/src/commands/ctl/mod.rs
+++ b/crates/gaparch-cli/src/commands/ctl/mod.rs
@@ -6,7 +6,7 @@
 use crate::Outcome;
 use clap::{Args, Subcommand, ValueEnum};
 use gaparch_config::KeySource;
-use gaparch_net::{Credentials, Incoming, OpsClient, OpsError, Place};
+use gaparch_net::{read_key, Credentials, Incoming, OpsClient, OpsError, Place};
 use gaparch_ops::limits::OPEN_REQUESTS;
 use gaparch_protocol::ops::ending::{Cause, EndKind, EndingFilter, RequestName, WaitedFor};
 use gaparch_protocol::ops::intent::{Change, Hold};
@@ -48,13 +48,8 @@
 impl Target {
     /// The place and the credentials.
     pub fn resolve(&self) -> Result<(Place, Credentials), String> {
-        let mut key = match &self.key_file {
-            Some(file) => {
-                let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-                Some(text.lines().next().unwrap_or_default().trim().to_owned())
-            }
-            None => None,
-        };
+        let key_in = |file: &PathBuf| read_key(file).map_err(|e| format!("key file {}: {e}", file.display()));
+        let mut key = self.key_file.as_ref().map(key_in).transpose()?;
         let place = match (&self.socket, self.address) {
             (Some(socket), _) => Place::Socket(socket.clone()),
             (None, Some(address)) => Place::Address(address),
@@ -65,14 +60,12 @@
                 match (operations.socket, operations.address) {
                     (Some(socket), _) => Place::Socket(socket),
                     (None, Some(address)) => {
-                        let first = operations.operators.first().map(|o| &o.key);
-                        key = key.or(match first {
-                            Some(KeySource::Text(key)) => Some(key.clone()),
-                            Some(KeySource::File(file)) => std::fs::read_to_string(file)
-                                .ok()
-                                .and_then(|t| t.lines().next().map(|l| l.trim().to_owned())),
-                            None => None,
-                        });
+                        if let Some(first) = operations.operators.first().filter(|_| key.is_none()) {
+                            key = Some(match &first.key {
+                                KeySource::Text(key) => key.clone(),
+                                KeySource::File(file) => key_in(file)?,
+                            });
+                        }
                         Place::Address(address)
                     }
                     (None, None) => return Err(format!("{file}: <operations> has no socket and no address")),
--- a/crates/gaparch-cli/src/commands/doctor.rs
+++ b/crates/gaparch-cli/src/commands/doctor.rs
@@ -3,7 +3,7 @@
 use crate::Outcome;
 use clap::Args;
 use gaparch_config::{Config, KeySource};
-use gaparch_net::{Clock, FrameReader};
+use gaparch_net::{read_key, Clock, FrameReader, KeyError};
 use gaparch_ops::book::SCHEMA;
 use gaparch_protocol::engine::{EngineFrame, Peer, RouterRun, VERSION};
 use gaparch_protocol::frame::encode;
@@ -56,13 +56,11 @@
 async fn look(config: &Config, file: &Path) -> Seen {
     let mode = |file: &Path| std::fs::metadata(file).map(|m| m.permissions().mode() & 0o777);
     let key = |file: &PathBuf| {
-        let seen = match mode(file) {
-            Ok(mode) => match std::fs::read(file) {
-                Ok(_) => FileSeen::Mode(mode),
-                Err(error) => FileSeen::Unreadable(error.to_string()),
-            },
-            Err(error) if error.kind() == std::io::ErrorKind::NotFound => FileSeen::Missing,
-            Err(error) => FileSeen::Unreadable(error.to_string()),
+        let seen = match read_key(file) {
+            Ok(_) => FileSeen::Sound,
+            Err(KeyError::Missing) => FileSeen::Missing,
+            Err(KeyError::Open { mode }) => FileSeen::Open(mode),
+            Err(error @ (KeyError::Io(_) | KeyError::Short)) => FileSeen::Unusable(error.to_string()),
         };
         (file.display().to_string(), seen)
     };
--- a/crates/gaparch-cli/tests/console.rs
+++ b/crates/gaparch-cli/tests/console.rs
@@ -7,6 +7,7 @@
 use gaparch_protocol::ops::intent::Change;
 use gaparch_protocol::ops::{Answer, OpsRole, Order, Query};
 use std::io::{BufRead, BufReader};
+use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
@@ -85,6 +86,25 @@
     assert!(terminal.ended(WITHIN).await);
 }
 
+/// A key that came together with a change of the window's size was once kept back until the next key.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_key_is_lost_to_a_resize() {
+    let site = Site::start(Plan { operations: true, ..Plan::small(1, 1) }).await.expect("a site");
+    let socket = site.router(0).and_then(|r| r.operations_socket()).expect("a socket").display().to_string();
+    let arguments = ["console", "--socket", &socket, "--who", "resizer"].map(str::to_owned);
+    let mut terminal =
+        Terminal::start(program(), &arguments, (100, 30), Instant::now(), |_| {}).expect("a terminal");
+    terminal.wait_for("engines: ", WITHIN).await.unwrap_or_else(|e| panic!("{e}"));
+    for n in 0..60u16 {
+        let (key, title) = [("2", " engines: 2 "), ("6", " events: ")][usize::from(n) % 2];
+        terminal.resize(90 + n % 7, 28).expect("resized");
+        terminal.press(key).expect("typed");
+        terminal.wait_for(title, WITHIN).await.unwrap_or_else(|e| panic!("key {n}: {e}"));
+    }
+    terminal.press("q").expect("typed");
+    assert!(terminal.ended(WITHIN).await);
+}
+
 /// A router of its own process, by the example's settings in a folder of its own.
 struct Served {
     folder: PathBuf,
@@ -99,7 +119,8 @@
             .replace("127.0.0.1:8080", "127.0.0.1:0")
             .replace("127.0.0.1:8081", "127.0.0.2:0")
             .replace("127.0.0.1:8082", "127.0.0.3:0")
-            .replace("127.0.0.1:8090", "127.0.0.1:0");
+            .replace("127.0.0.1:8090", "127.0.0.1:0")
+            .replace("change-me-wall", "change-me-wall-key");
         std::fs::create_dir_all(folder).expect("made");
         std::fs::write(folder.join("gaparch.xml"), settings).expect("written");
         let mut child = Command::new(program())
@@ -238,7 +259,8 @@
     assert!(history.contains("by the list ready"), "{history}");
     // By the address and a key, too.
     let key = folder.join("a.key");
-    std::fs::write(&key, "change-me-wall\n").expect("written");
+    std::fs::write(&key, "change-me-wall-key\n").expect("written");
+    std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o600)).expect("set");
     let by_key = |arguments: &[&str]| {
         let mut command = Command::new(program());
         command.args(["ctl", "--address", &router.address, "--key-file"]).arg(&key).args(arguments);
@@ -249,13 +271,22 @@
         (Some(0), Some(3)),
         "the wall may look"
     );
-    std::fs::write(&key, "change-me-moon\n").expect("written");
+    std::fs::write(&key, "change-me-moon-key\n").expect("written");
     assert_eq!(by_key(&["status"]), Some(1));
+    std::fs::write(&key, "change-me-wall-key\n").expect("written");
+    std::fs::set_permissions(&key, std::fs::Permissions::from_mode(0o644)).expect("set");
+    assert_eq!(by_key(&["status"]), Some(1), "what others may read is no key");
     // Two routers on one folder are refused, with the first one's number.
     let second =
         Command::new(program()).arg("serve").arg(folder.join("gaparch.xml")).output().expect("it runs");
     assert!(text(&second.stderr).contains(&format!("in use by process {}", router.child.id())));
     assert_eq!(router.ctl(&["stop", "--why", "the end"]).status.code(), Some(0));
     assert!(router.child.wait().expect("ended").success());
+    // Its last events are on disk, though they were not a second old.
+    drop(router);
+    let again = Served::start(&folder);
+    let events = text(&again.ctl(&["events"]).stdout);
+    assert!(events.contains("stops the router: the end"), "{events}");
+    drop(again);
     let _ = std::fs::remove_dir_all(folder);
 }
--- a/crates/gaparch-console/src/app/mod.rs
+++ b/crates/gaparch-console/src/app/mod.rs
@@ -4,17 +4,19 @@
 mod listing;
 mod lists;
 
-pub use dialog::Dialog;
+pub use dialog::{Dialog, Question};
 pub use listing::{Cell, Listing, Row, Tone};
 
 use gaparch_protocol::ops::ending::{Ending, EndingFilter, Group, RequestName};
 use gaparch_protocol::ops::intent::{Change, Hold};
-use gaparch_protocol::ops::view::{Happening, LiveView, Severity, Snapshot};
+use gaparch_protocol::ops::view::{Figures, Happening, LiveView, Severity, Snapshot};
 use gaparch_protocol::ops::{Answer, DenyCode, OpsRole, Order, Query, Update};
 use std::collections::VecDeque;
 
 /// Points of a sparkline: at four a second a minute.
 const SERIES: usize = 240;
+/// Between two points.
+const LEAST_GAP: u64 = 200_000_000;
 /// Events and endings kept here; the router has more.
 const MOST_EVENTS: usize = 500;
 /// Between two looks at what is not told by itself.
@@ -132,9 +134,27 @@
     pub lost: VecDeque<u64>,
     pub held: VecDeque<u64>,
     pub streaming: VecDeque<u64>,
+    /// The figures at the last point.
+    base: Option<Figures>,
 }
 
 impl Series {
+    /// Orders bring further figures: a point is made of those that are a quarter second apart, by and large.
+    fn add(&mut self, before: Figures, now: Figures) {
+        let base = *self.base.get_or_insert(before);
+        if now.at < base.at.saturating_add(LEAST_GAP) {
+            return;
+        }
+        self.base = Some(now);
+        let lost = |f: &Figures| f.refused + f.failed;
+        self.push([
+            now.served.saturating_sub(base.served),
+            lost(&now).saturating_sub(lost(&base)),
+            u64::from(now.held),
+            u64::from(now.streaming),
+        ]);
+    }
+
     fn push(&mut self, values: [u64; 4]) {
         let all = [&mut self.served, &mut self.lost, &mut self.held, &mut self.streaming];
         for (series, value) in all.into_iter().zip(values) {
@@ -233,19 +253,15 @@
     pub fn update(&mut self, update: Update) {
         match update {
             Update::Fresh { snapshot } => {
+                // Another run counts from nothing.
+                self.series.base = None;
                 self.events = snapshot.events.iter().cloned().collect();
                 self.snapshot = Some(*snapshot);
             }
             Update::Figures { figures } => {
                 let Some(snapshot) = &mut self.snapshot else { return };
-                let before = std::mem::replace(&mut snapshot.figures, figures);
-                let lost = |f: &gaparch_protocol::ops::view::Figures| f.refused + f.failed;
-                self.series.push([
-                    figures.served.saturating_sub(before.served),
-                    lost(&figures).saturating_sub(lost(&before)),
-                    u64::from(figures.held),
-                    u64::from(figures.streaming),
-                ]);
+                self.series.add(snapshot.figures, figures);
+                snapshot.figures = figures;
             }
             Update::Engines { engines } => {
                 let Some(snapshot) = &mut self.snapshot else { return };
@@ -292,7 +308,7 @@
                 self.say(Severity::Info, format!("kept: {effect}"))
             }
             (Tag::Order(order), Answer::Denied { code: DenyCode::LeavesNone, message }) => {
-                self.dialog = Some(Dialog::Force { order, message, text: String::new() });
+                self.dialog = Some(Question::Force { order, message }.into());
             }
             (_, Answer::Denied { message, .. }) => self.say(Severity::Trouble, message),
             _ => {}
@@ -329,8 +345,11 @@
             Key::PageDown => self.walk(10),
             Key::Home => self.walk(isize::MIN),
             Key::End => self.walk(isize::MAX),
-            Key::Char('/') => self.dialog = Some(Dialog::Filter),
-            Key::Char('f') => self.dialog = Some(Dialog::Find { text: String::new() }),
+            Key::Char('/') => {
+                let text = self.list().filter.clone();
+                self.dialog = Some(Dialog { question: Question::Filter, text });
+            }
+            Key::Char('f') => self.dialog = Some(Question::Find.into()),
             Key::Char('s') => {
                 let columns = self.columns().len();
                 self.list_mut().sort_next(columns);
@@ -473,7 +492,8 @@
         let hint =
             format!("{} to {} {}, or `default` ({})", limit.least, limit.most, limit.unit, limit.by_settings);
         let (name, text) = (limit.name.clone(), limit.value.to_string());
-        self.dialog = Some(Dialog::Value { name, text, hint, revision: self.revision() });
+        let question = Question::Value { name, hint, revision: self.revision() };
+        self.dialog = Some(Dialog { question, text });
     }
 
     fn revision(&self) -> u64 {
@@ -484,54 +504,53 @@
         if self.link == Link::Up(OpsRole::Watch) {
             return self.say(Severity::Warning, "this session may look only");
         }
-        self.dialog = Some(Dialog::Reason {
-            change,
-            title: title.into(),
-            consequence: consequence.into(),
-            text: String::new(),
-            revision: self.revision(),
-        });
+        let (title, consequence) = (title.into(), consequence.into());
+        let question = Question::Reason { change, title, consequence, revision: self.revision() };
+        self.dialog = Some(question.into());
     }
 
     fn dialog_key(&mut self, key: Key) -> Vec<Effect> {
         let Some(dialog) = &mut self.dialog else { return Vec::new() };
-        match (key, &mut *dialog) {
-            (Key::Esc, Dialog::Filter) => {
-                self.list_mut().filter.clear();
-                self.dialog = None;
+        match key {
+            Key::Enter => return self.decided(),
+            Key::Esc => {
+                if self.dialog.take().is_some_and(|d| d.is_filter()) {
+                    self.list_mut().filter.clear();
+                }
+                return Vec::new();
             }
-            (Key::Esc, _) => self.dialog = None,
-            (Key::Enter, _) => return self.decided(),
-            (Key::Char(c), Dialog::Filter) => self.list_mut().filter.push(c),
-            (Key::Backspace, Dialog::Filter) => drop(self.list_mut().filter.pop()),
-            (Key::Char(c), dialog) => dialog.put(c),
-            (Key::Backspace, dialog) => dialog.take_back(),
+            Key::Char(c) => dialog.put(c),
+            Key::Backspace => drop(dialog.text.pop()),
             _ => {}
         }
+        if dialog.is_filter() {
+            let text = dialog.text.clone();
+            self.list_mut().filter = text;
+        }
         Vec::new()
     }
 
     fn decided(&mut self) -> Vec<Effect> {
-        let Some(dialog) = self.dialog.take() else { return Vec::new() };
-        match dialog {
-            Dialog::Filter => Vec::new(),
-            Dialog::Find { text } => self.story(text.trim()),
-            Dialog::Reason { change, text, revision, .. } if !text.trim().is_empty() => {
+        let Some(Dialog { question, text }) = self.dialog.take() else { return Vec::new() };
+        match question {
+            Question::Filter => Vec::new(),
+            Question::Find => self.story(text.trim()),
+            Question::Reason { change, revision, .. } if !text.trim().is_empty() => {
                 self.order(Order { change, why: text, force: false, revision: Some(revision) })
             }
-            Dialog::Reason { change, title, consequence, text, revision } => {
+            Question::Reason { .. } => {
                 self.say(Severity::Warning, "a reason is wanted: whoever reads it in the morning will ask");
-                self.dialog = Some(Dialog::Reason { change, title, consequence, text, revision });
+                self.dialog = Some(Dialog { question, text });
                 Vec::new()
             }
-            Dialog::Force { order, text, .. } if text.trim() == "yes" => {
+            Question::Force { order, .. } if text.trim() == "yes" => {
                 self.order(Order { force: true, ..order })
             }
-            Dialog::Force { .. } => {
+            Question::Force { .. } => {
                 self.say(Severity::Info, "nothing was changed");
                 Vec::new()
             }
-            Dialog::Value { name, text, hint, revision } => {
+            Question::Value { ref name, .. } => {
                 let value = match text.trim() {
                     "default" => Ok(None),
                     number => number.parse::<f64>().map(Some),
@@ -542,15 +561,12 @@
                             Some(value) => format!("Set {name} to {value}"),
                             None => format!("Set {name} to what the settings say"),
                         };
-                        self.ask_reason(
-                            Change::Limit { name, value },
-                            title,
-                            "it holds from now on, restarts too",
-                        );
+                        let change = Change::Limit { name: name.clone(), value };
+                        self.ask_reason(change, title, "it holds from now on, restarts too");
                     }
                     Err(_) => {
                         self.say(Severity::Warning, format!("'{text}' is neither a number nor `default`"));
-                        self.dialog = Some(Dialog::Value { name, text, hint, revision });
+                        self.dialog = Some(Dialog { question, text });
                     }
                 }
                 Vec::new()
--- a/crates/gaparch-console/src/screen/mod.rs
+++ b/crates/gaparch-console/src/screen/mod.rs
@@ -4,7 +4,7 @@
 
 pub use theme::Theme;
 
-use crate::app::{App, Dialog, Link, Page, Row, Tone, View};
+use crate::app::{App, Dialog, Link, Page, Question, Row, Tone, View};
 use crate::words;
 use gaparch_protocol::ops::view::{EngineView, Severity};
 use ratatui::layout::{Alignment, Constraint, Layout, Rect};
@@ -129,6 +129,7 @@
         (None, _) => "p pause/resume  / filter  s sort  ? help  q leave",
     };
     let keys = Line::styled(keys, theme.tone(Tone::Faint));
+    let filters = app.dialog.as_ref().is_some_and(Dialog::is_filter);
     let text = match &app.message {
         Some((severity, text, _)) => {
             let tone = match severity {
@@ -138,8 +139,8 @@
             };
             Line::styled(text.clone(), theme.tone(tone))
         }
-        None if app.dialog == Some(Dialog::Filter) || !app.list().filter.is_empty() => {
-            let cursor = if app.dialog == Some(Dialog::Filter) { "_" } else { "" };
+        None if filters || !app.list().filter.is_empty() => {
+            let cursor = if filters { "_" } else { "" };
             Line::from(format!("filter: {}{cursor}", app.list().filter))
         }
         None if app.missed > 0 => {
@@ -373,25 +374,25 @@
 }
 
 fn draw_dialog(frame: &mut Frame<'_>, area: Rect, dialog: &Dialog, theme: Theme) {
-    let (title, lines) = match dialog {
-        Dialog::Filter => return,
-        Dialog::Reason { title, consequence, .. } => (
+    let (title, lines) = match &dialog.question {
+        Question::Filter => return,
+        Question::Reason { title, consequence, .. } => (
             title.as_str(),
             vec![consequence.clone(), String::new(), "Why? (Enter does it, Esc does not)".to_owned()],
         ),
-        Dialog::Force { message, .. } => {
+        Question::Force { message, .. } => {
             let how = "Type yes to do it all the same; Esc leaves all as it is".to_owned();
             ("Are you sure?", vec![message.clone(), String::new(), how])
         }
-        Dialog::Value { name, hint, .. } => (name.as_str(), vec![hint.clone()]),
-        Dialog::Find { .. } => ("Find a request", vec!["its id, as msg_18a2b3_42".to_owned()]),
+        Question::Value { name, hint, .. } => (name.as_str(), vec![hint.clone()]),
+        Question::Find => ("Find a request", vec!["its id, as msg_18a2b3_42".to_owned()]),
     };
     let width = area.width.saturating_sub(4).min(90);
     let height = 9.min(area.height);
     let place =
         Rect { x: area.x + (area.width - width) / 2, y: area.y + (area.height - height) / 2, width, height };
     let mut text: Vec<Line<'_>> = lines.into_iter().map(Line::from).collect();
-    text.push(Line::styled(format!("> {}_", dialog.text().unwrap_or_default()), theme.title()));
+    text.push(Line::styled(format!("> {}_", dialog.text), theme.title()));
     let block = Block::bordered().title(format!(" {title} ")).style(theme.tone(Tone::Plain));
     frame.render_widget(Clear, place);
     frame.render_widget(Paragraph::new(text).block(block).wrap(Wrap { trim: false }), place);
--- a/crates/gaparch-console/src/shell.rs
+++ b/crates/gaparch-console/src/shell.rs
@@ -22,6 +22,8 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Before a connection is tried again.
 const RETRY: Duration = Duration::from_millis(500);
+/// Questions that wait for an answer.
+const MOST_ASKED: usize = 32;
 /// For the last frame to be drawn when the console is left; a terminal that is not read gets no more.
 const LEAVE_WITHIN: Duration = Duration::from_millis(300);
 
@@ -138,6 +140,10 @@
                 Effect::Quit => return Ok(()),
                 Effect::Ask(tag, query) => {
                     let Link::Up(client) = &mut link else { continue };
+                    // A router that answers nothing is asked for nothing more, but still given orders.
+                    if asked.len() >= MOST_ASKED && !matches!(tag, Tag::Order(_)) {
+                        continue;
+                    }
                     match client.put(*query).await {
                         Ok(seq) => drop(asked.insert(seq, tag)),
                         Err(error) => {
--- a/crates/gaparch-console/tests/console.rs
+++ b/crates/gaparch-console/tests/console.rs
@@ -1,6 +1,6 @@
 //! The console without a terminal: keys and news go in, orders and pictures come out.
 
-use gaparch_console::app::{App, Dialog, Effect, Key, Link, Page, Tag, View};
+use gaparch_console::app::{App, Effect, Key, Link, Page, Question, Tag, View};
 use gaparch_console::screen::{draw, Theme};
 use gaparch_protocol::ops::ending::{Cause, EndKind, Ending, Evidence, Group, RequestName, WaitedFor};
 use gaparch_protocol::ops::intent::{Change, Hold, Intent, LimitView, Note, Subject};
@@ -10,6 +10,8 @@
 use gaparch_protocol::ops::{Answer, DenyCode, OpsRole, Query, Update};
 use proptest::prelude::*;
 use ratatui::backend::TestBackend;
+use ratatui::buffer::{Buffer, Cell};
+use ratatui::style::Color;
 use ratatui::Terminal;
 
 const NOW: u64 = 1_800_000_000_000_000_000;
@@ -89,10 +91,21 @@
     text.chars().flat_map(|c| app.key(Key::Char(c))).collect()
 }
 
-fn picture(app: &App, cols: u16, rows: u16, theme: Theme) -> String {
+fn drawn(app: &App, cols: u16, rows: u16, theme: Theme) -> Buffer {
     let mut terminal = Terminal::new(TestBackend::new(cols, rows)).expect("a terminal");
     terminal.draw(|frame| draw(frame, app, theme)).expect("drawn");
-    let buffer = terminal.backend().buffer().clone();
+    terminal.backend().buffer().clone()
+}
+
+/// Cells that have a colour of their own.
+fn colours(app: &App, theme: Theme) -> usize {
+    let plain = |cell: &&Cell| cell.fg == Color::Reset && cell.bg == Color::Reset;
+    let buffer = drawn(app, 80, 24, theme);
+    buffer.content().len() - buffer.content().iter().filter(plain).count()
+}
+
+fn picture(app: &App, cols: u16, rows: u16, theme: Theme) -> String {
+    let buffer = drawn(app, cols, rows, theme);
     let line = |y: u16| (0..cols).map(|x| buffer[(x, y)].symbol()).collect::<String>();
     (0..rows).map(line).collect::<Vec<_>>().join("\n")
 }
@@ -112,7 +125,8 @@
 fn a_drain_takes_a_reason_and_a_word_more_where_it_harms() {
     let mut app = app();
     type_in(&mut app, "2jd");
-    assert!(matches!(&app.dialog, Some(Dialog::Reason { change, .. }) if *change == drain("write-1")));
+    let asked = app.dialog.as_ref().map(|d| &d.question);
+    assert!(matches!(asked, Some(Question::Reason { change, .. }) if *change == drain("write-1")));
     assert!(
         picture(&app, 80, 24, Theme::plain()).contains("1 sent there and 29 streaming end in their own time")
     );
@@ -177,22 +191,12 @@
         unread: 0.0,
         pace: 1.0,
     };
+    let (asked, ended) = (NOW - 2_000_000_000, NOW - 1_000_000_000);
     let ending = Ending {
-        request,
-        asked_at: NOW - 2_000_000_000,
-        ended_at: NOW - 1_000_000_000,
-        class: "question".to_owned(),
-        tenant: String::new(),
-        kind: EndKind::Refused,
-        cause: Cause::AimLost,
         waited_for: Some(WaitedFor::WritersFull),
         retry_after_ms: Some(1000),
-        first_after_us: None,
-        tokens: 0,
-        steps: Vec::new(),
         evidence: vec![evidence],
-        fingerprint: 1,
-        follow_up: None,
+        ..Ending::bare(request, asked, ended, EndKind::Refused, Cause::AimLost)
     };
     app.answer(Tag::Endings, Answer::Endings { endings: vec![ending.clone()], total: 1 });
     assert!(picture(&app, 80, 24, Theme::plain()).contains("msg_7_42"));
@@ -227,6 +231,24 @@
     assert_eq!(names(&app).first().map(String::as_str), Some("write-1"));
 }
 
+#[test]
+fn rates_count_by_time_and_what_is_typed_is_bounded() {
+    let mut app = app();
+    let served = app.snapshot.as_ref().map_or(0, |s| s.figures.served);
+    // Ten looks within a quarter second, as orders make them, are one point.
+    for n in 1..=10u64 {
+        let figures = Figures { at: NOW + n * 25_000_000, served: served + n, ..Figures::default() };
+        app.update(Update::Figures { figures });
+    }
+    assert_eq!(app.series.served.iter().sum::<u64>(), 8, "{:?}", app.series.served);
+    assert_eq!(app.series.served.len(), 1);
+    app.key(Key::Char('/'));
+    (0..1000).for_each(|_| drop(app.key(Key::Char('x'))));
+    assert_eq!(app.list().filter.len(), 200);
+    app.key(Key::Esc);
+    assert_eq!(app.list().filter, "");
+}
+
 #[test]
 fn limits_are_changed_after_a_look_and_a_reason() {
     let mut app = app();
@@ -235,7 +257,7 @@
     (0..5).for_each(|_| drop(app.key(Key::Backspace)));
     type_in(&mut app, "many");
     app.key(Key::Enter);
-    assert!(matches!(app.dialog, Some(Dialog::Value { .. })), "not a number");
+    assert!(matches!(app.dialog.as_ref().map(|d| &d.question), Some(Question::Value { .. })), "not a number");
     (0..5).for_each(|_| drop(app.key(Key::Backspace)));
     type_in(&mut app, "50");
     app.key(Key::Enter);
@@ -264,6 +286,8 @@
             assert!(shown.contains(word), "{word} in {view:?}:\n{shown}");
         }
         assert_eq!(shown, picture(&app, 80, 24, Theme::coloured()), "no word is there for the colour's sake");
+        assert_eq!(colours(&app, Theme::plain()), 0, "{view:?}");
+        assert!(colours(&app, Theme::coloured()) > 0, "{view:?}");
     }
     assert!(picture(&app, 40, 10, Theme::plain()).contains("too small"));
     app.key(Key::Char('?'));
--- a/crates/gaparch-lab/examples/operations.rs
+++ b/crates/gaparch-lab/examples/operations.rs
@@ -190,22 +190,15 @@
     };
     let began = Instant::now();
     for n in 0..300_000 {
+        let request = RequestName { run: 1, number: n };
         let ending = Ending {
-            request: RequestName { run: 1, number: n },
-            asked_at: n,
-            ended_at: n,
             class: "question".to_owned(),
             tenant: "app".to_owned(),
-            kind: EndKind::Refused,
-            cause: Cause::AimLost,
-            waited_for: None,
             retry_after_ms: Some(1000),
-            first_after_us: None,
-            tokens: 0,
             steps: (0..3).map(step).collect(),
             evidence: evidence(n),
             fingerprint: n,
-            follow_up: None,
+            ..Ending::bare(request, n, n, EndKind::Refused, Cause::AimLost)
         };
         drop(ledger.add(ending));
     }
--- a/crates/gaparch-lab/src/badday.rs
+++ b/crates/gaparch-lab/src/badday.rs
@@ -206,7 +206,7 @@
                 front.set(router, false);
             }
             Trouble::StartRouter(router) => {
-                start_again(&mut site, router).await?;
+                site.start_again(router).await?;
                 front.set(router, true);
             }
             Trouble::Drain(engine, drained) => {
@@ -237,17 +237,6 @@
     Ok(Report { entries, verdict, left, lag, orders, overdue, ..report(answers, day) })
 }
 
-/// A killed router leaves its state folder when its last thread ends.
-async fn start_again(site: &mut Site, router: usize) -> Result<(), SiteError> {
-    let until = Instant::now() + Duration::from_secs(5);
-    loop {
-        match site.start_router(router).await {
-            Err(_) if Instant::now() < until => tokio::time::sleep(Duration::from_millis(20)).await,
-            result => return result,
-        }
-    }
-}
-
 /// Puts an order at a router; one that is dead has nobody to take it.
 async fn order(site: &Site, router: usize, change: Change, orders: &mut (usize, usize)) {
     let Ok(mut operator) = site.operator(router).await else { return };
--- a/crates/gaparch-lab/src/site.rs
+++ b/crates/gaparch-lab/src/site.rs
@@ -25,7 +25,7 @@
 use std::fmt::Write as _;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tempfile::TempDir;
 use thiserror::Error;
 use tokio::runtime::Runtime;
@@ -284,6 +284,21 @@
         Ok(())
     }
 
+    /// Starts a killed router again once its old process has let go of the state folder: that is when its last
+    /// thread has ended.
+    ///
+    /// # Errors
+    /// As for [`start_router`](Site::start_router), if that still holds after ten seconds.
+    pub async fn start_again(&mut self, router: usize) -> Result<(), SiteError> {
+        let until = Instant::now() + Duration::from_secs(10);
+        loop {
+            match self.start_router(router).await {
+                Err(_) if Instant::now() < until => tokio::time::sleep(Duration::from_millis(20)).await,
+                result => return result,
+            }
+        }
+    }
+
     /// Ends a router in the middle of whatever it does.
     pub fn kill_router(&mut self, router: usize) {
         if let Some(Router { handle, runtime }) = self.routers[router].take() {
--- a/crates/gaparch-lab/tests/appliance.rs
+++ b/crates/gaparch-lab/tests/appliance.rs
@@ -221,13 +221,7 @@
         assert!(done(&answer), "{answer:?}");
         let killed = site.clock.now();
         site.kill_router(0);
-        // The old process is gone in its own time, and the lock with it.
-        let mut tries = 0;
-        while let Err(error) = site.start_router(0).await {
-            tries += 1;
-            assert!(tries < 200, "{error}");
-            sleep(ms(20)).await;
-        }
+        site.start_again(0).await.expect("it starts");
         let questions = (0..10).map(|n| site.question(100 * round + n, 5)).collect();
         let answers = site.ask_all(questions, ms(20)).await;
         assert_eq!(served(&answers), 10, "{answers:?}");
@@ -281,7 +275,11 @@
             let aside = Subject::Engine { engine: "write-1".to_owned(), hold: Hold::Aside };
             let drained = Subject::Engine { engine: "write-0".to_owned(), hold: Hold::Drain };
             assert!(kept.len() < 2 || has(&aside), "crash at {crash_at}: {:?}", snapshot.intents);
-            assert!(kept.is_empty() || kept.len() > 2 || has(&drained) || snapshot.intents.len() <= 1);
+            assert!(
+                kept.is_empty() || kept.len() > 2 || has(&drained),
+                "crash at {crash_at}: {:?}",
+                snapshot.intents
+            );
             assert!(kept.len() < 3 || !has(&drained), "crash at {crash_at}: a freed engine is held again");
             assert!(kept.len() < 4 || has(&Subject::Intake {}), "crash at {crash_at}");
             site.kill_router(0);
@@ -446,11 +444,7 @@
     drop(operator);
     sleep(ms(2500)).await;
     site.kill_router(0);
-    let until = Instant::now() + Duration::from_secs(10);
-    while site.start_router(0).await.is_err() {
-        assert!(Instant::now() < until, "the folder stays locked");
-        sleep(ms(20)).await;
-    }
+    site.start_again(0).await.expect("it starts");
     let mut operator = site.operator(0).await.expect("in");
     let story = operator.client.ask(Query::Story { request: group.example }).await;
     assert_eq!(story.ok(), Some(Answer::Story { ending: Some(ending), live: None }));
--- /dev/null
+++ b/crates/gaparch-net/src/key.rs
@@ -0,0 +1,49 @@
+//! Operators' keys in files.
+
+use std::io;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use thiserror::Error;
+
+/// Bytes of a key at least.
+pub const LEAST_KEY: usize = 16;
+
+/// Why a file holds no key that can be used.
+#[derive(Debug, Error)]
+pub enum KeyError {
+    #[error("there is no such file")]
+    Missing,
+    #[error(transparent)]
+    Io(io::Error),
+    /// What others may read is no secret.
+    #[error("others may read it (mode {mode:o}); chmod 600 it")]
+    Open { mode: u32 },
+    #[error("its first line is no key of {LEAST_KEY} bytes or more")]
+    Short,
+}
+
+impl From<io::Error> for KeyError {
+    fn from(error: io::Error) -> KeyError {
+        match error.kind() {
+            io::ErrorKind::NotFound => KeyError::Missing,
+            _ => KeyError::Io(error),
+        }
+    }
+}
+
+/// The key in a file: its first line.
+///
+/// # Errors
+/// When the file can't be read, others may read it too, or there is no key in it.
+pub fn read_key(file: &Path) -> Result<String, KeyError> {
+    let mode = std::fs::metadata(file)?.permissions().mode() & 0o777;
+    if mode & 0o077 != 0 {
+        return Err(KeyError::Open { mode });
+    }
+    let text = std::fs::read_to_string(file)?;
+    let key = text.lines().next().unwrap_or_default().trim();
+    if key.len() < LEAST_KEY {
+        return Err(KeyError::Short);
+    }
+    Ok(key.to_owned())
+}
--- a/crates/gaparch-ops/src/chronicle.rs
+++ b/crates/gaparch-ops/src/chronicle.rs
@@ -27,12 +27,4 @@
         all.reverse();
         all
     }
-
-    pub fn len(&self) -> usize {
-        self.events.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.events.is_empty()
-    }
 }
--- a/crates/gaparch-ops/src/combine.rs
+++ b/crates/gaparch-ops/src/combine.rs
@@ -29,9 +29,9 @@
 /// What an operator should know of a hold that now meets another process than the one it was laid on.
 pub fn remark(hold: Hold, held_at: u64, started_at: Option<u64>) -> Option<String> {
     started_at.filter(|started| *started > held_at)?;
-    let (what, how) = match hold {
-        Hold::Drain => ("drained", "undrain"),
-        Hold::Aside => ("set aside", "undrain"),
+    let what = match hold {
+        Hold::Drain => "drained",
+        Hold::Aside => "set aside",
     };
-    Some(format!("a new process since it was {what}, and still {what}: {how} it to use it"))
+    Some(format!("a new process since it was {what}, and still {what}: undrain it to use it"))
 }
--- a/crates/gaparch-ops/src/feed.rs
+++ b/crates/gaparch-ops/src/feed.rs
@@ -32,8 +32,4 @@
         }
         Offer::Send
     }
-
-    pub fn is_behind(&self) -> bool {
-        self.missed > 0
-    }
 }
--- a/crates/gaparch-ops/src/watch.rs
+++ b/crates/gaparch-ops/src/watch.rs
@@ -170,11 +170,6 @@
             self.late_since = None;
         }
     }
-
-    /// Engines that have a trouble now.
-    pub fn troubled(&self) -> impl Iterator<Item = &str> {
-        self.engines.iter().filter(|(_, k)| !k.troubles.is_empty()).map(|(name, _)| name.as_str())
-    }
 }
 
 fn troubles(engine: &EngineView) -> impl Iterator<Item = Trouble> + '_ {
--- a/crates/gaparch-ops/tests/common/mod.rs
+++ b/crates/gaparch-ops/tests/common/mod.rs
@@ -75,18 +75,13 @@
 
 /// A refusal at so many seconds, of a client known by the fingerprint.
 pub fn refusal(number: u64, second: u64, fingerprint: u64) -> Ending {
+    let request = RequestName { run: 7, number };
+    let (asked, ended) = (second * SECOND, (second + 1) * SECOND);
     Ending {
-        request: RequestName { run: 7, number },
-        asked_at: second * SECOND,
-        ended_at: (second + 1) * SECOND,
         class: "question".to_owned(),
         tenant: "app".to_owned(),
-        kind: EndKind::Refused,
-        cause: Cause::AimLost,
         waited_for: Some(WaitedFor::WritersFull),
         retry_after_ms: Some(1000),
-        first_after_us: None,
-        tokens: 0,
         steps: vec![Step {
             engine: "r0".to_owned(),
             stage: gaparch_protocol::ops::ending::Stage::Read,
@@ -96,7 +91,7 @@
         }],
         evidence: evidence(4, "full"),
         fingerprint,
-        follow_up: None,
+        ..Ending::bare(request, asked, ended, EndKind::Refused, Cause::AimLost)
     }
 }
 
--- a/crates/gaparch-ops/tests/told.rs
+++ b/crates/gaparch-ops/tests/told.rs
@@ -44,7 +44,7 @@
         ledger.add(refusal(n, n / 1000, n));
         assert!(ledger.bytes() <= 1 << 20);
     }
-    assert!(ledger.len() > 1000, "{}", ledger.len());
+    assert!(ledger.len() > 1300, "{}", ledger.len());
     assert_eq!(ledger.len() as u64 + ledger.dropped(), 100_000);
     assert!(ledger.story(RequestName { run: 7, number: 0 }).is_none());
     let last = ledger.story(RequestName { run: 7, number: 99_999 }).expect("kept");
@@ -55,7 +55,7 @@
     };
     let mut other = Ledger::new(Bounds { bytes: 1 << 20 });
     (0..100_000).for_each(|n| drop(other.add(apart(n))));
-    assert!(other.len() * 2 < ledger.len() * 2 && other.bytes() <= 1 << 20, "{}", other.len());
+    assert!(other.len() < ledger.len() && other.bytes() <= 1 << 20, "{}", other.len());
 }
 
 #[test]
--- a/crates/gaparch-protocol/src/ops/ending.rs
+++ b/crates/gaparch-protocol/src/ops/ending.rs
@@ -193,6 +193,29 @@
     }
 }
 
+impl Ending {
+    /// One that was never sent anywhere and of which nothing else is known, of no class or tenant.
+    pub fn bare(request: RequestName, asked_at: u64, ended_at: u64, kind: EndKind, cause: Cause) -> Ending {
+        Ending {
+            request,
+            asked_at,
+            ended_at,
+            class: String::new(),
+            tenant: String::new(),
+            kind,
+            cause,
+            waited_for: None,
+            retry_after_ms: None,
+            first_after_us: None,
+            tokens: 0,
+            steps: Vec::new(),
+            evidence: Vec::new(),
+            fingerprint: 0,
+            follow_up: None,
+        }
+    }
+}
+
 choice! {
     /// What a router keeps of endings on disk.
     pub enum Kept {
--- a/crates/gaparch-router/src/core/clients.rs
+++ b/crates/gaparch-router/src/core/clients.rs
@@ -37,8 +37,7 @@
 
     /// The refusal of what is not accepted.
     pub(super) fn closed(&self, cause: Cause) -> ToClient {
-        let module = &self.config.module;
-        let retry_after = if module.retry_after { module.max_retry_after } else { 0 };
+        let retry_after = self.config.module.come_back_after();
         ToClient::Refused { retry_after, cause, waited_for: None }
     }
 
--- a/crates/gaparch-router/src/core/mod.rs
+++ b/crates/gaparch-router/src/core/mod.rs
@@ -13,6 +13,7 @@
 mod timers;
 
 pub use engines::ConnNo;
+pub(crate) use operate::told_to_stay_away;
 pub use operate::Proposal;
 pub use request::{Accepted, Phase};
 pub use roster::ListUpdate;
--- a/crates/gaparch-router/src/core/operate.rs
+++ b/crates/gaparch-router/src/core/operate.rs
@@ -4,6 +4,7 @@
 use super::{Core, Output, ToClient};
 use gaparch::api::{Event, ListKind, Nanos, RequestId, Role, ServerId, ServerState, TenantId};
 use gaparch::view::{Avoided, ServerView};
+use gaparch_config::Span;
 use gaparch_ops::book::{Denied, EngineStanding, Standing};
 use gaparch_ops::limits::{limited_tenant, tenant_limit, OPEN_REQUESTS};
 use gaparch_protocol::ops::ending::{
@@ -14,6 +15,7 @@
     Avoid, EngineRole, EngineState, EngineView, Figures, LiveView, PartRest, Phase, Setting,
 };
 use gaparch_protocol::ops::Order;
+use std::collections::BTreeMap;
 
 /// Evidence younger than this is used again: requests given up together saw the same.
 const EVIDENCE_FOR: Nanos = 50_000_000;
@@ -55,6 +57,11 @@
     }
 }
 
+/// The time that a refused client was told to stay away, in milliseconds, if it was told one.
+pub(crate) fn told_to_stay_away(retry_after: Nanos) -> Option<u64> {
+    (retry_after > 0).then_some(retry_after / 1_000_000)
+}
+
 fn micros(nanos: Nanos) -> u64 {
     nanos / 1000
 }
@@ -153,11 +160,10 @@
 
     /// All engines that were ever listed, in the order of their names.
     pub fn engine_views(&self) -> Vec<EngineView> {
-        let mut streaming: std::collections::BTreeMap<ServerId, u32> = std::collections::BTreeMap::new();
+        let mut streaming: BTreeMap<ServerId, u32> = BTreeMap::new();
         let begun = self.live.values().filter_map(|l| l.attempt).filter(|a| a.begun);
         begun.for_each(|a| *streaming.entry(a.server).or_default() += 1);
-        let seen: std::collections::BTreeMap<ServerId, ServerView> =
-            self.policy.views().map(|v| (v.server, v)).collect();
+        let seen: BTreeMap<ServerId, ServerView> = self.policy.views().map(|v| (v.server, v)).collect();
         let view = |(id, known): (&ServerId, &super::roster::Known)| {
             let seen = seen.get(id)?;
             let link = self.engines.get(id);
@@ -286,10 +292,9 @@
 
     pub(super) fn is_in_time(&self, id: RequestId, event: &ToClient) -> bool {
         let Some(live) = self.live.get(&id) else { return false };
-        let Some(class) = self.config.module.classes.get(live.ask.class.0) else { return false };
-        let longer = (class.aim_per_token * f64::from(live.ask.prompt_len)) as Nanos;
-        let aim_at = live.asked_at.saturating_add(class.aim).saturating_add(longer);
-        matches!(event, ToClient::Finished { .. }) && live.first_at.is_some_and(|first| first <= aim_at)
+        let aim = live.ask.aim(&self.config.module);
+        let in_time = |first: Nanos| first.saturating_sub(live.asked_at) <= aim;
+        matches!(event, ToClient::Finished { .. }) && live.first_at.is_some_and(in_time)
     }
 
     /// Hands over how a request ended, where there is somebody to keep it; `None`: its client left.
@@ -308,22 +313,18 @@
         let lost = matches!(kind, EndKind::Refused | EndKind::Failed);
         let evidence = if lost { self.evidence() } else { Vec::new() };
         let Some(live) = self.live.get(&id) else { return };
+        let request = RequestName { run: self.run.0, number: id.0 };
         let ending = Ending {
-            request: RequestName { run: self.run.0, number: id.0 },
-            asked_at: live.asked_at,
-            ended_at: self.now,
             class: self.class_name(live).to_owned(),
             tenant: self.tenant_name(live.ask.tenant).to_owned(),
-            kind,
-            cause,
             waited_for,
-            retry_after_ms: retry_after.map(|wait| wait / 1_000_000),
+            retry_after_ms: retry_after.and_then(told_to_stay_away),
             first_after_us: live.first_at.map(|at| micros(at.saturating_sub(live.asked_at))),
             tokens: live.usage.output,
             steps: self.steps(live),
             evidence,
             fingerprint: live.ask.fingerprint,
-            follow_up: None,
+            ..Ending::bare(request, live.asked_at, self.now, kind, cause)
         };
         out.push(Output::Ended(Box::new(ending)));
     }
@@ -352,16 +353,15 @@
     /// The settings in force, for people.
     pub fn settings(&self) -> Vec<Setting> {
         let module = &self.config.module;
-        let seconds = |nanos: Nanos| format!("{} s", nanos as f64 / 1e9);
         let mut all = vec![
             ("router", format!("{}, {} of {}", self.config.router, module.me, module.routers)),
-            ("drain grace", seconds(module.drain_grace)),
-            ("release within", seconds(module.release_within)),
-            ("cold", format!("{} from {} of full speed", seconds(module.cold), module.cold_from)),
+            ("drain grace", Span(module.drain_grace).to_string()),
+            ("release within", Span(module.release_within).to_string()),
+            ("cold", format!("{} from {} of full speed", Span(module.cold), module.cold_from)),
             ("attempts at most", module.max_attempts.to_string()),
             ("calls off attempts", module.cancel.to_string()),
             ("probes", module.probes.to_string()),
-            ("retry-after at most", seconds(module.max_retry_after)),
+            ("retry-after at most", Span(module.max_retry_after).to_string()),
         ]
         .into_iter()
         .map(|(name, value)| Setting { name: name.to_owned(), value })
@@ -370,8 +370,8 @@
             let value = format!(
                 "{:?}, aim {}, deadline {}, worth {}",
                 class.effect,
-                seconds(class.aim),
-                seconds(class.deadline),
+                Span(class.aim),
+                Span(class.deadline),
                 class.worth
             );
             all.push(Setting { name: format!("class {name}"), value: value.to_lowercase() });
--- a/crates/gaparch-router/src/core/request.rs
+++ b/crates/gaparch-router/src/core/request.rs
@@ -28,6 +28,13 @@
 }
 
 impl Accepted {
+    /// How soon its first token is wanted, by what its client has told.
+    pub(super) fn aim(&self, settings: &Settings) -> Nanos {
+        let class = settings.classes.get(self.class.0);
+        let (aim, per_token) = class.map_or((0, 0.0), |c| (c.aim, c.aim_per_token));
+        aim.saturating_add((per_token * f64::from(self.prompt_len)) as Nanos)
+    }
+
     /// As the module is told of it. The deadline grows twice as much with the prompt as the aim does.
     pub(super) fn request(&self, id: RequestId, settings: &Settings, now: Nanos) -> Request {
         let class = settings.classes.get(self.class.0);
--- a/crates/gaparch-router/src/shell/client.rs
+++ b/crates/gaparch-router/src/shell/client.rs
@@ -5,11 +5,11 @@
 use super::stall::Stall;
 use crate::core::{Accepted, ToClient};
 use bytes::{Bytes, BytesMut};
-use gaparch::api::{ClassId, Key, Nanos, RequestId, ServerId, TenantId};
+use gaparch::api::{ClassId, Key, Nanos, RequestId, TenantId};
 use gaparch_config::Config;
 use gaparch_protocol::client::{parse_request, Answer, Ask, ClientEvent, Dialect, ErrorKind, Usage};
 use gaparch_protocol::engine::RouterRun;
-use gaparch_protocol::ops::ending::WaitedFor;
+use gaparch_protocol::ops::ending::{RequestName, WaitedFor};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Frame, Incoming};
@@ -51,7 +51,7 @@
 impl Shared {
     /// Refuses a request that the owner never hears of.
     fn turn_away(&self, id: RequestId, ask: &Accepted) -> Refusal {
-        let retry_after = self.config.module.max_retry_after;
+        let retry_after = self.config.module.come_back_after();
         if let Some(door) = &self.door {
             let names = &self.config.names;
             let class = names.classes.get(ask.class.0).map_or("", String::as_str);
@@ -140,7 +140,8 @@
             kind: ErrorKind::Refused,
             message: message.to_owned(),
             harmless: true,
-            retry_after: Some(retry_after),
+            // Where the settings allow no time to be told, none is.
+            retry_after: Some(retry_after).filter(|wait| *wait > 0),
         }
     }
 
@@ -207,8 +208,8 @@
     drop(body);
     let class = class(shared, &ask)?;
     let (model, stream) = (ask.model.clone(), ask.stream);
-    let mut ticket = submit(shared, accepted(ask, class, tenant))?;
-    let id = format!("msg_{:x}_{}", shared.run.0, ticket.id.0);
+    let mut ticket = submit(shared, accepted(shared, ask, class, tenant))?;
+    let id = RequestName { run: shared.run.0, number: ticket.id.0 }.to_string();
     let mut response = match first(&mut ticket).await {
         Err(refusal) => refusal.response(dialect),
         Ok(usage) if stream => {
@@ -259,7 +260,9 @@
     }
 }
 
-fn accepted(ask: Ask, class: ClassId, tenant: Option<TenantId>) -> Accepted {
+fn accepted(shared: &Shared, ask: Ask, class: ClassId, tenant: Option<TenantId>) -> Accepted {
+    // Nobody follows a client up where there is no ledger: then the prompt need not be read through.
+    let fingerprint = shared.door.as_ref().map_or(0, |_| fingerprint(&ask, class, tenant));
     Accepted {
         class,
         tenant,
@@ -270,17 +273,16 @@
         max_out: ask.max_tokens,
         hint: ask.answer_hint,
         repeat: ask.repeat,
-        fingerprint: fingerprint(&ask, class, tenant),
+        fingerprint,
         prompt: ask.prompt,
     }
 }
 
-/// The same for the same question in the same session of a tenant.
+/// The same for the same question in the same session of a tenant, after a restart too.
 fn fingerprint(ask: &Ask, class: ClassId, tenant: Option<TenantId>) -> u64 {
     let session = ask.session.as_deref().unwrap_or_default();
-    let tenant = tenant.map_or(0, |t| t.0 as u64 + 1);
-    let all = [Key::of(&ask.prompt), Key::of(session), Key(tenant), Key(class.0 as u64)];
-    all.into_iter().fold(0, |sum, key| key.rank(ServerId(sum as u32)) ^ sum.rotate_left(17))
+    let of_whom = format!("{session}/{}/{}", class.0, tenant.map_or(0, |t| t.0 + 1));
+    Key::of(&ask.prompt).0 ^ Key::of(&of_whom).0.rotate_left(32)
 }
 
 /// A request that the owner has, or will have. Dropped before its last event, its client has left.
--- a/crates/gaparch-router/src/shell/mod.rs
+++ b/crates/gaparch-router/src/shell/mod.rs
@@ -20,7 +20,7 @@
 mod stall;
 
 pub use lag::{Lag, LagSummary};
-pub use ops::{key_of, Disks, OperationsError};
+pub use ops::{Disks, OperationsError};
 
 use crate::core::{Core, Counts};
 use gaparch_config::Config;
@@ -112,6 +112,9 @@
         let counts = self.counts().await;
         // The last answers are on their way to the clients' tasks: they get a moment to be written.
         tokio::time::sleep(Duration::from_millis(50)).await;
+        if let Some(operations) = &self.operations {
+            operations.finish().await;
+        }
         counts
     }
 }
--- a/crates/gaparch-router/src/shell/ops/historian.rs
+++ b/crates/gaparch-router/src/shell/ops/historian.rs
@@ -7,7 +7,7 @@
 use gaparch_protocol::ops::from_bytes;
 use gaparch_protocol::ops::view::Happening;
 use gaparch_store::{Disk, History, HistoryLimits, StoreError};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// Batches that wait; past them the hub collects on.
 pub(super) const INBOX: usize = 4;
@@ -19,6 +19,8 @@
 pub(super) struct Batch {
     pub events: Vec<Vec<u8>>,
     pub endings: Vec<Vec<u8>>,
+    /// Told once it is written, or can't be.
+    pub written: Option<oneshot::Sender<()>>,
 }
 
 type Part = History<Box<dyn Disk>>;
@@ -54,7 +56,8 @@
 
     pub async fn run(mut self, mut batches: mpsc::Receiver<Batch>, news: mpsc::Sender<News>) {
         let mut told = None;
-        while let Some(batch) = batches.recv().await {
+        while let Some(mut batch) = batches.recv().await {
+            let written = batch.written.take();
             let Some((mut events, mut endings)) = self.parts.take() else { return };
             // A disk may take seconds.
             let work = tokio::task::spawn_blocking(move || {
@@ -62,6 +65,10 @@
                 (events, endings, result)
             });
             let Ok((events, endings, result)) = work.await else { return };
+            // Who waits for it has waited long enough otherwise.
+            if let Some(written) = written {
+                let _ = written.send(());
+            }
             let dropped = events.dropped() + endings.dropped();
             self.parts = Some((events, endings));
             let trouble = result.err().map(|e| format!("{e}; {dropped} records were left out so far"));
--- a/crates/gaparch-router/src/shell/ops/hub.rs
+++ b/crates/gaparch-router/src/shell/ops/hub.rs
@@ -5,11 +5,10 @@
 use gaparch_net::Clock;
 use gaparch_ops::book::{words, Book};
 use gaparch_ops::chronicle::Chronicle;
-use gaparch_ops::combine::combine;
 use gaparch_ops::feed::{Feed, Offer};
 use gaparch_ops::ledger::Ledger;
 use gaparch_ops::watch::Watch;
-use gaparch_protocol::ops::ending::{EndKind, Ending, EndingFilter, Kept};
+use gaparch_protocol::ops::ending::{EndKind, Ending, Kept};
 use gaparch_protocol::ops::intent::{Intent, Taken};
 use gaparch_protocol::ops::view::{Happening, LiveView, Phase, Setting, Severity, Snapshot};
 use gaparch_protocol::ops::{to_bytes, Answer, DenyCode, Query, Update};
@@ -20,7 +19,7 @@
 
 /// Between two batches to the historian.
 const KEEP_EVERY: Duration = Duration::from_secs(1);
-/// Bytes of records that wait for the historian, by kind; past it the newest are left out.
+/// Bytes of records that wait for the historian; past it the newest are left out.
 const MOST_WAITING: usize = 1 << 20;
 /// Events of a snapshot.
 const SNAPSHOT_EVENTS: usize = 60;
@@ -126,6 +125,10 @@
                 let _ = updates.try_send(Update::Fresh { snapshot: Box::new(self.snapshot()) });
                 self.subscribers.insert(session, Subscriber { updates, feed: Feed::default() });
             }
+            News::Finish(written) => {
+                self.waiting.written = Some(written);
+                self.hand_over();
+            }
             News::Unsubscribe(session) => drop(self.subscribers.remove(&session)),
         }
     }
@@ -174,22 +177,9 @@
         let text = format!("{} by {}: {}", words(&taken.change), taken.note.who, taken.note.why);
         self.happened(Happening { at: taken.note.at, severity: Severity::Info, engine, text });
         self.book.apply(taken);
-        self.adjust_board();
         self.tell_intents();
     }
 
-    /// Whoever asks after an order sees what it did, though the owner shows all only four times a second.
-    fn adjust_board(&mut self) {
-        let Some(board) = &mut self.board else { return };
-        board.figures.paused = self.book.paused();
-        for limit in &mut board.limits {
-            limit.value = self.book.limit(&limit.name).unwrap_or(limit.by_settings);
-        }
-        for engine in &mut board.engines {
-            engine.state = combine(self.book.hold(&engine.name).map(|(hold, _)| hold), engine.listed);
-        }
-    }
-
     fn on_not_kept(&mut self, what: &'static str, trouble: Option<String>, now: u64) {
         let was = match &trouble {
             Some(why) => self.not_kept.insert(what, why.clone()),
@@ -305,13 +295,6 @@
     }
 
     fn answer(&self, query: Query) -> Answer {
-        let room = |filter: &EndingFilter| {
-            if filter.most == 0 {
-                MOST_ENDINGS
-            } else {
-                MOST_ENDINGS.min(filter.most as usize)
-            }
-        };
         match query {
             Query::Snapshot {} => Answer::Snapshot { snapshot: Box::new(self.snapshot()) },
             Query::Groups { filter } => {
@@ -319,7 +302,7 @@
                 Answer::Groups { groups, total }
             }
             Query::Endings { filter } => {
-                let (endings, total) = self.ledger.endings(&filter, room(&filter));
+                let (endings, total) = self.ledger.endings(&filter, MOST_ENDINGS);
                 Answer::Endings { endings, total }
             }
             Query::Story { request } => {
--- a/crates/gaparch-router/src/shell/ops/mod.rs
+++ b/crates/gaparch-router/src/shell/ops/mod.rs
@@ -9,7 +9,7 @@
 //! | orders to the keeper | 256 | the order is denied, and not carried out |
 //! | news to the hub | 16,384 | left out, and counted |
 //! | updates to one subscriber | 64 | left out; it is told so, and shown all anew |
-//! | batches to the historian | 4 | the hub collects on, up to 1 MiB of each kind |
+//! | batches to the historian | 4 | the hub collects on, up to 1 MiB; then the newest are left out, and counted |
 //! | sessions | `operations/sessions` | sent away |
 
 mod historian;
@@ -18,10 +18,10 @@
 mod session;
 
 use super::owner::Control;
-use crate::core::Proposal;
+use crate::core::{told_to_stay_away, Proposal};
 use gaparch::api::{Nanos, RequestId};
 use gaparch_config::{Config, KeySource, Operations};
-use gaparch_net::Clock;
+use gaparch_net::{read_key, Clock};
 use gaparch_ops::book::{Book, Denied};
 use gaparch_ops::chronicle::Chronicle;
 use gaparch_ops::ledger::{Bounds, Ledger};
@@ -36,6 +36,7 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::net::{TcpListener, UnixListener};
 use tokio::sync::{mpsc, oneshot, Notify, Semaphore};
@@ -43,6 +44,8 @@
 
 const HUB_INBOX: usize = 16_384;
 const KEEPER_INBOX: usize = 256;
+/// For the last events at the router's end.
+const FINISH_WITHIN: Duration = Duration::from_secs(2);
 
 /// Why the operations side can't start.
 #[derive(Debug, Error)]
@@ -109,6 +112,8 @@
     Ask(gaparch_protocol::ops::Query, oneshot::Sender<gaparch_protocol::ops::Answer>),
     Subscribe(u64, mpsc::Sender<gaparch_protocol::ops::Update>),
     Unsubscribe(u64),
+    /// The router ends: what has happened goes to disk now, and this is told then.
+    Finish(oneshot::Sender<()>),
 }
 
 /// Where requests are turned away before the owner hears of them, since too much is open.
@@ -125,22 +130,13 @@
     pub fn turn_away(&self, id: RequestId, class: &str, tenant: &str, retry_after: Nanos, fingerprint: u64) {
         self.turned_away.fetch_add(1, Ordering::Relaxed);
         let now = self.clock.now();
+        let request = RequestName { run: self.run.0, number: id.0 };
         let ending = Ending {
-            request: RequestName { run: self.run.0, number: id.0 },
-            asked_at: now,
-            ended_at: now,
             class: class.to_owned(),
             tenant: tenant.to_owned(),
-            kind: EndKind::Refused,
-            cause: Cause::TooMuchOpen,
-            waited_for: None,
-            retry_after_ms: Some(retry_after / 1_000_000),
-            first_after_us: None,
-            tokens: 0,
-            steps: Vec::new(),
-            evidence: Vec::new(),
+            retry_after_ms: told_to_stay_away(retry_after),
             fingerprint,
-            follow_up: None,
+            ..Ending::bare(request, now, now, EndKind::Refused, Cause::TooMuchOpen)
         };
         // The count is what must not be lost.
         let _ = self.news.try_send(News::Ended(Box::new(ending)));
@@ -263,7 +259,7 @@
     for operator in &settings.operators {
         let key = match &operator.key {
             KeySource::Text(key) => Ok(key.clone()),
-            KeySource::File(file) => key_of(file).map_err(|e| format!("key file {}: {e}", file.display())),
+            KeySource::File(file) => read_key(file).map_err(|e| format!("key file {}: {e}", file.display())),
         };
         let role = if operator.may_change { OpsRole::Change } else { OpsRole::Watch };
         match key {
@@ -274,29 +270,32 @@
     (known, locked_out)
 }
 
-/// The key in a file: its first line. A file that others may read is no secret.
-pub fn key_of(file: &std::path::Path) -> Result<String, String> {
-    let mode = std::fs::metadata(file).map_err(|e| e.to_string())?.permissions().mode();
-    if mode & 0o077 != 0 {
-        return Err(format!("others may read it (mode {:o}); chmod 600 it", mode & 0o777));
-    }
-    let text = std::fs::read_to_string(file).map_err(|e| e.to_string())?;
-    let key = text.lines().next().unwrap_or_default().trim();
-    if key.len() < 16 {
-        return Err("its first line is no key of 16 bytes or more".to_owned());
-    }
-    Ok(key.to_owned())
-}
-
 /// Everything that runs beside the owner.
 #[derive(Debug)]
 pub(super) struct Running {
     pub address: Option<SocketAddr>,
     pub socket: Option<PathBuf>,
     pub stop: Arc<Notify>,
+    news: mpsc::Sender<News>,
     tasks: Vec<JoinHandle<()>>,
 }
 
+impl Running {
+    /// Puts the last events on disk, as far as that can be done in the time.
+    pub async fn finish(&self) {
+        let (written, wait) = oneshot::channel();
+        let finish = async {
+            if self.news.send(News::Finish(written)).await.is_ok() {
+                // Dropped unsent, the hub or the historian has ended.
+                let _ = wait.await;
+            }
+        };
+        if tokio::time::timeout(FINISH_WITHIN, finish).await.is_err() {
+            tracing::warn!("the last events could not be put on disk in time");
+        }
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         self.tasks.iter().for_each(JoinHandle::abort);
@@ -362,8 +361,13 @@
     ];
     tasks.append(&mut listeners);
     let stop = Arc::new(Notify::new());
-    let running =
-        Running { address: bound, socket: prepared.settings.socket, stop: Arc::clone(&stop), tasks };
+    let running = Running {
+        address: bound,
+        socket: prepared.settings.socket,
+        stop: Arc::clone(&stop),
+        news: news.clone(),
+        tasks,
+    };
     let door = Arc::new(Door { news: news.clone(), run, clock, turned_away: AtomicU64::new(0) });
     Ok((Desk { news, door, keeper: keeper_in, lost: 0, stop }, running))
 }
--- a/crates/gaparch-router/src/shell/owner.rs
+++ b/crates/gaparch-router/src/shell/owner.rs
@@ -211,7 +211,11 @@
             return drop(reply.send(Err(Denied::new(DenyCode::Busy, message))));
         };
         self.core.handle(now, Input::Taken(proposal.taken.clone()), out);
-        desk.keep(permit, proposal, reply);
+        // Whoever asks after the acknowledgement sees what it did.
+        self.show();
+        if let Some(desk) = &mut self.desk {
+            desk.keep(permit, proposal, reply);
+        }
     }
 
     /// Shows how all stands.
--- a/crates/gaparch-setup/src/doctor.rs
+++ b/crates/gaparch-setup/src/doctor.rs
@@ -50,13 +50,14 @@
     finding(Level::Fine, what, "")
 }
 
-/// What a file looks like from outside.
+/// A key's file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FileSeen {
+    Sound,
     Missing,
-    Unreadable(String),
-    /// Its mode's last nine bits.
-    Mode(u32),
+    /// Others may read it, by its mode's last nine bits.
+    Open(u32),
+    Unusable(String),
 }
 
 /// How an engine answers.
@@ -209,20 +210,19 @@
 
 fn files(config: &Config, seen: &Seen) -> Vec<Finding> {
     let mut all = Vec::new();
-    let open = |mode: u32| mode & 0o077 != 0;
-    if let Some(mode) = seen.settings_mode.filter(|mode| open(*mode) && !config.keys.is_empty()) {
+    if let Some(mode) = seen.settings_mode.filter(|mode| mode & 0o077 != 0 && !config.keys.is_empty()) {
         let what = format!("others may read the settings (mode {mode:o}), and the tenants' keys in them");
         all.push(finding(Level::Advice, what, "chmod 600 the settings file"));
     }
     for (name, file) in &seen.keys {
         all.push(match file {
-            FileSeen::Mode(mode) if open(*mode) => {
+            FileSeen::Open(mode) => {
                 let what = format!(
                     "others may read the key file {name} (mode {mode:o}): the router does not take it"
                 );
                 finding(Level::Trouble, what, format!("chmod 600 {name}"))
             }
-            FileSeen::Mode(_) => fine(format!("the key file {name} is for its owner alone")),
+            FileSeen::Sound => fine(format!("the key file {name} is for its owner alone")),
             FileSeen::Missing => {
                 let to_do = format!("write one: head -c 24 /dev/urandom | base64 > {name}; chmod 600 {name}");
                 finding(
@@ -231,9 +231,9 @@
                     to_do,
                 )
             }
-            FileSeen::Unreadable(why) => {
-                let to_do = "let the router's user read it";
-                finding(Level::Trouble, format!("the key file {name} can't be read: {why}"), to_do)
+            FileSeen::Unusable(why) => {
+                let to_do = "let the router's user read it, with a key of 16 bytes or more in its first line";
+                finding(Level::Trouble, format!("the key file {name} can't be used: {why}"), to_do)
             }
         });
     }
--- a/crates/gaparch-setup/tests/setup.rs
+++ b/crates/gaparch-setup/tests/setup.rs
@@ -86,7 +86,7 @@
     let advice = judge(&config, &base());
     assert!(advice.iter().any(|f| f.what.contains("repeats are dropped for a shorter time")), "{advice:?}");
     one(Seen { keys: vec![("night.key".to_owned(), FileSeen::Missing)], ..base() }, "no key file night.key");
-    one(Seen { keys: vec![("night.key".to_owned(), FileSeen::Mode(0o644))], ..base() }, "mode 644");
+    one(Seen { keys: vec![("night.key".to_owned(), FileSeen::Open(0o644))], ..base() }, "mode 644");
     one(
         Seen { ports: vec![("127.0.0.1:8080".to_owned(), PortSeen::Taken)], ..base() },
         "taken by something else",
--- a/crates/gaparch-store/src/journal.rs
+++ b/crates/gaparch-store/src/journal.rs
@@ -1,7 +1,7 @@
 //! Few records that must all be there again.
 
 use crate::disk::Disk;
-use crate::format::{self, Head, HEAD};
+use crate::format::{self, Head};
 use crate::StoreError;
 
 /// What was found on the disk, in the order it was written.
@@ -189,7 +189,6 @@
         self.length = bytes.len() as u64;
         self.records = count;
         (self.untidy, self.broken) = (false, false);
-        debug_assert!(self.length >= HEAD as u64);
         Ok(())
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -151,6 +151,15 @@
 }
 
 impl Settings {
+    /// The time that a refused client is told to stay away; 0: it is told none.
+    pub fn come_back_after(&self) -> Nanos {
+        if self.retry_after {
+            self.max_retry_after
+        } else {
+            0
+        }
+    }
+
     /// Another quota for a tenant; one that is no number or below nothing is none.
     pub fn quota(&mut self, tenant: TenantId, per_s: f64) {
         let sound = per_s.is_finite() && per_s >= 0.0;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,7 +55,7 @@
 
 #[derive(Default)]
 pub struct Policy {
-    pub(crate) set: Settings,
+    set: Settings,
     pub(crate) now: Nanos,
     out: Vec<Action>,
     pub(crate) servers: Servers,
@@ -641,7 +641,7 @@
             Effect::Keyed => !ran || class.group == Group::All,
             Effect::Unsafe => !ran,
         };
-        let retry_after = if self.set.retry_after { self.set.max_retry_after } else { 0 };
+        let retry_after = self.set.come_back_after();
         let why = Why { reason, held_by: self.held_by(work, reason) };
         let refusal = Action::Refuse { id, retry_after, why };
         let answer = if harmless { refusal } else { Action::Fail { id, why } };
--- a/tests/reasons.rs
+++ b/tests/reasons.rs
@@ -44,14 +44,17 @@
 #[test]
 fn a_quota_told_later_counts_from_then_on() {
     let tenants = vec![Tenant { share: 1.0, quota_per_s: 0.5 }];
-    let mut r = Router::new(Settings { tenants, ..settings() }, vec![entry(1, 0, 0)]);
+    let mut r = Router::new(Settings { tenants, ..settings() }, vec![entry(1, 0, 0), entry(11, 1, 0)]);
+    let report = Report { memory: Some(0.99), ..Report::default() };
+    r.event(Event::Probed { server: ServerId(11), status: Status::Ok, latency: MS, report: Some(report) });
     r.event(Event::Quota { tenant: TenantId(0), per_s: 1000.0 });
     r.event(Event::Quota { tenant: TenantId(0), per_s: f64::NAN });
     for id in 1..6 {
         let request = Request { tenant: Some(TenantId(0)), ..r.request(id) };
         r.event(Event::Request(request));
     }
-    assert_eq!(why(&r.pass(1100 * MS), 5), held(Reason::AimLost, Holdup::NoWriter));
+    // By the old one it would be over its share.
+    assert_eq!(why(&r.pass(1100 * MS), 5), held(Reason::AimLost, Holdup::WritersFull));
 }
 
 #[test]
