--- a/crates/gaparch-cli/src/commands/mod.rs
+++ b/crates/gaparch-cli/src/commands/mod.rs
@@ -10,6 +10,7 @@
 pub mod init;
 pub mod list;
 pub mod load;
+pub mod node;
 pub mod serve;
 pub mod try_out;
 
--- /dev/null
+++ b/crates/gaparch-cli/src/commands/node.rs
@@ -0,0 +1,28 @@
+//! `gaparch node`
+
+use crate::Outcome;
+use clap::Args;
+use gaparch_node::NodeError;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The configuration can't be used.
+const UNUSABLE: u8 = 2;
+
+#[derive(Debug, Args)]
+pub struct Options {
+    /// The platform's configuration
+    #[arg(env = "ROUTER_CONFIG")]
+    config: PathBuf,
+}
+
+pub async fn run(options: Options) -> Outcome {
+    match gaparch_node::run(options.config).await {
+        Ok(()) => Ok(ExitCode::SUCCESS),
+        Err(error @ (NodeError::Read { .. } | NodeError::Config { .. })) => {
+            eprintln!("gaparch: {error}");
+            Ok(ExitCode::from(UNUSABLE))
+        }
+        Err(error) => Err(error.into()),
+    }
+}
--- a/crates/gaparch-cli/src/main.rs
+++ b/crates/gaparch-cli/src/main.rs
@@ -20,6 +20,8 @@
 enum Command {
     /// Run a router by a settings file, until Ctrl-C or SIGTERM
     Serve(commands::serve::Options),
+    /// Run a router in service on the platform, by the configuration in ROUTER_CONFIG, until SIGTERM
+    Node(commands::node::Options),
     /// Write the files of a new router: checked settings, keys, a service unit
     Init(commands::init::Options),
     /// Say in plain words what is wrong around a router, and what to do
@@ -50,7 +52,11 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     logging::start(&cli.logging);
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = match &cli.command {
+        // In service it has a part of one core.
+        Command::Node(_) => tokio::runtime::Builder::new_current_thread().enable_all().build(),
+        _ => tokio::runtime::Builder::new_multi_thread().enable_all().build(),
+    };
     let outcome = match runtime {
         Ok(runtime) => runtime.block_on(run(cli.command)),
         Err(error) => Err(error.into()),
@@ -64,6 +70,7 @@
 async fn run(command: Command) -> Outcome {
     match command {
         Command::Serve(options) => commands::serve::run(options).await,
+        Command::Node(options) => commands::node::run(options).await,
         Command::Init(options) => commands::init::run(options),
         Command::Doctor(options) => commands::doctor::run(options).await,
         Command::Engine(options) => commands::engine::run(options).await,
--- a/crates/gaparch-config/src/check.rs
+++ b/crates/gaparch-config/src/check.rs
@@ -1,8 +1,8 @@
 //! What a schema can't say: names that must be known or unique, times that can't be kept.
 
 use crate::config::{
-    module_settings, server_id, Attempts, ClassTimes, Config, EngineConfig, KeySource, Limits, ListConfig,
-    Listener, Names, Operations, Operator,
+    module_settings, server_id, Attempts, ClassTimes, Config, EngineConfig, KeySource, Limits, Links,
+    ListConfig, Listener, Names, Operations, Operator,
 };
 use crate::document::{Node, Problem};
 use crate::raw;
@@ -87,6 +87,7 @@
             keys,
             engines,
             list: list.map(|address| ListConfig { address }),
+            links: Links::Connections,
             attempts: Attempts {
                 probe_timeout: raw.attempts.probe_timeout.0,
                 reconnect_after: raw.attempts.reconnect_after.0,
--- a/crates/gaparch-config/src/config.rs
+++ b/crates/gaparch-config/src/config.rs
@@ -36,6 +36,7 @@
     pub keys: BTreeMap<String, TenantId>,
     pub engines: Vec<EngineConfig>,
     pub list: Option<ListConfig>,
+    pub links: Links,
     pub attempts: Attempts,
     pub limits: Limits,
     pub operations: Option<Operations>,
@@ -150,6 +151,16 @@
     pub state: ServerState,
 }
 
+/// How engines are reached.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Links {
+    /// One connection to each carries all; what an engine holds goes with it.
+    #[default]
+    Connections,
+    /// Each attempt has an exchange of its own, and only that can fail: an engine counts as reachable while listed.
+    Exchanges,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListConfig {
     pub address: SocketAddr,
--- a/crates/gaparch-config/src/lib.rs
+++ b/crates/gaparch-config/src/lib.rs
@@ -12,7 +12,7 @@
 mod units;
 
 pub use config::{
-    server_id, Attempts, ClassNames, ClassTimes, Config, EngineConfig, KeySource, Limits, ListConfig,
+    server_id, Attempts, ClassNames, ClassTimes, Config, EngineConfig, KeySource, Limits, Links, ListConfig,
     Listener, Names, Operations, Operator,
 };
 pub use document::Problem;
--- /dev/null
+++ b/crates/gaparch-node/src/client/connection.rs
@@ -0,0 +1,303 @@
+//! One client's connection: a request at a time, each with exactly one answer.
+
+use super::idle::{Idle, Resting};
+use super::{Piece, AHEAD};
+use crate::link::Link;
+use crate::shared::{Answer, Forward, Message, Phase, Shared};
+use bytes::{Bytes, BytesMut};
+use gaparch::api::{Nanos, RequestId};
+use gaparch_platform::ask::{Ask, AskError, Txn, READY_PATH};
+use gaparch_platform::body::{put_chunk, Body, Framing, Part, LAST_CHUNK, MOST_BODY};
+use gaparch_platform::head::{self, HeadError, RequestHead};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// For a first request from the connection's beginning, and for any other from its first byte: who has not said by
+/// then what it wants is owed an error or a close within 3 s.
+const REQUEST_TIME: Duration = Duration::from_secs(2);
+/// A client that takes none of its stream for so long is gone.
+const STALLED: Duration = Duration::from_secs(20);
+/// After an error that leaves bytes unread: closing at once would destroy the answer on its way.
+const LINGER: Duration = Duration::from_millis(300);
+const LINGER_BYTES: usize = 256 * 1024;
+/// Runs of events put into one write, in bytes.
+const COALESCE: usize = 16 * 1024;
+
+/// The connection is of no use any more.
+struct Over;
+
+pub(super) struct Connection {
+    link: Link,
+    shared: Arc<Shared>,
+    idle: Arc<Idle>,
+    since: Instant,
+}
+
+/// A client's message that can't be taken.
+struct Bad {
+    status: u16,
+    text: String,
+}
+
+impl From<HeadError> for Bad {
+    fn from(error: HeadError) -> Bad {
+        let status = if error == HeadError::TooLong { 431 } else { 400 };
+        Bad { status, text: error.to_string() }
+    }
+}
+
+impl From<AskError> for Bad {
+    fn from(error: AskError) -> Bad {
+        Bad { status: error.status(), text: error.to_string() }
+    }
+}
+
+/// Why no request has come.
+enum Nothing {
+    /// The client closed, or is asked to go.
+    Close,
+    Bad(Bad),
+}
+
+impl From<Bad> for Nothing {
+    fn from(bad: Bad) -> Nothing {
+        Nothing::Bad(bad)
+    }
+}
+
+/// A request that is open with the owner. Dropped before its answer is over, its client has left.
+struct Ticket {
+    id: RequestId,
+    txn: Txn,
+    shared: Arc<Shared>,
+    over: bool,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.shared.give_back(&self.txn);
+        if !self.over {
+            self.shared.tell(Message::Gone(self.id));
+        }
+    }
+}
+
+impl Connection {
+    pub fn new(socket: TcpStream, shared: Arc<Shared>, idle: Arc<Idle>) -> Connection {
+        Connection { link: Link::new(socket), shared, idle, since: Instant::now() }
+    }
+
+    pub async fn serve(mut self) {
+        let mut first = true;
+        loop {
+            let come = self.head(first).await;
+            first = false;
+            let served = match come {
+                Ok((head, began)) => self.request(head, began).await,
+                Err(nothing) => Err(nothing),
+            };
+            match served {
+                Ok(true) => self.link.trim(),
+                Ok(false) | Err(Nothing::Close) => return,
+                Err(Nothing::Bad(bad)) => return self.reject(&bad).await,
+            }
+        }
+    }
+
+    /// Waits for a head; with it, when its first byte came.
+    async fn head(&mut self, first: bool) -> Result<(RequestHead, Instant), Nothing> {
+        let mut began = (!self.link.buf.is_empty()).then(Instant::now);
+        let mut resting = began.is_none().then(|| self.idle.enter());
+        let mut phase = self.shared.phase.subscribe();
+        loop {
+            if let Some(head) = head::take_request(&mut self.link.buf).map_err(Bad::from)? {
+                return Ok((head, began.unwrap_or_else(Instant::now)));
+            }
+            let from = if first { Some(self.since) } else { began };
+            let until = from.map(|from| from + REQUEST_TIME);
+            let quiet = began.is_none();
+            tokio::select! {
+                biased;
+                read = self.link.read() => match read {
+                    Ok(0) | Err(_) => return Err(Nothing::Close),
+                    Ok(_) => {
+                        began = began.or_else(|| Some(Instant::now()));
+                        resting = None;
+                    }
+                },
+                () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => {
+                    return Err(match quiet {
+                        true => Nothing::Close,
+                        false => Nothing::Bad(too_late()),
+                    });
+                }
+                () = asked_to_close(resting.as_ref()), if quiet => return Err(Nothing::Close),
+                _ = phase.wait_for(|phase| *phase == Phase::Closing), if quiet => return Err(Nothing::Close),
+            }
+        }
+    }
+
+    /// Serves one request; whether another may follow.
+    async fn request(&mut self, head: RequestHead, began: Instant) -> Result<bool, Nothing> {
+        if head.target == READY_PATH && head.method == "GET" && head.framing == Framing::Length(0) {
+            let ready = self.shared.phase() == Phase::Serving;
+            let close = head.close || !ready;
+            let answer = head::answer(if ready { 200 } else { 503 }, &[], "", close);
+            return self.put(&answer, close).await;
+        }
+        let ask = Ask::read(&head, &self.shared.config.site).map_err(Bad::from)?;
+        let body = self.body(head.framing, began + REQUEST_TIME).await?;
+        if body.is_empty() {
+            return Err(Bad::from(AskError::NoBody).into());
+        }
+        let ask = ask.with_body(body.len());
+        if !self.shared.take(&ask.txn) {
+            let text = "a request of this id is open".to_owned();
+            return Err(Bad { status: 409, text }.into());
+        }
+        let (answer, answered) = oneshot::channel();
+        let id = self.shared.next_id();
+        let mut ticket = Ticket { id, txn: ask.txn.clone(), shared: Arc::clone(&self.shared), over: false };
+        let began = self.shared.clock.at(began.into_std());
+        let forward = Arc::new(Forward { target: head.target.clone(), txn: ask.txn.clone(), body });
+        self.shared.tell(Message::Ask { id, ask: Box::new(ask), forward, began, answer });
+        let Ok(answer) = self.watched(answered).await else { return Ok(false) };
+        let close = head.close || self.shared.phase() >= Phase::Leaving;
+        let (status, extra) = match answer {
+            Ok(Answer::Stream(pieces)) => return Ok(self.stream(pieces, &mut ticket, close).await),
+            Ok(Answer::Refused { over_share, retry_after }) => {
+                (if over_share { 429 } else { 503 }, come_back(retry_after))
+            }
+            // The owner has ended: nothing is known of the request.
+            Ok(Answer::Failed) | Err(_) => (500, Vec::new()),
+        };
+        ticket.over = true;
+        let text =
+            if status == 500 { "not answered; it may have run" } else { "not done; a retry is harmless" };
+        self.put(&head::answer(status, &extra, text, close), close).await
+    }
+
+    /// Waits for something of the request while the client stays.
+    async fn watched<T>(&mut self, what: impl std::future::Future<Output = T>) -> Result<T, Over> {
+        tokio::pin!(what);
+        loop {
+            let room = self.link.buf.len() < AHEAD;
+            tokio::select! {
+                biased;
+                done = &mut what => return Ok(done),
+                read = self.link.read(), if room => if !matches!(read, Ok(n) if n > 0) { return Err(Over) },
+            }
+        }
+    }
+
+    async fn body(&mut self, framing: Framing, until: Instant) -> Result<Bytes, Nothing> {
+        let large = || Bad { status: 413, text: format!("a body has at most {MOST_BODY} bytes") };
+        if matches!(framing, Framing::Length(n) if n > MOST_BODY as u64) {
+            return Err(large().into());
+        }
+        let mut body = Body::new(framing);
+        let mut whole = BytesMut::new();
+        loop {
+            match body.next(&mut self.link.buf) {
+                Ok(Part::Data(data)) if whole.len() + data.len() > MOST_BODY => return Err(large().into()),
+                Ok(Part::Data(data)) => whole.extend_from_slice(&data),
+                Ok(Part::End) => return Ok(whole.freeze()),
+                Ok(Part::Wait) => match tokio::time::timeout_at(until, self.link.read()).await {
+                    Ok(Ok(n)) if n > 0 => {}
+                    Ok(_) => return Err(Nothing::Close),
+                    Err(_) => return Err(too_late().into()),
+                },
+                Err(error) => return Err(Bad { status: 400, text: error.to_string() }.into()),
+            }
+        }
+    }
+
+    /// Passes a stream on; whether another request may follow.
+    async fn stream(&mut self, mut pieces: mpsc::Receiver<Piece>, ticket: &mut Ticket, close: bool) -> bool {
+        let mut out = BytesMut::from(head::stream_head(close));
+        let mut whole = false;
+        while !whole {
+            let Ok(piece) = self.watched(pieces.recv()).await else { return false };
+            let mut next = piece;
+            loop {
+                match next {
+                    Some(Piece::Events(events)) => put_chunk(&mut out, &events),
+                    Some(Piece::Whole) => {
+                        out.extend_from_slice(LAST_CHUNK);
+                        whole = true;
+                        break;
+                    }
+                    // It broke: the connection ends without the last chunk, which says so.
+                    None => {
+                        ticket.over = true;
+                        let _ = timeout(STALLED, self.link.stream.write_all(&out)).await;
+                        return false;
+                    }
+                }
+                if out.len() >= COALESCE {
+                    break;
+                }
+                next = match pieces.try_recv() {
+                    Ok(piece) => Some(piece),
+                    Err(mpsc::error::TryRecvError::Empty) => break,
+                    Err(mpsc::error::TryRecvError::Disconnected) => None,
+                };
+            }
+            if !matches!(timeout(STALLED, self.link.stream.write_all(&out)).await, Ok(Ok(()))) {
+                return false;
+            }
+            out.clear();
+        }
+        ticket.over = true;
+        !close
+    }
+
+    async fn put(&mut self, answer: &[u8], close: bool) -> Result<bool, Nothing> {
+        match timeout(STALLED, self.link.stream.write_all(answer)).await {
+            Ok(Ok(())) => Ok(!close),
+            _ => Err(Nothing::Close),
+        }
+    }
+
+    /// Answers what can't be taken, and closes: where the next message would begin is not known.
+    async fn reject(mut self, bad: &Bad) {
+        tracing::debug!(status = bad.status, why = %bad.text, "a client's message was not taken");
+        let answer = head::answer(bad.status, &[], &bad.text, true);
+        if self.put(&answer, true).await.is_err() || self.link.stream.shutdown().await.is_err() {
+            return;
+        }
+        self.link.buf = BytesMut::new();
+        let mut seen = 0;
+        let drain = async {
+            while seen < LINGER_BYTES {
+                match self.link.read().await {
+                    Ok(n) if n > 0 => seen += n,
+                    _ => return,
+                }
+                self.link.buf.clear();
+            }
+        };
+        let _ = timeout(LINGER, drain).await;
+    }
+}
+
+async fn asked_to_close(resting: Option<&Resting>) {
+    match resting {
+        Some(resting) => resting.asked_to_close().await,
+        None => std::future::pending().await,
+    }
+}
+
+fn too_late() -> Bad {
+    Bad { status: 408, text: "the request did not come in time".to_owned() }
+}
+
+/// Seconds until a client may come back, where one is told.
+fn come_back(retry_after: Nanos) -> Vec<(&'static str, String)> {
+    let seconds = retry_after as f64 / 1e9;
+    (retry_after > 0).then(|| ("Retry-After", format!("{seconds:.3}"))).into_iter().collect()
+}
--- /dev/null
+++ b/crates/gaparch-node/src/discovery.rs
@@ -0,0 +1,154 @@
+//! The catalogue: the whole list, then one watch after the other on one connection. This task waits for nobody, so
+//! that a watch never lapses.
+
+use crate::link::Link;
+use crate::shared::{Message, Shared};
+use gaparch_platform::body::{Body, Part, MOST_BODY};
+use gaparch_platform::catalogue::{list_call, watch_call, Members};
+use gaparch_platform::head::take_answer;
+use gaparch_protocol::list::Scope;
+use gaparch_router::core::ListUpdate;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// How long one watch may wait. What there is to tell counts as told 2 s after that at the latest: a short wait
+/// notices a silent agent early.
+const WAIT: Duration = Duration::from_millis(1000);
+/// For the answer, beyond the wait: the agent answers immediately.
+const ANSWER: Duration = Duration::from_millis(1000);
+const CONNECT: Duration = Duration::from_millis(500);
+/// Between two tries.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// What the module wants of the list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Wanted {
+    pub watch: bool,
+    /// Grows with each whole list that is asked for.
+    pub fetches: u64,
+}
+
+pub(crate) async fn follow(
+    mut address: watch::Receiver<SocketAddr>,
+    mut wanted: watch::Receiver<Wanted>,
+    shared: Arc<Shared>,
+) {
+    let mut fetched = 0;
+    let mut generation = None;
+    let mut down = false;
+    loop {
+        if wanted.wait_for(|w| w.watch || w.fetches > fetched).await.is_err() {
+            return;
+        }
+        let to = *address.borrow_and_update();
+        let talk = talk(to, &wanted, &mut fetched, &mut generation, &mut down, &shared);
+        let why = tokio::select! {
+            why = talk => why,
+            changed = address.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                tracing::info!(address = %*address.borrow(), "the catalogue has moved");
+                // Generations are one agent's: the new one tells the whole list.
+                generation = None;
+                continue;
+            }
+        };
+        if !down {
+            down = true;
+            tracing::warn!(%why, "the catalogue does not answer");
+            shared.tell(Message::ListDown);
+        }
+        sleep(AGAIN).await;
+    }
+}
+
+/// Talks to an agent until something is wrong.
+async fn talk(
+    to: SocketAddr,
+    wanted: &watch::Receiver<Wanted>,
+    fetched: &mut u64,
+    generation: &mut Option<u64>,
+    down: &mut bool,
+    shared: &Shared,
+) -> String {
+    let mut link = match timeout(CONNECT, TcpStream::connect(to)).await {
+        Ok(Ok(stream)) => Link::new(stream),
+        Ok(Err(error)) => return error.to_string(),
+        Err(_) => return "no connection in time".to_owned(),
+    };
+    let host = to.to_string();
+    loop {
+        let Wanted { watch, fetches } = *wanted.borrow();
+        let after = generation.filter(|_| fetches <= *fetched);
+        let call = match after {
+            Some(after) if watch => watch_call(&host, after, WAIT.as_millis() as u64),
+            Some(_) => return "nothing more is wanted".to_owned(),
+            None => list_call(&host),
+        };
+        let members = match timeout(WAIT + ANSWER, ask(&mut link, &call)).await {
+            Ok(Ok(members)) => members,
+            Ok(Err(why)) => {
+                // Nonsense, or a broken connection: the whole list tells what was missed.
+                *generation = None;
+                return why;
+            }
+            Err(_) => return "silent".to_owned(),
+        };
+        if after.is_none() {
+            *fetched = fetches;
+            if members.scope != Scope::Full {
+                *generation = None;
+                return "changes where the whole list was asked for".to_owned();
+            }
+        }
+        if std::mem::take(down) {
+            tracing::info!("the catalogue answers");
+        }
+        let news = after != Some(members.generation) || !members.entries.is_empty();
+        *generation = Some(members.generation);
+        if news {
+            let (scope, version) = (members.scope, members.generation);
+            let after = after.unwrap_or(0);
+            shared.tell(Message::List(ListUpdate { scope, version, after, entries: members.entries }));
+        }
+    }
+}
+
+async fn ask(link: &mut Link, call: &str) -> Result<Members, String> {
+    link.stream.write_all(call.as_bytes()).await.map_err(|e| e.to_string())?;
+    let head = loop {
+        match take_answer(&mut link.buf).map_err(|e| e.to_string())? {
+            Some(head) if head.status >= 200 => break head,
+            Some(_) => {}
+            None => more(link).await?,
+        }
+    };
+    let mut body = Body::new(head.framing);
+    let mut whole = Vec::new();
+    loop {
+        match body.next(&mut link.buf).map_err(|e| e.to_string())? {
+            Part::Data(data) if whole.len() + data.len() > MOST_BODY => return Err("too long".to_owned()),
+            Part::Data(data) => whole.extend_from_slice(&data),
+            Part::End => break,
+            Part::Wait => more(link).await?,
+        }
+    }
+    if head.status != 200 {
+        return Err(format!("it answers {}", head.status));
+    }
+    Members::read(&whole).map_err(|e| e.to_string())
+}
+
+async fn more(link: &mut Link) -> Result<(), String> {
+    match link.read().await {
+        Ok(0) => Err("it closed".to_owned()),
+        Ok(_) => Ok(()),
+        Err(error) => Err(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/gaparch-node/src/lib.rs
@@ -0,0 +1,26 @@
+//! The router in service on the platform: a tokio shell around the one core that drives the decision module.
+//!
+//! One task, the owner, has the core. Every client connection, exchange with a worker and call is a task of its own
+//! and talks to the owner in messages. Nothing here decides: a request goes where the core says, and the core hears
+//! what came of it, with the time at which it was seen on the socket.
+//!
+//! | queue or table | bound | full |
+//! | --- | --- | --- |
+//! | messages to the owner | a few for each descriptor | can't be: who sends them holds a descriptor |
+//! | client connections | their part of the descriptors | the one idle for longest is closed, else the new one |
+//! | connections to workers | their part | an idle one is closed, else the attempt could not connect |
+//! | runs of events to one client | [`client::PIECES`] | its worker is not read from |
+//! | bytes ahead of an answer from a client | [`client::AHEAD`] | it is not read from |
+
+mod budget;
+mod client;
+mod discovery;
+mod link;
+mod owner;
+mod peers;
+mod run;
+mod settings;
+mod shared;
+mod worker;
+
+pub use run::{run, NodeError};
--- /dev/null
+++ b/crates/gaparch-node/src/owner.rs
@@ -0,0 +1,357 @@
+//! The one task that has the core, and the module in it.
+
+use crate::client::{Piece, PIECES};
+use crate::discovery::Wanted;
+use crate::peers::PeerSocket;
+use crate::shared::{Answer, Forward, Message, Seen, Shared};
+use crate::worker::{self, Job, Pool, Release, Target};
+use gaparch::api::{AttemptNo, Nanos, RequestId, ServerId, Status};
+use gaparch_config::Config;
+use gaparch_ops::book::Book;
+use gaparch_platform::ask::Ask;
+use gaparch_protocol::engine::{AttemptKey, EngineFrame, Job as EngineJob, RouterRun};
+use gaparch_protocol::ops::ending::WaitedFor;
+use gaparch_router::core::{Accepted, ConnNo, Core, Input, ListUpdate, Output, ToClient};
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{interval, sleep_until, Instant, MissedTickBehavior};
+
+/// Messages taken in one round, so that the timers are looked at between.
+const BATCH: usize = 64;
+const TIDY_EVERY: Duration = Duration::from_secs(1);
+const SUMMARY_EVERY: Duration = Duration::from_secs(10);
+
+/// What the shell keeps of a request for as long as the core knows it.
+struct Open {
+    forward: Arc<Forward>,
+    answer: Option<oneshot::Sender<Answer>>,
+    exchange: Option<Exchange>,
+}
+
+/// The last attempt's task.
+struct Exchange {
+    no: AttemptNo,
+    task: JoinHandle<()>,
+    written: watch::Receiver<bool>,
+}
+
+pub(crate) struct Owner {
+    core: Core,
+    shared: Arc<Shared>,
+    pool: Arc<Pool>,
+    peers: Option<Arc<PeerSocket>>,
+    wanted: watch::Sender<Wanted>,
+    probe_within: Duration,
+    open: HashMap<RequestId, Open>,
+    /// Requests that may have left the core in this round.
+    touched: Vec<RequestId>,
+    /// Where the stream that begins in this round may be sent from.
+    grant: Option<(RequestId, oneshot::Sender<mpsc::Sender<Piece>>)>,
+    releases: JoinSet<()>,
+    calls: JoinSet<()>,
+    lag: Duration,
+}
+
+impl Owner {
+    pub fn new(
+        config: Config,
+        shared: Arc<Shared>,
+        pool: Arc<Pool>,
+        peers: Option<Arc<PeerSocket>>,
+        wanted: watch::Sender<Wanted>,
+    ) -> Owner {
+        let now = shared.clock.now();
+        let ask = config.module.ask;
+        let probe_within = Duration::from_nanos(config.attempts.probe_timeout);
+        let mut out = Vec::new();
+        let mut core = Core::new(config, Book::default(), RouterRun(now), now, &mut out);
+        // The list as it was last held comes first, so that nothing waits for a silent catalogue.
+        if let Some(known) = &shared.config.known {
+            let (scope, version, entries) = (known.scope, known.generation, known.entries.clone());
+            let update = ListUpdate { scope, version, after: 0, entries };
+            core.handle(now, Input::List(update), &mut out);
+        }
+        if !ask {
+            core.handle(now, Input::ListUp, &mut out);
+        }
+        let mut owner = Owner {
+            core,
+            shared,
+            pool,
+            peers,
+            wanted,
+            probe_within,
+            open: HashMap::new(),
+            touched: Vec::new(),
+            grant: None,
+            releases: JoinSet::new(),
+            calls: JoinSet::new(),
+            lag: Duration::ZERO,
+        };
+        owner.carry_out(&mut out);
+        owner
+    }
+
+    pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        let mut batch = Vec::with_capacity(BATCH);
+        let mut out = Vec::new();
+        let mut tidy = interval(TIDY_EVERY);
+        let mut summary = interval(SUMMARY_EVERY);
+        tidy.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        summary.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let due = self.core.next_at().map(|at| Instant::from_std(self.shared.clock.instant(at)));
+            tokio::select! {
+                biased;
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
+                    self.lag = self.lag.max(due.map_or(Duration::ZERO, |due| due.elapsed()));
+                }
+                taken = messages.recv_many(&mut batch, BATCH) => if taken == 0 { return },
+                _ = tidy.tick() => {
+                    self.pool.tidy();
+                    while self.releases.try_join_next().is_some() {}
+                    while self.calls.try_join_next().is_some() {}
+                }
+                _ = summary.tick() => self.summary(),
+            }
+            for message in batch.drain(..) {
+                self.take(message, &mut out);
+                self.carry_out(&mut out);
+            }
+            self.core.on_time(self.shared.clock.now(), &mut out);
+            self.carry_out(&mut out);
+            self.forget();
+        }
+    }
+
+    fn take(&mut self, message: Message, out: &mut Vec<Output>) {
+        let now = self.shared.clock.now();
+        match message {
+            Message::Ask { id, ask, forward, began, answer } => {
+                self.touched.push(id);
+                self.open.insert(id, Open { forward, answer: Some(answer), exchange: None });
+                self.core.handle(now, Input::Ask { id, ask: accepted(&ask, began) }, out);
+            }
+            Message::Gone(id) => {
+                self.touched.push(id);
+                self.core.handle(now, Input::ClientGone(id), out);
+            }
+            Message::Worker { server, id, no, at, seen } => {
+                self.touched.push(id);
+                self.on_worker(server, AttemptKey { request: id.0, attempt: no.0 }, at, seen, out);
+            }
+            Message::Probed { server, nonce, at, status } => {
+                self.core.handle(at, Input::Probed { engine: server, nonce, status }, out);
+            }
+            Message::List(update) => {
+                let drained = update.entries.len();
+                self.core.handle(now, Input::List(update), out);
+                self.shared.serving();
+                tracing::debug!(entries = drained, "the list has changed");
+            }
+            Message::ListDown => self.core.handle(now, Input::ListDown, out),
+            Message::Peer { from, data } => self.core.handle(now, Input::Peer { from, data }, out),
+            Message::Open(reply) => {
+                while self.releases.try_join_next().is_some() {}
+                let _ = reply.send(self.core.open() + self.open.len() + self.releases.len());
+            }
+            Message::StopNow => self.core.handle(now, Input::StopNow, out),
+        }
+    }
+
+    fn on_worker(&mut self, engine: ServerId, key: AttemptKey, at: Nanos, seen: Seen, out: &mut Vec<Output>) {
+        let frame = match seen {
+            Seen::Begun(grant) => {
+                self.grant = Some((RequestId(key.request), grant));
+                EngineFrame::Tokens { key, from: 0, count: 0, text: String::new() }
+            }
+            Seen::Read { kept } => EngineFrame::ReadDone { key, kept, prompt_len: 0, report: None },
+            Seen::Ended { status, note } => {
+                EngineFrame::Outcome { key, status, note, produced: 0, report: None }
+            }
+            Seen::Reserved { held } => EngineFrame::Reserved { key, held },
+        };
+        self.core.handle(at, Input::EngineFrame { engine, conn: ConnNo::EXCHANGES, frame }, out);
+    }
+
+    fn carry_out(&mut self, out: &mut Vec<Output>) {
+        for output in out.drain(..) {
+            match output {
+                Output::Client { id, event } => self.answer_client(id, event),
+                Output::Engine { engine, frame } => self.ask_worker(engine, frame),
+                Output::Watch(on) => {
+                    self.wanted.send_if_modified(|w| std::mem::replace(&mut w.watch, on) != on);
+                }
+                Output::Fetch => self.wanted.send_modify(|w| w.fetches += 1),
+                Output::Tell { peer, data } => {
+                    self.peers.iter().for_each(|peers| peers.tell(peer, &data));
+                }
+                Output::CloseIdle(server) => self.pool.close_idle(server),
+                Output::Log(text) => tracing::info!(%text, "module"),
+                // A worker has no connection of its own here, and nobody keeps what became of requests.
+                Output::Connect { .. } | Output::Disconnect { .. } | Output::Ended(_) => {}
+            }
+        }
+        // Nobody wants that stream any more: its exchange hears so by this.
+        self.grant = None;
+    }
+
+    fn answer_client(&mut self, id: RequestId, event: ToClient) {
+        self.touched.push(id);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let answer = match event {
+            ToClient::Opened { .. } => {
+                let (pieces, stream) = mpsc::channel(PIECES);
+                if let Some((_, grant)) = self.grant.take_if(|(of, _)| *of == id) {
+                    let _ = grant.send(pieces);
+                }
+                Answer::Stream(stream)
+            }
+            ToClient::Refused { retry_after, waited_for, .. } => {
+                Answer::Refused { over_share: waited_for == Some(WaitedFor::OverShare), retry_after }
+            }
+            ToClient::Failed { .. } => Answer::Failed,
+            // The events themselves never come by here.
+            ToClient::Part { .. } | ToClient::Finished { .. } => return,
+        };
+        // Once a stream has begun, its end says what became of it.
+        if let Some(client) = open.answer.take() {
+            let _ = client.send(answer);
+        }
+    }
+
+    fn ask_worker(&mut self, server: ServerId, frame: EngineFrame) {
+        match frame {
+            EngineFrame::Read(job) => self.send(server, &job, true),
+            EngineFrame::Write { job, .. } => self.send(server, &job, false),
+            EngineFrame::Cancel(key) => {
+                let exchange = self.open.get(&RequestId(key.request)).and_then(|o| o.exchange.as_ref());
+                exchange.into_iter().filter(|e| e.no.0 == key.attempt).for_each(|e| e.task.abort());
+            }
+            EngineFrame::Reserve { job, .. } => {
+                let id = RequestId(job.key.request);
+                let Some(open) = self.open.get(&id) else { return };
+                let written = open.exchange.as_ref().map(|e| e.written.clone());
+                let (Some(target), Some(written)) = (self.target(server), written) else { return };
+                let of = (id, AttemptNo(job.key.attempt), open.forward.txn.clone());
+                let (pool, shared) = (Arc::clone(&self.pool), Arc::clone(&self.shared));
+                self.calls.spawn(worker::reserve(of, target, written, pool, shared));
+            }
+            EngineFrame::Release { request } => self.release(RequestId(request), server),
+            EngineFrame::Probe { nonce } => {
+                let (pool, shared) = (Arc::clone(&self.pool), Arc::clone(&self.shared));
+                match self.target(server) {
+                    Some(target) => {
+                        self.calls.spawn(worker::probe(target, nonce, self.probe_within, pool, shared));
+                    }
+                    None => {
+                        let (at, status) = (shared.clock.now(), Status::ConnectFailed);
+                        shared.tell(Message::Probed { server, nonce, at, status });
+                    }
+                }
+            }
+            // A router sends no others.
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, server: ServerId, ask: &EngineJob, reads: bool) {
+        let (id, no) = (RequestId(ask.key.request), AttemptNo(ask.key.attempt));
+        let target = self.target(server);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(target) = target else {
+            let seen = Seen::Ended { status: Status::ConnectFailed, note: 0 };
+            let at = self.shared.clock.now();
+            return self.shared.tell(Message::Worker { server, id, no, at, seen });
+        };
+        let (written, seen) = watch::channel(false);
+        let prior = open.exchange.take().map(|before| {
+            before.task.abort();
+            before.task
+        });
+        let forward = Arc::clone(&open.forward);
+        let job = Job { id, no, target, reads, wait_ms: ask.patience_ms, forward, prior, written };
+        let task = worker::exchange(job, Arc::clone(&self.pool), Arc::clone(&self.shared));
+        open.exchange = Some(Exchange { no, task: tokio::spawn(task), written: seen });
+    }
+
+    fn release(&mut self, id: RequestId, at: ServerId) {
+        let Some(open) = self.open.get(&id) else { return };
+        let txn = open.forward.txn.clone();
+        let others = self.core.listed().filter_map(|server| self.target(server)).collect();
+        let release = Release { txn, at: self.target(at), others };
+        self.releases.spawn(worker::release(release, Arc::clone(&self.pool)));
+    }
+
+    fn target(&self, server: ServerId) -> Option<Target> {
+        let (address, started) = self.core.contact(server)?;
+        Some(Target { server, address: address.parse().ok()?, started })
+    }
+
+    /// Drops what the core knows no more.
+    fn forget(&mut self) {
+        let mut seen = HashSet::new();
+        for id in self.touched.drain(..).filter(|id| seen.insert(*id)) {
+            if self.core.phase(id).is_none() {
+                self.open.remove(&id);
+            }
+        }
+        if self.open.is_empty() {
+            self.open.shrink_to(64);
+        }
+    }
+
+    fn summary(&mut self) {
+        let counts = self.core.counts();
+        let (workers, idle) = self.pool.sizes();
+        tracing::info!(
+            open = self.core.open(),
+            known = self.open.len(),
+            releases = self.releases.len(),
+            asked = counts.requests,
+            served = counts.served,
+            refused = counts.refused,
+            failed = counts.failed,
+            left = counts.left,
+            overdue = counts.overdue,
+            late_frames = counts.late_frames,
+            moot = counts.moot,
+            dropped = counts.dropped_entries,
+            workers,
+            idle,
+            memory_kb = resident_kb(),
+            lag_us = self.lag.as_micros() as u64,
+            "summary"
+        );
+        self.lag = Duration::ZERO;
+    }
+}
+
+fn accepted(ask: &Ask, began: Nanos) -> Accepted {
+    Accepted {
+        class: ask.class,
+        tenant: ask.tenant,
+        session: ask.session,
+        prefix: ask.prefix,
+        prompt_len: ask.prompt_len,
+        prefix_len: ask.prefix_len,
+        max_out: ask.max_out,
+        hint: None,
+        repeat: ask.repeat,
+        again: ask.again,
+        give_up_at: Some(began.saturating_add(ask.wait)),
+        // The body goes from client to worker beside the core.
+        prompt: String::new(),
+        fingerprint: 0,
+    }
+}
+
+/// Resident memory as the kernel tells it; 0 where it does not.
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/gaparch-node/src/run.rs
@@ -0,0 +1,138 @@
+//! Start, signals and end.
+
+use crate::budget::Budget;
+use crate::client;
+use crate::discovery::{self, Wanted};
+use crate::owner::Owner;
+use crate::peers::PeerSocket;
+use crate::settings::core_config;
+use crate::shared::{Message, Phase, Shared};
+use crate::worker::Pool;
+use gaparch_net::Clock;
+use gaparch_platform::config::{ConfigError, NodeConfig};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{sleep, Instant};
+
+/// After SIGTERM new connections keep arriving for up to 0.4 s: until then and a little longer all goes on.
+const ARRIVALS: Duration = Duration::from_millis(550);
+/// For what runs after that. Whoever ends the process does so when he will; a stream may take a minute.
+const FINISH: Duration = Duration::from_secs(90);
+/// Where the catalogue is silent at the start, the list as last held serves after this.
+const FIRST_LIST: Duration = Duration::from_millis(800);
+
+/// Why a router can't start.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    #[error("{file}: {source}")]
+    Read { file: String, source: io::Error },
+    #[error("{file}: {source}")]
+    Config { file: String, source: ConfigError },
+    #[error("can't listen at {address}: {source}")]
+    Listen { address: SocketAddr, source: io::Error },
+    #[error("signals: {0}")]
+    Signals(io::Error),
+}
+
+fn load(file: &Path) -> Result<NodeConfig, NodeError> {
+    let name = file.display().to_string();
+    let text = std::fs::read(file).map_err(|source| NodeError::Read { file: name.clone(), source })?;
+    let fallback = |field: &str| std::env::var(format!("ROUTER_{}", field.to_uppercase())).ok();
+    NodeConfig::read(&text, fallback).map_err(|source| NodeError::Config { file: name, source })
+}
+
+/// Runs a router by the platform's configuration until it is told to end.
+///
+/// # Errors
+/// When the file can't be used or an address can't be listened at.
+pub async fn run(file: PathBuf) -> Result<(), NodeError> {
+    let config = load(&file)?;
+    // Before anybody can hear that this router is ready, a signal must not end it.
+    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
+    let listen = |address| move |source| NodeError::Listen { address, source };
+    let listener = TcpListener::bind(config.listen).await.map_err(listen(config.listen))?;
+    let peers = match config.peers.clone().filter(|_| config.site.settings.peers) {
+        Some(peers) => {
+            let address = peers.listen;
+            Some(PeerSocket::bind(peers).await.map_err(listen(address))?)
+        }
+        None => None,
+    };
+    let budget = Budget::of(config.sockets);
+    tracing::info!(
+        name = %config.name,
+        listen = %config.listen,
+        sockets = config.sockets,
+        clients = budget.most_clients,
+        workers = budget.most_workers,
+        "starting"
+    );
+    let connect_within = Duration::from_nanos(config.site.settings.connect_timeout);
+    let pool = Arc::new(Pool::new(Arc::clone(&budget.workers), connect_within, config.idle_close_ns));
+    let (owner, messages) = mpsc::unbounded_channel();
+    let core = core_config(&config);
+    let discovery = watch::Sender::new(config.discovery);
+    let has_list = config.known.is_some();
+    let shared = Arc::new(Shared::new(config, Clock::default(), owner));
+    if let Some(peers) = &peers {
+        tokio::spawn(Arc::clone(peers).hear(Arc::clone(&shared)));
+    }
+    let wanted = watch::Sender::new(Wanted::default());
+    tokio::spawn(discovery::follow(discovery.subscribe(), wanted.subscribe(), Arc::clone(&shared)));
+    let owner = Owner::new(core, Arc::clone(&shared), pool, peers, wanted);
+    tokio::spawn(owner.run(messages));
+    if has_list {
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            sleep(FIRST_LIST).await;
+            shared.serving();
+        });
+    }
+    let accepting = tokio::spawn(client::accept(listener, budget, Arc::clone(&shared)));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => match load(&file) {
+                Ok(new) => {
+                    tracing::info!(discovery = %new.discovery, "a new configuration");
+                    if new.site.settings != shared.config.site.settings {
+                        tracing::warn!("the settings have changed: they are taken at the next start");
+                    }
+                    discovery.send_replace(new.discovery);
+                }
+                Err(error) => tracing::error!(%error, "the configuration stays as it was"),
+            },
+        }
+    }
+    tracing::info!("ending: what is open is finished");
+    shared.phase.send_replace(Phase::Leaving);
+    sleep(ARRIVALS).await;
+    shared.phase.send_replace(Phase::Closing);
+    let _ = accepting.await;
+    let until = Instant::now() + FINISH;
+    while Instant::now() < until {
+        match open(&shared).await {
+            Some(open) if open > 0 => sleep(Duration::from_millis(20)).await,
+            _ => break,
+        }
+    }
+    shared.tell(Message::StopNow);
+    // The last answers are on their way to the clients' tasks: they get a moment to be written.
+    sleep(Duration::from_millis(50)).await;
+    tracing::info!("ended");
+    Ok(())
+}
+
+async fn open(shared: &Shared) -> Option<usize> {
+    let (reply, answer) = oneshot::channel();
+    shared.tell(Message::Open(reply));
+    answer.await.ok()
+}
--- /dev/null
+++ b/crates/gaparch-node/src/shared.rs
@@ -0,0 +1,148 @@
+//! What the tasks of a router share.
+
+use crate::client::Piece;
+use gaparch::api::{AttemptNo, Nanos, RequestId, ServerId, Status};
+use gaparch_net::Clock;
+use gaparch_platform::ask::{Ask, Txn};
+use gaparch_platform::config::NodeConfig;
+use gaparch_router::core::ListUpdate;
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// How far a router is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// No list yet.
+    Starting,
+    Serving,
+    /// Told to end; new connections may still arrive.
+    Leaving,
+    /// Nothing new comes: what is open is finished.
+    Closing,
+}
+
+/// A client's request as it goes to workers, for all attempts.
+#[derive(Debug)]
+pub(crate) struct Forward {
+    pub target: String,
+    pub txn: Txn,
+    pub body: bytes::Bytes,
+}
+
+/// The first that a client hears of its request.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    Stream(mpsc::Receiver<Piece>),
+    Refused { over_share: bool, retry_after: Nanos },
+    Failed,
+}
+
+/// What an exchange with a worker tells.
+#[derive(Debug)]
+pub(crate) enum Seen {
+    /// The first event is there; where the stream may go is sent back, if anybody still wants it.
+    Begun(oneshot::Sender<mpsc::Sender<Piece>>),
+    Read {
+        kept: u32,
+    },
+    Ended {
+        status: Status,
+        note: u64,
+    },
+    Reserved {
+        held: bool,
+    },
+}
+
+#[derive(Debug)]
+pub(crate) enum Message {
+    Ask {
+        id: RequestId,
+        ask: Box<Ask>,
+        forward: Arc<Forward>,
+        began: Nanos,
+        answer: oneshot::Sender<Answer>,
+    },
+    Gone(RequestId),
+    Worker {
+        server: ServerId,
+        id: RequestId,
+        no: AttemptNo,
+        at: Nanos,
+        seen: Seen,
+    },
+    Probed {
+        server: ServerId,
+        nonce: u64,
+        at: Nanos,
+        status: Status,
+    },
+    List(ListUpdate),
+    ListDown,
+    Peer {
+        from: u32,
+        data: Vec<u8>,
+    },
+    /// How many requests and releases are open.
+    Open(oneshot::Sender<usize>),
+    StopNow,
+}
+
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub config: NodeConfig,
+    pub clock: Clock,
+    pub owner: mpsc::UnboundedSender<Message>,
+    pub phase: watch::Sender<Phase>,
+    next_id: AtomicU64,
+    open: Mutex<HashSet<Txn>>,
+}
+
+impl Shared {
+    pub fn new(config: NodeConfig, clock: Clock, owner: mpsc::UnboundedSender<Message>) -> Shared {
+        let phase = watch::Sender::new(Phase::Starting);
+        Shared { config, clock, owner, phase, next_id: AtomicU64::new(1), open: Mutex::default() }
+    }
+
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// There is a list: clients may come, unless the router is on its way out.
+    pub fn serving(&self) {
+        self.phase.send_if_modified(|phase| {
+            let first = *phase == Phase::Starting;
+            *phase = if first { Phase::Serving } else { *phase };
+            first
+        });
+    }
+
+    pub fn next_id(&self) -> RequestId {
+        RequestId(self.next_id.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Tells the owner; one that has ended needs to know nothing.
+    pub fn tell(&self, message: Message) {
+        let _ = self.owner.send(message);
+    }
+
+    /// Takes an id for as long as its request is open; `false` if one of that id is.
+    pub fn take(&self, txn: &Txn) -> bool {
+        lock(&self.open).insert(txn.clone())
+    }
+
+    pub fn give_back(&self, txn: &Txn) {
+        let mut open = lock(&self.open);
+        open.remove(txn);
+        if open.is_empty() {
+            open.shrink_to(64);
+        }
+    }
+}
+
+/// A table's lock; whoever panicked with it has left it whole: each change is one step.
+pub(crate) fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
+    table.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/gaparch-node/src/worker/calls.rs
@@ -0,0 +1,120 @@
+//! Calls without a body: probes, and what is held.
+
+use super::pool::{Conn, NoConnection, Pool, Target};
+use crate::shared::{Message, Seen, Shared};
+use bytes::Bytes;
+use gaparch::api::{AttemptNo, RequestId, Status};
+use gaparch_platform::ask::Txn;
+use gaparch_platform::body::{Body, Part};
+use gaparch_platform::head::take_answer;
+use gaparch_platform::worker::{probe_head, probe_meaning, release_head, reserve_head, reserved};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// For one try of a release: a worker that runs answers it at once, and within the release time there must be room
+/// for a second and a third at other workers.
+const RELEASE_TRY: Duration = Duration::from_millis(120);
+/// Tries of a release, each at another worker while there are any.
+const RELEASE_TRIES: usize = 8;
+/// A reservation is answered within 0.3 s; its read may take longer to be written.
+const RESERVE_WITHIN: Duration = Duration::from_secs(1);
+
+/// The status of a call's answer; the connection goes back if it can be used again.
+async fn call(conn: Conn, head: &Bytes, pool: &Pool) -> Option<u16> {
+    let mut conn = conn;
+    conn.link.stream.write_all(head).await.ok()?;
+    let answer = loop {
+        match take_answer(&mut conn.link.buf).ok()? {
+            Some(answer) if answer.status >= 200 => break answer,
+            Some(_) => {}
+            None => {
+                conn.link.read().await.ok().filter(|n| *n > 0)?;
+            }
+        }
+    };
+    pool.heard(conn.target);
+    let mut body = Body::new(answer.framing);
+    while let Ok(Part::Data(_)) = body.next(&mut conn.link.buf) {}
+    if body.is_whole() && !answer.close && conn.link.buf.is_empty() {
+        pool.put(conn);
+    }
+    Some(answer.status)
+}
+
+/// Asks a worker whether it is well.
+pub(crate) async fn probe(
+    target: Target,
+    nonce: u64,
+    within: Duration,
+    pool: Arc<Pool>,
+    shared: Arc<Shared>,
+) {
+    let head = probe_head(&target.address.to_string());
+    let asked = async {
+        match pool.get(target).await {
+            Err(NoConnection) => Status::ConnectFailed,
+            // One that closes on a probe could as well not have been reached.
+            Ok(conn) => call(conn, &head, &pool).await.map_or(Status::ConnectFailed, probe_meaning),
+        }
+    };
+    let status = timeout(within, asked).await.unwrap_or(Status::Timeout);
+    tracing::debug!(target: "gaparch_node::wire", worker = target.server.0, ?status, "probe");
+    shared.tell(Message::Probed { server: target.server, nonce, at: shared.clock.now(), status });
+}
+
+/// Asks a worker to hold a place, directly after the last byte of the read that is out.
+pub(crate) async fn reserve(
+    (id, no, txn): (RequestId, AttemptNo, Txn),
+    target: Target,
+    mut read: watch::Receiver<bool>,
+    pool: Arc<Pool>,
+    shared: Arc<Shared>,
+) {
+    let head = reserve_head(&txn, &target.address.to_string());
+    let asked = async {
+        read.wait_for(|written| *written).await.ok()?;
+        let conn = pool.get(target).await.ok()?;
+        Some(call(conn, &head, &pool).await.and_then(reserved))
+    };
+    // Not sent at all, nothing is held; without a clear answer a place may be.
+    let held = match timeout(RESERVE_WITHIN, asked).await {
+        Ok(None) => false,
+        Ok(Some(held)) => held.unwrap_or(true),
+        Err(_) => true,
+    };
+    let seen = Seen::Reserved { held };
+    shared.tell(Message::Worker { server: target.server, id, no, at: shared.clock.now(), seen });
+}
+
+/// What a request may have left behind, and where.
+pub(crate) struct Release {
+    pub txn: Txn,
+    /// Where it is most likely held: any worker can be told, but this one needs no word from another.
+    pub at: Option<Target>,
+    pub others: Vec<Target>,
+}
+
+/// Lets go of all that is held for a request. It is owed until some running worker has it: a worker that does not
+/// answer may never have got it, and the next is told.
+pub(crate) async fn release(release: Release, pool: Arc<Pool>) {
+    let mut order = release.others;
+    order.retain(|target| Some(*target) != release.at);
+    // Who answered last is most likely to run.
+    order.sort_by_key(|target| std::cmp::Reverse(pool.heard_at(*target)));
+    let all: Vec<Target> = release.at.into_iter().chain(order).collect();
+    for target in all.iter().cycle().take(RELEASE_TRIES.min(all.len() * 2)) {
+        let head = release_head(&release.txn, &target.address.to_string());
+        let tried = async {
+            let conn = pool.get(*target).await.ok()?;
+            call(conn, &head, &pool).await
+        };
+        if let Ok(Some(status)) = timeout(RELEASE_TRY, tried).await {
+            tracing::debug!(target: "gaparch_node::wire", txn = release.txn.as_str(), worker = target.server.0, status, "released");
+            return;
+        }
+    }
+    tracing::warn!(txn = release.txn.as_str(), "what is held could not be let go of: no worker answers");
+}
--- /dev/null
+++ b/crates/gaparch-node/src/worker/exchange.rs
@@ -0,0 +1,235 @@
+//! One attempt at a worker: its request is written, and what comes back is told to the owner. Nothing is ever sent
+//! again from here.
+
+use super::pool::{Conn, Pool, Target};
+use crate::client::Piece;
+use crate::shared::{Forward, Message, Seen, Shared};
+use bytes::{Buf, BytesMut};
+use gaparch::api::{AttemptNo, Nanos, RequestId, Status};
+use gaparch_platform::body::{Body, Framing, Part};
+use gaparch_platform::events::Events;
+use gaparch_platform::head::{take_answer, AnswerHead, HeadError};
+use gaparch_platform::worker::{job_head, kept, meaning, Meaning, MOST_INTERIM};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// A client may be left waiting for 5 s after an event; a worker silent for that long has to be ended before.
+const SILENCE: Duration = Duration::from_millis(4000);
+/// Bytes of an answer without events: a few figures.
+const MOST_ANSWER: usize = 16 * 1024;
+
+/// One attempt.
+pub(crate) struct Job {
+    pub id: RequestId,
+    pub no: AttemptNo,
+    pub target: Target,
+    pub reads: bool,
+    pub wait_ms: u32,
+    pub forward: Arc<Forward>,
+    /// The attempt before it, which must be off its connection before this one is written.
+    pub prior: Option<JoinHandle<()>>,
+    /// Says when the last byte was written.
+    pub written: watch::Sender<bool>,
+}
+
+/// How an exchange ended, with its connection if that can be used again.
+struct End {
+    seen: Option<Seen>,
+    reusable: Option<Conn>,
+}
+
+impl End {
+    fn broken(status: Status) -> End {
+        End { seen: Some(Seen::Ended { status, note: 0 }), reusable: None }
+    }
+}
+
+/// Times on the socket, for whoever compares them with what the module believes.
+#[derive(Default)]
+struct Trace {
+    connected: Nanos,
+    written: Nanos,
+    first: Nanos,
+}
+
+/// Carries an attempt out. Dropped, its connection closes with it.
+pub(crate) async fn exchange(mut job: Job, pool: Arc<Pool>, shared: Arc<Shared>) {
+    if let Some(prior) = job.prior.take() {
+        // It was told to stop: whatever it ended with, its connection is closed now.
+        let _ = prior.await;
+    }
+    let asked = shared.clock.now();
+    let mut trace = Trace::default();
+    let end = attempt(&job, &pool, &shared, &mut trace).await;
+    let at = shared.clock.now();
+    tracing::debug!(
+        target: "gaparch_node::wire",
+        request = job.id.0,
+        txn = job.forward.txn.as_str(),
+        attempt = job.no.0,
+        worker = job.target.server.0,
+        address = %job.target.address,
+        reads = job.reads,
+        connected_us = trace.connected.saturating_sub(asked) / 1000,
+        written_us = trace.written.saturating_sub(asked) / 1000,
+        first_us = trace.first.saturating_sub(asked) / 1000,
+        ended_us = (at - asked) / 1000,
+        end = ?end.seen,
+        "exchange"
+    );
+    if let Some(conn) = end.reusable {
+        pool.put(conn);
+    }
+    if let Some(seen) = end.seen {
+        shared.tell(Message::Worker { server: job.target.server, id: job.id, no: job.no, at, seen });
+    }
+}
+
+async fn attempt(job: &Job, pool: &Pool, shared: &Shared, trace: &mut Trace) -> End {
+    let Ok(mut conn) = pool.get(job.target).await else { return End::broken(Status::ConnectFailed) };
+    trace.connected = shared.clock.now();
+    let Forward { target, txn, body } = &*job.forward;
+    let head = job_head(target, txn, &job.target.address.to_string(), job.wait_ms, body.len());
+    // Before its last byte is written a request has not run.
+    if conn.link.stream.write_all_buf(&mut head.chain(&body[..])).await.is_err() {
+        return End::broken(Status::ConnectFailed);
+    }
+    trace.written = shared.clock.now();
+    job.written.send_replace(true);
+    let head = match answer_head(&mut conn, job.reads).await {
+        Ok(head) => head,
+        Err(status) => return End::broken(status),
+    };
+    trace.first = shared.clock.now();
+    pool.heard(job.target);
+    match meaning(&head, job.reads) {
+        Meaning::Interim => End::broken(Status::Unknown),
+        Meaning::Ended(status, note) => {
+            let (_, reusable) = short_body(conn, &head).await;
+            End { seen: Some(Seen::Ended { status, note }), reusable }
+        }
+        Meaning::Read => {
+            let (body, reusable) = short_body(conn, &head).await;
+            // The head alone says that it is read; a body that breaks off costs only the figure.
+            End { seen: Some(Seen::Read { kept: kept(&body) }), reusable }
+        }
+        Meaning::Stream => stream(job, shared, conn, &head).await,
+    }
+}
+
+/// The first head that is no interim one, or how the attempt ended without.
+async fn answer_head(conn: &mut Conn, reads: bool) -> Result<AnswerHead, Status> {
+    let mut interim = 0;
+    loop {
+        match take_answer(&mut conn.link.buf) {
+            Ok(Some(head)) if meaning(&head, reads) == Meaning::Interim => {
+                interim += 1;
+                if interim > MOST_INTERIM {
+                    return Err(Status::Unknown);
+                }
+            }
+            Ok(Some(head)) => return Ok(head),
+            Ok(None) => match conn.link.read().await {
+                Ok(n) if n > 0 => {}
+                // It ended after the last byte was written: it may have run.
+                _ => return Err(Status::Reset),
+            },
+            // Noise, or a head without end, in place of an answer: it has run.
+            Err(HeadError::Unreadable | HeadError::TooLong | HeadError::Length) => {
+                return Err(Status::Unknown)
+            }
+        }
+    }
+}
+
+/// Reads a body of a few figures; the connection comes back if it can be used again.
+async fn short_body(mut conn: Conn, head: &AnswerHead) -> (BytesMut, Option<Conn>) {
+    let mut body = Body::new(head.framing);
+    let mut whole = BytesMut::new();
+    loop {
+        match body.next(&mut conn.link.buf) {
+            Ok(Part::Data(data)) if whole.len() + data.len() <= MOST_ANSWER => whole.extend_from_slice(&data),
+            Ok(Part::End) => {
+                let clean = !head.close && conn.link.buf.is_empty();
+                return (whole, clean.then_some(conn));
+            }
+            Ok(Part::Wait) => match timeout(SILENCE, conn.link.read()).await {
+                Ok(Ok(n)) if n > 0 => {}
+                _ => return (whole, None),
+            },
+            Ok(Part::Data(_)) | Err(_) => return (whole, None),
+        }
+    }
+}
+
+/// Passes events on as they come. Until the first sound one was passed on, anything unsound is a failed attempt.
+async fn stream(job: &Job, shared: &Shared, mut conn: Conn, head: &AnswerHead) -> End {
+    let mut body = Body::new(head.framing);
+    let mut events = Events::default();
+    let mut client: Option<mpsc::Sender<Piece>> = None;
+    let spoilt = |begun: bool| End::broken(if begun { Status::Reset } else { Status::Unknown });
+    loop {
+        let part = match body.next(&mut conn.link.buf) {
+            Ok(part) => part,
+            Err(_) => return spoilt(client.is_some()),
+        };
+        match part {
+            Part::Data(data) => match events.take(&data) {
+                Ok(Some(run)) => {
+                    let to = match client.take() {
+                        Some(to) => to,
+                        None => match begin(job, shared).await {
+                            Some(to) => to,
+                            // It was given up meanwhile: the connection closes, nobody has to hear of it.
+                            None => return End { seen: None, reusable: None },
+                        },
+                    };
+                    // A full queue stops the reading here, and so the worker: nothing is cut off.
+                    if to.send(Piece::Events(run)).await.is_err() {
+                        return End { seen: None, reusable: None };
+                    }
+                    client = Some(to);
+                }
+                Ok(None) => {}
+                Err(_) => return spoilt(client.is_some()),
+            },
+            Part::End => return whole(conn, head, &events, client).await,
+            Part::Wait => {
+                // Before the first event the attempt's own time-out holds.
+                let within = if client.is_some() { SILENCE } else { Duration::MAX };
+                match timeout(within, conn.link.read()).await {
+                    Ok(Ok(n)) if n > 0 => {}
+                    Ok(Ok(_)) if body.ends_with_connection() => {
+                        return whole(conn, head, &events, client).await;
+                    }
+                    Ok(_) => return End::broken(Status::Reset),
+                    Err(_) => return End::broken(Status::Timeout),
+                }
+            }
+        }
+    }
+}
+
+/// Asks the owner where the stream may go.
+async fn begin(job: &Job, shared: &Shared) -> Option<mpsc::Sender<Piece>> {
+    let (grant, granted) = oneshot::channel();
+    let at = shared.clock.now();
+    let seen = Seen::Begun(grant);
+    shared.tell(Message::Worker { server: job.target.server, id: job.id, no: job.no, at, seen });
+    granted.await.ok()
+}
+
+/// The body has ended: the stream is whole if its last event was there.
+async fn whole(conn: Conn, head: &AnswerHead, events: &Events, client: Option<mpsc::Sender<Piece>>) -> End {
+    let Some(client) = client.filter(|_| events.is_whole()) else { return End::broken(Status::Reset) };
+    if client.send(Piece::Whole).await.is_err() {
+        return End { seen: None, reusable: None };
+    }
+    // What follows an answer belongs to nobody: the answer stands, the connection does not.
+    let clean = !head.close && conn.link.buf.is_empty() && head.framing != Framing::UntilClose;
+    End { seen: Some(Seen::Ended { status: Status::Ok, note: 0 }), reusable: clean.then_some(conn) }
+}
--- /dev/null
+++ b/crates/gaparch-node/src/worker/pool.rs
@@ -0,0 +1,150 @@
+//! Connections to workers that carry nothing now, the most recently used first.
+
+use crate::link::Link;
+use crate::shared::lock;
+use gaparch::api::{Nanos, ServerId};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
+
+/// Idle connections to one worker.
+const MOST_IDLE: usize = 32;
+/// Of the time in which a worker closes an idle one: used later, a request on it could end in a reset.
+const IDLE_SHARE: f64 = 0.6;
+/// Where the settings do not tell that time.
+const IDLE: Duration = Duration::from_secs(5);
+/// A worker not heard from for so long is forgotten here; the list brings it back.
+const FORGET: Duration = Duration::from_secs(60);
+
+/// One process of a worker: another start or address is another process, whose connections are not these.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Target {
+    pub server: ServerId,
+    pub address: SocketAddr,
+    pub started: Nanos,
+}
+
+/// A connection with its place in the budget.
+#[derive(Debug)]
+pub(crate) struct Conn {
+    pub link: Link,
+    pub target: Target,
+    _place: OwnedSemaphorePermit,
+}
+
+#[derive(Debug)]
+struct Worker {
+    target: Target,
+    heard: Instant,
+    idle: Vec<(Conn, Instant)>,
+}
+
+/// Why there is no connection. Nothing was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NoConnection;
+
+#[derive(Debug)]
+pub(crate) struct Pool {
+    workers: Mutex<HashMap<ServerId, Worker>>,
+    places: Arc<Semaphore>,
+    connect_within: Duration,
+    idle_for: Duration,
+}
+
+impl Pool {
+    pub fn new(places: Arc<Semaphore>, connect_within: Duration, idle_close_ns: Option<u64>) -> Pool {
+        let idle_for = idle_close_ns.map_or(IDLE, |ns| Duration::from_nanos(ns).mul_f64(IDLE_SHARE));
+        Pool { workers: Mutex::default(), places, connect_within, idle_for }
+    }
+
+    /// A connection to that process: an idle one that is still good, else a new one.
+    pub async fn get(&self, target: Target) -> Result<Conn, NoConnection> {
+        if let Some(conn) = self.idle(target) {
+            return Ok(conn);
+        }
+        let place = self.place().ok_or(NoConnection)?;
+        match timeout(self.connect_within, TcpStream::connect(target.address)).await {
+            Ok(Ok(stream)) => Ok(Conn { link: Link::new(stream), target, _place: place }),
+            _ => Err(NoConnection),
+        }
+    }
+
+    pub fn idle(&self, target: Target) -> Option<Conn> {
+        let mut workers = lock(&self.workers);
+        let worker = workers.get_mut(&target.server).filter(|w| w.target == target)?;
+        while let Some((conn, since)) = worker.idle.pop() {
+            if since.elapsed() < self.idle_for && conn.link.is_quiet() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    /// A place for a new connection; where there is none, the one idle for longest anywhere is closed for it.
+    fn place(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(place) = Arc::clone(&self.places).try_acquire_owned() {
+            return Some(place);
+        }
+        let mut workers = lock(&self.workers);
+        let oldest = workers.values_mut().filter(|w| !w.idle.is_empty()).min_by_key(|w| w.idle[0].1)?;
+        drop(oldest.idle.remove(0));
+        drop(workers);
+        Arc::clone(&self.places).try_acquire_owned().ok()
+    }
+
+    /// A worker has answered on this connection.
+    pub fn heard(&self, target: Target) {
+        let mut workers = lock(&self.workers);
+        let now = Instant::now();
+        let worker =
+            workers.entry(target.server).or_insert_with(|| Worker { target, heard: now, idle: Vec::new() });
+        if worker.target != target && worker.target.started <= target.started {
+            *worker = Worker { target, heard: now, idle: Vec::new() };
+        }
+        worker.heard = now;
+    }
+
+    /// Takes back a connection whose last answer has ended in good order and left nothing behind.
+    pub fn put(&self, mut conn: Conn) {
+        conn.link.trim();
+        let mut workers = lock(&self.workers);
+        let Some(worker) = workers.get_mut(&conn.target.server).filter(|w| w.target == conn.target) else {
+            return;
+        };
+        if worker.idle.len() >= MOST_IDLE {
+            worker.idle.remove(0);
+        }
+        worker.idle.push((conn, Instant::now()));
+    }
+
+    /// When that process last answered anything, if it is still known.
+    pub fn heard_at(&self, target: Target) -> Option<Instant> {
+        lock(&self.workers).get(&target.server).filter(|w| w.target == target).map(|w| w.heard)
+    }
+
+    pub fn close_idle(&self, server: ServerId) {
+        if let Some(worker) = lock(&self.workers).get_mut(&server) {
+            worker.idle.clear();
+        }
+    }
+
+    /// Closes what is idle for too long or closed at the other side, and forgets workers long not heard from.
+    pub fn tidy(&self) {
+        let idle_for = self.idle_for;
+        lock(&self.workers).retain(|_, worker| {
+            worker.idle.retain(|(conn, since)| since.elapsed() < idle_for && conn.link.is_quiet());
+            worker.idle.shrink_to(4);
+            !worker.idle.is_empty() || worker.heard.elapsed() < FORGET
+        });
+    }
+
+    /// Workers known here, and idle connections.
+    pub fn sizes(&self) -> (usize, usize) {
+        let workers = lock(&self.workers);
+        (workers.len(), workers.values().map(|w| w.idle.len()).sum())
+    }
+}
--- a/crates/gaparch-router/src/core/actions.rs
+++ b/crates/gaparch-router/src/core/actions.rs
@@ -5,6 +5,7 @@
 use super::timers::Timer;
 use super::{Core, Output, ToClient};
 use gaparch::api::{Action, AttemptNo, Event, Nanos, Outcome, Report, RequestId, Role, ServerId, Status};
+use gaparch_config::Links;
 use gaparch_protocol::engine::{AttemptKey, EngineFrame};
 
 impl Core {
@@ -32,9 +33,13 @@
             Action::Watch(on) => out.push(Output::Watch(on)),
             Action::Fetch => out.push(Output::Fetch),
             Action::Log(text) => out.push(Output::Log(text)),
-            // One connection to each engine stays; there are no messages between routers yet, and a stream
-            // that breaks can't be resumed: the module is told so in its settings and does none of these.
-            Action::Close(_) | Action::Tell { .. } | Action::Move(_) => {}
+            Action::Tell { peer, data } => out.push(Output::Tell { peer, data }),
+            Action::Close(engine) => {
+                // One connection that carries all stays; idle ones of single exchanges may go.
+                out.extend((self.config.links == Links::Exchanges).then_some(Output::CloseIdle(engine)));
+            }
+            // A stream that breaks can't be resumed: the module is told so in its settings and moves none.
+            Action::Move(_) => {}
         }
         out.append(&mut self.wire);
     }
@@ -138,9 +143,11 @@
         self.forget_if_done(id);
     }
 
-    /// Puts a frame on the connection of an engine, if it is up.
+    /// Puts a frame on the connection of an engine, if it is up. Where each thing told is an exchange of its own, a
+    /// release may reach any engine: it goes out whatever has become of this one.
     pub(super) fn tell(&mut self, engine: ServerId, frame: EngineFrame) {
-        if self.engines.get(&engine).is_some_and(EngineLink::is_up) {
+        let anyway = self.config.links == Links::Exchanges;
+        if anyway || self.engines.get(&engine).is_some_and(EngineLink::is_up) {
             self.wire.push(Output::Engine { engine, frame });
         }
     }
--- a/crates/gaparch-router/src/core/attempts.rs
+++ b/crates/gaparch-router/src/core/attempts.rs
@@ -1,11 +1,18 @@
 //! How attempts end, and what falls due.
 
-use super::request::Attempt;
+use super::request::{Attempt, Stage};
 use super::timers::Timer;
 use super::{Core, Output, ToClient};
 use gaparch::api::{AttemptNo, Event, Outcome, Report, RequestId, Status};
+use gaparch_config::Links;
+use gaparch_protocol::engine::EngineFrame;
 use gaparch_protocol::ops::ending::Cause;
 
+/// Whether a read that ended so may have left its state behind. One called off is let go of where that is done.
+fn may_have_read(status: Status) -> bool {
+    matches!(status, Status::Error | Status::Reset | Status::Unknown)
+}
+
 impl Core {
     /// Ends the attempt that is out, if it is that one, with what the router itself has seen.
     pub(super) fn close_by(&mut self, id: RequestId, no: AttemptNo, status: Status) {
@@ -38,6 +45,11 @@
             live.state_at = Some(attempt.server);
             live.hold(attempt.server);
         }
+        if attempt.stage == Stage::Read && self.config.links == Links::Exchanges && may_have_read(status) {
+            // The read may have ended well just as its exchange broke: what it left is let go of, or it stays pinned.
+            self.tell(attempt.server, EngineFrame::Release { request: id.0 });
+        }
+        let Some(live) = self.live.get(&id) else { return };
         let closed = live.ended;
         self.may_leave(attempt.server);
         self.events.push_back(Event::Outcome(Outcome {
--- a/crates/gaparch-router/src/core/engines.rs
+++ b/crates/gaparch-router/src/core/engines.rs
@@ -8,6 +8,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnNo(pub u64);
 
+impl ConnNo {
+    /// Stands for all exchanges with an engine where there is no one connection.
+    pub const EXCHANGES: ConnNo = ConnNo(0);
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
     #[default]
@@ -47,6 +52,11 @@
 }
 
 impl EngineLink {
+    /// The link to an engine that each attempt reaches by itself.
+    pub fn listed() -> EngineLink {
+        EngineLink { state: State::Up(ConnNo::EXCHANGES), ..EngineLink::default() }
+    }
+
     pub fn is_new(&self) -> bool {
         self.state == State::New
     }
--- a/crates/gaparch-router/src/core/following.rs
+++ b/crates/gaparch-router/src/core/following.rs
@@ -1,9 +1,11 @@
 //! The list, and the engines that it makes the router connect to.
 
+use super::engines::{ConnNo, EngineLink};
 use super::request::{Attempt, Live};
 use super::roster::ListUpdate;
 use super::{Core, Output};
 use gaparch::api::{Event, ListKind, RequestId, ServerId, Status};
+use gaparch_config::Links;
 
 impl Core {
     pub(super) fn on_list_up(&mut self, out: &mut Vec<Output>) {
@@ -32,7 +34,11 @@
     /// Connects to what is listed anew, and lets go of what is gone.
     pub(super) fn follow_roster(&mut self, out: &mut Vec<Output>) {
         for engine in self.roster.engines() {
-            self.engines.entry(engine).or_default();
+            let link = match self.config.links {
+                Links::Connections => EngineLink::default,
+                Links::Exchanges => EngineLink::listed,
+            };
+            self.engines.entry(engine).or_insert_with(link);
         }
         let all: Vec<ServerId> = self.engines.keys().copied().collect();
         for engine in all {
@@ -71,10 +77,14 @@
         if !link.attempts.is_empty() || self.live.values().any(holds) {
             return;
         }
-        if let Some(conn) = link.conn() {
+        if let Some(conn) = link.conn().filter(|c| *c != ConnNo::EXCHANGES) {
             out.push(Output::Disconnect { engine, reason: "no longer listed, or set aside" });
             self.on_engine_down(engine, conn, out);
         }
         self.engines.remove(&engine);
+        if self.config.links == Links::Exchanges {
+            // New engines come under new names all day: what is gone must not stay in the books.
+            self.roster.forget(engine);
+        }
     }
 }
--- a/crates/gaparch-router/src/core/links.rs
+++ b/crates/gaparch-router/src/core/links.rs
@@ -5,7 +5,7 @@
 use super::request::{Attempt, Live, Stage};
 use super::timers::Timer;
 use super::{Core, Output, ToClient};
-use gaparch::api::{AttemptNo, Event, ListKind, Report, RequestId, ServerId, Status};
+use gaparch::api::{AttemptNo, Event, ListKind, Nanos, Report, RequestId, ServerId, Status};
 use gaparch_protocol::client::{StopReason, Usage};
 use gaparch_protocol::engine::{AttemptKey, EngineFacts, EngineFrame};
 use gaparch_protocol::ops::ending::Cause;
@@ -120,6 +120,13 @@
         }
     }
 
+    pub(super) fn on_probed(&mut self, engine: ServerId, nonce: u64, status: Status) {
+        let sent = self.engines.get_mut(&engine).and_then(|l| l.probes.remove(&nonce));
+        if let Some(sent) = sent {
+            self.probed(engine, self.now.saturating_sub(sent), status, None);
+        }
+    }
+
     pub(super) fn on_attempt_frame(
         &mut self,
         engine: ServerId,
@@ -200,7 +207,9 @@
         live.last_token_at = self.now;
         let usage = Usage { output: 0, ..live.usage };
         let until = live.stream_until(&self.config.class_times);
-        self.timers.set(until, Timer::Stream(id));
+        if until < Nanos::MAX {
+            self.timers.set(until, Timer::Stream(id));
+        }
         out.push(Output::Client { id, event: ToClient::Opened { usage } });
         // The writer has taken the state; all else that was held goes.
         let live_state = live.state_at.take();
--- a/crates/gaparch-router/src/core/mod.rs
+++ b/crates/gaparch-router/src/core/mod.rs
@@ -19,7 +19,7 @@
 pub use roster::ListUpdate;
 
 use engines::EngineLink;
-use gaparch::api::{Event, ListKind, Nanos, RequestId, ServerId};
+use gaparch::api::{Event, ListKind, Nanos, RequestId, ServerId, Status};
 use gaparch::policy::Policy;
 use gaparch_config::Config;
 use gaparch_ops::book::Book;
@@ -63,6 +63,17 @@
     /// It can't, or it says that it can't answer.
     ListDown,
     List(ListUpdate),
+    /// What came of a probe, where not the engine itself tells.
+    Probed {
+        engine: ServerId,
+        nonce: u64,
+        status: Status,
+    },
+    /// A message of another router, by its number.
+    Peer {
+        from: u32,
+        data: Vec<u8>,
+    },
     /// An operator's change, [proposed](Core::propose) or found again at the start.
     Taken(Taken),
     /// Takes nothing new from now on.
@@ -133,6 +144,13 @@
     Watch(bool),
     /// Ask it for the whole list once.
     Fetch,
+    /// A message to another router, or to all of them.
+    Tell {
+        peer: Option<u32>,
+        data: Vec<u8>,
+    },
+    /// Close the connections to an engine that carry nothing now.
+    CloseIdle(ServerId),
     Log(String),
     /// A request has ended. Only where there is somebody to keep it.
     Ended(Box<Ending>),
@@ -240,6 +258,16 @@
         self.live.get(&id).map(Live::phase)
     }
 
+    /// Address of a listed engine, and when its process began if the list says so.
+    pub fn contact(&self, engine: ServerId) -> Option<(&str, Nanos)> {
+        self.roster.reach(engine)
+    }
+
+    /// The engines that are listed and not gone.
+    pub fn listed(&self) -> impl Iterator<Item = ServerId> {
+        self.roster.engines().into_iter()
+    }
+
     /// When [`on_time`](Core::on_time) has something to do.
     pub fn next_at(&self) -> Option<Nanos> {
         self.timers.next()
@@ -266,6 +294,8 @@
             Input::ListUp => self.on_list_up(out),
             Input::ListDown => self.on_list_down(),
             Input::List(update) => self.on_list(update, out),
+            Input::Probed { engine, nonce, status } => self.on_probed(engine, nonce, status),
+            Input::Peer { from, data } => self.events.push_back(Event::Peer { from, data }),
             Input::Taken(taken) => self.on_taken(taken, out),
             Input::Stop => self.stopping = true,
             Input::StopNow => self.stop_now(out),
--- a/crates/gaparch-router/src/core/request.rs
+++ b/crates/gaparch-router/src/core/request.rs
@@ -22,6 +22,10 @@
     /// Rough length of the answer in tokens.
     pub hint: Option<u32>,
     pub repeat: bool,
+    /// It asks for the rest of a stream that broke.
+    pub again: bool,
+    /// When its client leaves, where it says so itself.
+    pub give_up_at: Option<Nanos>,
     pub prompt: String,
     /// The same for the same question of the same client, as far as can be told.
     pub fingerprint: u64,
@@ -35,7 +39,7 @@
         aim.saturating_add((per_token * f64::from(self.prompt_len)) as Nanos)
     }
 
-    /// As the module is told of it. The deadline grows twice as much with the prompt as the aim does.
+    /// As the module is told of it. Where the client does not say, the deadline grows twice as much with the prompt as the aim does.
     pub(super) fn request(&self, id: RequestId, settings: &Settings, now: Nanos) -> Request {
         let class = settings.classes.get(self.class.0);
         let (deadline, per_token, token_aim) =
@@ -51,9 +55,11 @@
             prefix_len: f64::from(self.prefix_len),
             max_out: f64::from(self.max_out),
             hint: self.hint.map(|tokens| Nanos::from(tokens).saturating_mul(token_aim)).filter(|h| *h > 0),
-            give_up_at: now.saturating_add(deadline).saturating_add(longer as Nanos),
+            give_up_at: self
+                .give_up_at
+                .unwrap_or_else(|| now.saturating_add(deadline).saturating_add(longer as Nanos)),
             retry: self.repeat,
-            again: false,
+            again: self.again,
         }
     }
 
--- a/crates/gaparch-router/src/core/roster.rs
+++ b/crates/gaparch-router/src/core/roster.rs
@@ -3,7 +3,7 @@
 use super::{figures, state_at, Counts};
 use crate::core::operate::{listed_state, server_state};
 use gaparch::api::{Entry, ListKind, Nanos, Role, ServerId, ServerState, Settings};
-use gaparch_config::{server_id, Config};
+use gaparch_config::{server_id, Config, Links};
 use gaparch_ops::book::Book;
 use gaparch_ops::combine::combine;
 use gaparch_protocol::engine::{EngineFacts, StateAt};
@@ -14,8 +14,10 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListUpdate {
     pub scope: Scope,
-    /// Grows by one with each change.
+    /// Grows with each change.
     pub version: u64,
+    /// The version that changes are counted from.
+    pub after: u64,
     pub entries: Vec<ListEntry>,
 }
 
@@ -71,8 +73,7 @@
         counts: &mut Counts,
     ) -> Option<(ListKind, Vec<Entry>)> {
         let delta = update.scope == Scope::Delta;
-        let follows = |v: u64| update.version == v.saturating_add(1);
-        if delta && !self.version.is_some_and(follows) {
+        if delta && self.version != Some(update.after) {
             // One that is known already says nothing new.
             let stale = self.version.is_some_and(|v| update.version <= v);
             return stale.then_some((ListKind::Delta, Vec::new()));
@@ -115,11 +116,13 @@
     ) -> Option<Entry> {
         let server = server_id(&listed.engine);
         let kind = config.names.kind(&listed.kind);
+        // An engine says itself what it is; without a word from it, one of an unknown kind may be asked for all.
+        let unknown = kind.is_none() && config.links == Links::Connections;
         let known = self.known.get(&server);
         let other = known.is_some_and(|k| k.listed.engine != listed.engine);
         let full = known.is_none() && self.known.len() >= MOST_ENGINES;
         let sound = listed.address.parse::<std::net::SocketAddr>().is_ok();
-        if kind.is_none() || other || full || !sound {
+        if unknown || other || full || !sound {
             counts.dropped_entries += 1;
             return None;
         }
@@ -166,6 +169,13 @@
         }
     }
 
+    /// Drops one that is gone.
+    pub fn forget(&mut self, server: ServerId) {
+        if !self.wanted(server) {
+            self.known.remove(&server);
+        }
+    }
+
     pub fn engines(&self) -> Vec<ServerId> {
         self.known.iter().filter(|(_, k)| k.entry.state != ServerState::Gone).map(|(id, _)| *id).collect()
     }
@@ -188,6 +198,11 @@
         Some((known.listed.engine.clone(), known.listed.address.clone()))
     }
 
+    pub fn reach(&self, server: ServerId) -> Option<(&str, Nanos)> {
+        let listed = &self.known.get(&server)?.listed;
+        Some((listed.address.as_str(), listed.started_at.unwrap_or(0)))
+    }
+
     pub fn address(&self, server: ServerId) -> Option<StateAt> {
         self.known.get(&server).map(|k| state_at(&k.listed.engine, &k.listed.address))
     }
--- a/crates/gaparch-router/src/shell/client.rs
+++ b/crates/gaparch-router/src/shell/client.rs
@@ -273,6 +273,8 @@
         max_out: ask.max_tokens,
         hint: ask.answer_hint,
         repeat: ask.repeat,
+        again: false,
+        give_up_at: None,
         fingerprint,
         prompt: ask.prompt,
     }
--- a/crates/gaparch-router/src/shell/list.rs
+++ b/crates/gaparch-router/src/shell/list.rs
@@ -99,7 +99,12 @@
                 for frame in frames.drain(..) {
                     let message = match frame {
                         ListFrame::Update { scope, version, entries } => {
-                            ListMessage::Update(ListUpdate { scope, version, entries })
+                            ListMessage::Update(ListUpdate {
+                                scope,
+                                version,
+                                after: version.saturating_sub(1),
+                                entries,
+                            })
                         }
                         ListFrame::Failed { reason } => ListMessage::Down(reason),
                         ListFrame::Bye { reason } => return Some(reason),
--- a/crates/gaparch-router/src/shell/owner.rs
+++ b/crates/gaparch-router/src/shell/owner.rs
@@ -306,6 +306,8 @@
                     desk.tell(News::Ended(ending));
                 }
             }
+            // Its settings permit no messages between routers, and the one connection to an engine stays.
+            Output::Tell { .. } | Output::CloseIdle(_) => {}
             Output::Log(text) => tracing::info!(%text, "module"),
         }
     }
--- a/crates/gaparch-router/tests/core.rs
+++ b/crates/gaparch-router/tests/core.rs
@@ -116,6 +116,8 @@
         max_out: 50,
         hint: None,
         repeat: false,
+        again: false,
+        give_up_at: None,
         prompt: "hello".to_owned(),
         fingerprint: 1,
     }
@@ -251,7 +253,7 @@
         started_at: None,
     };
     let entries = vec![entry("write-1", "writer", Some(f64::NAN)), entry("new", "no-such-kind", None)];
-    bench.input(Input::List(ListUpdate { scope: Scope::Full, version: 1, entries }));
+    bench.input(Input::List(ListUpdate { scope: Scope::Full, version: 1, after: 0, entries }));
     let counts = bench.core.counts();
     assert_eq!((counts.dropped_figures, counts.dropped_entries), (5, 1));
 }
@@ -259,9 +261,9 @@
 #[test]
 fn a_missed_change_of_the_list_is_asked_for_and_a_drain_stops_sends_at_once() {
     let mut bench = Bench::new();
-    let full = |version| ListUpdate { scope: Scope::Full, version, entries: vec![] };
+    let full = |version| ListUpdate { scope: Scope::Full, version, after: 0, entries: vec![] };
     bench.input(Input::List(full(3)));
-    let gap = ListUpdate { scope: Scope::Delta, version: 9, entries: vec![] };
+    let gap = ListUpdate { scope: Scope::Delta, version: 9, after: 8, entries: vec![] };
     assert_eq!(bench.input(Input::List(gap)), vec![Output::Fetch]);
     // The whole list named none: nothing is sent any more, and the request is answered in time.
     bench.now += 10 * MS;
@@ -360,7 +362,7 @@
             started_at: None,
         };
         let scope = if version == 1 { Scope::Full } else { Scope::Delta };
-        bench.input(Input::List(ListUpdate { scope, version, entries: vec![entry] }));
+        bench.input(Input::List(ListUpdate { scope, version, after: version - 1, entries: vec![entry] }));
         bench.ask_raw(version);
     }
     let reads = |bench: &Bench| {
--- a/crates/gaparch-simhost/src/host.rs
+++ b/crates/gaparch-simhost/src/host.rs
@@ -1,9 +1,9 @@
 //! Keeps the instances apart and hands each its events in order.
 
-use crate::settings::{self, whole, Site};
 use crate::wire::{self, need, Batch, Parsed, RawEntry};
 use gaparch::api::{Event, ListKind};
 use gaparch::policy::Policy;
+use gaparch_site::{whole, Site};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -40,7 +40,7 @@
         }
         let who = need(event, "who", whole)?;
         if kind == "init" {
-            let site = settings::read(need(event, "env", object)?, need(event, "entropy", seed)?);
+            let site = gaparch_site::read(need(event, "env", object)?, need(event, "entropy", seed)?);
             let policy = Policy::new(site.settings.clone());
             self.instances.insert(who, Instance { site, policy });
             return Ok(());
--- a/crates/gaparch-simhost/src/main.rs
+++ b/crates/gaparch-simhost/src/main.rs
@@ -2,7 +2,6 @@
 //! module for each `who`; the instances share nothing. Decides nothing itself.
 
 mod host;
-mod settings;
 mod wire;
 
 use std::io::{BufRead, Write};
--- a/crates/gaparch-simhost/src/settings.rs
+++ b/crates/gaparch-site/src/lib.rs
@@ -1,9 +1,11 @@
-//! The start-up settings as the wire gives them, made into those of the module.
+//! The start-up settings, made into those of the module: one copy for the simulator's adapter, which gets them in
+//! its first message, and for the router in service, which gets the same object in its configuration.
 
 use gaparch::api::{Class, Effect, Group, Nanos, Role, Settings, Tenant, ZoneId};
 use serde_json::Value;
 
-/// The module's settings, and the names that the wire uses for what the module knows by index.
+/// The module's settings, and the names used outside for what the module knows by index.
+#[derive(Clone, Debug)]
 pub struct Site {
     pub settings: Settings,
     pub classes: Vec<String>,
@@ -13,6 +15,7 @@
     pub report: Vec<String>,
 }
 
+/// Reads the object; what it does not say is as the module takes an absent setting.
 pub fn read(env: &Value, seed: u64) -> Site {
     let base = Settings::default();
     let (caps, rules, fam) = (&env["caps"], &env["rules"], &env["familyInfo"]);
--- a/src/state/works.rs
+++ b/src/state/works.rs
@@ -48,7 +48,7 @@
     /// Books what has changed of a request.
     pub fn note(&mut self, id: &RequestId) {
         let Some(Booked { work, pledged }) = self.all.get_mut(id) else { return };
-        let now = if work.pledged() { (work.need().min(MOST) * PARTS) as i64 } else { 0 };
+        let now = if work.pledged() { (work.need().clamp(0.0, MOST) * PARTS) as i64 } else { 0 };
         self.pledged += now - std::mem::replace(pledged, now);
         let active = work.unbegun() && (work.sent.is_some() || work.state.is_some());
         match active {
