Spoilt streams and broken connections no longer make healthy workers look cold

Checked on the wire log: readers were well and reads ended in 20 to 80 ms; writers took half of what they could. Ruled out: descriptors (496 of 768), CPU (0.09), bad clients (371 turned away a router, none passed on), requests closed as idle (0). Cause: a stream spoilt after its first event was told as Reset (stream(), whole() in gaparch-node/src/worker/exchange.rs); the module probes a worker after that (policy.rs, note_health), and the answered probe makes one that was 'lost' count as a new process (on_probed): each of the 31 spoilt streams made a healthy writer cold for 14 s. Change: a spoilt stream is Unknown (it has run, the worker is there); in the module a broken connection alone makes no worker 'lost', only one that could not be connected to. Events at hand are looked at before the first is passed on: what is spoilt at once has not begun.

--- a/crates/gaparch-node/src/worker/exchange.rs
+++ b/crates/gaparch-node/src/worker/exchange.rs
@@ -171,34 +171,32 @@
     let mut body = Body::new(head.framing);
     let mut events = Events::default();
     let mut client: Option<mpsc::Sender<Piece>> = None;
-    let spoilt = |begun: bool| End::broken(if begun { Status::Reset } else { Status::Unknown });
+    // What has come and was not passed on: all that is at hand is looked at first, so that what is spoilt at once has
+    // not begun.
+    let mut ready = BytesMut::new();
+    // The worker is there and has run it: this is no broken connection, after which it would count as a new process.
+    let spoilt = || End::broken(Status::Unknown);
     loop {
         let part = match body.next(&mut conn.link.buf) {
             Ok(part) => part,
-            Err(_) => return spoilt(client.is_some()),
+            Err(_) => return spoilt(),
         };
         match part {
             Part::Data(data) => match events.take(&data) {
-                Ok(Some(run)) => {
-                    let to = match client.take() {
-                        Some(to) => to,
-                        None => match begin(job, shared).await {
-                            Some(to) => to,
-                            // It was given up meanwhile: the connection closes, nobody has to hear of it.
-                            None => return End { seen: None, reusable: None },
-                        },
-                    };
-                    // A full queue stops the reading here, and so the worker: nothing is cut off.
-                    if to.send(Piece::Events(run)).await.is_err() {
-                        return End { seen: None, reusable: None };
-                    }
-                    client = Some(to);
-                }
+                Ok(Some(run)) => ready.extend_from_slice(&run),
                 Ok(None) => {}
-                Err(_) => return spoilt(client.is_some()),
+                Err(_) => return spoilt(),
             },
-            Part::End => return whole(conn, head, &events, client).await,
+            Part::End => {
+                if pass_on(job, shared, &mut ready, &mut client).await.is_err() {
+                    return End { seen: None, reusable: None };
+                }
+                return whole(conn, head, &events, client).await;
+            }
             Part::Wait => {
+                if pass_on(job, shared, &mut ready, &mut client).await.is_err() {
+                    return End { seen: None, reusable: None };
+                }
                 // Before the first event the attempt's own time-out holds.
                 let within = if client.is_some() { SILENCE } else { Duration::MAX };
                 match timeout(within, conn.link.read()).await {
@@ -214,6 +212,27 @@
     }
 }
 
+/// Nobody wants the stream any more: its connection closes, and nobody has to hear of it.
+struct Unwanted;
+
+/// Passes on what is ready, to whom the owner says if it is the first.
+async fn pass_on(
+    job: &Job,
+    shared: &Shared,
+    ready: &mut BytesMut,
+    client: &mut Option<mpsc::Sender<Piece>>,
+) -> Result<(), Unwanted> {
+    if ready.is_empty() {
+        return Ok(());
+    }
+    if client.is_none() {
+        *client = begin(job, shared).await;
+    }
+    let Some(to) = client else { return Err(Unwanted) };
+    // A full queue stops the reading here, and so the worker: nothing is cut off.
+    to.send(Piece::Events(ready.split().freeze())).await.map_err(|_| Unwanted)
+}
+
 /// Asks the owner where the stream may go.
 async fn begin(job: &Job, shared: &Shared) -> Option<mpsc::Sender<Piece>> {
     let (grant, granted) = oneshot::channel();
@@ -225,7 +244,7 @@
 
 /// The body has ended: the stream is whole if its last event was there.
 async fn whole(conn: Conn, head: &AnswerHead, events: &Events, client: Option<mpsc::Sender<Piece>>) -> End {
-    let Some(client) = client.filter(|_| events.is_whole()) else { return End::broken(Status::Reset) };
+    let Some(client) = client.filter(|_| events.is_whole()) else { return End::broken(Status::Unknown) };
     if client.send(Piece::Whole).await.is_err() {
         return End { seen: None, reusable: None };
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -701,9 +701,9 @@
                 self.rest(o.server, part);
             }
             Status::Timeout => self.rest(o.server, part),
-            // Dead, cut off, or with all connections taken: a probe tells when it is back.
+            // Dead, cut off, or all connections taken: a probe tells when it is back; at once, if only one broke.
             Status::ConnectFailed | Status::Reset => {
-                (s.unreachable, s.lost, s.probe_at) = (true, true, now);
+                (s.unreachable, s.lost, s.probe_at) = (true, s.lost || o.status != Status::Reset, now);
             }
             _ => {}
         }
