--- a/crates/gaparch-cli/tests/node.rs
+++ b/crates/gaparch-cli/tests/node.rs
@@ -53,8 +53,12 @@
     })
 }
 
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+/// An address of this test alone: a port that was free a moment ago could be another test's by now.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let (process, test) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let octets = [127, 1 + (process / 250 % 250) as u8, 1 + (process % 250) as u8, (test % 250) as u8];
+    SocketAddr::from((octets, 8080))
 }
 
 fn folder() -> PathBuf {
@@ -91,7 +95,7 @@
         let readers = [reader.clone(), reader.twin("r-2", &floor)];
         let writers = [writer.clone(), writer.twin("w-2", &floor)];
         let catalogue = Catalogue::start(Site::list(&readers, &writers));
-        let listen = free();
+        let listen = own_address();
         let mut config = json!({"name": "n0", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
             "discovery": catalogue.address.to_string(), "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
             "settings": settings()});
--- /dev/null
+++ b/crates/gaparch-router/tests/exchanges.rs
@@ -0,0 +1,173 @@
+//! The core where each attempt is an exchange of its own: engines count as reachable while listed, a release may reach
+//! any of them, and nothing is left behind by a day of new requests and new engines.
+
+use gaparch::api::{Nanos, RequestId, ServerId, ServerState, Status};
+use gaparch_config::{server_id, Config, Links, EXAMPLE};
+use gaparch_ops::book::Book;
+use gaparch_protocol::engine::{AttemptKey, EngineFrame, RouterRun};
+use gaparch_protocol::list::{ListEntry, Scope};
+use gaparch_router::core::{Accepted, ConnNo, Core, Input, ListUpdate, Output, ToClient};
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1_000 * MS;
+
+struct Bench {
+    core: Core,
+    now: Nanos,
+    out: Vec<Output>,
+}
+
+fn entry(name: &str, state: ServerState) -> ListEntry {
+    let kind = if name.starts_with("r") { "reader" } else { "writer" };
+    let (zone, rack) = ("north".to_owned(), "1".to_owned());
+    let address = "127.0.0.1:9".to_owned();
+    ListEntry {
+        engine: name.to_owned(),
+        address,
+        kind: kind.to_owned(),
+        zone,
+        rack,
+        state,
+        weight: None,
+        started_at: None,
+    }
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let mut config = Config::parse(EXAMPLE).expect("sound");
+        (config.links, config.engines, config.list) = (Links::Exchanges, Vec::new(), None);
+        config.module.probes = false;
+        let mut out = Vec::new();
+        let core = Core::new(config, Book::default(), RouterRun(1), 1000 * S, &mut out);
+        let mut bench = Bench { core, now: 1000 * S, out };
+        let ready = |name: &str| entry(name, ServerState::Ready);
+        let entries = vec![ready("r-1"), ready("r-2"), ready("w-1"), ready("w-2")];
+        bench.input(Input::List(ListUpdate { scope: Scope::Full, version: 5, after: 0, entries }));
+        bench
+    }
+
+    fn input(&mut self, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.core.handle(self.now, input, &mut out);
+        out
+    }
+
+    fn pass(&mut self, span: Nanos) -> Vec<Output> {
+        let (until, mut out) = (self.now + span, Vec::new());
+        while let Some(at) = self.core.next_at().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            self.core.on_time(self.now, &mut out);
+        }
+        self.now = until;
+        out
+    }
+
+    fn frame(&mut self, engine: ServerId, frame: EngineFrame) -> Vec<Output> {
+        self.input(Input::EngineFrame { engine, conn: ConnNo::EXCHANGES, frame })
+    }
+
+    fn ask(&mut self, id: u64) -> (ServerId, AttemptKey) {
+        let ask = Accepted {
+            class: gaparch::api::ClassId(0),
+            tenant: None,
+            session: Some(gaparch::api::Key(id)),
+            prefix: Some(gaparch::api::Key(id)),
+            prompt_len: 100,
+            prefix_len: 50,
+            max_out: 20,
+            hint: None,
+            repeat: false,
+            again: false,
+            give_up_at: Some(self.now + 5 * S),
+            prompt: String::new(),
+            fingerprint: 0,
+        };
+        let out = self.input(Input::Ask { id: RequestId(id), ask });
+        sent(&out).expect("a read")
+    }
+}
+
+fn sent(out: &[Output]) -> Option<(ServerId, AttemptKey)> {
+    out.iter().find_map(|o| match o {
+        Output::Engine { engine, frame: EngineFrame::Read(job) | EngineFrame::Write { job, .. } } => {
+            Some((*engine, job.key))
+        }
+        _ => None,
+    })
+}
+
+fn releases(out: &[Output], id: u64) -> usize {
+    let of = |o: &&Output| matches!(o, Output::Engine { frame: EngineFrame::Release { request }, .. } if *request == id);
+    out.iter().filter(of).count()
+}
+
+#[test]
+fn ten_thousand_requests_and_a_thousand_engines_leave_nothing_behind() {
+    let mut bench = Bench::new();
+    assert!(!bench.out.iter().any(|o| matches!(o, Output::Connect { .. })), "there is nothing to connect");
+    for id in 1..=10_000 {
+        let (reader, key) = bench.ask(id);
+        let read = EngineFrame::ReadDone { key, kept: 0, prompt_len: 0, report: None };
+        let (writer, key) = sent(&bench.frame(reader, read)).expect("a write");
+        let begun = EngineFrame::Tokens { key, from: 0, count: 0, text: String::new() };
+        let out = bench.frame(writer, begun);
+        let opened = |o: &Output| matches!(o, Output::Client { event: ToClient::Opened { .. }, .. });
+        assert_eq!(out.iter().filter(|o| opened(o)).count(), 1);
+        let ok = EngineFrame::Outcome { key, status: Status::Ok, note: 0, produced: 0, report: None };
+        bench.frame(writer, ok);
+        bench.pass(5 * MS);
+        if id % 10 == 0 {
+            let (new, old) = (format!("w-new-{id}"), format!("w-new-{}", id - 10));
+            let entries = vec![entry(&new, ServerState::Ready), entry(&old, ServerState::Gone)];
+            let update =
+                ListUpdate { scope: Scope::Delta, version: 5 + id, after: bench_version(id), entries };
+            assert_eq!(sent(&bench.input(Input::List(update))), None);
+        }
+    }
+    assert_eq!(bench.core.counts().served, 10_000);
+    assert_eq!((bench.core.open(), bench.core.listed().count()), (0, 5));
+    assert!((1..=10_000).all(|id| bench.core.phase(RequestId(id)).is_none()));
+    // Every timer falls due in time: none waits for ever.
+    bench.pass(20 * S);
+    assert_eq!(bench.core.next_at(), None);
+}
+
+/// The version before: lists jump by ten here, as the platform's may.
+fn bench_version(id: u64) -> u64 {
+    if id == 10 {
+        5
+    } else {
+        5 + id - 10
+    }
+}
+
+#[test]
+fn what_a_broken_read_may_have_left_is_let_go_of_even_if_its_engine_is_gone() {
+    for status in [Status::Reset, Status::Error, Status::Unknown] {
+        let mut bench = Bench::new();
+        let (reader, key) = bench.ask(1);
+        let gone: Vec<ListEntry> = ["r-1", "r-2"].map(|name| entry(name, ServerState::Gone)).to_vec();
+        bench.input(Input::List(ListUpdate { scope: Scope::Delta, version: 6, after: 5, entries: gone }));
+        let broken = EngineFrame::Outcome { key, status, note: 0, produced: 0, report: None };
+        assert_eq!(releases(&bench.frame(reader, broken), 1), 1, "{status:?}");
+    }
+    // One that was never sent has left nothing.
+    let mut bench = Bench::new();
+    let (reader, key) = bench.ask(1);
+    let status = Status::ConnectFailed;
+    let broken = EngineFrame::Outcome { key, status, note: 0, produced: 0, report: None };
+    assert_eq!(releases(&bench.frame(reader, broken), 1), 0);
+}
+
+#[test]
+fn a_failed_exchange_costs_its_own_attempt_only() {
+    let mut bench = Bench::new();
+    let (first, one) = bench.ask(1);
+    let (second, two) = bench.ask(2);
+    let status = Status::Reset;
+    bench.frame(first, EngineFrame::Outcome { key: one, status, note: 0, produced: 0, report: None });
+    let read = EngineFrame::ReadDone { key: two, kept: 0, prompt_len: 0, report: None };
+    assert!(sent(&bench.frame(second, read)).is_some());
+    assert!([server_id("r-1"), server_id("r-2")].contains(&first));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -223,6 +223,40 @@
     assert!(at_once <= 2, "{at_once}");
 }
 
+/// Found on sockets: a stream that breaks off is no new process, and a worker that serves on must not be cold for it.
+#[test]
+fn a_server_that_lost_one_connection_and_answers_at_once_is_not_cold() {
+    let settings = Settings { probes: true, probe_price: 1.0, ..settings() };
+    let mut r = Router::new(settings, pairs());
+    let reader = sent_to(&r.ask(100)).expect("a read");
+    r.outcome(100, reader, Status::Reset);
+    r.pass(20 * MS);
+    assert!(r.log.contains(&Action::Probe(ServerId(reader))));
+    r.event(Event::Probed { server: ServerId(reader), status: Status::Ok, latency: MS, report: None });
+    let view = r.policy.views().find(|v| v.server == ServerId(reader)).expect("it is listed");
+    assert_eq!((view.avoided, view.cold_budget), (None, None));
+}
+
+/// New servers come under new ids all day: those that are gone must not stay in the books.
+#[test]
+fn a_server_that_is_gone_is_forgotten_with_the_last_of_our_work_there() {
+    let mut r = Router::new(settings(), pairs());
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    let known = |r: &Router, server: u32| r.policy.views().any(|v| v.server == ServerId(server));
+    let gone = |server, kind| Entry { state: ServerState::Gone, ..entry(server, kind, 0) };
+    r.members(ListKind::Delta, vec![gone(reader, 0)]);
+    assert!(known(&r, reader), "its read is out");
+    r.outcome(1, reader, Status::Reset);
+    for next in 100..1000 {
+        r.members(ListKind::Delta, vec![entry(next, 1, 0), gone(next - 1, 1)]);
+    }
+    assert!(!known(&r, reader));
+    assert!(r.policy.views().count() <= 5, "{}", r.policy.views().count());
+    // What a whole list does not name is gone too.
+    r.members(ListKind::Full, pairs());
+    assert_eq!(r.policy.views().count(), 4);
+}
+
 // 5: nothing pinned.
 
 #[test]
