The module assumes less of a site: sizes, roles, steps, aims, groups

Cause, found by reading for a site put together differently, each shown by a test that failed before (tests/other_sites.rs): answers and states were due by our own 10 ms ticks even where a site's steps are longer (at steps of 40 ms the answer came 10 ms late: rule 1; a state was kept past 90 ms: rule 5); a cold server's part was measured by all peers of its role, whatever their size (29 sends against 28 of its own warm twin, 0.75 allowed: rule 4); a keyed request past its window, or of a group nobody tells, was held until its aim was lost; a mixed server in a cell without writers was home to nothing; without aim, number of attempts or call-offs a site was not served; an id that came back as another kind kept its first role; a kind whose role is another word was asked for all. Taking each guard out fails its test.

--- a/crates/gaparch-config/src/config.rs
+++ b/crates/gaparch-config/src/config.rs
@@ -252,6 +252,7 @@
         over_share_worth: raw.tenants.as_ref().map_or(1.0, |t| t.over_share_worth),
         roles: raw.kinds.kind.iter().map(|k| role(k.role)).collect(),
         memory: raw.kinds.kind.iter().map(|k| f64::from(k.memory_tokens)).collect(),
+        neither: Vec::new(),
         self_prefill: attempts.self_prefill,
         ahead: true,
         resume: false,
--- a/crates/gaparch-router/src/core/roster.rs
+++ b/crates/gaparch-router/src/core/roster.rs
@@ -169,8 +169,8 @@
         if facts.name != known.listed.engine {
             return Err("an engine of another name than listed");
         }
-        match known.entry.kind.map(|k| config.module.kind(Some(k)).0) {
-            Some(role) if role == facts.role => Ok(()),
+        match known.entry.kind.and_then(|k| config.module.kind(Some(k))) {
+            Some((role, _)) if role == facts.role => Ok(()),
             _ => Err("an engine of another role than listed"),
         }
     }
@@ -194,7 +194,7 @@
     }
 
     pub fn role(&self, server: ServerId, settings: &Settings) -> Option<Role> {
-        self.known.get(&server).map(|k| settings.kind(k.entry.kind).0)
+        self.known.get(&server).and_then(|k| Some(settings.kind(k.entry.kind)?.0))
     }
 
     pub fn contact(&self, server: ServerId) -> Option<(String, String)> {
--- a/crates/gaparch-setup/src/doctor.rs
+++ b/crates/gaparch-setup/src/doctor.rs
@@ -170,9 +170,11 @@
     }
     let role = |e: &gaparch_config::EngineConfig| {
         let kind = config.names.kind(&e.kind);
-        module.kind(kind).0
+        module.kind(kind).map(|(role, _)| role)
+    };
+    let count = |one: Role| {
+        config.engines.iter().filter(|e| role(e).is_some_and(|r| r == one || r == Role::Both)).count()
     };
-    let count = |one: Role| config.engines.iter().filter(|e| role(e) == one || role(e) == Role::Both).count();
     if config.list.is_none() {
         for (one, word) in [(Role::Read, "reads"), (Role::Write, "writes")] {
             if count(one) == 1 {
@@ -278,7 +280,7 @@
 
 fn engine_finding(config: &Config, name: &str, engine: &EngineSeen, now: Nanos) -> Finding {
     let listed = config.engines.iter().find(|e| e.name == name);
-    let wanted = listed.map(|e| config.module.kind(config.names.kind(&e.kind)).0);
+    let wanted = listed.and_then(|e| Some(config.module.kind(config.names.kind(&e.kind))?.0));
     let address = listed.map(|e| e.address.to_string()).unwrap_or_default();
     match engine {
         EngineSeen::Silent(why) => finding(
--- a/crates/gaparch-site/src/lib.rs
+++ b/crates/gaparch-site/src/lib.rs
@@ -1,7 +1,7 @@
 //! The start-up settings, made into those of the module: one copy for the simulator's adapter, which gets them in
 //! its first message, and for the router in service, which gets the same object in its configuration.
 
-use gaparch::api::{Class, Effect, Group, Nanos, Role, Settings, Tenant, ZoneId};
+use gaparch::api::{Class, Effect, Group, KindId, Nanos, Role, Settings, Tenant, ZoneId};
 use serde_json::Value;
 
 /// The module's settings, and the names used outside for what the module knows by index.
@@ -38,7 +38,8 @@
             })
             .collect(),
         over_share_worth: number(&env["overShareWorth"]).unwrap_or(base.over_share_worth),
-        roles: (0..kinds.len()).map(|i| role(roles.get(i))).collect(),
+        roles: (0..kinds.len()).map(|i| role(roles.get(i)).unwrap_or_default()).collect(),
+        neither: (0..kinds.len()).filter(|i| role(roles.get(*i)).is_none()).map(KindId).collect(),
         memory: (0..kinds.len())
             .map(|i| list(&fam["tokensByKind"]).get(i).and_then(number).unwrap_or(0.0))
             .collect(),
@@ -100,11 +101,13 @@
     }
 }
 
-fn role(value: Option<&Value>) -> Role {
-    match value.and_then(Value::as_str) {
-        Some("read") => Role::Read,
-        Some("write") => Role::Write,
-        _ => Role::Both,
+/// What a kind does; it does both where nothing is told, and `None` of it where the word is none of these.
+fn role(value: Option<&Value>) -> Option<Role> {
+    match value.filter(|v| !v.is_null()).map(Value::as_str) {
+        Some(Some("read")) => Some(Role::Read),
+        Some(Some("write")) => Some(Role::Write),
+        Some(Some("both")) | None => Some(Role::Both),
+        Some(_) => None,
     }
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -57,10 +57,12 @@
     z ^ (z >> 31)
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Role {
     Read,
     Write,
+    /// Where none is told.
+    #[default]
     Both,
 }
 
@@ -80,12 +82,24 @@
     Cell,
 }
 
+impl Group {
+    /// The one that a server is in; `None` where nobody tells.
+    pub fn of(self, zone: Option<ZoneId>, cell: Option<CellId>) -> Option<u64> {
+        match self {
+            Group::All => Some(0),
+            Group::Zone => zone.map(|zone| zone.0 as u64),
+            Group::Cell => cell.map(|cell| cell.0),
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     pub effect: Effect,
     pub group: Group,
     /// How long a keyed repeat is dropped, from the first send that may have run.
     pub window: Nanos,
+    /// 0 if not told: its requests are as good at any time until the client leaves.
     pub aim: Nanos,
     /// Added to the aim for every prompt token.
     pub aim_per_token: f64,
@@ -116,6 +130,8 @@
     /// Role and memory in tokens, by kind.
     pub roles: Vec<Role>,
     pub memory: Vec<f64>,
+    /// Kinds that neither read nor write: their servers are sent nothing.
+    pub neither: Vec<KindId>,
     pub self_prefill: bool,
     pub ahead: bool,
     pub resume: bool,
@@ -128,6 +144,7 @@
     pub second_copies: bool,
     pub retry_after: bool,
     pub max_retry_after: Nanos,
+    /// Where none is told: a read and a write.
     pub max_attempts: u32,
     pub connect_timeout: Nanos,
     pub drain_grace: Nanos,
@@ -136,6 +153,7 @@
     pub fall_multiple: f64,
     pub fall: Nanos,
     pub answer_slack: Nanos,
+    /// The least time between two looks at what has happened, where the world has steps.
     pub tick: Nanos,
     /// Points of service for one probe, and for one message of 256 bytes to one router, a request.
     pub probe_price: f64,
@@ -143,10 +161,14 @@
 }
 
 impl Settings {
-    /// Role and memory of a kind; one that is not told of does both, and its memory is not known.
-    pub fn kind(&self, kind: Option<KindId>) -> (Role, f64) {
+    /// Role and memory of a kind; one that is not told of does both, and its memory is not known. `None`: it neither
+    /// reads nor writes.
+    pub fn kind(&self, kind: Option<KindId>) -> Option<(Role, f64)> {
+        if kind.is_some_and(|k| self.neither.contains(&k)) {
+            return None;
+        }
         let i = kind.map_or(usize::MAX, |k| k.0);
-        (self.roles.get(i).copied().unwrap_or(Role::Both), self.memory.get(i).copied().unwrap_or(0.0))
+        Some((self.roles.get(i).copied().unwrap_or_default(), self.memory.get(i).copied().unwrap_or(0.0)))
     }
 }
 
@@ -179,6 +201,7 @@
             over_share_worth: 1.0,
             roles: Vec::new(),
             memory: Vec::new(),
+            neither: Vec::new(),
             self_prefill: false,
             ahead: false,
             resume: false,
@@ -191,7 +214,7 @@
             second_copies: false,
             retry_after: false,
             max_retry_after: 0,
-            max_attempts: 1,
+            max_attempts: 2,
             connect_timeout: 0,
             drain_grace: 0,
             cold_from: 0.0,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,7 +8,7 @@
 
 const MS: Nanos = 1_000_000;
 const TICK: Nanos = 10 * MS; // between looks at deadlines, held requests and overdue attempts
-const LAST_CALL: Nanos = 25 * MS; // an unanswered request ends so long before its client leaves: two ticks
+const LAST_CALL: f64 = 2.5; // looks before its client leaves, an unanswered request ends
 const RELEASE_SHARE: f64 = 0.7; // of the release time, until a state is sent somewhere or let go
 const RECENTLY: Nanos = 1000 * MS; // the design's: a full server is left alone, news needs no probe
 const FULL_SHARE: f64 = 0.92; // of its memory, from which a writer looks full: answers in progress grow
@@ -67,10 +67,10 @@
     answers: Vec<Mean>,
     to_first: Lagged, // from the read's send to the first token
     reads: Reads,
-    throttle: Throttle, // of reads
-    call_offs: f64,     // attempts that may be called off yet
-    usual: [Lagged; 3], // what a warm server of each role is sent, in mean requests a second
-    moves: [Mean; 2],   // seconds to the first token of a write, in the reader's cell and out of it
+    throttle: Throttle,        // of reads
+    call_offs: f64,            // attempts that may be called off yet
+    usual: Vec<(Lagged, f64)>, // by kind: mean requests a second sent to a warm server, and its weight
+    moves: [Mean; 2],          // seconds to the first token of a write, in the reader's cell and out of it
     seen: Seen,
     told: Told,  // what other routers told that they hold
     untold: f64, // and what those not heard from may hold at each server
@@ -116,6 +116,7 @@
             shares: vec![Bucket::default(); set.tenants.len()],
             prompts: vec![Mean::default(); set.classes.len()],
             answers: vec![Mean::default(); set.classes.len()],
+            usual: vec![(Lagged::default(), 1.0); set.roles.len() + 1],
             call_offs: 1.0,
             set,
             ..Policy::default()
@@ -176,17 +177,32 @@
         self.note_untold();
         let (id, give_up_at) = (request.id, request.give_up_at);
         let longer = (class.aim_per_token * prompt) as Nanos;
-        let aim_at = self.now.saturating_add(class.aim).saturating_add(longer);
+        let wanted = self.now.saturating_add(class.aim).saturating_add(longer);
+        let aim_at = if class.aim > 0 { wanted } else { give_up_at };
         let request = Request { prompt_len: prompt, ..request };
         self.works.insert(id, Work::new(request, self.now, self.set.seed, homes, over_share, aim_at, answer));
-        if give_up_at <= self.now.saturating_add(LAST_CALL) {
+        if give_up_at <= self.last_call() {
             return self.give_up(id, Reason::Deadline);
         }
         self.hold(id);
     }
 
     fn hold(&mut self, id: RequestId) {
-        self.works.get(&id).into_iter().for_each(|work| self.waiting.insert(id, work));
+        let Some(work) = self.works.get(&id) else { return };
+        let class = self.set.classes.get(work.request.class.0);
+        let window = work.may_have_run.zip(class).map(|(ran, class)| ran.at.saturating_add(class.window));
+        let end = work.request.give_up_at.min(window.unwrap_or(Nanos::MAX));
+        self.waiting.insert(id, work, end);
+    }
+
+    /// The longest that a look at deadlines may take to come: a site's own steps may be longer than ours.
+    fn look_within(&self) -> Nanos {
+        TICK.max(self.set.tick.saturating_mul(2))
+    }
+
+    /// Whose client leaves by then is answered now.
+    fn last_call(&self) -> Nanos {
+        self.now.saturating_add((self.look_within() as f64 * LAST_CALL) as Nanos)
     }
 
     /// Readers that a shared beginning is at home at: more where it surely is more than a reader's part of
@@ -468,7 +484,7 @@
         let Some(work) = self.works.get(&id) else { return };
         let Some((_, since)) = work.state.filter(|_| work.sent.is_none()) else { return };
         let patience = (self.set.release_within as f64 * RELEASE_SHARE) as Nanos;
-        let must = self.now.saturating_add(TICK) >= since.saturating_add(patience);
+        let must = self.now.saturating_add(self.look_within()) >= since.saturating_add(patience);
         if let Some(server) = self.pick_writer(work, must) {
             self.send(id, Sent::to(server, Stage::Write));
         } else if must {
@@ -497,15 +513,16 @@
     /// Rule 2 for keyed requests that may have run: same group, within the window.
     fn may_go_to(&self, work: &Work, s: &Server) -> bool {
         let Some(ran) = work.may_have_run else { return true };
-        let Some(class) = self.set.classes.get(work.request.class.0) else { return false };
-        let same = match class.group {
-            Group::All => true,
-            Group::Zone => ran.zone.is_some() && ran.zone == s.zone,
-            Group::Cell => ran.cell.is_some() && ran.cell == s.cell,
-        };
-        class.effect != Effect::Unsafe
-            && same
-            && self.now.saturating_add(TICK) < ran.at.saturating_add(class.window)
+        let same = |class: &Class| class.group.of(ran.zone, ran.cell) == class.group.of(s.zone, s.cell);
+        !self.spent(work) && self.set.classes.get(work.request.class.0).is_some_and(same)
+    }
+
+    /// It may have run and may never be sent again: waiting would only keep its client.
+    fn spent(&self, work: &Work) -> bool {
+        let Some(ran) = work.may_have_run else { return false };
+        let Some(class) = self.set.classes.get(work.request.class.0) else { return true };
+        let over = self.now.saturating_add(TICK) >= ran.at.saturating_add(class.window);
+        class.effect == Effect::Unsafe || class.group.of(ran.zone, ran.cell).is_none() || over
     }
 
     fn send(&mut self, id: RequestId, plan: Sent) {
@@ -514,6 +531,7 @@
         let means = if stage == Stage::Read { &self.prompts } else { &self.answers };
         let class = self.works.get(&id).map_or(0, |w| w.request.class.0);
         let cost = (means.get(class).map_or(0.0, |m| m.value) / mean(means).max(1.0)).max(0.1);
+        let patience = self.works.get(&id).map_or(0, |w| self.patience(w, &plan));
         let (Some(work), Some(s)) = (self.works.get_mut(&id), self.servers.get_mut(&server)) else { return };
         let held = if stage == Stage::Read { 0.0 } else { work.need() };
         let sent = Sent { no: AttemptNo(work.attempts), at: now, held, ..plan };
@@ -525,11 +543,16 @@
         work.read_at = work.read_at.or(Some(now));
         work.sent = Some(sent);
         let safe = stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
-        let timeout = if self.set.cancel || !safe { 0 } else { BLIND_PATIENCE };
+        let timeout = if self.set.cancel || !safe { 0 } else { BLIND_PATIENCE.max(patience) };
         self.works.note(&id);
         self.out.push(Action::Send { id, server, timeout });
     }
 
+    /// How long an attempt may go without an answer, by its aim and by what reads take.
+    fn patience(&self, work: &Work, sent: &Sent) -> Nanos {
+        (READ_WAIT * work.aim() + sent.queued * self.reads.late(DEVIATIONS)) as Nanos
+    }
+
     fn on_first(&mut self, id: RequestId, attempt: AttemptNo, latency: Nanos) {
         let now = self.now;
         let Some(work) = self.works.get_mut(&id) else { return };
@@ -595,7 +618,6 @@
             let (zone, cell) = self.servers.get(&o.server).map_or((None, None), |s| (s.zone, s.cell));
             work.may_have_run = Some(MayHaveRun { zone, cell, at: sent.at });
         }
-        let unsafe_ran = effect == Effect::Unsafe && work.may_have_run.is_some();
         let no_state = o.status == Status::Full && o.note == 1 && !read;
         if no_state {
             // Out of the writer's reach is not gone: a cut-off reader holds it still, and it must be let go.
@@ -607,10 +629,11 @@
         // A way on needs one send with a state, two without.
         let (state, attempts) = (work.state, work.attempts);
         self.works.note(&o.id);
+        let spent = self.works.get(&o.id).is_some_and(|w| self.spent(w));
         let steps = if state.is_some() { 1 } else { ATTEMPTS_KEPT };
-        if unsafe_ran || o.status == Status::Moot || attempts + steps > self.set.max_attempts.max(steps) {
+        if spent || o.status == Status::Moot || attempts + steps > self.set.max_attempts.max(steps) {
             let moot = if o.status == Status::Moot { Reason::TooLate } else { Reason::AttemptsUsed };
-            return self.give_up(o.id, if unsafe_ran { Reason::MayHaveRun } else { moot });
+            return self.give_up(o.id, if spent { Reason::MayHaveRun } else { moot });
         }
         match state {
             Some(_) => self.place(o.id),
@@ -748,17 +771,21 @@
         let (now, span_s) = (self.now, PEER_SPAN as f64 / 1e9);
         let floor = COLD_FLOOR / (self.set.fall as f64 / 1e9).max(0.1) / f64::from(self.set.routers);
         let part = (self.set.fall_multiple * self.set.cold_from).min(1.0);
-        for role in [Role::Read, Role::Write, Role::Both] {
-            let warm = self.servers.values().filter(|p| p.ready && p.role == role && !self.cold(p));
-            let sent = average(warm.map(|p| p.sent.get(now, PEER_SPAN) / span_s));
-            let usual = &mut self.usual[role as usize];
+        // Servers of a kind are of one size, and where weights differ they tell of smaller ones.
+        let kinds = (0..self.set.roles.len()).map(|kind| Some(KindId(kind))).chain([None]);
+        let mut all = std::mem::take(&mut self.usual);
+        for (kind, (usual, weight)) in kinds.zip(&mut all) {
+            let warm = || self.servers.values().filter(|p| p.ready && p.kind == kind && !self.cold(p));
+            let sent = average(warm().map(|p| p.sent.get(now, PEER_SPAN) / span_s));
+            *weight = average(warm().map(|p| p.weight)).unwrap_or(*weight);
             let peers = sent.unwrap_or(usual.value);
             usual.follow(now, peers, PEER_SPAN);
-            let rate = (peers.max(usual.value) * part).max(floor);
-            for s in self.servers.values_mut().filter(|s| s.role == role) {
-                s.budget.fill(now, rate, 0.0);
+            let rate = peers.max(usual.value) * part;
+            for s in self.servers.values_mut().filter(|s| s.kind == kind) {
+                s.budget.fill(now, (rate * (s.weight / *weight).min(1.0)).max(floor), 0.0);
             }
         }
+        self.usual = all;
     }
 
     fn on_members(&mut self, kind: ListKind, entries: &[Entry]) {
@@ -770,16 +797,23 @@
             self.servers.values_mut().for_each(|s| (s.ready, s.gone) = (false, true));
         }
         for e in entries {
-            let (role, memory) = self.set.kind(e.kind);
+            let Some((role, memory)) = self.set.kind(e.kind) else {
+                self.servers.get_mut(&e.server).into_iter().for_each(|s| s.ready = false);
+                continue;
+            };
             let s = self.servers.get_or_insert(e.server, || new_server(e.server, role, memory));
+            (s.role, s.memory) = (role, memory);
             // Nothing new goes to a draining or gone server from now on: rule 3 with its grace unused.
             s.listed(self.now, e, Key(self.set.seed).draw(e.server));
         }
         self.averages.list(&mut self.servers);
-        // Homes are spread as the writers are that can take the states without a move out of the cell.
+        // Homes are spread as the writers are that can take the states without a move out of the cell. What a
+        // mixed server reads it writes itself.
+        let writes = self.averages.writes as usize;
         for s in self.servers.values_mut() {
-            let [read, write, _] = s.cell.and_then(|c| self.averages.cells.get(&c)).map_or([1.0; 3], |c| *c);
-            s.home = s.weight * (write / read.max(1e-9)).clamp(1e-3, HOME_MOST);
+            let cell = s.cell.filter(|_| s.role == Role::Read).and_then(|c| self.averages.cells.get(&c));
+            let near = cell.map_or(1.0, |of| of[writes] / of[Role::Read as usize].max(1e-9));
+            s.home = s.weight * near.clamp(1e-3, HOME_MOST);
         }
         self.averages.news(self.now, 0, NEWS_FOR, &mut self.servers, &mut self.told);
         self.note_untold();
@@ -792,7 +826,7 @@
         self.fill_cold_budgets();
         // Of those held, none but the ones whose time or aim runs out.
         let aim = self.now.saturating_add(self.to_first.value as Nanos);
-        let due = self.waiting.due(self.now.saturating_add(LAST_CALL), aim);
+        let due = self.waiting.due(self.last_call(), aim);
         let mut ids: Vec<RequestId> = due.chain(self.works.active().iter().copied()).collect();
         ids.sort_unstable();
         ids.dedup();
@@ -806,10 +840,9 @@
         let late = self.now.saturating_add(self.to_first.value as Nanos) > work.aim_at;
         match work.sent {
             Some(sent) if sent.begun => {}
-            _ if self.now.saturating_add(LAST_CALL) >= work.request.give_up_at => {
-                self.give_up(id, Reason::Deadline)
-            }
+            _ if self.last_call() >= work.request.give_up_at => self.give_up(id, Reason::Deadline),
             Some(sent) => self.check_overdue(id, sent),
+            None if self.spent(work) => self.give_up(id, Reason::MayHaveRun),
             // Held, it can't make its aim any more: it ends now, so that others can.
             None if late && work.state.is_none() => self.give_up(id, Reason::AimLost),
             None => self.place(id),
@@ -820,7 +853,8 @@
     fn check_overdue(&mut self, id: RequestId, sent: Sent) {
         let age = self.now - sent.at;
         let Some(work) = self.works.get(&id) else { return };
-        let read_wait = READ_WAIT * work.aim();
+        let reads = sent.stage != Stage::Write;
+        let patience = if reads { self.patience(work, &sent) } else { WRITE_PATIENCE };
         let cell = work.state.and_then(|(reader, _)| self.servers.get(&reader)?.cell);
         let Some(s) = self.servers.get_mut(&sent.server) else { return };
         // What crosses cells may wait for a slow link: another far writer is no better then.
@@ -828,9 +862,6 @@
         if sent.stage == Stage::Write && age >= STALLED {
             s.full_at = Some(self.now);
         }
-        let reads = sent.stage != Stage::Write;
-        let patience = (read_wait + sent.queued * self.reads.late(DEVIATIONS)) as Nanos;
-        let patience = if reads { patience } else { WRITE_PATIENCE };
         if age < patience || sent.cancelled {
             return;
         }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -567,6 +567,8 @@
     /// Places of ready servers that read, and that are asked to write.
     pub readers: Vec<usize>,
     pub writers: Vec<usize>,
+    /// The role of those.
+    pub writes: Role,
     /// By role, of those with fresh news: what others hold, as a share of memory; what others have to read.
     pub others: [Option<f64>; 3],
     pub others_unread: [Option<f64>; 3],
@@ -584,8 +586,8 @@
         // Mixed servers get states from readers only where there are no writers.
         let split = servers.values().any(|s| s.ready && s.role == Role::Write);
         self.readers = servers.places(|s| s.ready && s.role != Role::Write);
-        let writes = if split { Role::Write } else { Role::Both };
-        self.writers = servers.places(|s| s.ready && s.role == writes);
+        self.writes = if split { Role::Write } else { Role::Both };
+        self.writers = servers.places(|s| s.ready && s.role == self.writes);
         for role in [Role::Read, Role::Write, Role::Both] {
             let ready = || servers.values().filter(|s| s.ready && s.role == role);
             self.weight[role as usize] = average(ready().map(|s| s.weight)).unwrap_or(1.0);
--- a/src/state/works.rs
+++ b/src/state/works.rs
@@ -155,22 +155,22 @@
         self.groups.get(part)
     }
 
-    pub fn insert(&mut self, id: RequestId, work: &Work) {
+    /// `end`: when it has to be looked at, at the latest.
+    pub fn insert(&mut self, id: RequestId, work: &Work, end: Nanos) {
         self.remove(&id);
         let plain = work.avoid.is_empty() && work.may_have_run.is_none();
         let part = plain.then(|| work.part());
         let turn = (work.over_share, work.aim_at, id);
         let unread = (work.request.prompt_len - work.request.prefix_len).max(0.0);
         let wants = Wants { need: work.need(), unread, aim: work.aim() };
-        let give_up_at = work.request.give_up_at;
         self.groups.entry(part).or_default().add(turn, wants);
-        self.by_end.insert((give_up_at, id));
-        self.places.insert(id, (part, turn, wants, give_up_at));
+        self.by_end.insert((end, id));
+        self.places.insert(id, (part, turn, wants, end));
     }
 
     pub fn remove(&mut self, id: &RequestId) {
-        let Some((part, turn, wants, give_up_at)) = self.places.remove(id) else { return };
-        self.by_end.remove(&(give_up_at, *id));
+        let Some((part, turn, wants, end)) = self.places.remove(id) else { return };
+        self.by_end.remove(&(end, *id));
         if let Some(group) = self.groups.get_mut(&part) {
             group.take(&turn, wants);
             if group.turns.is_empty() {
@@ -179,7 +179,7 @@
         }
     }
 
-    /// Those whose client leaves by `end`, or whose aim is past before `aim`.
+    /// Those whose end comes by `end`, or whose aim is past before `aim`.
     pub fn due(&self, end: Nanos, aim: Nanos) -> impl Iterator<Item = RequestId> + '_ {
         let ending = self.by_end.iter().take_while(move |(at, _)| *at <= end).map(|(_, id)| *id);
         let late = self.groups.values().flat_map(move |group| {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -65,6 +65,8 @@
     pub attempts: std::collections::BTreeMap<u64, u32>,
     pub log: Vec<Action>,
     timers: Vec<(Nanos, TimerToken)>,
+    /// Timers come due at whole steps only, as where a site's batches are that far apart.
+    pub step: Nanos,
 }
 
 impl Router {
@@ -75,6 +77,7 @@
             attempts: Default::default(),
             log: Vec::new(),
             timers: Vec::new(),
+            step: 1,
         };
         router.members(ListKind::Cached, entries);
         router
@@ -84,7 +87,9 @@
         let actions = self.policy.handle(self.now, event);
         for action in &actions {
             match action {
-                Action::Timer { token, delay } => self.timers.push((self.now + delay, *token)),
+                Action::Timer { token, delay } => {
+                    self.timers.push(((self.now + delay).next_multiple_of(self.step), *token))
+                }
                 Action::Send { id, .. } => *self.attempts.entry(id.0).or_default() += 1,
                 _ => {}
             }
--- /dev/null
+++ b/tests/other_sites.rs
@@ -0,0 +1,255 @@
+//! What a deployment that is put together differently may lack, or have in another shape.
+
+mod common;
+use common::*;
+use gaparch::api::*;
+
+/// Found by reading: an answer was due two ticks before its client leaves, however far apart a site's steps are.
+#[test]
+fn where_time_comes_in_coarse_steps_the_answer_still_comes_in_time() {
+    for step in [20 * MS, 40 * MS, 150 * MS] {
+        let set = Settings { tick: step, cancel: false, ..settings() };
+        let slack = set.answer_slack;
+        let mut r = Router::new(set, pairs());
+        r.step = step;
+        let give_up_at = r.now + 5 * S + step * 3 / 4;
+        let request = Request { give_up_at, ..r.request(1) };
+        r.event(Event::Request(request));
+        let mut answered_at = None;
+        while r.now < give_up_at + S {
+            if answers(&r.pass(step), 1) > 0 {
+                answered_at.get_or_insert(r.now);
+            }
+        }
+        assert!(
+            answered_at.is_some_and(|at| at <= give_up_at + slack),
+            "{step} {answered_at:?} {give_up_at}"
+        );
+        assert_eq!(answers(&r.log, 1), 1);
+    }
+}
+
+#[test]
+fn where_time_comes_in_coarse_steps_a_state_is_still_let_go_in_time() {
+    let set = Settings { tick: 100 * MS, release_within: 90 * MS, ..settings() };
+    let mut r = Router::new(set, vec![entry(1, 0, 0), entry(11, 1, 0)]);
+    r.step = 100 * MS;
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    r.members(ListKind::Delta, vec![Entry { state: ServerState::Gone, ..entry(11, 1, 0) }]);
+    r.outcome(1, reader, Status::Read);
+    r.pass(90 * MS);
+    assert!(released(&r.log, 1));
+}
+
+/// Found by reading: a small server that starts was given its part of what large peers of its role carry.
+#[test]
+fn a_cold_server_is_measured_by_servers_of_its_own_size() {
+    let kinds = vec![Role::Read, Role::Write, Role::Write];
+    // Told by their kinds, or by their weights where the kind is the same.
+    for (small, weight) in [(2, None), (1, Some(0.1))] {
+        let memory = vec![100_000.0, 100_000.0, if small == 2 { 10_000.0 } else { 100_000.0 }];
+        let mut r =
+            Router::new(Settings { roles: kinds.clone(), memory, ..settings() }, vec![entry(1, 0, 0)]);
+        let large = |id| Entry { weight: weight.map(|_| 1.0), ..entry(id, 1, 0) };
+        let little = |id| Entry { weight, ..entry(id, small, 0) };
+        r.members(ListKind::Delta, vec![large(11), large(12), large(13), little(14)]);
+        let (mut warm, mut cold, mut wrote) = (0, 0, Vec::new());
+        for id in 1..1200 {
+            if id == 600 {
+                r.members(ListKind::Delta, vec![Entry { ready_at: Some(r.now), ..little(15) }]);
+            }
+            let short = Request { prompt_len: 300.0, ..r.request(id) };
+            let reader = sent_to(&r.event(Event::Request(short))).expect("a read");
+            let writer = sent_to(&r.outcome(id, reader, Status::Read)).expect("a write");
+            r.first(id, writer);
+            r.pass(10 * MS);
+            wrote.push(writer);
+            if id > 20 {
+                r.outcome(id - 20, wrote[id as usize - 21], Status::Ok);
+            }
+            if id >= 600 {
+                (warm, cold) = (warm + u32::from(writer == 14), cold + u32::from(writer == 15));
+            }
+        }
+        // 2.5 x 0.3 of what one of its size carries is the limit.
+        assert!(cold > 0 && f64::from(cold) <= 0.8 * f64::from(warm), "{small}: {cold} against {warm}");
+    }
+}
+
+/// Found by reading: the part of a cell's writers weighed mixed servers too, and one with no writer near was home to
+/// nothing.
+#[test]
+fn a_mixed_server_is_home_to_its_share_whatever_stands_in_its_cell() {
+    let mut r = Router::new(settings(), vec![entry(1, 0, 0), entry(11, 1, 0), entry(21, 2, 1)]);
+    let whole = (1..200).filter(|id| {
+        let server = sent_to(&r.ask(*id)).expect("a send");
+        r.first(*id, server);
+        r.outcome(*id, server, Status::Ok);
+        server == 21
+    });
+    let whole = whole.count();
+    assert!((60..140).contains(&whole), "{whole} of 199");
+}
+
+#[test]
+fn where_mixed_servers_write_homes_follow_them() {
+    let entries = vec![entry(1, 0, 0), entry(2, 0, 1), entry(21, 2, 0), entry(22, 2, 0), entry(23, 2, 0)];
+    let mut r = Router::new(settings(), entries);
+    let reads: Vec<u32> = (1..300)
+        .map(|id| {
+            let server = sent_to(&r.ask(id)).expect("a send");
+            r.event(Event::Gone(RequestId(id)));
+            r.outcome(id, server, Status::Cancelled);
+            server
+        })
+        .collect();
+    let of = |server| reads.iter().filter(|s| **s == server).count();
+    assert!(of(1) > 10 * of(2), "{} in the cell with writers, {} in the other", of(1), of(2));
+}
+
+#[test]
+fn a_server_that_neither_reads_nor_writes_is_sent_nothing() {
+    let set = Settings { neither: vec![KindId(2)], ..settings() };
+    let mut r = Router::new(set, [pairs(), vec![entry(21, 2, 0), entry(22, 2, 1)]].concat());
+    for id in 1..50 {
+        let (reader, writer) = r.stream(id);
+        assert!(reader < 3 && (11..13).contains(&writer));
+    }
+    let others: Vec<Entry> = pairs().into_iter().map(|e| Entry { state: ServerState::Gone, ..e }).collect();
+    r.members(ListKind::Delta, others);
+    assert_eq!(sent_to(&r.ask(100)), None);
+}
+
+/// Found by reading: an id that came back as another kind kept the role of its first life.
+#[test]
+fn a_server_that_comes_back_as_another_kind_does_what_that_does() {
+    let mut r = Router::new(settings(), pairs());
+    r.members(ListKind::Delta, vec![Entry { ready_at: Some(1), ..entry(11, 0, 0) }]);
+    let reads = (1..60).filter(|id| {
+        let (reader, writer) = r.stream(*id);
+        assert_eq!(writer, 12);
+        r.outcome(*id, writer, Status::Ok);
+        reader == 11
+    });
+    assert!(reads.count() > 0);
+}
+
+#[test]
+fn a_class_without_an_aim_is_served_while_its_client_waits() {
+    let class = Class { aim: 0, ..class(Effect::Safe, Group::All) };
+    let mut r = Router::new(Settings { classes: vec![class], ..settings() }, pairs());
+    // All writers drain for a second: it waits, and is served when one is back.
+    let state = |state| vec![Entry { state, ..entry(11, 1, 0) }, Entry { state, ..entry(12, 1, 1) }];
+    r.members(ListKind::Delta, state(ServerState::Draining));
+    r.ask(1);
+    assert_eq!(answers(&r.pass(S), 1), 0);
+    assert!(sent_to(&r.members(ListKind::Delta, state(ServerState::Ready))).is_some());
+}
+
+#[test]
+fn where_no_number_of_attempts_is_told_a_read_and_a_write_are_made() {
+    let mut r =
+        Router::new(Settings { max_attempts: Settings::default().max_attempts, ..settings() }, pairs());
+    r.stream(1);
+    assert_eq!(answers(&r.log, 1), 0);
+}
+
+/// Found by reading: where attempts can't be called off each read got 1.5 s, whatever reads take at a site.
+#[test]
+fn where_nothing_can_be_called_off_an_attempt_gets_the_time_that_they_take_there() {
+    let class = Class { aim: 20 * S, deadline: 60 * S, ..class(Effect::Safe, Group::All) };
+    let mut r = Router::new(Settings { cancel: false, classes: vec![class], ..settings() }, pairs());
+    let mut last = 0;
+    for id in 1..20 {
+        let request = Request { give_up_at: r.now + 60 * S, prompt_len: 60_000.0, ..r.request(id) };
+        let done = r.event(Event::Request(request));
+        let Some(Action::Send { server, timeout, .. }) =
+            done.iter().find(|a| matches!(a, Action::Send { .. })).cloned()
+        else {
+            panic!("no read")
+        };
+        last = timeout;
+        r.pass(3 * S);
+        let (status, latency, attempt) = (Status::Read, 3 * S, AttemptNo(0));
+        let report = None;
+        let id = RequestId(id);
+        let read = Outcome { id, attempt, server, status, latency, closed: false, note: 0, report };
+        let writer = sent_to(&r.event(Event::Outcome(read))).expect("a write");
+        r.outcome(id.0, writer, Status::Ok);
+        r.pass(S);
+    }
+    assert!(last > 3 * S, "{last}");
+}
+
+// What is given up gets its final answer at once.
+
+/// Found by reading: past its window, or with no group known to stay in, it was held until its aim was lost.
+#[test]
+fn a_keyed_request_that_can_go_nowhere_any_more_fails_at_once() {
+    let site = |group, window, entries: Vec<Entry>| {
+        let class = Class { aim: 4 * S, window, ..class(Effect::Keyed, group) };
+        Router::new(Settings { classes: vec![class], ..settings() }, entries)
+    };
+    let mixed = vec![entry(21, 2, 0), entry(22, 2, 1)];
+    // No zones or cells are told here.
+    let bare: Vec<Entry> = mixed.iter().map(|e| Entry { zone: None, cell: None, ..e.clone() }).collect();
+    for group in [Group::Zone, Group::Cell] {
+        let mut r = site(group, 2 * S, bare.clone());
+        let server = sent_to(&r.ask(1)).expect("a send");
+        assert!(failed(&r.outcome(1, server, Status::Error), 1), "{group:?}");
+    }
+    // Its window ends while it is out, or while it waits for the only other one of its group.
+    let mut r = site(Group::Cell, 2 * S, mixed.clone());
+    let server = sent_to(&r.ask(1)).expect("a send");
+    r.pass(2 * S);
+    assert!(failed(&r.outcome(1, server, Status::Error), 1));
+    let mut r = site(Group::Cell, 2 * S, mixed);
+    let server = sent_to(&r.ask(1)).expect("a send");
+    let gone = entry(server, 2, u64::from(server - 21));
+    r.members(ListKind::Delta, vec![Entry { state: ServerState::Draining, ..gone }]);
+    assert_eq!(answers(&r.outcome(1, server, Status::Error), 1), 0);
+    let done = r.pass(2 * S + 50 * MS);
+    assert!(failed(&done, 1), "{done:?}");
+}
+
+/// Whatever a request is given up for, the answer is there with the event that settles it, or with the tick at
+/// which it is settled: a client that may come back is not kept, and is told when.
+#[test]
+fn what_is_given_up_is_answered_at_once_and_told_when_to_come_back() {
+    let site = |class: Class, max_attempts| {
+        let classes = vec![Class { aim: 2 * S, ..class }];
+        let set = Settings { classes, max_attempts, retry_after: true, max_retry_after: S, ..settings() };
+        Router::new(set, pairs())
+    };
+    let safe = class(Effect::Safe, Group::All);
+    let told = |done: &[Action], reason: Reason| {
+        let refusal =
+            |a: &Action| matches!(a, Action::Refuse { retry_after: S, why, .. } if why.reason == reason);
+        assert!(done.iter().any(refusal), "{reason:?}: {done:?}");
+    };
+    // The last attempt has failed.
+    let mut r = site(safe.clone(), 2);
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    let writer = sent_to(&r.outcome(1, reader, Status::Read)).expect("a write");
+    told(&r.outcome(1, writer, Status::Error), Reason::AttemptsUsed);
+    // No writer is left: the aim ends the wait, three seconds before the client leaves.
+    let mut r = site(safe.clone(), 5);
+    r.members(ListKind::Full, vec![entry(1, 0, 0)]);
+    let asked = r.now;
+    r.ask(1);
+    while answers(&r.log, 1) == 0 && r.now < asked + 5 * S {
+        r.pass(10 * MS);
+    }
+    told(&r.log, Reason::AimLost);
+    assert!(r.now <= asked + 2 * S + 20 * MS, "{}", r.now - asked);
+    // The state can't wait any longer.
+    let mut r = site(safe.clone(), 5);
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    r.members(ListKind::Full, vec![entry(1, 0, 0), entry(2, 0, 1)]);
+    r.outcome(1, reader, Status::Read);
+    told(&r.pass(400 * MS), Reason::ReleaseTime);
+    // A send that was too late.
+    let mut r = site(safe, 5);
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    told(&r.outcome(1, reader, Status::Moot), Reason::TooLate);
+}
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -68,10 +68,10 @@
     answers: Vec<Mean>,
     to_first: Lagged, // from the read's send to the first token
     reads: Reads,
-    throttle: Throttle, // of reads
-    call_offs: f64,     // attempts that may be called off yet
-    usual: [Lagged; 3], // what a warm server of each role is sent, in mean requests a second
-    moves: [Mean; 2],   // seconds to the first token of a write, in the reader's cell and out of it
+    throttle: Throttle,        // of reads
+    call_offs: f64,            // attempts that may be called off yet
+    usual: Vec<(Lagged, f64)>, // by kind: mean requests a second sent to a warm server, and its weight
+    moves: [Mean; 2],          // seconds to the first token of a write, in the reader's cell and out of it
     seen: Seen,
     told: Told, // what other routers told that they hold
     told_at: Nanos,
@@ -86,6 +86,7 @@
             shares: vec![Bucket::default(); set.tenants.len()],
             prompts: vec![Mean::default(); set.classes.len()],
             answers: vec![Mean::default(); set.classes.len()],
+            usual: vec![(Lagged::default(), 1.0); set.roles.len() + 1],
             call_offs: 1.0,
             set,
             ..Policy::default()
@@ -233,8 +234,11 @@
     /// routers. They are spread as the writers are that can take the states without a move out of the cell.
     fn homes_of<'s>(&self, work: &Work, readers: &[&'s Server]) -> Vec<&'s Server> {
         let weight = |s: &Server| {
-            let [read, write, _] = s.cell.and_then(|c| self.averages.cells.get(&c)).map_or([1.0; 3], |c| *c);
-            s.weight * (write / read.max(1e-9)).clamp(1e-3, HOME_MOST)
+            let split = self.servers.values().any(|s| s.ready && s.role == Role::Write);
+            let writes = if split { Role::Write } else { Role::Both } as usize;
+            let cell = s.cell.filter(|_| s.role == Role::Read).and_then(|c| self.averages.cells.get(&c));
+            let near = cell.map_or(1.0, |of| of[writes] / of[Role::Read as usize].max(1e-9));
+            s.weight * near.clamp(1e-3, HOME_MOST)
         };
         let session = work.request.session.unwrap_or(Key(work.request.id.0));
         let by = |key: Key| move |s: &&Server| -key.draw(s.id).ln() / weight(s);
@@ -377,13 +381,15 @@
     /// Rule 2 for keyed requests that may have run: same group, within the window.
     fn may_go_to(&self, work: &Work, s: &Server) -> bool {
         let Some(ran) = work.may_have_run else { return true };
-        let Some(class) = self.set.classes.get(work.request.class.0) else { return false };
-        let same = match class.group {
-            Group::All => true,
-            Group::Zone => ran.zone.is_some() && ran.zone == s.zone,
-            Group::Cell => ran.cell.is_some() && ran.cell == s.cell,
-        };
-        class.effect != Effect::Unsafe && same && self.now + TICK < ran.at + class.window
+        let same = |class: &Class| class.group.of(ran.zone, ran.cell) == class.group.of(s.zone, s.cell);
+        !self.spent(work) && self.set.classes.get(work.request.class.0).is_some_and(same)
+    }
+
+    fn spent(&self, work: &Work) -> bool {
+        let Some(ran) = work.may_have_run else { return false };
+        let Some(class) = self.set.classes.get(work.request.class.0) else { return true };
+        let over = self.now + TICK >= ran.at + class.window;
+        class.effect == Effect::Unsafe || class.group.of(ran.zone, ran.cell).is_none() || over
     }
 
     fn send(&mut self, id: RequestId, plan: Sent) {
@@ -392,6 +398,7 @@
         let means = if stage == Stage::Read { &self.prompts } else { &self.answers };
         let class = self.works.get(&id).map_or(0, |w| w.request.class.0);
         let cost = (means.get(class).map_or(0.0, |m| m.value) / mean(means).max(1.0)).max(0.1);
+        let patience = self.works.get(&id).map_or(0, |w| self.patience(w, &plan));
         let (Some(work), Some(s)) = (self.works.get_mut(&id), self.servers.get_mut(&server)) else { return };
         let held = if stage == Stage::Read { 0.0 } else { work.need() };
         let sent = Sent { no: AttemptNo(work.attempts), at: now, held, ..plan };
@@ -403,10 +410,14 @@
         work.read_at = work.read_at.or(Some(now));
         work.sent = Some(sent);
         let safe = stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
-        let timeout = if self.set.cancel || !safe { 0 } else { BLIND_PATIENCE };
+        let timeout = if self.set.cancel || !safe { 0 } else { BLIND_PATIENCE.max(patience) };
         self.out.push(Action::Send { id, server, timeout });
     }
 
+    fn patience(&self, work: &Work, sent: &Sent) -> Nanos {
+        (READ_WAIT * work.aim() + sent.queued * self.reads.late(DEVIATIONS)) as Nanos
+    }
+
     fn on_first(&mut self, id: RequestId, attempt: AttemptNo, latency: Nanos) {
         let now = self.now;
         let Some(work) = self.works.get_mut(&id) else { return };
@@ -468,7 +479,6 @@
             let (zone, cell) = self.servers.get(&o.server).map_or((None, None), |s| (s.zone, s.cell));
             work.may_have_run = Some(MayHaveRun { zone, cell, at: sent.at });
         }
-        let unsafe_ran = effect == Effect::Unsafe && work.may_have_run.is_some();
         let no_state = o.status == Status::Full && o.note == 1 && !read;
         if no_state {
             // Out of the writer's reach is not gone: a cut-off reader holds it still, and it must be let go.
@@ -479,13 +489,15 @@
         }
         // A way on needs one send with a state, two without.
         let steps = if work.state.is_some() { 1 } else { ATTEMPTS_KEPT };
-        if unsafe_ran || o.status == Status::Moot || work.attempts + steps > self.set.max_attempts.max(steps)
-        {
+        let (state, turn) = (work.state, (work.over_share, work.aim_at, o.id));
+        let used = work.attempts + steps > self.set.max_attempts.max(steps);
+        let spent = self.works.get(&o.id).is_some_and(|w| self.spent(w));
+        if spent || o.status == Status::Moot || used {
             return self.give_up(o.id);
         }
-        match work.state {
+        match state {
             Some(_) => self.place(o.id),
-            None => drop(self.waiting.insert((work.over_share, work.aim_at, o.id))),
+            None => drop(self.waiting.insert(turn)),
         }
     }
 
@@ -604,17 +616,20 @@
         let (now, span_s) = (self.now, PEER_SPAN as f64 / 1e9);
         let floor = COLD_FLOOR / (self.set.fall as f64 / 1e9).max(0.1) / f64::from(self.set.routers);
         let part = (self.set.fall_multiple * self.set.cold_from).min(1.0);
-        for role in [Role::Read, Role::Write, Role::Both] {
-            let warm = self.servers.values().filter(|p| p.ready && p.role == role && !self.cold(p));
-            let sent = average(warm.map(|p| p.sent.get(now, PEER_SPAN) / span_s));
-            let usual = &mut self.usual[role as usize];
+        let kinds = (0..self.set.roles.len()).map(|kind| Some(KindId(kind))).chain([None]);
+        let mut all = std::mem::take(&mut self.usual);
+        for (kind, (usual, weight)) in kinds.zip(&mut all) {
+            let warm = || self.servers.values().filter(|p| p.ready && p.kind == kind && !self.cold(p));
+            let sent = average(warm().map(|p| p.sent.get(now, PEER_SPAN) / span_s));
+            *weight = average(warm().map(|p| p.weight)).unwrap_or(*weight);
             let peers = sent.unwrap_or(usual.value);
             usual.follow(now, peers, PEER_SPAN);
-            let rate = (peers.max(usual.value) * part).max(floor);
-            for s in self.servers.values_mut().filter(|s| s.role == role) {
-                s.budget.fill(now, rate, 0.0);
+            let rate = peers.max(usual.value) * part;
+            for s in self.servers.values_mut().filter(|s| s.kind == kind) {
+                s.budget.fill(now, (rate * (s.weight / *weight).min(1.0)).max(floor), 0.0);
             }
         }
+        self.usual = all;
     }
 
     fn on_members(&mut self, kind: ListKind, entries: &[Entry]) {
@@ -626,7 +641,7 @@
             self.servers.values_mut().for_each(|s| s.ready = false);
         }
         for e in entries {
-            let (role, memory) = self.set.kind(e.kind);
+            let Some((role, memory)) = self.set.kind(e.kind) else { continue };
             let s = self.servers.entry(e.server).or_insert_with(|| new_server(e.server, role, memory));
             // Nothing new goes to a draining or gone server from now on: rule 3 with its grace unused.
             s.listed(self.now, e, Key(self.set.seed).draw(e.server));
@@ -653,6 +668,7 @@
             Some(sent) if sent.begun => {}
             _ if self.now + LAST_CALL >= work.request.give_up_at => self.give_up(id),
             Some(sent) => self.check_overdue(id, sent),
+            None if self.spent(work) => self.give_up(id),
             // Held, it can't make its aim any more: it ends now, so that others can.
             None if late && work.state.is_none() => self.give_up(id),
             None => self.place(id),
