--- a/tests/other_sites.rs
+++ b/tests/other_sites.rs
@@ -124,7 +124,7 @@
 #[test]
 fn a_server_that_comes_back_as_another_kind_does_what_that_does() {
     let mut r = Router::new(settings(), pairs());
-    r.members(ListKind::Delta, vec![Entry { ready_at: Some(1), ..entry(11, 0, 0) }]);
+    r.members(ListKind::Delta, vec![Entry { ready_at: Some(1), ..entry(11, 0, 1) }]);
     let reads = (1..60).filter(|id| {
         let (reader, writer) = r.stream(*id);
         assert_eq!(writer, 12);
