The router in service takes settings that lack or contradict something

Change: connect_within and release_try in gaparch-node (settings.rs), cells and weights read leniently, unknown classes go to the module, and gaparch-site names each odd field with what stands for it, as a warning at the start. Each has a test that fails without it; tests of refusals in service: at once, with Retry-After, for failed reads, broken reads, no writer, no connection.

--- a/crates/gaparch-cli/tests/node.rs
+++ b/crates/gaparch-cli/tests/node.rs
@@ -3,9 +3,10 @@
 use gaparch_lab::platform::{
     ask, events, head_and_body, instance, raw, stream, Catalogue, Floor, Got, Seen, Step, Worker,
 };
+use rustix::net;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -113,6 +114,13 @@
         readers.chain(writers.iter().map(|w| instance(w, "decode", "ready"))).collect()
     }
 
+    /// The same with its writers drained.
+    fn without_writers(list: &[Value]) -> Vec<Value> {
+        let mut list = list.to_vec();
+        list[2..].iter_mut().for_each(|entry| entry["lifecycle"] = json!("draining"));
+        list
+    }
+
     fn health(&self) -> u16 {
         raw(self.listen, b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n", LONG).status
     }
@@ -417,7 +425,7 @@
     let got = ask(site.listen, "refused");
     assert_eq!(got.status, 503, "{got:?}");
     assert!(got.head.contains("Retry-After: 1.5"), "{}", got.head);
-    assert!(from.elapsed() < Duration::from_secs(4), "it was held back");
+    assert!(from.elapsed() < Duration::from_secs(2), "it was held back");
 }
 
 #[test]
@@ -452,6 +460,94 @@
     });
 }
 
+/// A listener with no place in its queue: a connection to it comes up a second after somebody has accepted.
+fn stuck() -> (TcpListener, TcpStream) {
+    let socket = net::socket(net::AddressFamily::INET, net::SocketType::STREAM, None).expect("a socket");
+    net::bind(&socket, &SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+    net::listen(&socket, 0).expect("it listens");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("its address");
+    let only = TcpStream::connect(address).expect("one has room");
+    let next = TcpStream::connect_timeout(&address, Duration::from_millis(200));
+    assert!(next.is_err(), "there is room for a second");
+    (listener, only)
+}
+
+/// Found by reading: a connection got the settings' time even where that is longer than the grace of a drain that is told
+/// meanwhile, and the request went out after it.
+#[test]
+fn what_waits_for_a_connection_does_not_go_out_after_a_drains_grace() {
+    let site = Site::with(|config| {
+        let caps = &mut config["settings"]["caps"];
+        (caps["connectTimeoutNs"], caps["maxAttempts"]) = (json!(3_500_000_000u64), json!(2));
+    });
+    let (listener, _only) = stuck();
+    let stuck = |state: &str| {
+        let mut entry = instance(&site.writers[0], "decode", state);
+        entry["instanceId"] = json!("w-stuck");
+        entry["hostPort"] = json!(listener.local_addr().expect("its address").to_string());
+        entry
+    };
+    let list = Site::list(&site.readers, &site.writers);
+    let tell = |list: Vec<Value>| {
+        let calls = site.catalogue.calls();
+        site.catalogue.set(list);
+        until("the list is told", || site.catalogue.calls() > calls + 1);
+    };
+    tell([Site::without_writers(&list), vec![stuck("ready")]].concat());
+    let listen = site.listen;
+    let client = std::thread::spawn(move || {
+        let from = Instant::now();
+        (ask(listen, "late"), from.elapsed())
+    });
+    until("it is read", || site.floor.asked().iter().any(|(_, txn)| txn == "late"));
+    site.catalogue.set([&list[..], &[stuck("draining")]].concat());
+    // Past the grace there is room again: what still waits comes now.
+    std::thread::sleep(Duration::from_millis(700));
+    listener.set_nonblocking(true).expect("set");
+    let (end, mut bytes) = (Instant::now() + Duration::from_millis(2500), 0);
+    while Instant::now() < end {
+        if let Ok((mut socket, _)) = listener.accept() {
+            let _ = socket.set_read_timeout(Some(Duration::from_millis(300)));
+            bytes += socket.read(&mut [0; 512]).unwrap_or(0);
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(bytes, 0, "a drained worker got something");
+    // It was answered as soon as the connection had had its time, not when the client was about to leave.
+    let (got, took) = client.join().expect("it ends");
+    assert_eq!(got.status, 503, "{got:?}");
+    assert!(got.head.contains("Retry-After: 1.5"), "{}", got.head);
+    assert!(took < Duration::from_millis(2500), "{took:?}");
+}
+
+/// What each stage is given up for is told at once, with the time after which to come back.
+#[test]
+fn each_kind_of_refusal_comes_at_once_and_says_when_to_come_back() {
+    let site = Site::with(|config| {
+        config["settings"]["services"][0]["aimNs"] = json!(600_000_000);
+        config["settings"]["caps"]["maxAttempts"] = json!(2);
+    });
+    let list = Site::list(&site.readers, &site.writers);
+    let refused = |txn: &str| {
+        let from = Instant::now();
+        let got = ask(site.listen, txn);
+        assert_eq!(got.status, 503, "{txn}: {got:?}");
+        assert!(got.head.contains("Retry-After: 1.5"), "{txn}: {}", got.head);
+        // The client would wait for 5 s.
+        assert!(from.elapsed() < Duration::from_millis(3000), "{txn}: {:?}", from.elapsed());
+    };
+    site.readers.iter().for_each(|r| r.always(vec![put("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")]));
+    refused("no-read");
+    site.readers.iter().for_each(|r| r.always(vec![Step::Close]));
+    refused("broken-read");
+    // No writer is left to wait for: its aim ends the wait.
+    let calls = site.catalogue.calls();
+    site.catalogue.set(Site::without_writers(&list));
+    until("the list is told", || site.catalogue.calls() > calls + 1);
+    refused("no-writer");
+}
+
 #[test]
 fn sigterm_finishes_what_is_open_and_ends_with_code_zero() {
     let mut site = Site::new();
--- a/crates/gaparch-node/src/owner.rs
+++ b/crates/gaparch-node/src/owner.rs
@@ -3,6 +3,7 @@
 use crate::client::{Piece, PIECES};
 use crate::discovery::Wanted;
 use crate::peers::{Heard, PeerSocket};
+use crate::settings::release_try;
 use crate::shared::{Answer, Forward, Message, Seen, Shared};
 use crate::worker::{self, Job, Pool, Release, Target};
 use gaparch::api::{AttemptNo, Nanos, RequestId, ServerId, Status};
@@ -290,7 +291,8 @@
         let Some(open) = self.open.get(&id) else { return };
         let txn = open.forward.txn.clone();
         let others = self.core.listed().filter_map(|server| self.target(server)).collect();
-        let release = Release { txn, at: self.target(at), others };
+        let within = release_try(&self.shared.config.site.settings);
+        let release = Release { txn, at: self.target(at), others, within };
         self.releases.spawn(worker::release(release, Arc::clone(&self.pool)));
     }
 
--- a/crates/gaparch-node/src/run.rs
+++ b/crates/gaparch-node/src/run.rs
@@ -5,7 +5,7 @@
 use crate::discovery::{self, Wanted};
 use crate::owner::Owner;
 use crate::peers::{self, PeerSocket};
-use crate::settings::core_config;
+use crate::settings::{connect_within, core_config};
 use crate::shared::{Message, Phase, Shared};
 use crate::worker::Pool;
 use gaparch_net::Clock;
@@ -75,7 +75,8 @@
         workers = budget.most_workers,
         "starting"
     );
-    let connect_within = Duration::from_nanos(config.site.settings.connect_timeout);
+    config.odd.iter().for_each(|line| tracing::warn!("{line}"));
+    let connect_within = connect_within(&config.site.settings);
     let pool = Arc::new(Pool::new(Arc::clone(&budget.workers), connect_within, config.idle_close_ns));
     let (owner, messages) = mpsc::unbounded_channel();
     let core = core_config(&config);
@@ -106,6 +107,7 @@
                     tracing::info!(discovery = %new.discovery, "a new configuration");
                     if new.site.settings != shared.config.site.settings {
                         tracing::warn!("the settings have changed: they are taken at the next start");
+                        new.odd.iter().for_each(|line| tracing::warn!("{line}"));
                     }
                     discovery.send_replace(new.discovery);
                 }
--- a/crates/gaparch-node/src/worker/calls.rs
+++ b/crates/gaparch-node/src/worker/calls.rs
@@ -13,9 +13,6 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-/// For one try of a release: a worker that runs answers it at once, and within the release time there must be room
-/// for a second and a third at other workers.
-const RELEASE_TRY: Duration = Duration::from_millis(120);
 /// Tries of a release, each at another worker while there are any.
 const RELEASE_TRIES: usize = 8;
 /// A reservation is answered within 0.3 s; its read may take longer to be written.
@@ -90,6 +87,8 @@
     /// Where it is most likely held: any worker can be told, but this one needs no word from another.
     pub at: Option<Target>,
     pub others: Vec<Target>,
+    /// For each try.
+    pub within: Duration,
 }
 
 /// Lets go of all that is held for a request. It is owed until some running worker has it: a worker that does not
@@ -106,7 +105,7 @@
             let conn = pool.get(*target).await.ok()?;
             call(conn, &head, &pool).await
         };
-        if let Ok(Some(status)) = timeout(RELEASE_TRY, tried).await {
+        if let Ok(Some(status)) = timeout(release.within, tried).await {
             tracing::debug!(target: "gaparch_node::wire", txn = release.txn.as_str(), worker = target.server.0, status, "released");
             return;
         }
--- a/crates/gaparch-platform/src/catalogue.rs
+++ b/crates/gaparch-platform/src/catalogue.rs
@@ -43,12 +43,14 @@
     zone: String,
     #[serde(default)]
     machine_type: String,
+    /// A number or a name; without one that can be told apart it has no cell.
     #[serde(default)]
-    cell: Option<u64>,
+    cell: Value,
     #[serde(default)]
     lifecycle: String,
+    /// A worker is no worse for a weight that is none.
     #[serde(default)]
-    weight: Option<f64>,
+    weight: Value,
     #[serde(default)]
     started_at_ms: Option<f64>,
 }
@@ -88,14 +90,18 @@
         address: raw.host_port,
         kind: raw.machine_type,
         zone: raw.zone,
-        rack: raw.cell.map(|cell| cell.to_string()).unwrap_or_default(),
+        rack: match raw.cell {
+            Value::Number(cell) => cell.to_string(),
+            Value::String(cell) => cell,
+            _ => String::new(),
+        },
         state: match raw.lifecycle.as_str() {
             "ready" => ServerState::Ready,
             "gone" => ServerState::Gone,
             // A word that is not known is no invitation.
             _ => ServerState::Draining,
         },
-        weight: raw.weight,
+        weight: raw.weight.as_f64(),
         started_at: started_ms.map(|ms| (ms * 1e6) as u64),
     })
 }
@@ -109,3 +115,37 @@
 pub fn watch_call(host: &str, after: u64, wait_ms: u64) -> String {
     format!("GET /catalog/members?after={after}&wait_ms={wait_ms} HTTP/1.1\r\nHost: {host}\r\n\r\n")
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    /// A site may name its cells: an entry was dropped for it, and with all of them the list.
+    #[test]
+    fn an_entry_is_taken_whatever_stands_for_its_cell_and_weight() {
+        let cases = [
+            (json!(3), json!(1.5), "3", Some(1.5)),
+            (json!("rack-b"), json!("heavy"), "rack-b", None),
+            (json!(null), json!(null), "", None),
+            (json!([3]), json!({}), "", None),
+            (json!(-3), json!(2), "-3", Some(2.0)),
+        ];
+        for (cell, weight, rack, taken) in cases {
+            let list = json!({"generation": 1, "reset": true, "instances": [{"instanceId": "s", "hostPort": "127.0.0.1:1",
+                "cell": cell, "weight": weight, "lifecycle": "ready"}]});
+            let members = Members::read(list.to_string().as_bytes()).expect("it is a list");
+            let entry = &members.entries[0];
+            assert_eq!((entry.rack.as_str(), entry.weight, members.dropped), (rack, taken, 0));
+        }
+    }
+
+    /// One whose start can't be read may be cold, and is not taken for warm.
+    #[test]
+    fn an_entry_whose_start_makes_no_sense_is_dropped() {
+        let list = json!({"generation": 1, "reset": false, "instances": [{"instanceId": "s", "hostPort": "127.0.0.1:1",
+            "startedAtMs": "just now", "lifecycle": "ready"}]});
+        let members = Members::read(list.to_string().as_bytes()).expect("it is a list");
+        assert_eq!((members.entries.len(), members.dropped), (0, 1));
+    }
+}
--- a/crates/gaparch-platform/src/config.rs
+++ b/crates/gaparch-platform/src/config.rs
@@ -33,6 +33,8 @@
     /// The list as this router last held it.
     pub known: Option<Members>,
     pub site: Site,
+    /// What of the settings is missing or makes no sense, a line each; it stops nothing.
+    pub odd: Vec<String>,
     /// How long an idle connection to a worker lives, at its side.
     pub idle_close_ns: Option<u64>,
 }
@@ -91,6 +93,7 @@
             // An old list that can't be read is none: the catalogue tells.
             known: Members::from_value(&all["known"]).ok(),
             idle_close_ns: settings["caps"]["idleCloseNs"].as_u64().filter(|ns| *ns > 0),
+            odd: gaparch_site::oddities(settings, &site),
             site,
         })
     }
--- a/crates/gaparch-simhost/src/wire.rs
+++ b/crates/gaparch-simhost/src/wire.rs
@@ -86,7 +86,10 @@
     Ok(Some(match name(value) {
         "submit" => Event::Request(Request {
             id: need(value, "msgId", request)?,
-            class: need(value, "priority", |v| index(&site.classes, v)).map(ClassId)?,
+            // A class that the settings lack is the module's to answer.
+            class: need(value, "priority", |v| {
+                v.as_str().map(|_| ClassId(index(&site.classes, v).unwrap_or(usize::MAX)))
+            })?,
             tenant: index(&site.tenants, &value["clientGroup"]).map(TenantId),
             session: value["session"].as_str().map(Key::of),
             prefix: value["prefixId"].as_str().map(Key::of),
--- a/crates/gaparch-simhost/tests/wire.rs
+++ b/crates/gaparch-simhost/tests/wire.rs
@@ -99,6 +99,16 @@
     assert!(out[3..].iter().all(|r| actions(r, "transmit").is_empty()));
 }
 
+/// The adapter ended over it, and with it all other instances.
+#[test]
+fn a_class_that_the_settings_lack_is_failed_and_nothing_ends() {
+    let mut strange = submit(3, 1);
+    strange["priority"] = json!("unheard-of");
+    let out = replies(&run(&[batch(CLOCK, start(3)), batch(CLOCK, json!([strange, submit(3, 2)]))]));
+    assert_eq!(actions(&out[1], "error"), vec![json!({"t": "error", "who": 3, "msgId": 1})]);
+    assert_eq!(actions(&out[1], "transmit")[0]["msgId"], 2);
+}
+
 #[test]
 fn timers_come_back_by_the_name_they_were_given() {
     let out = replies(&run(&[
--- a/crates/gaparch-site/src/lib.rs
+++ b/crates/gaparch-site/src/lib.rs
@@ -4,6 +4,9 @@
 use gaparch::api::{Class, Effect, Group, KindId, Nanos, Role, Settings, Tenant, ZoneId};
 use serde_json::Value;
 
+mod odd;
+pub use odd::oddities;
+
 /// The module's settings, and the names used outside for what the module knows by index.
 #[derive(Clone, Debug)]
 pub struct Site {
