Mixed servers: pace learnt, their room counts, states go there where no writer is left

Cause, found by reading for a site with servers that do both, each shown by a test that failed before: beside writers that look full everything was held, though a mixed server takes requests whole; a mixed server ten times slower than its peers counted as any other (pace 1), since nothing was learnt of first tokens there; a state was sent again to the only, unreachable writer and not to the mixed server beside it. Change: mixed_room, open_to, on_first; the plain reference has the same. Conclusion: it acts only where there are mixed servers; not measured on any, as no deployment at hand has them.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -87,29 +87,6 @@
     too_much: f64,
 }
 
-/// For whom servers are looked for: one request, or any of a part of the traffic.
-#[derive(Clone, Copy)]
-enum Asker<'w> {
-    One(&'w Work),
-    Any(Option<&'w Part>),
-}
-
-impl<'w> Asker<'w> {
-    fn work(self) -> Option<&'w Work> {
-        match self {
-            Asker::One(work) => Some(work),
-            Asker::Any(_) => None,
-        }
-    }
-
-    fn part(self) -> Option<Part> {
-        match self {
-            Asker::One(work) => Some(work.part()),
-            Asker::Any(part) => part.copied(),
-        }
-    }
-}
-
 impl Policy {
     pub fn new(set: Settings) -> Policy {
         Policy {
@@ -247,8 +224,8 @@
             let Some(Open { part, first: Some((turn, wants)), too_much }) = next else { return };
             let (part, turn, wants, id) = (*part, *turn, *wants, turn.2);
             // What needs no less than one that has just found no room finds none either.
-            let room =
-                wants.need < *too_much && self.works.get(&id).is_some_and(|w| self.writers_have_room(w));
+            let fits = |w| self.mixed_room(wants.need) || self.writers_have_room(w);
+            let room = wants.need < *too_much && self.works.get(&id).is_some_and(fits);
             if !room && part.is_some() {
                 *too_much = too_much.min(wants.need);
             }
@@ -270,8 +247,8 @@
     /// Whether one that wants so little of a part of the traffic may go; those that some servers must not be
     /// asked for are looked at one by one.
     fn may_open(&self, part: Option<Part>, easiest: Wants) -> bool {
-        let room = || self.room_for(self.candidates(false, Asker::Any(part.as_ref())), easiest.need);
-        part.is_none() || self.reader_may_have_room(easiest) && room()
+        let writers = || self.room_for(self.open_to(false, None, part), easiest.need);
+        part.is_none() || self.reader_may_have_room(easiest) && (self.mixed_room(easiest.need) || writers())
     }
 
     /// False only if no reader can have room for what has so little to read and so long an aim: `start`
@@ -287,7 +264,12 @@
 
     /// Room for a request besides what is being read for writers already.
     fn writers_have_room(&self, work: &Work) -> bool {
-        self.room_for(self.candidates(false, Asker::One(work)), work.need())
+        self.room_for(self.candidates(false, work), work.need())
+    }
+
+    /// Beside writers, mixed servers take requests whole: they have room of their own.
+    fn mixed_room(&self, need: f64) -> bool {
+        self.servers.at(&self.averages.mixed).any(|s| self.has_room(s, need))
     }
 
     fn room_for(&self, writers: Vec<&Server>, need: f64) -> bool {
@@ -315,11 +297,12 @@
     /// Sends a request to its home reader, or to the least loaded one where home is clearly busier.
     fn start(&mut self, id: RequestId) -> bool {
         let Some(work) = self.works.get(&id) else { return true };
-        let mut readers = self.candidates(true, Asker::One(work));
+        let mut readers = self.candidates(true, work);
         if readers.is_empty() {
             return self.start_at_writer(id);
         }
-        readers.retain(|s| s.role != Role::Both || self.has_room(s, work.need()));
+        let writers = self.averages.mixed.is_empty() || self.writers_have_room(work);
+        readers.retain(|s| if s.role == Role::Both { self.has_room(s, work.need()) } else { writers });
         let homes = self.homes_of(work, &readers);
         let Some(home) = homes.first().copied() else { return false };
         let kept = |s: &Server| homes.iter().find(|h| h.id == s.id).map_or(0.0, |_| work.request.prefix_len);
@@ -347,8 +330,7 @@
         let Some(work) = self.works.get(&id) else { return true };
         let near = |s: &&Server| s.cell.is_some() && s.cell == cell;
         let unheard = self.servers.at(&self.averages.writers).filter(near).any(|s| self.unheard(s));
-        let mut near: Vec<&Server> =
-            if !unheard { Vec::new() } else { self.candidates(false, Asker::One(work)) };
+        let mut near = if !unheard { Vec::new() } else { self.candidates(false, work) };
         near.retain(|s| s.cell.is_some() && s.cell == cell);
         near.sort_by_key(|s| work.lot.rank(s.id));
         let near: Vec<ServerId> = near.iter().take(LOOK_WRITERS).map(|s| s.id).collect();
@@ -407,7 +389,7 @@
     /// The writer for a state. `must`: one is needed now, with room or without.
     fn pick_writer(&self, work: &Work, must: bool) -> Option<ServerId> {
         let need = work.need();
-        let all = self.candidates(false, Asker::One(work));
+        let all = self.candidates(false, work);
         let open: Vec<&Server> = all.iter().copied().filter(|s| self.has_room(s, need)).collect();
         let open = if open.is_empty() && must { all } else { open };
         let least = self.least_loaded(work, open.iter().copied())?;
@@ -493,13 +475,19 @@
     }
 
     /// Servers of one stage that may be sent to now, leaving out ill ones while enough others are left.
-    fn candidates(&self, reads: bool, asker: Asker) -> Vec<&Server> {
-        let pool = if reads { &self.averages.readers } else { &self.averages.writers };
-        let may =
-            |s: &&Server| self.cold_budget_allows(s) && asker.work().is_none_or(|w| self.may_go_to(w, s));
-        let open: Vec<&Server> = self.servers.at(pool).filter(may).collect();
-        let avoid = asker.work().map_or(&[][..], |w| &w.avoid);
-        let part = asker.part();
+    fn candidates(&self, reads: bool, work: &Work) -> Vec<&Server> {
+        self.open_to(reads, Some(work), Some(work.part()))
+    }
+
+    /// The same for any request of a part of the traffic. With no writer left mixed servers take states too.
+    fn open_to(&self, reads: bool, work: Option<&Work>, part: Option<Part>) -> Vec<&Server> {
+        let all = &self.averages;
+        let may = |s: &&Server| self.cold_budget_allows(s) && work.is_none_or(|w| self.may_go_to(w, s));
+        let of = |pool| self.servers.at(pool).filter(may).collect::<Vec<&Server>>();
+        let open = of(if reads { &all.readers } else { &all.writers });
+        let open =
+            if open.iter().all(|s| s.unreachable) && !reads { [open, of(&all.mixed)].concat() } else { open };
+        let avoid = work.map_or(&[][..], |w| &w.avoid);
         let well = |s: &&Server| !self.ill(s, part) && !avoid.contains(&s.id);
         let well: Vec<&Server> = open.iter().copied().filter(well).collect();
         // Where most look ill the cause is likely elsewhere, and the few left would be swamped.
@@ -566,9 +554,16 @@
         s.heard_at = now;
         sent.begun = true;
         let (stage, server) = (sent.stage, sent.server);
+        let per_token = latency as f64 / sent.queued.max(READ_BASE);
         if stage == Stage::Write {
             self.moves[usize::from(s.cell != cell)].add(latency as f64 / 1e9, GAIN);
-            learn_pace(&mut self.servers, server, latency as f64, PACE_GAIN, SAMPLES);
+        } else {
+            self.reads.add(per_token, GAIN, BEST_GAIN);
+        }
+        // Of one measure for each role: mixed servers by what they take whole, writers by what they fetch.
+        let pace = if stage == Stage::Write { latency as f64 } else { per_token };
+        if (stage == Stage::Write) != (s.role == Role::Both) {
+            learn_pace(&mut self.servers, server, pace, PACE_GAIN, SAMPLES);
         }
         self.works.note(&id);
     }
@@ -643,7 +638,7 @@
 
     /// What has kept a request that has no attempt out, as far as it can be told now.
     fn held_by(&self, work: &Work, reason: Reason) -> Option<Holdup> {
-        let none = |reads| self.candidates(reads, Asker::One(work)).is_empty();
+        let none = |reads| self.candidates(reads, work).is_empty();
         Some(match work {
             w if w.sent.is_some() || !reason.waited() => return None,
             _ if none(false) => Holdup::NoWriter,
@@ -880,11 +875,7 @@
                 && (reads || room(s) && (near || silent || s.cell == cell))
         };
         let left = work.attempts + ATTEMPTS_KEPT <= self.set.max_attempts && self.set.cancel;
-        if !safe
-            || !left
-            || self.call_offs < 1.0
-            || !self.candidates(reads, Asker::One(work)).iter().any(better)
-        {
+        if !safe || !left || self.call_offs < 1.0 || !self.candidates(reads, work).iter().any(better) {
             return;
         }
         self.call_offs -= 1.0;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -569,6 +569,8 @@
     pub writers: Vec<usize>,
     /// The role of those.
     pub writes: Role,
+    /// Places of ready mixed servers beside writers.
+    pub mixed: Vec<usize>,
     /// By role, of those with fresh news: what others hold, as a share of memory; what others have to read.
     pub others: [Option<f64>; 3],
     pub others_unread: [Option<f64>; 3],
@@ -588,6 +590,7 @@
         self.readers = servers.places(|s| s.ready && s.role != Role::Write);
         self.writes = if split { Role::Write } else { Role::Both };
         self.writers = servers.places(|s| s.ready && s.role == self.writes);
+        self.mixed = servers.places(|s| s.ready && split && s.role == Role::Both);
         for role in [Role::Read, Role::Write, Role::Both] {
             let ready = || servers.values().filter(|s| s.ready && s.role == role);
             self.weight[role as usize] = average(ready().map(|s| s.weight)).unwrap_or(1.0);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -158,8 +158,12 @@
     }
 
     pub fn first(&mut self, id: u64, server: u32) -> Vec<Action> {
+        self.first_after(id, server, 20 * MS)
+    }
+
+    pub fn first_after(&mut self, id: u64, server: u32, latency: Nanos) -> Vec<Action> {
         let attempt = AttemptNo(self.attempts.get(&id).map_or(0, |n| n - 1));
-        self.event(Event::First { id: RequestId(id), attempt, server: ServerId(server), latency: 20 * MS })
+        self.event(Event::First { id: RequestId(id), attempt, server: ServerId(server), latency })
     }
 
     /// Asks, reads and begins to write; returns the reader and the writer.
--- a/tests/other_sites.rs
+++ b/tests/other_sites.rs
@@ -253,3 +253,55 @@
     let reader = sent_to(&r.ask(1)).expect("a read");
     told(&r.outcome(1, reader, Status::Moot), Reason::TooLate);
 }
+
+// Servers that do both.
+
+/// Found by reading: nothing was learnt of what mixed servers take, and a slow one counted as any other.
+#[test]
+fn a_slow_mixed_server_counts_as_smaller() {
+    let mut r = Router::new(settings(), vec![entry(21, 2, 0), entry(22, 2, 1), entry(23, 2, 1)]);
+    for id in 1..60 {
+        let server = sent_to(&r.ask(id)).expect("a send");
+        r.first_after(id, server, if server == 21 { 300 * MS } else { 30 * MS });
+        r.outcome(id, server, Status::Ok);
+        r.pass(S);
+    }
+    let pace = |id| r.policy.views().find(|v| v.server == ServerId(id)).map_or(0.0, |v| v.pace);
+    assert!(pace(21) > 3.0 && pace(22) < 2.0, "{} {}", pace(21), pace(22));
+}
+
+/// Found by reading: while all writers looked full everything was held, also beside mixed servers with room.
+#[test]
+fn while_writers_look_full_mixed_servers_with_room_take_requests_whole() {
+    let mut r = Router::new(settings(), vec![entry(1, 0, 0), entry(11, 1, 0), entry(21, 2, 0)]);
+    let mut id = 0;
+    // A request that was read: its writer answers full.
+    loop {
+        id += 1;
+        let server = sent_to(&r.ask(id)).expect("a send");
+        if server == 1 {
+            let writer = sent_to(&r.outcome(id, 1, Status::Read)).expect("a write");
+            r.outcome(id, writer, Status::Full);
+            break;
+        }
+        r.first(id, server);
+        r.outcome(id, server, Status::Ok);
+    }
+    for next in id + 1..id + 20 {
+        assert_eq!(sent_to(&r.ask(next)), Some(21));
+        r.first(next, 21);
+        r.outcome(next, 21, Status::Ok);
+    }
+    // One without room holds them as before.
+    r.event(Event::Request(Request { max_out: 190_000.0, ..r.request(900) }));
+    r.first(900, 21);
+    assert_eq!(sent_to(&r.ask(901)), None);
+}
+
+#[test]
+fn a_state_goes_to_a_mixed_server_where_no_writer_is_left() {
+    let mut r = Router::new(settings(), vec![entry(1, 0, 0), entry(11, 1, 0), entry(21, 2, 0)]);
+    let id = (1..).find(|id| sent_to(&r.ask(*id)) == Some(1)).expect("a read");
+    r.outcome(id, 1, Status::Read);
+    assert_eq!(sent_to(&r.outcome(id, 11, Status::ConnectFailed)), Some(21));
+}
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -173,7 +173,8 @@
         for held in self.waiting.iter().copied().collect::<Vec<_>>() {
             let Some(work) = self.works.get(&held.2) else { continue };
             let allowed = self.throttle.allows(self.now, READS_GROW);
-            if allowed && self.writers_have_room(work) && self.start(held.2) {
+            let room = self.mixed_room(work.need()) || self.writers_have_room(work);
+            if allowed && room && self.start(held.2) {
                 self.waiting.remove(&held);
             }
         }
@@ -196,7 +197,8 @@
         if readers.is_empty() {
             return self.start_at_writer(id);
         }
-        readers.retain(|s| s.role != Role::Both || self.has_room(s, work.need()));
+        let writers = self.mixed().is_empty() || self.writers_have_room(work);
+        readers.retain(|s| if s.role == Role::Both { self.has_room(s, work.need()) } else { writers });
         let homes = self.homes_of(work, &readers);
         let Some(home) = homes.first().copied() else { return false };
         let kept = |s: &Server| homes.iter().find(|h| h.id == s.id).map_or(0.0, |_| work.request.prefix_len);
@@ -367,7 +369,10 @@
             Role::Both => reads || !split,
         };
         let may = |s: &&Server| s.ready && self.cold_budget_allows(s) && self.may_go_to(work, s);
-        let open: Vec<&Server> = self.servers.values().filter(may).filter(fits).collect();
+        let mut open: Vec<&Server> = self.servers.values().filter(may).filter(fits).collect();
+        if !reads && open.iter().all(|s| s.unreachable) {
+            open.extend(self.mixed().into_iter().filter(|s| may(s)));
+        }
         let well = |s: &&Server| !self.ill(s, work) && !work.avoid.contains(&s.id);
         let well: Vec<&Server> = open.iter().copied().filter(well).collect();
         // Where most look ill the cause is likely elsewhere, and the few left would be swamped.
@@ -428,10 +433,26 @@
         s.begin(now, REPORT_LAG, sent);
         s.heard_at = now;
         sent.begun = true;
+        let per_token = latency as f64 / sent.queued.max(READ_BASE);
         if sent.stage == Stage::Write {
             self.moves[usize::from(s.cell != cell)].add(latency as f64 / 1e9, GAIN);
-            learn_pace(&mut self.servers, sent.server, latency as f64, PACE_GAIN, SAMPLES);
+        } else {
+            self.reads.add(per_token, GAIN, BEST_GAIN);
         }
+        let pace = if sent.stage == Stage::Write { latency as f64 } else { per_token };
+        if (sent.stage == Stage::Write) != (s.role == Role::Both) {
+            learn_pace(&mut self.servers, sent.server, pace, PACE_GAIN, SAMPLES);
+        }
+    }
+
+    /// Ready mixed servers beside writers.
+    fn mixed(&self) -> Vec<&Server> {
+        let split = self.servers.values().any(|s| s.ready && s.role == Role::Write);
+        self.servers.values().filter(|s| split && s.ready && s.role == Role::Both).collect()
+    }
+
+    fn mixed_room(&self, need: f64) -> bool {
+        self.mixed().into_iter().any(|s| self.has_room(s, need))
     }
 
     fn on_outcome(&mut self, o: Outcome) {
