Signals that never come: unstreamed answers, lost probes, messages without room

Cause, found by reading, each shown by a test that failed before: an answer that does not stream looked late after 0.4 s and was called off after 0.9; a writer whose probe was never answered looked full for ever (0 served where 20 were asked); a message between routers has room for 42 servers and named those of the lowest ids.

--- a/benches/driver/mod.rs
+++ b/benches/driver/mod.rs
@@ -19,6 +19,7 @@
         token_aim: 50 * MS,
         worth,
         late_worth: 0.1,
+        streamed: true,
     };
     Settings {
         routers: 1,
--- a/crates/gaparch-config/src/config.rs
+++ b/crates/gaparch-config/src/config.rs
@@ -298,6 +298,7 @@
         token_aim: raw.token_aim.0,
         worth: raw.worth,
         late_worth: raw.late_worth,
+        streamed: true,
     }
 }
 
--- a/crates/gaparch-site/src/lib.rs
+++ b/crates/gaparch-site/src/lib.rs
@@ -101,6 +101,7 @@
         token_aim: list(&fam["tokenAimNs"]).get(index).and_then(whole).unwrap_or(0),
         worth: number(&service["worth"]).unwrap_or(1.0),
         late_worth: number(&service["lateShare"]).unwrap_or(0.0),
+        streamed: service["streamed"].as_bool().unwrap_or(true),
     }
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -108,6 +108,8 @@
     pub token_aim: Nanos,
     pub worth: f64,
     pub late_worth: f64,
+    /// Its answers stream, and their beginning is told; else nothing is heard before an answer's end.
+    pub streamed: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -519,7 +519,8 @@
         let means = if stage == Stage::Read { &self.prompts } else { &self.answers };
         let class = self.works.get(&id).map_or(0, |w| w.request.class.0);
         let cost = (means.get(class).map_or(0.0, |m| m.value) / mean(means).max(1.0)).max(0.1);
-        let patience = self.works.get(&id).map_or(0, |w| self.patience(w, &plan));
+        let heard = self.works.get(&id).filter(|w| self.heard_early(w, stage));
+        let blind = heard.map_or(0, |w| BLIND_PATIENCE.max(self.patience(w, &plan)));
         let (Some(work), Some(s)) = (self.works.get_mut(&id), self.servers.get_mut(&server)) else { return };
         let held = if stage == Stage::Read { 0.0 } else { work.need() };
         let sent = Sent { no: AttemptNo(work.attempts), at: now, held, ..plan };
@@ -531,11 +532,16 @@
         work.read_at = work.read_at.or(Some(now));
         work.sent = Some(sent);
         let safe = stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
-        let timeout = if self.set.cancel || !safe { 0 } else { BLIND_PATIENCE.max(patience) };
+        let timeout = if self.set.cancel || !safe { 0 } else { blind };
         self.works.note(&id);
         self.out.push(Action::Send { id, server, timeout });
     }
 
+    /// Whether an attempt tells of itself before its end, so that silence says something.
+    fn heard_early(&self, work: &Work, stage: Stage) -> bool {
+        stage == Stage::Read || self.set.classes.get(work.request.class.0).is_some_and(|c| c.streamed)
+    }
+
     /// How long an attempt may go without an answer, by its aim and by what reads take.
     fn patience(&self, work: &Work, sent: &Sent) -> Nanos {
         (READ_WAIT * work.aim() + sent.queued * self.reads.late(DEVIATIONS)) as Nanos
@@ -848,6 +854,10 @@
     fn check_overdue(&mut self, id: RequestId, sent: Sent) {
         let age = self.now - sent.at;
         let Some(work) = self.works.get(&id) else { return };
+        // Where answers don't stream, nothing is heard of one before its end.
+        if !self.heard_early(work, sent.stage) {
+            return;
+        }
         let reads = sent.stage != Stage::Write;
         let patience = if reads { self.patience(work, &sent) } else { WRITE_PATIENCE };
         let cell = work.state.and_then(|(reader, _)| self.servers.get(&reader)?.cell);
@@ -894,7 +904,9 @@
         if !self.set.peers || self.set.routers < 2 || !silent || self.now < self.told_at + TELL_EVERY {
             return;
         }
-        let data = held_to_bytes(self.servers.values().map(|s| (s.id, s.held)));
+        // A message has no room for all where there are many.
+        let held = self.servers.values().map(|s| (s.id, s.held)).collect();
+        let data = held_to_bytes(least_by(held, usize::MAX, |(_, held)| -held).into_iter());
         let price = self.set.peer_price * f64::from(self.set.routers - 1) * data.len() as f64 / 256.0;
         if self.purses[0] >= price {
             self.purses[0] -= price;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -615,6 +615,8 @@
             if s.news_at < from {
                 (s.others, s.others_unread, s.share) = (None, None, None);
             }
+            // A probe whose answer was lost must not be waited for for ever.
+            s.asked_at = s.asked_at.filter(|at| *at >= from);
             if s.ready {
                 let add = |sum: &mut (f64, f64), value: f64| *sum = (sum.0 + value, sum.1 + 1.0);
                 s.others.into_iter().for_each(|v| add(&mut others[s.role as usize], v / s.memory.max(1.0)));
--- a/tests/any_events.rs
+++ b/tests/any_events.rs
@@ -120,6 +120,7 @@
         token_aim: 50 * MS,
         worth: 1.0,
         late_worth: 0.1,
+        streamed: true,
     };
     Settings {
         seed: draws,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -18,6 +18,7 @@
         token_aim: 50 * MS,
         worth: 1.0,
         late_worth: 0.1,
+        streamed: true,
     }
 }
 
--- a/tests/other_sites.rs
+++ b/tests/other_sites.rs
@@ -305,3 +305,71 @@
     r.outcome(id, 1, Status::Read);
     assert_eq!(sent_to(&r.outcome(id, 11, Status::ConnectFailed)), Some(21));
 }
+
+// Signals that never come.
+
+/// Found by reading: an answer that does not stream looked late after 0.4 s, and was called off after 0.9.
+#[test]
+fn where_answers_do_not_stream_a_silent_writer_is_no_late_one() {
+    for cancel in [true, false] {
+        let classes = vec![Class { streamed: false, ..class(Effect::Safe, Group::All) }];
+        let mut r = Router::new(Settings { classes, cancel, ..settings() }, pairs());
+        let reader = sent_to(&r.ask(1)).expect("a read");
+        let done = r.outcome(1, reader, Status::Read);
+        let Some(Action::Send { server, timeout: 0, .. }) = done.first().cloned() else { panic!("{done:?}") };
+        assert!(r.pass(3 * S).iter().all(|a| !matches!(a, Action::Cancel { .. })));
+        let view = r.policy.views().find(|v| v.server == server).expect("it is listed");
+        assert_eq!(view.avoided, None);
+        // Its end is still due in time.
+        assert_eq!(answers(&r.pass(2 * S), 1), 1);
+    }
+}
+
+/// Found by reading: a writer whose probe was never answered looked full for ever.
+#[test]
+fn a_probe_that_is_never_answered_is_forgotten() {
+    let set = Settings { probes: true, ..settings() };
+    let mut r = Router::new(set, vec![entry(1, 0, 0), entry(11, 1, 0)]);
+    let mut served = 0;
+    for id in 1..200 {
+        if sent_to(&r.ask(id)).is_some() || sent_to(&r.pass(50 * MS)).is_some() {
+            let writer = sent_to(&r.outcome(id, 1, Status::Read)).or_else(|| sent_to(&r.pass(400 * MS)));
+            if let Some(writer) = writer {
+                r.first(id, writer);
+                r.outcome(id, writer, Status::Ok);
+                served += u32::from(r.now > 105 * S);
+            }
+        }
+        r.pass(100 * MS);
+    }
+    assert!(r.log.contains(&Action::Probe(ServerId(11))));
+    // Each probe may cost it some time; all together don't cost it all.
+    assert!(served > 3, "{served}");
+}
+
+/// Found by reading: a message has room for 42 servers, and named those of the lowest ids.
+#[test]
+fn a_message_names_the_servers_where_most_is_held() {
+    let set = Settings { peers: true, peer_price: 0.0, ..settings() };
+    let writers = (100..160).map(|id| entry(id, 1, 0));
+    let mut r = Router::new(set, [vec![entry(1, 0, 0)], writers.collect()].concat());
+    for id in 1..61 {
+        let reader = sent_to(&r.ask(id)).expect("a read");
+        let writer = sent_to(&r.outcome(id, reader, Status::Read)).expect("a write");
+        r.first(id, writer);
+    }
+    let held = |r: &Router, id| r.policy.views().find(|v| v.server == ServerId(id)).map_or(0.0, |v| v.memory);
+    let heavy = Request { max_out: 100_000.0, ..r.request(61) };
+    let reader = sent_to(&r.event(Event::Request(heavy))).expect("a read");
+    let writer = sent_to(&r.outcome(61, reader, Status::Read)).expect("a write");
+    assert!(held(&r, writer) > 0.4);
+    r.log.clear();
+    r.pass(S);
+    let told = r.log.iter().rev().find_map(|a| match a {
+        Action::Tell { data, .. } => Some(data.clone()),
+        _ => None,
+    });
+    let told = told.expect("a message");
+    let first = u32::from_le_bytes([told[0], told[1], told[2], told[3]]);
+    assert!(told.len() <= 256 && first == writer, "{first}, not {writer}");
+}
--- a/tests/same_actions.rs
+++ b/tests/same_actions.rs
@@ -162,6 +162,7 @@
         token_aim: 50 * MS,
         worth: 1.0,
         late_worth: 0.2,
+        streamed: true,
     };
     Settings {
         seed: draws,
