--- a/src/policy.rs
+++ b/src/policy.rs
@@ -316,7 +316,8 @@
             a.0.total_cmp(&b.0).then_with(|| lot(a.1).cmp(&lot(b.1)))
         };
         let Some((_, least)) = costs.min_by(order) else { return false };
-        let other = readers.iter().filter(|s| s.id != home.id).max_by_key(|s| lot(s));
+        // A cold one that may be asked is likely idle: no router sends it much.
+        let other = readers.iter().filter(|s| s.id != home.id).max_by_key(|s| (self.cold(s), lot(s)));
         let look_at: Vec<ServerId> = homes.iter().chain(other).take(2).map(|s| s.id).collect();
         let home = Some(home).filter(room).unwrap_or(least);
         let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
@@ -855,19 +856,17 @@
         let age = self.now - sent.at;
         let Some(work) = self.works.get(&id) else { return };
         // Where answers don't stream, nothing is heard of one before its end.
-        if !self.heard_early(work, sent.stage) {
-            return;
-        }
+        let heard = self.heard_early(work, sent.stage);
         let reads = sent.stage != Stage::Write;
         let patience = if reads { self.patience(work, &sent) } else { WRITE_PATIENCE };
         let cell = work.state.and_then(|(reader, _)| self.servers.get(&reader)?.cell);
         let Some(s) = self.servers.get_mut(&sent.server) else { return };
         // What crosses cells may wait for a slow link: another far writer is no better then.
         let (silent, near) = (s.heard_at < sent.at, s.cell == cell);
-        if sent.stage == Stage::Write && age >= STALLED {
+        if heard && sent.stage == Stage::Write && age >= STALLED {
             s.full_at = Some(self.now);
         }
-        if age < patience || sent.cancelled {
+        if !heard || age < patience || sent.cancelled {
             return;
         }
         if silent && self.set.probes && !s.unreachable {
@@ -908,7 +907,8 @@
         let held = self.servers.values().map(|s| (s.id, s.held)).collect();
         let data = held_to_bytes(least_by(held, usize::MAX, |(_, held)| -held).into_iter());
         let price = self.set.peer_price * f64::from(self.set.routers - 1) * data.len() as f64 / 256.0;
-        if self.purses[0] >= price {
+        // One that says nothing is no news, and costs its sending all the same.
+        if self.purses[0] >= price && !data.is_empty() {
             self.purses[0] -= price;
             self.told_at = self.now;
             self.out.push(Action::Tell { peer: None, data });
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -167,6 +167,30 @@
         self.event(Event::First { id: RequestId(id), attempt, server: ServerId(server), latency })
     }
 
+    /// The same where probes come first; they are answered at once.
+    pub fn stream_after_probes(&mut self, id: u64) -> (u32, u32) {
+        let mut done = self.ask(id);
+        for _ in 0..20 {
+            let probed = |a: &Action| match a {
+                Action::Probe(server) => Some(*server),
+                _ => None,
+            };
+            let probes: Vec<ServerId> = done.iter().filter_map(probed).collect();
+            let reader = sent_to(&done);
+            done = self.pass(2 * MS);
+            for server in probes {
+                let ok = Event::Probed { server, status: Status::Ok, latency: 2 * MS, report: None };
+                done.extend(self.event(ok));
+            }
+            if let Some(reader) = reader {
+                let writer = sent_to(&self.outcome(id, reader, Status::Read)).expect("a write");
+                self.first(id, writer);
+                return (reader, writer);
+            }
+        }
+        panic!("no read")
+    }
+
     /// Asks, reads and begins to write; returns the reader and the writer.
     pub fn stream(&mut self, id: u64) -> (u32, u32) {
         let reader = sent_to(&self.ask(id)).expect("a read");
--- a/tests/other_sites.rs
+++ b/tests/other_sites.rs
@@ -373,3 +373,50 @@
     let first = u32::from_le_bytes([told[0], told[1], told[2], told[3]]);
     assert!(told.len() <= 256 && first == writer, "{first}, not {writer}");
 }
+
+// What does no harm in one router, and does in hundreds.
+
+/// Found on the full fleet: two of three messages said nothing, and were paid for all the same.
+#[test]
+fn a_router_that_holds_nothing_tells_nothing() {
+    let set = Settings { peers: true, peer_price: 0.0, cancel: false, ..settings() };
+    let mut r = Router::new(set, pairs());
+    // Its read is out, and nothing is written yet.
+    r.ask(1);
+    let done = r.pass(3 * S);
+    assert!(done.iter().all(|a| !matches!(a, Action::Tell { .. })), "{done:?}");
+    r.stream(2);
+    assert!(r.pass(S).iter().any(|a| matches!(a, Action::Tell { data, .. } if !data.is_empty())));
+}
+
+/// Found on the full fleet: while most readers were new, they stood idle beside the jammed old ones, since each router
+/// seldom met one of the few that it might ask.
+#[test]
+fn beside_its_home_a_cold_reader_that_may_be_asked_is_looked_at() {
+    let set = Settings { probes: true, routers: 300, ..settings() };
+    let mut r = Router::new(set, [pairs(), (3..9).map(|id| entry(id, 0, u64::from(id))).collect()].concat());
+    for id in 1..40 {
+        let (_, writer) = r.stream_after_probes(id);
+        r.outcome(id, writer, Status::Ok);
+        r.pass(50 * MS);
+    }
+    r.members(ListKind::Delta, vec![Entry { ready_at: Some(r.now), ..entry(20, 0, 1) }]);
+    // Its budget, which begins in debt, is paid off some time before it is warm.
+    let mut looked = 0;
+    for id in 100..180 {
+        let allowed =
+            r.policy.views().any(|v| v.server == ServerId(20) && v.cold_budget.is_some_and(|b| b >= 0.0));
+        r.log.clear();
+        let (reader, writer) = r.stream_after_probes(id);
+        if allowed && reader != 20 {
+            looked += 1;
+            assert!(r.log.contains(&Action::Probe(ServerId(20))), "{:?}", r.log);
+        }
+        r.outcome(id, writer, Status::Ok);
+        r.pass(1100 * MS);
+        if r.policy.views().any(|v| v.server == ServerId(20) && v.cold_budget.is_none()) {
+            break;
+        }
+    }
+    assert!(looked > 0);
+}
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -210,7 +210,7 @@
         let lot = |s: &Server| work.lot.rank(s.id);
         let order = |a: &&&Server, b: &&&Server| cost(a).total_cmp(&cost(b)).then(lot(a).cmp(&lot(b)));
         let Some(least) = readers.iter().filter(room).min_by(order) else { return false };
-        let other = readers.iter().filter(|s| s.id != home.id).max_by_key(|s| lot(s));
+        let other = readers.iter().filter(|s| s.id != home.id).max_by_key(|s| (self.cold(s), lot(s)));
         let look_at: Vec<ServerId> = homes.iter().chain(other).take(2).map(|s| s.id).collect();
         let home = Some(home).filter(|s| room(&s)).unwrap_or(least);
         let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
