--- a/tests/any_events.rs
+++ b/tests/any_events.rs
@@ -114,13 +114,13 @@
         effect,
         group: Group::Zone,
         window: if draws & 1 > 0 { u64::MAX } else { S },
-        aim: S,
+        aim: if draws & 128 > 0 { 0 } else { S },
         aim_per_token,
         deadline,
         token_aim: 50 * MS,
         worth: 1.0,
         late_worth: 0.1,
-        streamed: true,
+        streamed: draws & 256 == 0,
     };
     Settings {
         seed: draws,
@@ -143,6 +143,8 @@
         cold: if draws & 64 > 0 { u64::MAX } else { 10 * S },
         fall_multiple: 2.5,
         fall: 2 * S,
+        tick: [2 * MS, 100 * MS, u64::MAX][(draws >> 9) as usize % 3],
+        neither: if draws & 2048 > 0 { vec![KindId(1)] } else { Vec::new() },
         ..Settings::default()
     }
 }
