--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -235,9 +235,9 @@
     /// The homes of its shared beginning by rendezvous hashing, the one of its session first; the same on all
     /// routers. They are spread as the writers are that can take the states without a move out of the cell.
     fn homes_of<'s>(&self, work: &Work, readers: &[&'s Server]) -> Vec<&'s Server> {
+        let split = self.servers.values().any(|s| s.ready && s.role == Role::Write);
+        let writes = if split { Role::Write } else { Role::Both } as usize;
         let weight = |s: &Server| {
-            let split = self.servers.values().any(|s| s.ready && s.role == Role::Write);
-            let writes = if split { Role::Write } else { Role::Both } as usize;
             let cell = s.cell.filter(|_| s.role == Role::Read).and_then(|c| self.averages.cells.get(&c));
             let near = cell.map_or(1.0, |of| of[writes] / of[Role::Read as usize].max(1e-9));
             s.weight * near.clamp(1e-3, HOME_MOST)
