A stand-in worker's attempt is over before its answer's last bytes are written

Cause: a check from a fresh clone failed once, in two tests of the router in service: a second copy was noted for a plain request (txn-2). The stand-in noted a read's end after it had written its answer, and the router's write, sent on that answer, was there first. Checked: the copy noted is the write after an answered read; the router had closed or finished the first. Change: the end is noted just before the last bytes of an answer.

--- a/crates/gaparch-lab/src/platform/worker.rs
+++ b/crates/gaparch-lab/src/platform/worker.rs
@@ -182,9 +182,8 @@
                     floor.begin(&txn, &socket);
                     floor.note(Seen::Asked { worker, txn: txn.clone(), target: target.to_owned(), body });
                     let reply = lock(&self.script).pop_front();
-                    let go_on = play(&mut socket, reply.unwrap_or_else(|| lock(&self.usual).clone()));
-                    floor.end(&txn);
-                    go_on
+                    let reply = reply.unwrap_or_else(|| lock(&self.usual).clone());
+                    play(&mut socket, reply, || floor.end(&txn))
                 }
             };
             if !go_on {
@@ -194,24 +193,33 @@
     }
 }
 
-/// Plays a reply; whether the connection may go on.
-fn play(socket: &mut TcpStream, reply: Reply) -> bool {
-    for step in reply {
-        match step {
+/// Plays a reply; whether the connection may go on. `over` is told just before the answer's last bytes: whoever has
+/// read these may send the next attempt sooner than this thread goes on.
+fn play(socket: &mut TcpStream, reply: Reply, over: impl FnOnce()) -> bool {
+    let last = reply.len().saturating_sub(1);
+    let (mut over, mut go_on) = (Some(over), true);
+    for (number, step) in reply.into_iter().enumerate() {
+        go_on = match step {
             Step::Put(bytes) => {
-                if socket.write_all(&bytes).is_err() {
-                    return false;
-                }
+                over.take_if(|_| number == last).into_iter().for_each(|over| over());
+                socket.write_all(&bytes).is_ok()
+            }
+            Step::Wait(span) => {
+                thread::sleep(span);
+                true
             }
-            Step::Wait(span) => thread::sleep(span),
             Step::Hang => {
                 while socket.read(&mut [0; 256]).is_ok_and(|n| n > 0) {}
-                return false;
+                false
             }
-            Step::Close => return false,
+            Step::Close => false,
+        };
+        if !go_on {
+            break;
         }
     }
-    true
+    over.into_iter().for_each(|over| over());
+    go_on
 }
 
 /// The events of a short answer, the last one included.
