Links to engines, list and clients pass relays too; clocks, old files, flapping

Change: a relay for each stream of each router with faults per direction (cut, stall, rate, delay, reset); lists are told at the relay; wall clocks off, swapped writes, older files on reading; a stopped router gets requests and is judged.

--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -5,6 +5,7 @@
 use gaparch_lab::fleet::day::Day;
 use gaparch_lab::fleet::lying::{Lie, LyingDisk};
 use gaparch_lab::fleet::{days, picture, rig};
+use gaparch_net::Clock;
 use gaparch_router::shell::Disks;
 use gaparch_store::Folder;
 use std::path::PathBuf;
@@ -24,27 +25,36 @@
 enum Command {
     /// Break a fleet of routers and judge what they do: a group, a day by name, or a file
     Fleet(Fleet),
-    /// Run a router as `gaparch serve` does, on a disk that lies
+    /// Run a router as `gaparch serve` does, on a disk that lies or by a clock that is off
     Serve(Serve),
 }
 
 #[derive(Debug, Args)]
 struct Serve {
-    /// How: forget, torn, flip, full, broken, read-only, slow
+    /// How its disk lies: forget, torn, flip, swapped, stale, full, broken, read-only, slow
     #[arg(long)]
-    disk: Lie,
+    disk: Option<Lie>,
+    /// Seconds that its wall clock is ahead, or behind if negative
+    #[arg(long, default_value_t = 0, allow_hyphen_values = true)]
+    ahead: i32,
     /// The settings file
     file: PathBuf,
 }
 
 async fn serve(options: &Serve) -> Outcome {
     let config = super::settings(&options.file)?;
-    let operations =
-        config.operations.as_ref().ok_or("its settings have no <operations>: it keeps nothing on disk")?;
-    let disk = LyingDisk::new(Folder::open(&operations.state)?, options.disk);
-    let share = || Box::new(disk.clone());
-    let disks = Disks { intents: share(), events: share(), endings: share(), fleet: share() };
-    super::serve::serve(config, Some(disks)).await
+    let disks = match options.disk {
+        None => None,
+        Some(lie) => {
+            let operations = config.operations.as_ref();
+            let operations =
+                operations.ok_or("its settings have no <operations>: it keeps nothing on disk")?;
+            let disk = LyingDisk::new(Folder::open(&operations.state)?, lie)?;
+            let share = || Box::new(disk.clone());
+            Some(Disks { intents: share(), events: share(), endings: share(), fleet: share() })
+        }
+    };
+    super::serve::serve(config, disks, Clock::default().ahead(options.ahead)).await
 }
 
 #[derive(Debug, Args)]
--- a/crates/gaparch-cli/src/commands/serve.rs
+++ b/crates/gaparch-cli/src/commands/serve.rs
@@ -3,6 +3,7 @@
 use crate::Outcome;
 use clap::Args;
 use gaparch_config::Config;
+use gaparch_net::Clock;
 use gaparch_router::shell::{serve_on, Disks};
 use std::io::Write;
 use std::path::PathBuf;
@@ -24,13 +25,13 @@
 }
 
 pub async fn run(options: Options) -> Outcome {
-    serve(super::settings(&options.file)?, None).await
+    serve(super::settings(&options.file)?, None, Clock::default()).await
 }
 
 /// Runs a router until it is told to end, on its own disks or on others.
-pub async fn serve(config: Config, disks: Option<Disks>) -> Outcome {
+pub async fn serve(config: Config, disks: Option<Disks>, clock: Clock) -> Outcome {
     let name = config.router.clone();
-    let router = serve_on(config, disks).await?;
+    let router = serve_on(config, disks, clock).await?;
     for address in router.addresses() {
         say(&format!("gaparch: {name} listens at http://{address}"));
     }
--- a/crates/gaparch-lab/src/fleet/process.rs
+++ b/crates/gaparch-lab/src/fleet/process.rs
@@ -20,6 +20,8 @@
     stopped: bool,
     /// How its disk lies.
     disk: Option<String>,
+    /// Seconds that its wall clock is ahead.
+    ahead: i32,
 }
 
 impl Process {
@@ -29,7 +31,15 @@
     /// When the file can't be written.
     pub fn new(program: &Path, settings: PathBuf, text: &str, log: PathBuf) -> io::Result<Process> {
         std::fs::write(&settings, text)?;
-        Ok(Process { program: program.to_owned(), settings, log, child: None, stopped: false, disk: None })
+        Ok(Process {
+            program: program.to_owned(),
+            settings,
+            log,
+            child: None,
+            stopped: false,
+            disk: None,
+            ahead: 0,
+        })
     }
 
     /// Starts it, or starts it again.
@@ -40,10 +50,15 @@
         self.kill()?;
         let log = File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(&self.program);
-        match &self.disk {
-            None => command.arg("serve"),
-            Some(lie) => command.args(["lab", "serve", "--disk", lie]),
-        };
+        match (&self.disk, self.ahead) {
+            (None, 0) => {
+                command.arg("serve");
+            }
+            (lie, ahead) => {
+                command.args(["lab", "serve", &format!("--ahead={ahead}")]);
+                command.args(lie.iter().map(|lie| format!("--disk={lie}")));
+            }
+        }
         let child =
             command.arg(&self.settings).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()?;
         self.child = Some(child);
@@ -55,6 +70,11 @@
         self.disk = lie;
     }
 
+    /// From its next start on its wall clock is that many seconds ahead.
+    pub fn set_clock(&mut self, ahead: i32) {
+        self.ahead = ahead;
+    }
+
     fn signal(&self, signal: Signal) -> io::Result<()> {
         let pid = self.child.as_ref().and_then(|c| Pid::from_raw(i32::try_from(c.id()).ok()?));
         match pid {
--- /dev/null
+++ b/crates/gaparch-lab/src/fleet/streams.rs
@@ -0,0 +1,305 @@
+//! What stands between a router and whatever it speaks to over TCP: its engines, the list service, its clients.
+//!
+//! Each router is told addresses of relays of its own, so that a relay knows which link a stream takes. Bytes are late,
+//! slow, held or lost in one direction and not in the other; nobody is told so by a reset unless the day says so.
+
+use super::faults::{End, Faults, Table, Way};
+use crate::record::{Record, What};
+use crate::site::Site;
+use bytes::{Bytes, BytesMut};
+use gaparch_net::Clock;
+use gaparch_protocol::engine::{EngineFrame, Peer};
+use gaparch_protocol::frame::encode;
+use gaparch_protocol::list::ListFrame;
+use gaparch_protocol::FrameDecoder;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// Streams through one relay at once; more are closed.
+const MOST_STREAMS: usize = 1024;
+/// Pieces of a stream under way in one direction, and bytes of each; past them the sender is not read from.
+const PIECES: usize = 64;
+const PIECE: usize = 16 * 1024;
+/// Bytes in which the first frame of a stream has to be found.
+const HELLO: usize = 4096;
+/// Between two pieces of a slow stream, at the least.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Who records what passed.
+#[derive(Clone, Debug)]
+pub struct Witness {
+    pub clock: Clock,
+    pub record: Record,
+}
+
+/// The relays of a fleet's streams. They end when this is dropped.
+#[derive(Debug)]
+pub struct Streams {
+    /// Where each end is reached by each router, or a router by its clients.
+    addresses: BTreeMap<Way, SocketAddr>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Streams {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl Streams {
+    /// Relays from each router to these ends, and from clients to each router at these addresses.
+    ///
+    /// # Errors
+    /// When a socket can't be had.
+    pub async fn start(
+        routers: &[SocketAddr],
+        ends: &[(End, SocketAddr)],
+        faults: &Arc<Faults>,
+        witness: &Witness,
+    ) -> io::Result<Streams> {
+        let mut streams = Streams { addresses: BTreeMap::new(), tasks: Vec::new() };
+        let mut links: Vec<(Way, SocketAddr)> = Vec::new();
+        for (router, address) in routers.iter().enumerate() {
+            links.push(((End::Clients, End::Router(router)), *address));
+            links.extend(ends.iter().map(|(end, at)| ((End::Router(router), end.clone()), *at)));
+        }
+        let mut listeners = Vec::new();
+        for (way, to) in links {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+            streams.addresses.insert(way.clone(), listener.local_addr()?);
+            listeners.push((way, to, listener));
+        }
+        for (way, to, listener) in listeners {
+            // By the list's entries each router is to reach engines through its own relays.
+            let mut engines = BTreeMap::new();
+            if way.1 == End::List {
+                for (end, at) in ends {
+                    let relay = streams.addresses.get(&(way.0.clone(), end.clone()));
+                    engines.extend(relay.map(|relay| (at.to_string(), relay.to_string())));
+                }
+            }
+            let relay = Relay { way, to, faults: faults.watch(), engines, witness: witness.clone() };
+            streams.tasks.push(tokio::spawn(relay.run(listener)));
+        }
+        Ok(streams)
+    }
+
+    /// Where the second is reached by the first.
+    pub fn address(&self, from: End, to: End) -> Option<SocketAddr> {
+        self.addresses.get(&(from, to)).copied()
+    }
+
+    /// All that a router is told to reach through relays.
+    pub fn of_router(&self, router: usize) -> impl Iterator<Item = (&End, SocketAddr)> {
+        let of = self.addresses.iter().filter(move |((from, _), _)| *from == End::Router(router));
+        of.map(|((_, to), at)| (to, *at))
+    }
+}
+
+/// A stream that goes no further: both of its sides are closed.
+struct Broken;
+
+#[derive(Clone)]
+struct Relay {
+    way: Way,
+    to: SocketAddr,
+    faults: watch::Receiver<Table>,
+    /// Addresses in lists, and what a router is told in their place.
+    engines: BTreeMap<String, String>,
+    witness: Witness,
+}
+
+impl Relay {
+    async fn run(self, listener: TcpListener) {
+        let mut streams = JoinSet::new();
+        loop {
+            while streams.try_join_next().is_some() {}
+            let Ok((socket, _)) = listener.accept().await else {
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            if streams.len() < MOST_STREAMS {
+                let relay = self.clone();
+                streams.spawn(async move { relay.carry(socket).await });
+            }
+        }
+    }
+
+    /// One stream; it ends with both of its sockets.
+    async fn carry(self, mut near: TcpStream) {
+        let _ = near.set_nodelay(true);
+        let mut first = BytesMut::new();
+        let mut relay = self;
+        if matches!(relay.way.1, End::Engine(_)) && !relay.is_router(&mut near, &mut first).await {
+            // Engines that fetch states from one another take the same address, and no router's link.
+            relay.way = (relay.way.1.clone(), relay.way.1.clone());
+        }
+        let (there, back) = (relay.way.clone(), (relay.way.1.clone(), relay.way.0.clone()));
+        let before = relay.faults.borrow().resets(&there) + relay.faults.borrow().resets(&back);
+        let mut faults = relay.faults.clone();
+        // What is silent one way makes no connection either.
+        let open = |t: &Table| !t.fault(&there).is_silent() && !t.fault(&back).is_silent();
+        if faults.wait_for(open).await.is_err() {
+            return;
+        }
+        // Where nobody listens the other side is told by the end of its stream, in silence otherwise.
+        let Ok(far) = TcpStream::connect(relay.to).await else { return };
+        let _ = far.set_nodelay(true);
+        let lists = relay.way.1 == End::List;
+        let (near_in, near_out) = near.into_split();
+        let (far_in, far_out) = far.into_split();
+        let out = Pump { way: there.clone(), faults: relay.faults.clone(), lists: None };
+        let reader = lists.then(|| Lists { relay: relay.clone(), decoder: FrameDecoder::default() });
+        let home = Pump { way: back.clone(), faults: relay.faults.clone(), lists: reader };
+        let reset = |t: &Table| t.resets(&there) + t.resets(&back) > before;
+        let both = async {
+            tokio::try_join!(
+                out.run(near_in, far_out, first.freeze()),
+                home.run(far_in, near_out, Bytes::new())
+            )
+        };
+        // With their halves dropped both sockets are closed; what was not read there makes it a reset.
+        tokio::select! {
+            _ = both => {}
+            _ = faults.wait_for(reset) => {}
+        }
+    }
+
+    /// Whether a router has opened the stream; what was read of it goes into `first`.
+    async fn is_router(&self, near: &mut TcpStream, first: &mut BytesMut) -> bool {
+        loop {
+            let mut decoder = FrameDecoder::default();
+            decoder.buffer().extend_from_slice(first);
+            match decoder.next_frame::<EngineFrame>() {
+                Ok(Some(EngineFrame::Hello { peer: Peer::Engine(_), .. })) => return false,
+                Ok(None) if first.len() < HELLO => {}
+                _ => return true,
+            }
+            if !matches!(near.read_buf(first).await, Ok(1..)) {
+                return true;
+            }
+        }
+    }
+}
+
+/// Frames of a list service on their way to a router.
+struct Lists {
+    relay: Relay,
+    decoder: FrameDecoder,
+}
+
+impl Lists {
+    /// The bytes for the router, and what it is told with them.
+    fn pass(&mut self, piece: &[u8]) -> (Bytes, Vec<What>) {
+        self.decoder.buffer().extend_from_slice(piece);
+        let (mut bytes, mut told) = (BytesMut::new(), Vec::new());
+        let End::Router(router) = self.relay.way.0 else { return (bytes.freeze(), told) };
+        while let Ok(Some(mut frame)) = self.decoder.next_frame::<ListFrame>() {
+            if let ListFrame::Update { entries, .. } = &mut frame {
+                for entry in entries {
+                    if let Some(address) = self.relay.engines.get(&entry.address) {
+                        entry.address.clone_from(address);
+                    }
+                    let (router, engine) = (Site::router_name(router), entry.engine.clone());
+                    told.push(What::Listed { router, engine, state: entry.state });
+                }
+            }
+            encode(&frame, &mut bytes);
+        }
+        (bytes.freeze(), told)
+    }
+}
+
+/// One direction of one stream.
+struct Pump {
+    way: Way,
+    faults: watch::Receiver<Table>,
+    lists: Option<Lists>,
+}
+
+impl Pump {
+    async fn run(self, mut from: OwnedReadHalf, to: OwnedWriteHalf, first: Bytes) -> Result<(), Broken> {
+        let (pieces, pieces_in) = mpsc::channel(PIECES);
+        let read = async move {
+            if !first.is_empty() && pieces.send((Instant::now(), first)).await.is_err() {
+                return Ok(());
+            }
+            loop {
+                let mut piece = BytesMut::with_capacity(PIECE);
+                // An error ends the stream as its end does: a peer that was killed is no more than gone.
+                if !matches!(from.read_buf(&mut piece).await, Ok(1..)) {
+                    return Ok(());
+                }
+                if pieces.send((Instant::now(), piece.freeze())).await.is_err() {
+                    return Ok(());
+                }
+            }
+        };
+        tokio::try_join!(read, self.write(to, pieces_in)).map(|_| ())
+    }
+
+    async fn write(
+        mut self,
+        mut to: OwnedWriteHalf,
+        mut pieces: mpsc::Receiver<(Instant, Bytes)>,
+    ) -> Result<(), Broken> {
+        let (way, mut faults) = (self.way.clone(), self.faults.clone());
+        loop {
+            let piece = pieces.recv().await;
+            let cut = self.faults.borrow().fault(&way).cut;
+            if cut && piece.is_some() {
+                // Whoever misses bytes must not take what follows for the next ones: all is lost until the cut ends,
+                // and the stream with it.
+                let lose = async {
+                    while pieces.recv().await.is_some() {}
+                    std::future::pending::<()>().await;
+                };
+                tokio::select! {
+                    () = lose => {}
+                    _ = faults.wait_for(|t| !t.fault(&way).cut) => {}
+                }
+                return Err(Broken);
+            }
+            // The end of a stream is as silent as its bytes.
+            if faults.wait_for(|t| !t.fault(&way).is_silent()).await.is_err() {
+                return Err(Broken);
+            }
+            let fault = faults.borrow().fault(&way);
+            let Some((at, piece)) = piece else { break };
+            sleep_until(at + fault.delay).await;
+            self.pass(&mut to, &piece, fault.rate).await?;
+        }
+        to.shutdown().await.map_err(|_| Broken)
+    }
+
+    async fn pass(&mut self, to: &mut OwnedWriteHalf, piece: &Bytes, rate: u32) -> Result<(), Broken> {
+        let (bytes, told) = match &mut self.lists {
+            Some(lists) => lists.pass(piece),
+            None => (piece.clone(), Vec::new()),
+        };
+        let at_once = match rate {
+            0 => bytes.len(),
+            _ => (f64::from(rate) * TICK.as_secs_f64()) as usize,
+        };
+        for part in bytes.chunks(at_once.max(1)) {
+            to.write_all(part).await.map_err(|_| Broken)?;
+            if rate > 0 {
+                sleep(Duration::from_secs_f64(part.len() as f64 / f64::from(rate))).await;
+            }
+        }
+        if let Some(lists) = &self.lists {
+            let witness = &lists.relay.witness;
+            told.into_iter().for_each(|what| witness.record.add(witness.clock.now(), what));
+        }
+        Ok(())
+    }
+}
--- a/crates/gaparch-lab/src/record.rs
+++ b/crates/gaparch-lab/src/record.rs
@@ -75,9 +75,15 @@
         engine: String,
         note: Note,
     },
-    /// A trouble of an engine's link begins or ends.
+    /// A trouble of an engine's link begins or ends: of its link with one router, or with all.
     Cut {
         engine: String,
+        router: Option<String>,
+        cut: bool,
+    },
+    /// A trouble of the links between a router and its clients begins or ends.
+    ClientsCut {
+        router: String,
         cut: bool,
     },
     /// The list service wrote this to that router.
@@ -95,6 +101,11 @@
     RouterKilled {
         router: String,
     },
+    /// It was stopped for a while, or goes on: what came to it meanwhile it could not know.
+    RouterStopped {
+        router: String,
+        stopped: bool,
+    },
     Asked {
         ask: Ask,
         router: String,
--- a/crates/gaparch-lab/src/site.rs
+++ b/crates/gaparch-lab/src/site.rs
@@ -160,8 +160,9 @@
             entries.push(entry(spec, engine.address(), ServerState::Ready));
             engines.insert(spec.name.clone(), engine);
         }
-        let list =
-            ListService::start((Ipv4Addr::LOCALHOST, 0).into(), entries, clock, record.clone()).await?;
+        // Between processes there are relays: what those passed on is what a router was told.
+        let told = if plan.processes { Record::default() } else { record.clone() };
+        let list = ListService::start((Ipv4Addr::LOCALHOST, 0).into(), entries, clock, told).await?;
         let mut site = Site {
             clock,
             record,
@@ -290,7 +291,7 @@
     pub async fn start_router_on(&mut self, router: usize, disks: Option<Disks>) -> Result<(), SiteError> {
         let config = self.config(router)?;
         let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-        let handle = runtime.spawn(serve_on(config, disks)).await;
+        let handle = runtime.spawn(serve_on(config, disks, Clock::default())).await;
         let handle = handle.map_err(std::io::Error::other)??;
         self.routers[router] = Some(Router { handle, runtime });
         Ok(())
@@ -335,7 +336,7 @@
     /// Switches a fault of an engine, and notes it where the checker has to know.
     pub async fn fault(&self, engine: &str, fault: Fault) {
         if let Fault::CutLink(cut) = fault {
-            self.record.add(self.clock.now(), What::Cut { engine: engine.to_owned(), cut });
+            self.record.add(self.clock.now(), What::Cut { engine: engine.to_owned(), router: None, cut });
         }
         if let Some(handle) = self.engines.get(engine) {
             handle.fault(fault).await;
--- a/crates/gaparch-net/src/clock.rs
+++ b/crates/gaparch-net/src/clock.rs
@@ -19,6 +19,14 @@
 }
 
 impl Clock {
+    /// The same clock with the wall's time off by so many seconds.
+    #[must_use]
+    pub fn ahead(self, seconds: i32) -> Clock {
+        let by = nanos(Duration::from_secs(u64::from(seconds.unsigned_abs())));
+        let nanos = if seconds < 0 { self.nanos.saturating_sub(by) } else { self.nanos.saturating_add(by) };
+        Clock { nanos, ..self }
+    }
+
     pub fn now(&self) -> Nanos {
         self.at(Instant::now())
     }
--- a/crates/gaparch-router/src/shell/mod.rs
+++ b/crates/gaparch-router/src/shell/mod.rs
@@ -146,20 +146,23 @@
 /// # Errors
 /// When an address can't be listened at, or the state folder can't be had.
 pub async fn serve(config: Config) -> Result<RouterHandle, ServeError> {
-    serve_on(config, None).await
+    serve_on(config, None, Clock::default()).await
 }
 
-/// Starts a router whose state is kept on other disks than the settings' folder, for tests.
+/// Starts a router whose state is kept on other disks than the settings' folder, or whose clock is off, for tests.
 ///
 /// # Errors
 /// As for [`serve`].
-pub async fn serve_on(config: Config, disks: Option<Disks>) -> Result<RouterHandle, ServeError> {
+pub async fn serve_on(
+    config: Config,
+    disks: Option<Disks>,
+    clock: Clock,
+) -> Result<RouterHandle, ServeError> {
     // What operators have ordered holds before the first request can come.
     let prepared = match &config.operations {
         Some(settings) => Some(ops::prepare(settings.clone(), disks).await?),
         None => None,
     };
-    let clock = Clock::default();
     // Later runs have a later number: an engine must not take one run's states for another's.
     let run = RouterRun(clock.now() ^ (u64::from(std::process::id()) << 32) ^ run_number());
     let mut listeners = Vec::new();
