An engine that was not there is cold, whatever its or our clock says

Checked: roster.rs believed the start in the engine's hello by its own clock, so it looked an hour warm; a clock behind dropped the word, and it looked as warm as before. Change: another process than before began after the last time at which it was not there; one that speaks has begun.

--- a/crates/gaparch-router/src/core/links.rs
+++ b/crates/gaparch-router/src/core/links.rs
@@ -46,6 +46,7 @@
     pub(super) fn on_engine_down(&mut self, engine: ServerId, conn: ConnNo, out: &mut Vec<Output>) {
         let Some(link) = self.engines.get_mut(&engine) else { return };
         let Some(down) = link.down(conn, &self.config.attempts) else { return };
+        self.roster.away(engine, self.now);
         if self.roster.wanted(engine) {
             self.timers.set(self.now.saturating_add(down.retry_after), Timer::Reconnect(engine));
         }
--- a/crates/gaparch-router/src/core/roster.rs
+++ b/crates/gaparch-router/src/core/roster.rs
@@ -33,6 +33,10 @@
     pub address: SocketAddr,
     /// As the module is told: with the operators' word.
     pub entry: Entry,
+    /// What its process says of its start, by its own clock.
+    said: Option<u64>,
+    /// When it was last not there, or could not be reached, by the clock here.
+    away_at: Nanos,
 }
 
 /// What the list and the operators say together.
@@ -135,7 +139,8 @@
         let started = listed.started_at.filter(|at| *at <= now.saturating_add(CLOCKS_APART));
         counts.dropped_figures += u64::from(started != listed.started_at);
         // What the engine itself said of its start holds until the list knows of a later one.
-        let said = known.and_then(|k| k.entry.ready_at);
+        let ready_at = known.and_then(|k| k.entry.ready_at);
+        let (said, away_at) = known.map_or((None, 0), |k| (k.said, k.away_at));
         let entry = Entry {
             server,
             zone: config.names.zone(&listed.zone),
@@ -143,23 +148,34 @@
             cell: config.names.cell(&listed.zone, &listed.rack),
             state: state_of(&listed, book),
             weight,
-            ready_at: started.max(said),
+            ready_at: started.max(ready_at),
         };
-        self.known.insert(server, Known { listed, address, entry: entry.clone() });
+        self.known.insert(server, Known { listed, address, entry: entry.clone(), said, away_at });
         Some(entry)
     }
 
+    /// Nothing answers there now.
+    pub fn away(&mut self, server: ServerId, now: Nanos) {
+        self.known.get_mut(&server).into_iter().for_each(|k| k.away_at = now);
+    }
+
     /// An engine has said when it started; the entry to tell of, if that is news.
+    ///
+    /// Its clock is another machine's, and may be hours off: a process that speaks has begun by now, and one that was
+    /// not there before began after the time at which it was not. Believed as it stands, a start told by a clock behind
+    /// ours makes a cold engine look warm, and one ahead of ours keeps it cold.
     pub fn started(&mut self, server: ServerId, at: u64, now: Nanos, counts: &mut Counts) -> Option<Entry> {
         let known = self.known.get_mut(&server)?;
-        if at > now.saturating_add(CLOCKS_APART) {
-            counts.dropped_figures += 1;
-            return None;
-        }
-        if known.entry.ready_at.is_some_and(|ready| ready >= at) {
+        counts.dropped_figures += u64::from(at > now.saturating_add(CLOCKS_APART));
+        let began = match known.said.replace(at) {
+            Some(before) if before == at => return None,
+            Some(_) => at.min(now).max(known.away_at),
+            None => at.min(now),
+        };
+        if known.entry.ready_at.is_some_and(|ready| ready >= began) {
             return None;
         }
-        known.entry.ready_at = Some(at);
+        known.entry.ready_at = Some(began);
         Some(known.entry.clone())
     }
 
--- a/crates/gaparch-router/tests/core.rs
+++ b/crates/gaparch-router/tests/core.rs
@@ -447,3 +447,26 @@
     let down = |name: &str| ending.evidence.iter().any(|e| e.engine == name && e.avoided == "unreachable");
     assert!(down("write-1") && down("write-2"), "{:?}", ending.evidence);
 }
+
+#[test]
+fn an_engine_that_was_not_there_is_cold_whatever_its_clock_says() {
+    let mut bench = Bench::new();
+    let reader = server_id("read-1");
+    let again = |bench: &mut Bench, started_at: u64| {
+        let conn = bench.conns[&reader];
+        bench.input(Input::EngineDown { engine: reader, conn });
+        let away = bench.now;
+        bench.pass(5 * S);
+        bench.up("read-1", Role::Read, started_at);
+        (away, bench.core.process(reader).expect("listed").1)
+    };
+    let (_, began) = again(&mut bench, 1);
+    assert_eq!(began, 1, "the same process: its connection was lost");
+    // Its clock is far behind, as seen from here: it would look long warm.
+    let (away, began) = again(&mut bench, 2);
+    assert_eq!(began, away);
+    // Far ahead: it would stay cold for hours, or its word would be dropped and it would look warm.
+    let ahead = bench.now + 24 * 3600 * S;
+    let (_, began) = again(&mut bench, ahead);
+    assert_eq!(began, bench.now);
+}
