Routers of the rig end with it; a page of members is made from few of them

Need: a rig killed by kill -9 left its routers running, and 1,000 members in virtual time did not end. Change: routers ask the system to end with their parent; a page of an exchange looks at as many members as fit, not at all.

--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -4,7 +4,7 @@
 use clap::{Args, Subcommand};
 use gaparch_lab::fleet::day::Day;
 use gaparch_lab::fleet::lying::{Lie, LyingDisk};
-use gaparch_lab::fleet::{days, picture, rig};
+use gaparch_lab::fleet::{days, picture, process, rig};
 use gaparch_net::Clock;
 use gaparch_router::shell::Disks;
 use gaparch_store::Folder;
@@ -25,7 +25,7 @@
 enum Command {
     /// Break a fleet of routers and judge what they do: a group, a day by name, or a file
     Fleet(Fleet),
-    /// Run a router as `gaparch serve` does, on a disk that lies or by a clock that is off
+    /// Run a router as `gaparch serve` does, on a disk that lies or by a clock that is off, until this command's parent ends
     Serve(Serve),
 }
 
@@ -42,6 +42,7 @@
 }
 
 async fn serve(options: &Serve) -> Outcome {
+    process::end_with_parent()?;
     let config = super::settings(&options.file)?;
     let disks = match options.disk {
         None => None,
--- a/crates/gaparch-cli/tests/fleet.rs
+++ b/crates/gaparch-cli/tests/fleet.rs
@@ -1,6 +1,7 @@
 //! Fleets of routers as processes of the program, broken on purpose.
 
 use std::process::{Command, Output};
+use std::time::{Duration, Instant};
 
 fn lab(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_gaparch"))
@@ -19,7 +20,57 @@
     let output = lab(&["membership", "--small"]);
     let said = text(&output.stdout);
     assert!(output.status.success(), "{said}{}", text(&output.stderr));
-    assert!(said.ends_with("fleet: 12 days hold\n"), "{said}");
+    assert!(said.ends_with("fleet: 16 days hold\n"), "{said}");
+}
+
+#[test]
+fn links_to_engines_list_and_clients_break_in_each_way() {
+    let output = lab(&["links", "--small"]);
+    let said = text(&output.stdout);
+    assert!(output.status.success(), "{said}{}", text(&output.stderr));
+    assert!(said.ends_with("fleet: 3 days hold\n"), "{said}");
+}
+
+/// The processes that one has started, those that have ended left out.
+fn children(of: u32) -> Vec<u32> {
+    let parent = |pid: u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        let mut fields = stat.rsplit(')').next()?.split_whitespace();
+        let state = fields.next()?.to_owned();
+        Some((state, fields.next()?.parse::<u32>().ok()?))
+    };
+    let all = std::fs::read_dir("/proc").expect("a list").flatten();
+    let pids = all.filter_map(|e| e.file_name().to_str()?.parse::<u32>().ok());
+    pids.filter(|pid| parent(*pid).is_some_and(|(state, by)| by == of && state != "Z")).collect()
+}
+
+#[test]
+fn routers_end_with_a_rig_that_is_killed() {
+    let mut rig = Command::new(env!("CARGO_BIN_EXE_gaparch"))
+        .args(["lab", "fleet", "forged"])
+        .stdout(std::process::Stdio::null())
+        .spawn()
+        .expect("it runs");
+    let until = Instant::now() + Duration::from_secs(20);
+    let mut routers = Vec::new();
+    while routers.len() < 3 && Instant::now() < until {
+        routers = children(rig.id());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(routers.len() >= 3, "it starts routers");
+    // All it starts are there, and each has asked to end with it.
+    std::thread::sleep(Duration::from_millis(500));
+    let routers = children(rig.id());
+    rig.kill().expect("killed");
+    rig.wait().expect("gone");
+    let lives = |pid: &u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        stat.contains("gaparch") && !stat.contains(") Z ")
+    };
+    while routers.iter().any(lives) && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(!routers.iter().any(lives), "they outlived it");
 }
 
 /// The same day without the refinements: what it shows is not shown by itself.
@@ -36,7 +87,7 @@
     let output = lab(&["no-such-day"]);
     assert!(!output.status.success());
     let said = text(&output.stderr);
-    assert!(said.contains("there are membership, membership-long, killed"), "{said}");
+    assert!(said.contains("there are membership, links, membership-long, killed"), "{said}");
     let file = std::env::temp_dir().join(format!("gaparch-day-{}.xml", std::process::id()));
     let day = |inner: &str| format!(r#"<day name="x" says="x" routers="3" lasts="5s">{inner}</day>"#);
     for (inner, wrong) in [
@@ -45,6 +96,8 @@
         (r#"<do at="1s" what="kill" routers="7"/>"#, "router 7 is named, there are 3"),
         (r#"<do at="1s" what="fault" engine="read-0" fault="explode"/>"#, "<do fault>: 'explode'"),
         (r#"<do at="1s" what="disk" routers="1"/>"#, "<do disk>: goes with"),
+        (r#"<do at="1s" what="clock" routers="1"/>"#, "<do ahead>: goes with"),
+        (r#"<do at="1s" what="stall" from="list" to="clients"/>"#, "of which a router is an end"),
         (r#"<want at="4s" within="3s" what="whole"/>"#, "could be seen after the day's end only"),
         (r#"<want at="1s" within="1s" what="dead"/>"#, "has to say of whom"),
     ] {
--- a/crates/gaparch-lab/examples/membership.rs
+++ b/crates/gaparch-lab/examples/membership.rs
@@ -1,5 +1,5 @@
 //! Measures the membership core in virtual time, beside plain SWIM:
-//! `cargo run --release -p gaparch-lab --example membership -- 3 9 40 300`.
+//! `cargo run --release -p gaparch-lab --example membership -- 3 9 40 300`; `refined` among them leaves plain SWIM out.
 
 use gaparch_lab::fleet::world::{name, Link, Terms, World, SECOND};
 use gaparch_membership::Happening;
@@ -35,9 +35,10 @@
         "bytes/s",
         "us/message"
     );
+    let only_refined = std::env::args().any(|word| word == "refined");
     let sizes: Vec<usize> = std::env::args().skip(1).filter_map(|n| n.parse().ok()).collect();
     for members in if sizes.is_empty() { vec![3, 9, 40, 300] } else { sizes } {
-        for refined in [true, false] {
+        for refined in [true, false].into_iter().filter(|refined| *refined || !only_refined) {
             let began = Instant::now();
             let mut world = World::new(members, Terms { refined, ..Terms::of(members) });
             world.run_for(20 * SECOND);
--- a/crates/gaparch-lab/src/fleet/process.rs
+++ b/crates/gaparch-lab/src/fleet/process.rs
@@ -1,6 +1,6 @@
 //! Routers as processes of the built program.
 
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, set_parent_process_death_signal, Pid, Signal};
 use std::fs::File;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -10,6 +10,14 @@
 /// For a process that was killed to be gone.
 const GONE_WITHIN: Duration = Duration::from_secs(5);
 
+/// From now on this process is killed when the one that started it ends, however that does.
+///
+/// # Errors
+/// When the system says so.
+pub fn end_with_parent() -> io::Result<()> {
+    Ok(set_parent_process_death_signal(Some(Signal::KILL))?)
+}
+
 /// A router of its own process. Dropped, it is killed: the rig leaves nothing behind.
 #[derive(Debug)]
 pub struct Process {
@@ -50,15 +58,9 @@
         self.kill()?;
         let log = File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(&self.program);
-        match (&self.disk, self.ahead) {
-            (None, 0) => {
-                command.arg("serve");
-            }
-            (lie, ahead) => {
-                command.args(["lab", "serve", &format!("--ahead={ahead}")]);
-                command.args(lie.iter().map(|lie| format!("--disk={lie}")));
-            }
-        }
+        // As `gaparch serve`, but it ends with this process even where that is killed and can end nothing any more.
+        command.args(["lab", "serve", &format!("--ahead={}", self.ahead)]);
+        command.args(self.disk.iter().map(|lie| format!("--disk={lie}")));
         let child =
             command.arg(&self.settings).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()?;
         self.child = Some(child);
--- a/crates/gaparch-membership/src/core/exchange.rs
+++ b/crates/gaparch-membership/src/core/exchange.rs
@@ -1,19 +1,18 @@
 //! Asking another for all that it knows.
 
 use super::*;
+use std::ops::Bound;
+
+/// Members that are looked at for one page; the shortest words of so many do not fit into a datagram.
+const MOST_OF_A_PAGE: usize = MOST_BYTES / 16;
 
 impl Membership {
     pub(super) fn exchange(&mut self, out: &mut Vec<Output>) {
         if self.now < self.exchange_at {
             return;
         }
-        let alive: Vec<String> = self
-            .members
-            .iter()
-            .filter(|(_, m)| m.state == MemberState::Alive)
-            .map(|(n, _)| n.clone())
-            .collect();
-        let Some(name) = alive.choose(&mut self.rng).cloned() else { return };
+        let alive = self.members.iter().filter(|(_, m)| m.state == MemberState::Alive);
+        let Some(name) = alive.map(|(n, _)| n).choose(&mut self.rng).cloned() else { return };
         let after = self.exchange.take().map(|(_, after)| after).unwrap_or_default();
         self.ask_for(&name, after, out);
     }
@@ -25,7 +24,10 @@
     }
 
     pub(super) fn on_want(&mut self, from: &str, after: String, out: &mut Vec<Output>) {
-        let names: Vec<String> = self.members.keys().filter(|n| **n > after && *n != from).cloned().collect();
+        // More than fit into a page need not be looked at: of a thousand members that was most of the work.
+        let later = (Bound::Excluded(after.as_str()), Bound::Unbounded);
+        let names = self.members.range::<str, _>(later).map(|(name, _)| name).filter(|n| *n != from);
+        let names: Vec<String> = names.take(MOST_OF_A_PAGE).cloned().collect();
         let topics: Vec<Topic> = names.iter().cloned().map(Topic::Member).collect();
         let Some(address) = self.address(from) else { return };
         // How many go into one datagram is known once it is made.
--- a/crates/gaparch-membership/src/core/mod.rs
+++ b/crates/gaparch-membership/src/core/mod.rs
@@ -18,7 +18,7 @@
 use crate::view::{Happening, MemberView, View};
 use crate::{Nanos, CODE, MS};
 use gaparch_protocol::fleet::{self, Facts, MemberState, Message, News, Word, MOST_BYTES};
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
