--- a/crates/gaparch-lab/tests/checker.rs
+++ b/crates/gaparch-lab/tests/checker.rs
@@ -196,3 +196,63 @@
     let in_time = vec![at(500, held(false))];
     assert_eq!(broken(&verdict(Effect::Safe, in_time, let_go)), [0usize; 0]);
 }
+
+fn stopped(ms: u64, stopped: bool) -> Entry {
+    at(ms, What::RouterStopped { router: "router-0".to_owned(), stopped })
+}
+
+#[test]
+fn a_stopped_router_owes_its_answer_when_it_wakes_and_knows_then_what_it_was_told() {
+    let late = |what: &What| matches!(what, What::Ended { .. } | What::First { .. });
+    let ended = |ms| at(ms, What::Ended { ask: Ask(1), end: End::Failed });
+    let woken = |until, answer| vec![stopped(100, true), stopped(until, false), ended(answer)];
+    assert_eq!(broken(&verdict(Effect::Safe, woken(6000, 6020), late)), [0usize; 0]);
+    assert_eq!(broken(&verdict(Effect::Safe, woken(2000, 7200), late)), [1], "long after it woke");
+    assert_eq!(broken(&verdict(Effect::Safe, vec![stopped(100, true), stopped(200, false)], late)), [1]);
+    let draining = What::Listed {
+        router: "router-0".to_owned(),
+        engine: "near".to_owned(),
+        state: ServerState::Draining,
+    };
+    let sent = |ms| {
+        vec![
+            at(400, frame("near", Way::In, Seen::Reserve { key: key(2) })),
+            stopped(500, true),
+            at(600, draining.clone()),
+            stopped(3000, false),
+            at(ms, frame("near", Way::In, Seen::Reserve { key: key(3) })),
+        ]
+    };
+    assert_eq!(broken(&verdict(Effect::Safe, sent(3100), none)), [0usize; 0]);
+    assert_eq!(broken(&verdict(Effect::Safe, sent(3700), none)), [3], "past the grace after it woke");
+}
+
+#[test]
+fn what_a_cut_link_holds_is_no_fault_of_the_router_and_what_it_does_else_is() {
+    let cut = |engine: &str, ms, cut| {
+        let router = Some("router-0".to_owned());
+        at(ms, What::Cut { engine: engine.to_owned(), router, cut })
+    };
+    // The call off arrives when the link is whole again.
+    let at_once = || {
+        vec![
+            at(100, frame("far", Way::In, write(2))),
+            at(120, frame("far", Way::Out, Seen::Outcome { key: key(2), ok: false, not_run: true })),
+        ]
+    };
+    let over = |engine: &str| {
+        let mut all = at_once();
+        all.extend([cut(engine, 50, true), cut(engine, 250, false)]);
+        all
+    };
+    assert_eq!(broken(&verdict(Effect::Safe, over("near"), none)), [0usize; 0]);
+    assert_eq!(broken(&verdict(Effect::Safe, over("reader"), none)), [2], "another link");
+    assert_eq!(broken(&verdict(Effect::Unsafe, over("near"), none)), [2], "forbidden whatever the link does");
+    let clients = |ms, cut| at(ms, What::ClientsCut { router: "router-0".to_owned(), cut });
+    let again = at(400, What::Ended { ask: Ask(1), end: End::Failed });
+    let unanswered = |what: &What| matches!(what, What::Ended { .. });
+    let while_cut = vec![clients(200, true), clients(4000, false)];
+    assert_eq!(broken(&verdict(Effect::Safe, while_cut.clone(), unanswered)), [0usize; 0]);
+    let twice = while_cut.into_iter().chain([again]).collect();
+    assert_eq!(broken(&verdict(Effect::Safe, twice, none)), [1]);
+}
