--- /dev/null
+++ b/crates/gaparch-audit/src/lib.rs
@@ -0,0 +1,25 @@
+//! Which version of the list of engines each router of a site holds, and how one that lags is brought up by the others:
+//! decided here, without I/O, clock or randomness but its seed.
+//!
+//! [`Held`] is the list that a router acts on. It takes what the list service says and what other routers hand on, and
+//! never lets an older version take the place of a newer one. [`Follow`] speaks with the other routers: it tells them
+//! what is held here, hears what they hold, believes what enough of them have from the service itself, and fetches it
+//! where the own link to the service is silent, or answers old versions. Times are nanoseconds of one monotonic clock.
+
+mod claims;
+mod fetch;
+mod follow;
+mod held;
+mod view;
+
+pub use follow::{Follow, Output, Settings};
+pub use held::{digest, Held, HeldList, Refusal, Taken};
+pub use view::{Happening, Row, View};
+
+/// Nanoseconds.
+pub type Nanos = u64;
+
+/// Engines that a list may have.
+pub const MOST_ENTRIES: u32 = 10_000;
+
+const MS: Nanos = 1_000_000;
--- /dev/null
+++ b/crates/gaparch-audit/tests/fleet.rs
@@ -0,0 +1,400 @@
+//! Routers that tell one another of versions, in virtual time: over any order, loss and duplication, whatever one says.
+
+use gaparch_audit::{digest, Follow, Happening, Held, HeldList, Nanos, Output, Settings, Taken};
+use gaparch_protocol::list::{ListEntry, Scope, ServerState};
+use gaparch_protocol::versions::{Claim, ListVersion, Talk};
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const MS: Nanos = 1_000_000;
+const CONFIRM: Nanos = 2_000 * MS;
+const STEP: Nanos = 10 * MS;
+
+fn entry(name: usize, state: ServerState) -> ListEntry {
+    ListEntry {
+        engine: format!("engine-{name:03}"),
+        address: format!("10.0.0.{name}:7000"),
+        kind: "read".to_owned(),
+        zone: "north".to_owned(),
+        rack: "n1".to_owned(),
+        state,
+        weight: None,
+        started_at: None,
+    }
+}
+
+/// The list service: an epoch, a version, entries.
+struct Service {
+    epoch: u64,
+    version: u64,
+    entries: Vec<ListEntry>,
+}
+
+impl Service {
+    fn new(engines: usize) -> Service {
+        Service {
+            epoch: 7,
+            version: 1,
+            entries: (0..engines).map(|n| entry(n, ServerState::Ready)).collect(),
+        }
+    }
+
+    fn change(&mut self) {
+        self.version += 1;
+        let at = self.version as usize % self.entries.len();
+        let state = match self.entries[at].state {
+            ServerState::Ready => ServerState::Draining,
+            _ => ServerState::Ready,
+        };
+        self.entries[at].state = state;
+    }
+}
+
+struct Router {
+    held: Held,
+    follow: Follow,
+    /// The service reaches it.
+    linked: bool,
+    first: bool,
+    told: Vec<Happening>,
+    heard_at: Nanos,
+}
+
+struct Fleet {
+    now: Nanos,
+    rng: ChaCha8Rng,
+    service: Service,
+    routers: Vec<Router>,
+    under_way: Vec<(Nanos, usize, usize, Talk)>,
+    loss: f64,
+    delay: Nanos,
+    /// One whose stamps are not what it holds.
+    liar: Option<usize>,
+    sent: u64,
+}
+
+fn name(n: usize) -> String {
+    format!("router-{n}")
+}
+
+impl Fleet {
+    fn new(routers: usize, engines: usize, seed: u64) -> Fleet {
+        let router = |n: usize| Router {
+            held: Held::default(),
+            follow: Follow::new(Settings { router: name(n), confirm: CONFIRM, seed: seed + n as u64 }, 0),
+            linked: true,
+            first: true,
+            told: Vec::new(),
+            heard_at: 0,
+        };
+        Fleet {
+            now: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            service: Service::new(engines),
+            routers: (0..routers).map(router).collect(),
+            under_way: Vec::new(),
+            loss: 0.0,
+            delay: 20 * MS,
+            liar: None,
+            sent: 0,
+        }
+    }
+
+    fn version(&self, n: usize) -> ListVersion {
+        self.routers[n].held.version().unwrap_or_default()
+    }
+
+    fn latest(&self, n: usize) -> bool {
+        let version = self.version(n);
+        version.epoch == self.service.epoch && version.version == self.service.version
+    }
+
+    fn run(&mut self, time: Nanos) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += STEP;
+            for n in 0..self.routers.len() {
+                self.hear_service(n);
+                let mut out = Vec::new();
+                let others = (0..self.routers.len()).filter(|o| *o != n).map(name).collect();
+                if self.now >= self.routers[n].follow.next_at() {
+                    self.routers[n].follow.on_time(self.now, others, &mut out);
+                }
+                self.carry_out(n, out);
+            }
+            let (due, later) = std::mem::take(&mut self.under_way).into_iter().partition(|m| m.0 <= self.now);
+            self.under_way = later;
+            let due: Vec<(Nanos, usize, usize, Talk)> = due;
+            for (_, from, to, talk) in due {
+                let mut out = Vec::new();
+                self.routers[to].follow.on_talk(self.now, &name(from), talk, &mut out);
+                self.carry_out(to, out);
+            }
+        }
+    }
+
+    /// The service says all it has each half second, and each change at once.
+    fn hear_service(&mut self, n: usize) {
+        let router = &mut self.routers[n];
+        let due = router.held.version().is_none_or(|v| v.version != self.service.version)
+            || self.now >= router.heard_at + 500 * MS;
+        if !router.linked || !due {
+            return;
+        }
+        router.heard_at = self.now;
+        let Service { epoch, version, entries } = &self.service;
+        let first = std::mem::take(&mut router.first);
+        match router.held.from_service(*epoch, first, Scope::Full, *version, entries) {
+            Taken::New { .. } => router.follow.on_news(self.now, Some(router.held.list()), Some(self.now)),
+            Taken::Same => router.follow.on_news(self.now, Some(router.held.list()), Some(self.now)),
+            Taken::Missed | Taken::Refused(_) => {}
+        }
+    }
+
+    fn carry_out(&mut self, n: usize, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Say { to, talk } => {
+                    let to: usize =
+                        to.strip_prefix("router-").and_then(|t| t.parse().ok()).expect("a router");
+                    let talk = if self.liar == Some(n) { lie(talk) } else { talk };
+                    self.sent += 1;
+                    for _ in 0..=usize::from(self.rng.random_bool(self.loss / 2.0)) {
+                        if !self.rng.random_bool(self.loss) {
+                            let late = self.rng.random_range(MS..=self.delay);
+                            self.under_way.push((self.now + late, n, to, talk.clone()));
+                        }
+                    }
+                }
+                Output::Take { list, .. } => {
+                    let router = &mut self.routers[n];
+                    if matches!(router.held.from_peer(&list), Taken::New { .. }) {
+                        router.follow.on_news(self.now, Some(router.held.list()), None);
+                    }
+                }
+                Output::Believed(version) => self.routers[n].held.believe(version),
+                Output::Happened(what) => self.routers[n].told.push(what),
+            }
+        }
+    }
+
+    fn told(&self, of: impl Fn(&Happening) -> bool) -> usize {
+        self.routers.iter().flat_map(|r| &r.told).filter(|t| of(t)).count()
+    }
+}
+
+/// Its versions are from the future, and its lists hold what nobody has listed.
+fn lie(talk: Talk) -> Talk {
+    let far = |v: ListVersion| ListVersion { version: v.version + (1 << 60), ..v };
+    match talk {
+        Talk::Stamp { held, digest, entries, claims, .. } => {
+            let claims = claims.into_iter().map(|c| Claim { version: far(c.version), ..c }).collect();
+            Talk::Stamp { held: far(held), digest: digest ^ 1, entries, sure: Some(0), claims }
+        }
+        Talk::Page { version, digest, from, of, mut entries } => {
+            entries.iter_mut().for_each(|e| e.address = "10.9.9.9:1".to_owned());
+            Talk::Page { version, digest, from, of, entries }
+        }
+        want => want,
+    }
+}
+
+#[test]
+fn one_whose_link_is_stalled_is_brought_up_by_the_others() {
+    let mut fleet = Fleet::new(9, 110, 1);
+    fleet.run(3_000 * MS);
+    fleet.routers[3].linked = false;
+    fleet.run(3_000 * MS);
+    fleet.service.change();
+    fleet.run(1_000 * MS);
+    assert!(fleet.latest(3), "{:?}", fleet.version(3));
+    assert!(fleet.routers[3].told.iter().any(|t| matches!(t, Happening::BroughtUp { .. })));
+    assert!(fleet.routers[3].told.iter().any(|t| matches!(t, Happening::Unsure { .. })));
+    assert_eq!(fleet.told(|t| matches!(t, Happening::BroughtUp { .. })), 1, "nobody else needed it");
+}
+
+#[test]
+fn one_that_still_hears_the_service_is_enough_for_all() {
+    let mut fleet = Fleet::new(9, 30, 2);
+    fleet.run(3_000 * MS);
+    (1..9).for_each(|n| fleet.routers[n].linked = false);
+    fleet.run(3_000 * MS);
+    fleet.service.change();
+    fleet.run(4_000 * MS);
+    assert!((0..9).all(|n| fleet.latest(n)), "{:?}", (0..9).map(|n| fleet.version(n)).collect::<Vec<_>>());
+}
+
+#[test]
+fn changes_ten_times_a_second_leave_nobody_behind_for_good() {
+    let mut fleet = Fleet::new(9, 110, 3);
+    (fleet.loss, fleet.delay) = (0.3, 100 * MS);
+    fleet.run(3_000 * MS);
+    [2, 5].into_iter().for_each(|n| fleet.routers[n].linked = false);
+    fleet.run(3_000 * MS);
+    for _ in 0..200 {
+        fleet.service.change();
+        fleet.run(100 * MS);
+        let lag = fleet.service.version - fleet.version(2).version;
+        assert!(lag < 40, "{lag} versions behind");
+    }
+    fleet.run(4_000 * MS);
+    assert!(fleet.latest(2) && fleet.latest(5));
+}
+
+#[test]
+fn a_service_that_begins_anew_is_a_new_epoch_for_all() {
+    let mut fleet = Fleet::new(5, 10, 4);
+    fleet.run(2_000 * MS);
+    (0..20).for_each(|_| fleet.service.change());
+    fleet.run(2_000 * MS);
+    fleet.routers[4].linked = false;
+    fleet.run(3_000 * MS);
+    (fleet.service.epoch, fleet.service.version) = (99, 1);
+    fleet.routers.iter_mut().for_each(|r| r.first = true);
+    fleet.run(3_000 * MS);
+    assert!((0..5).all(|n| fleet.latest(n)), "{:?}", fleet.version(4));
+    // Who starts now has seen one epoch only, and counts as the others do all the same.
+    fleet.routers[1].held = Held::default();
+    fleet.routers[1].first = true;
+    fleet.run(3_000 * MS);
+    assert_eq!(fleet.version(1), fleet.version(0));
+}
+
+#[test]
+fn old_answers_of_the_service_take_the_place_of_nothing() {
+    let mut fleet = Fleet::new(5, 10, 5);
+    fleet.run(1_000 * MS);
+    let old = Service { entries: fleet.service.entries.clone(), ..fleet.service };
+    fleet.run(1_000 * MS);
+    fleet.service.change();
+    fleet.run(1_000 * MS);
+    let held = fleet.version(2);
+    let router = &mut fleet.routers[2];
+    let taken = router.held.from_service(old.epoch, true, Scope::Full, old.version, &old.entries);
+    assert!(matches!(taken, Taken::Refused(_)), "{taken:?}");
+    assert_eq!(fleet.version(2), held);
+    // One that is answered so from its start on is brought up by the others, and says what is wrong.
+    let now = fleet.now;
+    let router = &mut fleet.routers[2];
+    (router.held, router.linked) = (Held::default(), false);
+    router.follow = Follow::new(Settings { router: name(2), confirm: CONFIRM, seed: 9 }, now);
+    let taken = router.held.from_service(old.epoch, true, Scope::Full, old.version, &old.entries);
+    assert!(matches!(taken, Taken::New { .. }));
+    router.follow.on_news(fleet.now, Some(router.held.list()), Some(fleet.now));
+    for _ in 0..50 {
+        fleet.run(100 * MS);
+        let router = &mut fleet.routers[2];
+        match router.held.from_service(old.epoch, false, Scope::Full, old.version, &old.entries) {
+            Taken::Same => router.follow.on_news(fleet.now, Some(router.held.list()), Some(fleet.now)),
+            other => assert!(matches!(other, Taken::Refused(_)), "{other:?}"),
+        }
+    }
+    assert!(fleet.latest(2));
+    assert!(fleet.routers[2].told.iter().any(|t| matches!(t, Happening::SourceIsOld { .. })));
+}
+
+#[test]
+fn two_services_that_differ_are_told_and_each_is_followed_by_its_own() {
+    let mut fleet = Fleet::new(5, 10, 6);
+    fleet.run(2_000 * MS);
+    let other = Service { epoch: 8, version: 40, entries: vec![entry(77, ServerState::Ready)] };
+    for _ in 0..60 {
+        for n in [3, 4] {
+            let router = &mut fleet.routers[n];
+            router.linked = false;
+            match router.held.from_service(other.epoch, false, Scope::Full, other.version, &other.entries) {
+                Taken::New { .. } => {
+                    router.follow.on_news(fleet.now, Some(router.held.list()), Some(fleet.now))
+                }
+                _ => router.follow.on_news(fleet.now, Some(router.held.list()), Some(fleet.now)),
+            }
+        }
+        fleet.run(100 * MS);
+    }
+    assert!((0..3).all(|n| fleet.latest(n)) && (3..5).all(|n| fleet.version(n).epoch == 8));
+    assert!(fleet.told(|t| matches!(t, Happening::TwoSources { .. })) > 0);
+}
+
+#[test]
+fn a_router_that_lies_moves_nobody_and_is_named() {
+    for linked in [9, 4, 2] {
+        let mut fleet = Fleet::new(9, 20, 7 + linked as u64);
+        fleet.run(2_000 * MS);
+        fleet.liar = Some(1);
+        (linked..9).for_each(|n| fleet.routers[n].linked = false);
+        fleet.run(6_000 * MS);
+        fleet.service.change();
+        fleet.run(4_000 * MS);
+        for n in (0..9).filter(|n| *n != 1) {
+            assert!(fleet.version(n).version < 1 << 50, "{n} was moved: {:?}", fleet.version(n));
+        }
+        assert!((0..linked).all(|n| fleet.latest(n)), "{linked}: who hears the service follows it");
+        let named = |t: &Happening| matches!(t, Happening::Outlier { router, .. } if *router == name(1));
+        assert!(fleet.told(named) > 0, "{linked}");
+        // No false floor is left behind: the service is followed on.
+        fleet.liar = None;
+        (0..9).for_each(|n| fleet.routers[n].linked = true);
+        fleet.service.change();
+        fleet.run(3_000 * MS);
+        assert!((0..9).all(|n| fleet.latest(n)), "{linked}");
+    }
+}
+
+#[test]
+fn a_page_that_was_harmed_is_not_acted_on() {
+    let entries: Vec<ListEntry> = (0..3).map(|n| entry(n, ServerState::Ready)).collect();
+    let version = ListVersion { rank: 1, epoch: 7, version: 3 };
+    let mut list = HeldList { version, digest: digest(&entries), entries };
+    let mut held = Held::default();
+    list.entries[1].state = ServerState::Gone;
+    assert!(matches!(held.from_peer(&list), Taken::Refused(_)));
+    list.entries[1].state = ServerState::Ready;
+    assert!(matches!(held.from_peer(&list), Taken::New { .. }));
+    // And the service's next change goes on from there.
+    let change = [entry(1, ServerState::Draining)];
+    assert!(matches!(held.from_service(7, true, Scope::Delta, 4, &change), Taken::New { .. }));
+    assert_eq!(held.from_service(7, false, Scope::Delta, 6, &change), Taken::Missed);
+    assert_eq!(held.list().digest, digest(&held.list().entries));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    /// Over any loss, delay and doubling, any links to the service and any changes: what is held never goes back, and
+    /// once one router hears the service all hold what it says.
+    #[test]
+    fn what_is_held_never_goes_back_and_all_come_to_hold_the_latest(
+        seed in any::<u64>(),
+        routers in 2usize..7,
+        loss in 0.0f64..0.5,
+        delay in 2u64..400,
+        steps in prop::collection::vec((any::<u8>(), 0u8..4), 1..12),
+    ) {
+        let mut fleet = Fleet::new(routers, 25, seed >> 1);
+        (fleet.loss, fleet.delay) = (loss, delay * MS);
+        let mut before = vec![ListVersion::default(); routers];
+        for (links, what) in steps {
+            (0..routers).for_each(|n| fleet.routers[n].linked = links >> (n % 8) & 1 == 1);
+            match what {
+                0 => {}
+                3 => {
+                    (fleet.service.epoch, fleet.service.version) = (fleet.service.epoch + 1, 1);
+                    fleet.routers.iter_mut().for_each(|r| r.first = true);
+                }
+                _ => (0..what).for_each(|_| fleet.service.change()),
+            }
+            fleet.run(700 * MS);
+            for n in 0..routers {
+                prop_assert!(fleet.version(n) >= before[n], "{} went back", n);
+                before[n] = fleet.version(n);
+            }
+        }
+        (0..routers).for_each(|n| fleet.routers[n].linked = n == 0);
+        fleet.routers[0].first = true;
+        fleet.run(15_000 * MS);
+        for n in 0..routers {
+            prop_assert!(fleet.latest(n), "{} holds {:?}, of {}.{}", n, fleet.version(n), fleet.service.epoch, fleet.service.version);
+        }
+    }
+}
--- a/crates/gaparch-cli/src/commands/ctl/mod.rs
+++ b/crates/gaparch-cli/src/commands/ctl/mod.rs
@@ -158,6 +158,8 @@
     Intents,
     /// The routers of the site, as this one sees them
     Members,
+    /// Which router of the site holds which version of the list, and how far behind it is
+    Fleet,
     /// Requests that were not served, grouped by why
     Refusals(Filter),
     /// The story of one request
@@ -301,6 +303,7 @@
         }
         Command::Intents => Query::Intents {},
         Command::Members => Query::Members {},
+        Command::Fleet => Query::Versions {},
         Command::Refusals(filter) if filter.list => Query::Endings { filter: filter.wanted()? },
         Command::Refusals(filter) => Query::Groups { filter: filter.wanted()? },
         Command::Why { request } => Query::Story { request: *request },
--- a/crates/gaparch-cli/src/commands/ctl/show.rs
+++ b/crates/gaparch-cli/src/commands/ctl/show.rs
@@ -4,8 +4,9 @@
 use gaparch_console::words;
 use gaparch_ops::watch::span;
 use gaparch_protocol::ops::ending::Ending;
-use gaparch_protocol::ops::view::{EngineView, FleetView, Happening, LiveView, Snapshot};
+use gaparch_protocol::ops::view::{EngineView, FleetView, Happening, LiveView, Snapshot, VersionsView};
 use gaparch_protocol::ops::{Answer, Update};
+use gaparch_protocol::versions::ListVersion;
 
 /// An answer as tables; of a snapshot the engines alone if that is what was asked for.
 pub fn answer(answer: &Answer, now: u64, engines_only: bool) -> String {
@@ -69,6 +70,7 @@
             table.to_string()
         }
         Answer::Members { fleet } => members(fleet, now),
+        Answer::Versions { versions } => fleet(versions, now),
         Answer::Intents { intents } => {
             let mut table = Table::new(&["change", "what", "by", "at", "kept", "why"]);
             for i in intents {
@@ -219,6 +221,51 @@
     }
 }
 
+/// Which router holds which list: this one, and a line for each that was heard of.
+fn fleet(view: &VersionsView, now: u64) -> String {
+    let name = |v: &ListVersion| format!("{}.{}", v.rank, v.version);
+    let sure = |sure: Option<u64>| {
+        sure.map_or("no: handed on, or unconfirmed".to_owned(), |for_| format!("{} ago", span(for_)))
+    };
+    let mut text = format!(
+        "this router holds list {} with {} engines; confirmed by the list service: {}\n",
+        name(&view.held),
+        view.entries,
+        sure(view.sure)
+    );
+    text += &match (&view.believed, view.corroborated) {
+        (None, _) => "no other router has the list from the service itself\n".to_owned(),
+        (Some(believed), true) => format!("others have {} from the service itself\n", name(believed)),
+        (Some(believed), false) => format!("one other has {} from the service itself\n", name(believed)),
+    };
+    if let Some(since) = view.behind_since {
+        text += &format!("BEHIND for {}\n", span(now.saturating_sub(since)));
+    }
+    if view.brought_up + view.refused > 0 {
+        text +=
+            &format!("{} lists handed on by others, {} words not believed\n", view.brought_up, view.refused);
+    }
+    let mut table = Table::new(&["router", "list", "confirmed", "said", "remark"]);
+    for row in &view.rows {
+        let remark = match &view.believed {
+            Some(believed) if row.held.epoch != believed.epoch => "another epoch".to_owned(),
+            Some(believed) if row.held < *believed => {
+                format!("{} behind", believed.version.saturating_sub(row.held.version))
+            }
+            Some(believed) if row.held == *believed => String::new(),
+            _ => "ahead, by its own word alone".to_owned(),
+        };
+        table.row(vec![
+            row.router.clone(),
+            name(&row.held),
+            sure(row.sure),
+            format!("{} ago", span(now.saturating_sub(row.said_at))),
+            remark,
+        ]);
+    }
+    text + &table.to_string()
+}
+
 /// The fleet: where this router stands, a line for each member, and the links that fail.
 fn members(fleet: &FleetView, now: u64) -> String {
     let ago = |at: u64| span(now.saturating_sub(at));
--- a/crates/gaparch-config/src/check.rs
+++ b/crates/gaparch-config/src/check.rs
@@ -24,6 +24,8 @@
 
 /// A probe each period, its answer, and as many to others that ask: some four datagrams of 1,200 bytes at most.
 const FLEET_BYTES_PER_S: u64 = 65_536;
+/// Periods in which a router hears of what some others hold.
+const CONFIRM_PERIODS: u64 = 5;
 const LEAST_PERIOD: Span = Span::millis(80);
 const MOST_PERIOD: Span = Span::secs(10);
 
@@ -182,6 +184,21 @@
             );
             self.wrong("fleet", 0, "hold", message);
         }
+        if let Some(confirm) = raw.confirm {
+            let least = Span(raw.period.0.saturating_mul(CONFIRM_PERIODS));
+            if confirm < least {
+                let message = format!(
+                    "{} ms at least, {CONFIRM_PERIODS} periods: what others hold is not told faster",
+                    least.0 / 1_000_000
+                );
+                self.wrong("fleet", 0, "confirm", message);
+            }
+            if all.list.is_none() {
+                let message =
+                    "wants <list>: with no list service nobody knows a newer list than the settings'";
+                self.wrong("fleet", 0, "confirm", message);
+            }
+        }
         let mut seeds = Vec::new();
         for (n, seed) in raw.seed.iter().enumerate() {
             seeds.extend(self.address("seed", n, &seed.address));
@@ -197,6 +214,7 @@
             seeds,
             period: raw.period.0,
             hold: raw.hold.0,
+            confirm: raw.confirm.map(|c| c.0),
             refined: raw.refined,
         })
     }
--- a/crates/gaparch-config/src/config.rs
+++ b/crates/gaparch-config/src/config.rs
@@ -57,6 +57,8 @@
     pub period: Nanos,
     /// How long a dead one is counted on.
     pub hold: Nanos,
+    /// For how long the list of engines may go unconfirmed before another router is asked for it; none: it never is.
+    pub confirm: Option<Nanos>,
     /// Without: plain SWIM, to compare with.
     pub refined: bool,
 }
--- a/crates/gaparch-config/src/raw.rs
+++ b/crates/gaparch-config/src/raw.rs
@@ -377,6 +377,8 @@
     pub period: Span,
     #[serde(rename = "@hold", default = "fleet_hold")]
     pub hold: Span,
+    #[serde(rename = "@confirm")]
+    pub confirm: Option<Span>,
     #[serde(rename = "@refined", default = "yes")]
     pub refined: bool,
     #[serde(default)]
--- a/crates/gaparch-lab/src/fleet/rig.rs
+++ b/crates/gaparch-lab/src/fleet/rig.rs
@@ -91,10 +91,9 @@
             !day.plain
         );
         let mut text = site.settings(router).replace("</gaparch>", &fleet);
-        for (end, relay) in streams.of_router(router) {
-            let direct = ends.iter().find(|(other, _)| other == end);
-            text = direct
-                .map_or(text.clone(), |(_, at)| text.replace(&format!("\"{at}\""), &format!("\"{relay}\"")));
+        for (end, at) in &ends {
+            let relay = streams.address(end).map_or(at.to_string(), |relay| relay.to_string());
+            text = text.replace(&format!("\"{at}\""), &format!("\"{relay}\""));
         }
         let file = |ending: &str| folder.join(format!("{}.{ending}", Site::router_name(router)));
         processes.push(Process::new(program, file("xml"), &text, file("log"))?);
@@ -315,7 +314,7 @@
                 router: Site::router_name(router),
                 address: self
                     .streams
-                    .address(End::Clients, End::Router(router))
+                    .address(&End::Router(router))
                     .unwrap_or_else(|| self.site.address(router)),
                 patience: Patience::Stays,
                 ask: Ask(number),
--- a/crates/gaparch-lab/src/fleet/streams.rs
+++ b/crates/gaparch-lab/src/fleet/streams.rs
@@ -5,7 +5,6 @@
 
 use super::faults::{End, Faults, Table, Way};
 use crate::record::{Record, What};
-use crate::site::Site;
 use bytes::{Bytes, BytesMut};
 use gaparch_net::Clock;
 use gaparch_protocol::engine::{EngineFrame, Peer};
@@ -44,8 +43,8 @@
 /// The relays of a fleet's streams. They end when this is dropped.
 #[derive(Debug)]
 pub struct Streams {
-    /// Where each end is reached by each router, or a router by its clients.
-    addresses: BTreeMap<Way, SocketAddr>,
+    /// Where engines and the list service are reached by all routers, and each router by its clients.
+    addresses: BTreeMap<End, SocketAddr>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -56,7 +55,7 @@
 }
 
 impl Streams {
-    /// Relays from each router to these ends, and from clients to each router at these addresses.
+    /// Relays from routers to these ends, and from clients to each router at these addresses.
     ///
     /// # Errors
     /// When a socket can't be had.
@@ -67,41 +66,28 @@
         witness: &Witness,
     ) -> io::Result<Streams> {
         let mut streams = Streams { addresses: BTreeMap::new(), tasks: Vec::new() };
-        let mut links: Vec<(Way, SocketAddr)> = Vec::new();
-        for (router, address) in routers.iter().enumerate() {
-            links.push(((End::Clients, End::Router(router)), *address));
-            links.extend(ends.iter().map(|(end, at)| ((End::Router(router), end.clone()), *at)));
-        }
+        let fronts = routers.iter().enumerate().map(|(router, at)| (End::Router(router), *at));
         let mut listeners = Vec::new();
-        for (way, to) in links {
+        for (to, at) in fronts.chain(ends.iter().cloned()) {
             let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-            streams.addresses.insert(way.clone(), listener.local_addr()?);
-            listeners.push((way, to, listener));
+            streams.addresses.insert(to.clone(), listener.local_addr()?);
+            listeners.push((to, at, listener));
         }
-        for (way, to, listener) in listeners {
-            // By the list's entries each router is to reach engines through its own relays.
-            let mut engines = BTreeMap::new();
-            if way.1 == End::List {
-                for (end, at) in ends {
-                    let relay = streams.addresses.get(&(way.0.clone(), end.clone()));
-                    engines.extend(relay.map(|relay| (at.to_string(), relay.to_string())));
-                }
-            }
-            let relay = Relay { way, to, faults: faults.watch(), engines, witness: witness.clone() };
+        // By the list's entries routers are to reach engines through relays, too.
+        let relayed =
+            |(end, at): &(End, SocketAddr)| Some((at.to_string(), streams.addresses.get(end)?.to_string()));
+        let engines: Arc<BTreeMap<String, String>> = Arc::new(ends.iter().filter_map(relayed).collect());
+        for (to, at, listener) in listeners {
+            let (faults, engines, witness) = (faults.watch(), Arc::clone(&engines), witness.clone());
+            let relay = Relay { to, at, faults, engines, witness };
             streams.tasks.push(tokio::spawn(relay.run(listener)));
         }
         Ok(streams)
     }
 
-    /// Where the second is reached by the first.
-    pub fn address(&self, from: End, to: End) -> Option<SocketAddr> {
-        self.addresses.get(&(from, to)).copied()
-    }
-
-    /// All that a router is told to reach through relays.
-    pub fn of_router(&self, router: usize) -> impl Iterator<Item = (&End, SocketAddr)> {
-        let of = self.addresses.iter().filter(move |((from, _), _)| *from == End::Router(router));
-        of.map(|((_, to), at)| (to, *at))
+    /// Where an end is reached by those who are to pass its relay.
+    pub fn address(&self, to: &End) -> Option<SocketAddr> {
+        self.addresses.get(to).copied()
     }
 }
 
@@ -110,11 +96,11 @@
 
 #[derive(Clone)]
 struct Relay {
-    way: Way,
-    to: SocketAddr,
+    to: End,
+    at: SocketAddr,
     faults: watch::Receiver<Table>,
-    /// Addresses in lists, and what a router is told in their place.
-    engines: BTreeMap<String, String>,
+    /// Addresses in lists, and what routers are told in their place.
+    engines: Arc<BTreeMap<String, String>>,
     witness: Witness,
 }
 
@@ -138,28 +124,27 @@
     async fn carry(self, mut near: TcpStream) {
         let _ = near.set_nodelay(true);
         let mut first = BytesMut::new();
-        let mut relay = self;
-        if matches!(relay.way.1, End::Engine(_)) && !relay.is_router(&mut near, &mut first).await {
-            // Engines that fetch states from one another take the same address, and no router's link.
-            relay.way = (relay.way.1.clone(), relay.way.1.clone());
-        }
-        let (there, back) = (relay.way.clone(), (relay.way.1.clone(), relay.way.0.clone()));
-        let before = relay.faults.borrow().resets(&there) + relay.faults.borrow().resets(&back);
-        let mut faults = relay.faults.clone();
+        let from = self.opener(&mut near, &mut first).await;
+        let (there, back) = ((from.clone(), self.to.clone()), (self.to.clone(), from.clone()));
+        let before = self.faults.borrow().resets(&there) + self.faults.borrow().resets(&back);
+        let mut faults = self.faults.clone();
         // What is silent one way makes no connection either.
         let open = |t: &Table| !t.fault(&there).is_silent() && !t.fault(&back).is_silent();
         if faults.wait_for(open).await.is_err() {
             return;
         }
         // Where nobody listens the other side is told by the end of its stream, in silence otherwise.
-        let Ok(far) = TcpStream::connect(relay.to).await else { return };
+        let Ok(far) = TcpStream::connect(self.at).await else { return };
         let _ = far.set_nodelay(true);
-        let lists = relay.way.1 == End::List;
         let (near_in, near_out) = near.into_split();
         let (far_in, far_out) = far.into_split();
-        let out = Pump { way: there.clone(), faults: relay.faults.clone(), lists: None };
-        let reader = lists.then(|| Lists { relay: relay.clone(), decoder: FrameDecoder::default() });
-        let home = Pump { way: back.clone(), faults: relay.faults.clone(), lists: reader };
+        let out = Pump { way: there.clone(), faults: self.faults.clone(), lists: None };
+        let lists = matches!((&self.to, &from), (End::List, End::Router(_))).then(|| Lists {
+            relay: self.clone(),
+            router: from.to_string(),
+            decoder: FrameDecoder::default(),
+        });
+        let home = Pump { way: back.clone(), faults: self.faults.clone(), lists };
         let reset = |t: &Table| t.resets(&there) + t.resets(&back) > before;
         let both = async {
             tokio::try_join!(
@@ -174,18 +159,39 @@
         }
     }
 
-    /// Whether a router has opened the stream; what was read of it goes into `first`.
-    async fn is_router(&self, near: &mut TcpStream, first: &mut BytesMut) -> bool {
+    /// Who has opened a stream, by its first frame; what was read of it goes into `first`. All routers take the same
+    /// address of an engine, as in a real site, and engines that fetch states from one another take it too.
+    async fn opener(&self, near: &mut TcpStream, first: &mut BytesMut) -> End {
+        let unknown = End::Engine("unknown".to_owned());
+        let by_name = |name: &str| {
+            let number = name.strip_prefix("router-").and_then(|n| n.parse().ok());
+            number.map_or(End::Engine(name.to_owned()), End::Router)
+        };
         loop {
             let mut decoder = FrameDecoder::default();
             decoder.buffer().extend_from_slice(first);
-            match decoder.next_frame::<EngineFrame>() {
-                Ok(Some(EngineFrame::Hello { peer: Peer::Engine(_), .. })) => return false,
-                Ok(None) if first.len() < HELLO => {}
-                _ => return true,
-            }
-            if !matches!(near.read_buf(first).await, Ok(1..)) {
-                return true;
+            let said = match self.to {
+                End::Router(_) | End::Clients => return End::Clients,
+                End::Engine(_) => match decoder.next_frame::<EngineFrame>() {
+                    Ok(Some(EngineFrame::Hello { peer: Peer::Engine(facts), .. })) => {
+                        Some(by_name(&facts.name))
+                    }
+                    Ok(Some(EngineFrame::Hello { peer: Peer::Router { name, .. }, .. })) => {
+                        Some(by_name(&name))
+                    }
+                    Ok(None) => None,
+                    _ => return unknown,
+                },
+                End::List => match decoder.next_frame::<ListFrame>() {
+                    Ok(Some(ListFrame::Hello { name, .. })) => Some(by_name(&name)),
+                    Ok(None) => None,
+                    _ => return unknown,
+                },
+            };
+            match said {
+                Some(end) => return end,
+                None if first.len() < HELLO && matches!(near.read_buf(first).await, Ok(1..)) => {}
+                None => return unknown,
             }
         }
     }
@@ -194,6 +200,7 @@
 /// Frames of a list service on their way to a router.
 struct Lists {
     relay: Relay,
+    router: String,
     decoder: FrameDecoder,
 }
 
@@ -202,14 +209,13 @@
     fn pass(&mut self, piece: &[u8]) -> (Bytes, Vec<What>) {
         self.decoder.buffer().extend_from_slice(piece);
         let (mut bytes, mut told) = (BytesMut::new(), Vec::new());
-        let End::Router(router) = self.relay.way.0 else { return (bytes.freeze(), told) };
         while let Ok(Some(mut frame)) = self.decoder.next_frame::<ListFrame>() {
             if let ListFrame::Update { entries, .. } = &mut frame {
                 for entry in entries {
                     if let Some(address) = self.relay.engines.get(&entry.address) {
                         entry.address.clone_from(address);
                     }
-                    let (router, engine) = (Site::router_name(router), entry.engine.clone());
+                    let (router, engine) = (self.router.clone(), entry.engine.clone());
                     told.push(What::Listed { router, engine, state: entry.state });
                 }
             }
@@ -332,9 +338,14 @@
         let ends =
             [(end.clone(), at), (End::Engine("read-0".to_owned()), "10.0.0.1:1".parse().expect("one"))];
         let streams = Streams::start(&[at], &ends, &faults, &witness).await.expect("started");
-        let relay = streams.address(End::Router(0), end).expect("a relay");
-        let near = TcpStream::connect(relay).await.expect("connected");
-        let (far, _) = timeout(SOON, listener.accept()).await.expect("in time").expect("accepted");
+        let relay = streams.address(&end).expect("a relay");
+        let mut near = TcpStream::connect(relay).await.expect("connected");
+        let hello = ListFrame::Hello { version: 1, name: "router-0".to_owned(), epoch: 0 };
+        let mut bytes = BytesMut::new();
+        encode(&hello, &mut bytes);
+        near.write_all(&bytes).await.expect("written");
+        let (mut far, _) = timeout(SOON, listener.accept()).await.expect("in time").expect("accepted");
+        comes(&mut far, &bytes).await;
         Wire { faults, witness, near, far, _streams: streams }
     }
 
--- a/crates/gaparch-lab/src/fleet/world.rs
+++ b/crates/gaparch-lab/src/fleet/world.rs
@@ -378,7 +378,7 @@
                 Output::Send { to, message } => self.send(node, to, message),
                 Output::Keep { incarnation } => self.nodes[node].kept = incarnation,
                 Output::Happened(what) => self.told.push(Told { at: self.now, node, what }),
-                Output::Routers(_) => {}
+                Output::Routers(_) | Output::Talk { .. } => {}
             }
         }
     }
--- a/crates/gaparch-lab/src/list_service.rs
+++ b/crates/gaparch-lab/src/list_service.rs
@@ -4,7 +4,7 @@
 use gaparch::api::ServerState;
 use gaparch_net::{Clock, FrameReader};
 use gaparch_protocol::frame::encode;
-use gaparch_protocol::list::{ListEntry, ListFrame, Scope, VERSION};
+use gaparch_protocol::list::{ListEntry, ListFrame, Scope, VERSION, VERSION_EPOCHS};
 use gaparch_protocol::DEFAULT_MAX_FRAME;
 use std::collections::BTreeMap;
 use std::io;
@@ -23,11 +23,14 @@
 
 #[derive(Clone, Debug, Default)]
 struct State {
+    epoch: u64,
     version: u64,
     entries: BTreeMap<String, ListEntry>,
     history: Vec<(u64, ListEntry)>,
     silent: bool,
     failing: bool,
+    /// What it answers in place of what it has.
+    old: Option<(u64, BTreeMap<String, ListEntry>)>,
 }
 
 /// A running list service. It ends when this is dropped.
@@ -58,7 +61,12 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let entries = entries.into_iter().map(|e| (e.engine.clone(), e)).collect();
-        let state = Arc::new(watch::Sender::new(State { version: 1, entries, ..State::default() }));
+        let state = Arc::new(watch::Sender::new(State {
+            epoch: clock.now(),
+            version: 1,
+            entries,
+            ..State::default()
+        }));
         let shared = Arc::clone(&state);
         let accepting = tokio::spawn(async move {
             let room = Arc::new(Semaphore::new(MOST_ROUTERS));
@@ -113,6 +121,20 @@
         self.state.send_modify(|s| s.silent = silent);
     }
 
+    /// Counts from one again, as a service that lost what it had and was given its entries anew.
+    pub fn restart(&self, clock: Clock) {
+        self.state.send_modify(|s| {
+            (s.epoch, s.version) = (clock.now(), 1);
+            s.history.clear();
+            s.old = None;
+        });
+    }
+
+    /// From now on it answers as it stands now, whatever changes; or no more.
+    pub fn old(&self, old: bool) {
+        self.state.send_modify(|s| s.old = old.then(|| (s.version, s.entries.clone())));
+    }
+
     /// Answers every call with a failure while failing.
     pub fn failing(&self, failing: bool) {
         self.state.send_modify(|s| s.failing = failing);
@@ -128,12 +150,15 @@
     socket.set_nodelay(true)?;
     let (read_half, mut writer) = socket.into_split();
     let mut reader = FrameReader::new(read_half, DEFAULT_MAX_FRAME);
-    let name = match reader.read_one().await? {
-        ListFrame::Hello { version: VERSION, name } => name,
+    let (version, name) = match reader.read_one().await? {
+        ListFrame::Hello { version, name, .. } if (VERSION..=VERSION_EPOCHS).contains(&version) => {
+            (version, name)
+        }
         _ => return Ok(()),
     };
     let mut bytes = bytes::BytesMut::new();
-    encode(&ListFrame::Hello { version: VERSION, name: "list".to_owned() }, &mut bytes);
+    let epoch = states.borrow_and_update().epoch;
+    encode(&ListFrame::Hello { version, name: "list".to_owned(), epoch }, &mut bytes);
     writer.write_all(&bytes).await?;
     let (mut watching, mut told) = (false, 0);
     let mut frames = Vec::new();
@@ -169,9 +194,13 @@
             }
         }
         let state = states.borrow_and_update().clone();
+        if state.epoch != epoch {
+            // It has restarted: its connections went with it.
+            return Ok(());
+        }
         if state.silent {
             answers.clear();
-        } else if watching && told < state.version {
+        } else if watching && told < state.version && state.old.is_none() {
             answers.push(since(&state, told));
             told = state.version;
         }
@@ -191,6 +220,10 @@
 
 /// What has changed since a version: one change alone is a delta, anything else the whole list.
 fn since(state: &State, told: u64) -> ListFrame {
+    if let Some((version, entries)) = &state.old {
+        let entries = entries.values().cloned().collect();
+        return ListFrame::Update { scope: Scope::Full, version: *version, entries };
+    }
     match state.history.last() {
         Some((version, entry)) if told > 0 && told + 1 == state.version && *version == state.version => {
             ListFrame::Update { scope: Scope::Delta, version: state.version, entries: vec![entry.clone()] }
--- a/crates/gaparch-membership/src/core/messages.rs
+++ b/crates/gaparch-membership/src/core/messages.rs
@@ -119,6 +119,7 @@
             }
             Word::Want { after } => self.on_want(&from.name, after, out),
             Word::Page { after, next } => self.on_page(&from.name, &after, next, out),
+            Word::Talk { bytes } => out.push(Output::Talk { from: from.name.clone(), bytes }),
         }
     }
 
--- a/crates/gaparch-membership/src/core/mod.rs
+++ b/crates/gaparch-membership/src/core/mod.rs
@@ -77,6 +77,11 @@
     /// So many routers may be at work.
     Routers(u32),
     Happened(Happening),
+    /// Another part of a router speaks to the same part here.
+    Talk {
+        from: String,
+        bytes: Vec<u8>,
+    },
 }
 
 /// Counted since the start.
--- a/crates/gaparch-membership/src/core/sending.rs
+++ b/crates/gaparch-membership/src/core/sending.rs
@@ -115,6 +115,23 @@
         out.push(Output::Send { to, message });
     }
 
+    /// Says something to another router on behalf of another part, under the same bounds as all else. Dropped where it
+    /// does not fit, or where the member is not known.
+    pub fn talk(&mut self, now: Nanos, to: &str, bytes: Vec<u8>, out: &mut Vec<Output>) {
+        self.now = now.max(self.now);
+        let word = Word::Talk { bytes };
+        let fits =
+            OVERHEAD + fleet::length(&self.message(to.to_owned(), 0, word.clone(), Vec::new())) <= MOST_BYTES;
+        if let Some(address) = self.address(to).filter(|_| fits && !self.leaving) {
+            self.post(address, to.to_owned(), word, Vec::new(), out);
+        }
+    }
+
+    /// Names of all others that are present.
+    pub fn others(&self) -> Vec<String> {
+        self.present().map(|(name, _)| name.clone()).collect()
+    }
+
     /// How the fleet looks from here.
     pub fn view(&self) -> View {
         let member = |m: &Member| MemberView {
--- a/crates/gaparch-protocol/src/fleet.rs
+++ b/crates/gaparch-protocol/src/fleet.rs
@@ -70,6 +70,8 @@
         5 => Want { after: String, },
         /// What follows that name; with more to come after `next`.
         6 => Page { after: String, next: Option<String>, },
+        /// Something between other parts of the routers; a router that does not know the word drops it.
+        7 => Talk { bytes: Vec<u8>, },
     }
 }
 
@@ -132,6 +134,7 @@
         let word = match &self.word {
             Word::PingFor { target, address, .. } => is_name(target) && address.len() <= MOST_NAME,
             Word::Want { after } | Word::Page { after, .. } => after.len() <= MOST_NAME,
+            Word::Talk { bytes } => bytes.len() <= MOST_BYTES,
             Word::Ping { .. } | Word::Ack { .. } | Word::Nack { .. } => true,
         };
         self.from.is_sound() && self.to.len() <= MOST_NAME && word && self.news.iter().all(news)
--- a/crates/gaparch-protocol/src/list.rs
+++ b/crates/gaparch-protocol/src/list.rs
@@ -5,15 +5,17 @@
 
 use crate::frame::Frame;
 use crate::wire::{
-    f64_, flag, malformed, many, optional, put_optional, put_short_text, short_text, u16_, u64_, Body,
+    f64_, flag, malformed, many, optional, put_optional, put_short_text, short_text, u16_, u64_, Body, Wire,
 };
 use bytes::{BufMut, BytesMut};
-use gaparch::api::ServerState;
+pub use gaparch::api::ServerState;
 use winnow::binary::u8;
 use winnow::ModalResult;
 
-/// The version spoken here.
+/// The first version, in which a service does not say which run of it this is.
 pub const VERSION: u16 = 1;
+/// The version in which it does.
+pub const VERSION_EPOCHS: u16 = 2;
 
 /// How a list is to be taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,23 +27,33 @@
 }
 
 /// One engine as the list knows it. Texts name what the settings name.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
 pub struct ListEntry {
     pub engine: String,
     pub address: String,
     pub kind: String,
     pub zone: String,
     pub rack: String,
+    #[serde(serialize_with = "as_word")]
     pub state: ServerState,
     pub weight: Option<f64>,
     /// When its process last began, nanoseconds since the Unix epoch.
     pub started_at: Option<u64>,
 }
 
+fn as_word<S: serde::Serializer>(state: &ServerState, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(match state {
+        ServerState::Ready => "ready",
+        ServerState::Draining => "draining",
+        ServerState::Gone => "gone",
+    })
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum ListFrame {
-    /// First in both directions.
-    Hello { version: u16, name: String },
+    /// First in both directions. `epoch`, from [`VERSION_EPOCHS`] on: which run of the service's counting this is, another
+    /// with each start from nothing; 0 from routers, and where it is not known.
+    Hello { version: u16, name: String, epoch: u64 },
     /// Router to service: send changes from now on, those missed first; or no more.
     Watch(bool),
     /// Router to service: send the whole list once.
@@ -68,9 +80,12 @@
 
     fn put_body(&self, out: &mut BytesMut) {
         match self {
-            ListFrame::Hello { version, name } => {
+            ListFrame::Hello { version, name, epoch } => {
                 out.put_u16(*version);
                 put_short_text(out, name);
+                if *version >= VERSION_EPOCHS {
+                    out.put_u64(*epoch);
+                }
             }
             ListFrame::Watch(on) => out.put_u8(u8::from(*on)),
             ListFrame::Fetch => {}
@@ -87,7 +102,11 @@
 
     fn parse_body(kind: u8, body: &mut &[u8]) -> ModalResult<Self> {
         Ok(match kind {
-            1 => ListFrame::Hello { version: u16_(body)?, name: short_text(body)? },
+            1 => {
+                let (version, name) = (u16_(body)?, short_text(body)?);
+                let epoch = if version >= VERSION_EPOCHS { u64_(body)? } else { 0 };
+                ListFrame::Hello { version, name, epoch }
+            }
             2 => ListFrame::Watch(flag(body)?),
             3 => ListFrame::Fetch,
             4 => ListFrame::Update {
@@ -132,3 +151,14 @@
         started_at: optional(u64_)(body)?,
     })
 }
+
+/// As in an update.
+impl Wire for ListEntry {
+    fn put(&self, out: &mut BytesMut) {
+        put_entry(out, self);
+    }
+
+    fn take(input: &mut Body<'_>) -> ModalResult<Self> {
+        entry(input)
+    }
+}
--- a/crates/gaparch-protocol/src/ops/mod.rs
+++ b/crates/gaparch-protocol/src/ops/mod.rs
@@ -14,7 +14,7 @@
 use bytes::BytesMut;
 use ending::{Ending, EndingFilter, Group, RequestName};
 use intent::{Change, Intent, LimitView};
-use view::{EngineView, Figures, FleetView, Happening, LiveView, Snapshot};
+use view::{EngineView, Figures, FleetView, Happening, LiveView, Snapshot, VersionsView};
 use winnow::ModalResult;
 
 /// The version spoken here.
@@ -67,6 +67,8 @@
         11 => Intents {},
         /// The other routers of the site, as this one sees them.
         12 => Members {},
+        /// Which of them holds which version of the list.
+        13 => Versions {},
     }
 }
 
@@ -103,6 +105,7 @@
         11 => Limits { limits: Vec<LimitView>, },
         12 => Intents { intents: Vec<Intent>, },
         13 => Members { fleet: Box<FleetView>, },
+        14 => Versions { versions: Box<VersionsView>, },
     }
 }
 
--- a/crates/gaparch-protocol/src/ops/view.rs
+++ b/crates/gaparch-protocol/src/ops/view.rs
@@ -3,6 +3,7 @@
 use super::ending::{EndKind, RequestName, Step};
 use super::intent::{Intent, LimitView};
 use crate::fleet::MemberState;
+use crate::versions::ListVersion;
 use crate::wire::{closed_set, record};
 
 closed_set! {
@@ -220,6 +221,38 @@
     }
 }
 
+record! {
+    /// The list of engines that one router holds, as it was heard last.
+    pub struct VersionRow {
+        pub router: String,
+        pub held: ListVersion,
+        pub digest: u64,
+        /// The list service itself said so, so many nanoseconds before; none: another router has handed it on.
+        pub sure: Option<u64>,
+        /// When it said so, nanoseconds since the Unix epoch.
+        pub said_at: u64,
+    }
+}
+
+record! {
+    /// Which router holds which version of the list.
+    pub struct VersionsView {
+        pub held: ListVersion,
+        pub entries: u32,
+        /// Nanoseconds since the list service last confirmed it, if it did in time.
+        pub sure: Option<u64>,
+        /// What others have from the list service itself, and whether more than one of them says so.
+        pub believed: Option<ListVersion>,
+        pub corroborated: bool,
+        /// Since when others have a later one.
+        pub behind_since: Option<u64>,
+        /// Lists that other routers have handed on, and words of others that were not believed, since the start.
+        pub brought_up: u64,
+        pub refused: u64,
+        pub rows: Vec<VersionRow>,
+    }
+}
+
 record! {
     /// The routers of a site, as one of them sees them.
     pub struct FleetView {
--- a/crates/gaparch-protocol/tests/codecs.rs
+++ b/crates/gaparch-protocol/tests/codecs.rs
@@ -116,7 +116,10 @@
                 started_at,
             });
     prop_oneof![
-        (any::<u16>(), ".{0,9}").prop_map(|(version, name)| ListFrame::Hello { version, name }),
+        (any::<u16>(), ".{0,9}", any::<u64>()).prop_map(|(version, name, epoch)| {
+            // The first version has no room for one.
+            ListFrame::Hello { version, name, epoch: if version < 2 { 0 } else { epoch } }
+        }),
         any::<bool>().prop_map(ListFrame::Watch),
         Just(ListFrame::Fetch),
         (any::<bool>(), any::<u64>(), vec(entry, 0..5)).prop_map(|(full, version, entries)| {
--- a/crates/gaparch-router/src/shell/fleet.rs
+++ b/crates/gaparch-router/src/shell/fleet.rs
@@ -5,12 +5,15 @@
 
 use super::ops::News;
 use super::owner::Control;
+use super::versions::{Adopt, HeldNews};
+use gaparch_audit::{self as audit, Follow};
 use gaparch_config::{Config, Fleet};
 use gaparch_membership::{Happening, Membership, Output, Rejected, Settings, SiteKey, View};
 use gaparch_net::{read_key, Clock};
 use gaparch_protocol::engine::RouterRun;
 use gaparch_protocol::fleet::MOST_BYTES;
-use gaparch_protocol::ops::view::{self, EdgeRow, FleetView, MemberRow, Severity};
+use gaparch_protocol::ops::view::{self, EdgeRow, FleetView, MemberRow, Severity, VersionRow, VersionsView};
+use gaparch_protocol::ops::{from_bytes, to_bytes};
 use gaparch_store::{Disk, Journal};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,10 +47,14 @@
 pub(super) struct Ports {
     pub control: mpsc::Sender<Control>,
     pub news: mpsc::Sender<News>,
+    /// The list as the owner has it.
+    pub held: watch::Receiver<HeldNews>,
 }
 
 enum Ask {
     View(oneshot::Sender<FleetView>),
+    /// `None`: lists are not followed here.
+    Versions(oneshot::Sender<Option<VersionsView>>),
     Leave(oneshot::Sender<()>),
 }
 
@@ -62,6 +69,13 @@
         self.0.send(Ask::View(reply)).await.ok()?;
         wait.await.ok()
     }
+
+    /// Which router holds which version; `None` once the router has ended.
+    pub async fn versions(&self) -> Option<Option<VersionsView>> {
+        let (reply, wait) = oneshot::channel();
+        self.0.send(Ask::Versions(reply)).await.ok()?;
+        wait.await.ok()
+    }
 }
 
 #[derive(Debug)]
@@ -114,6 +128,10 @@
     incarnation: watch::Sender<u64>,
     asks: mpsc::Receiver<Ask>,
     newer_told: bool,
+    /// What is made of versions, where the settings say for how long a list may go unconfirmed.
+    follow: Option<Follow>,
+    held: watch::Receiver<HeldNews>,
+    adopt: watch::Sender<Adopt>,
 }
 
 /// Reads what is kept, binds the socket and starts.
@@ -165,6 +183,12 @@
     let (asks, asks_in) = mpsc::channel(ASKED);
     let (routers, routers_in) = watch::channel(config.module.routers);
     let (incarnation, incarnation_in) = watch::channel(0);
+    let (adopt, adopt_in) = watch::channel(Adopt::default());
+    let follow = fleet.confirm.map(|confirm| {
+        let settings =
+            audit::Settings { router: config.router.clone(), confirm, seed: config.module.seed ^ run.0 };
+        Follow::new(settings, clock.now())
+    });
     let task = Task {
         core,
         socket,
@@ -176,20 +200,28 @@
         incarnation,
         asks: asks_in,
         newer_told: false,
+        follow,
+        held: ports.held,
+        adopt,
     };
     let tasks = vec![
         tokio::spawn(task.run(out)),
-        tokio::spawn(tell_owner(routers_in, ports.control)),
+        tokio::spawn(tell_owner(routers_in, ports.control.clone(), Control::Routers)),
+        tokio::spawn(tell_owner(adopt_in, ports.control, Control::Adopt)),
         tokio::spawn(keep(keeper, incarnation_in, ports.news)),
     ];
     Ok(Some(Running { address: fleet.listen, asks, tasks }))
 }
 
-/// The owner may be busy for a while: it is told the number that holds once it has time.
-async fn tell_owner(mut routers: watch::Receiver<u32>, control: mpsc::Sender<Control>) {
-    while routers.changed().await.is_ok() {
-        let now = *routers.borrow_and_update();
-        if control.send(Control::Routers(now)).await.is_err() {
+/// The owner may be busy for a while: it is told what holds once it has time.
+async fn tell_owner<T: Clone>(
+    mut cell: watch::Receiver<T>,
+    control: mpsc::Sender<Control>,
+    say: impl Fn(T) -> Control,
+) {
+    while cell.changed().await.is_ok() {
+        let now = cell.borrow_and_update().clone();
+        if control.send(say(now)).await.is_err() {
             return;
         }
     }
@@ -201,16 +233,30 @@
         let mut datagram = [0; MOST_BYTES + 1];
         loop {
             self.carry_out(&mut out);
-            let due = Instant::from_std(self.clock.instant(self.core.next_at()));
+            let follow_at = self.follow.as_ref().map(Follow::next_at);
+            let due = follow_at.map_or(self.core.next_at(), |at| at.min(self.core.next_at()));
+            let due = Instant::from_std(self.clock.instant(due));
             tokio::select! {
                 biased;
                 // Before what waits in the socket: a process that was stopped must know it first.
-                () = sleep_until(due) => self.core.on_time(self.clock.now(), &mut out),
+                () = sleep_until(due) => {
+                    self.core.on_time(self.clock.now(), &mut out);
+                    self.carry_out(&mut out);
+                    self.follow_on(&mut out, Follow::on_time);
+                }
+                Ok(()) = self.held.changed(), if self.follow.is_some() => {
+                    let news = self.held.borrow_and_update().clone();
+                    self.follow_on(&mut out, |follow, now, _, _| follow.on_news(now, news.list, news.sure_at));
+                }
                 ask = self.asks.recv() => match ask {
                     Some(Ask::View(reply)) => {
                         // Who asked may have left.
                         let _ = reply.send(self.view());
                     }
+                    Some(Ask::Versions(reply)) => {
+                        let view = self.follow.as_ref().map(|follow| versions(follow.view()));
+                        let _ = reply.send(view);
+                    }
                     Some(Ask::Leave(reply)) => {
                         self.core.leave(self.clock.now(), &mut out);
                         self.carry_out(&mut out);
@@ -246,6 +292,7 @@
     }
 
     fn carry_out(&mut self, out: &mut Vec<Output>) {
+        let mut talks = Vec::new();
         for output in out.drain(..) {
             match output {
                 Output::Send { to, message } => {
@@ -256,7 +303,16 @@
                 }
                 Output::Keep { incarnation } => drop(self.incarnation.send_replace(incarnation)),
                 Output::Routers(routers) => drop(self.routers.send_replace(routers)),
+                Output::Talk { from, bytes } => {
+                    // A word that is not known here is of a newer build.
+                    if let Some(talk) = from_bytes(&bytes) {
+                        talks.push((from, talk));
+                    }
+                }
                 Output::Happened(what) => {
+                    if let (Happening::Woke { .. }, Some(follow)) = (&what, &mut self.follow) {
+                        follow.on_woken(self.clock.now());
+                    }
                     let severity = severity(&what);
                     match severity {
                         Some(severity) => self.tell(severity, what.to_string()),
@@ -265,6 +321,33 @@
                 }
             }
         }
+        for (from, talk) in talks {
+            self.follow_on(out, |follow, now, _, answers| follow.on_talk(now, &from, talk, answers));
+        }
+    }
+
+    /// Lets the one that follows lists do something, and does what it wants.
+    fn follow_on(
+        &mut self,
+        out: &mut Vec<Output>,
+        act: impl FnOnce(&mut Follow, u64, Vec<String>, &mut Vec<audit::Output>),
+    ) {
+        let now = self.clock.now();
+        let Some(follow) = &mut self.follow else { return };
+        let mut wanted = Vec::new();
+        act(follow, now, self.core.others(), &mut wanted);
+        for one in wanted {
+            match one {
+                audit::Output::Say { to, talk } => self.core.talk(now, &to, to_bytes(&talk), out),
+                audit::Output::Take { list, by } => {
+                    self.adopt.send_modify(|adopt| adopt.list = Some((list, by)));
+                }
+                audit::Output::Believed(version) => {
+                    self.adopt.send_modify(|adopt| adopt.believed = Some(version));
+                }
+                audit::Output::Happened(what) => self.tell(grave(&what), what.to_string()),
+            }
+        }
     }
 
     fn tell(&self, severity: Severity, text: String) {
@@ -317,6 +400,41 @@
     }
 }
 
+fn versions(view: audit::View) -> VersionsView {
+    let row = |row: audit::Row| VersionRow {
+        router: row.router,
+        held: row.held,
+        digest: row.digest,
+        sure: row.sure,
+        said_at: row.said_at,
+    };
+    VersionsView {
+        held: view.held,
+        entries: view.entries,
+        sure: view.sure,
+        believed: view.believed,
+        corroborated: view.corroborated,
+        behind_since: view.behind_since,
+        brought_up: view.brought_up,
+        refused: view.refused,
+        rows: view.rows.into_iter().map(row).collect(),
+    }
+}
+
+fn grave(what: &audit::Happening) -> Severity {
+    match what {
+        audit::Happening::Sure | audit::Happening::CaughtUp { .. } | audit::Happening::BroughtUp { .. } => {
+            Severity::Info
+        }
+        audit::Happening::Unsure { .. }
+        | audit::Happening::Behind { .. }
+        | audit::Happening::Harmed { .. } => Severity::Warning,
+        audit::Happening::SourceIsOld { .. }
+        | audit::Happening::TwoSources { .. }
+        | audit::Happening::Outlier { .. } => Severity::Trouble,
+    }
+}
+
 /// How grave it is; `None` is for the log alone: a suspicion that ends by itself is no news to an operator.
 fn severity(what: &Happening) -> Option<Severity> {
     Some(match what {
--- a/crates/gaparch-router/src/shell/list.rs
+++ b/crates/gaparch-router/src/shell/list.rs
@@ -4,15 +4,17 @@
 use gaparch_config::ListConfig;
 use gaparch_net::FrameReader;
 use gaparch_protocol::frame::encode;
-use gaparch_protocol::list::{ListFrame, VERSION};
+use gaparch_protocol::list::{ListFrame, VERSION, VERSION_EPOCHS};
 use gaparch_protocol::DEFAULT_MAX_FRAME;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 const CONNECT_WITHIN: Duration = Duration::from_secs(2);
+/// For a few bytes to be taken.
+const WRITE_WITHIN: Duration = Duration::from_secs(10);
 const RETRY_FROM: Duration = Duration::from_millis(100);
 const RETRY_MOST: Duration = Duration::from_secs(2);
 
@@ -24,25 +26,38 @@
 
 #[derive(Debug)]
 pub(super) enum ListMessage {
-    Up,
+    /// Connected, to that run of the service; 0 where it does not say.
+    Up(u64),
     Down(String),
     Update(ListUpdate),
 }
 
-/// Connects again and again until nobody listens any more.
+/// A service that is silent is asked so many times before it counts as gone.
+const ASKED: u32 = 3;
+
+/// Connects again and again until nobody listens any more. With `confirm` a service that says nothing is asked, and left
+/// after so long: silence alone tells nothing, and a link that is held looks as one on which nothing changes.
 pub(super) async fn run(
     settings: ListConfig,
     name: String,
+    confirm: Option<Duration>,
     mut commands: mpsc::Receiver<ListCommand>,
     inbox: mpsc::Sender<ListMessage>,
 ) {
     let mut retry = RETRY_FROM;
+    // A service of the first version knows no other, and closes: it is spoken to in that then.
+    let mut version = if confirm.is_some() { VERSION_EPOCHS } else { VERSION };
     loop {
         let reason = match timeout(CONNECT_WITHIN, TcpStream::connect(settings.address)).await {
             Ok(Ok(socket)) => {
                 retry = RETRY_FROM;
-                match talk(socket, &name, &mut commands, &inbox).await {
-                    Some(reason) => reason,
+                match talk(socket, (&name, version), confirm, &mut commands, &inbox).await {
+                    Some(Ended { reason, met }) => {
+                        if confirm.is_some() && !met {
+                            version = if version == VERSION { VERSION_EPOCHS } else { VERSION };
+                        }
+                        reason
+                    }
                     None => return,
                 }
             }
@@ -59,43 +74,55 @@
     }
 }
 
+/// How a connection ended; `met`: the service had said hello.
+struct Ended {
+    reason: String,
+    met: bool,
+}
+
 /// One connection; why it ended, or `None` if the router has.
 async fn talk(
     socket: TcpStream,
-    name: &str,
+    (name, version): (&str, u16),
+    confirm: Option<Duration>,
     commands: &mut mpsc::Receiver<ListCommand>,
     inbox: &mpsc::Sender<ListMessage>,
-) -> Option<String> {
+) -> Option<Ended> {
     let _ = socket.set_nodelay(true);
     let (read_half, mut writer) = socket.into_split();
     let mut reader = FrameReader::new(read_half, DEFAULT_MAX_FRAME);
     let mut bytes = bytes::BytesMut::new();
-    encode(&ListFrame::Hello { version: VERSION, name: name.to_owned() }, &mut bytes);
+    let ended = |reason: String, met| Some(Ended { reason, met });
+    encode(&ListFrame::Hello { version, name: name.to_owned(), epoch: 0 }, &mut bytes);
     if let Err(error) = writer.write_all(&bytes).await {
-        return Some(error.to_string());
-    }
-    match timeout(CONNECT_WITHIN, reader.read_one()).await {
-        Ok(Ok(ListFrame::Hello { version: VERSION, .. })) => {}
-        Ok(Ok(_)) => return Some("its first frame is no hello of this version".to_owned()),
-        Ok(Err(error)) => return Some(error.to_string()),
-        Err(_) => return Some("it does not say hello".to_owned()),
+        return ended(error.to_string(), false);
     }
-    inbox.send(ListMessage::Up).await.ok()?;
+    let epoch = match timeout(CONNECT_WITHIN, reader.read_one()).await {
+        Ok(Ok(ListFrame::Hello { version: theirs, epoch, .. })) if theirs == version => epoch,
+        Ok(Ok(_)) => return ended("its first frame is no hello of this version".to_owned(), false),
+        Ok(Err(error)) => return ended(error.to_string(), false),
+        Err(_) => return ended("it does not say hello".to_owned(), false),
+    };
+    inbox.send(ListMessage::Up(epoch)).await.ok()?;
     let mut frames = Vec::new();
+    let mut silent_from = Instant::now();
+    let mut asked = 0;
     loop {
-        tokio::select! {
-            command = commands.recv() => {
-                let frame = match command? {
-                    ListCommand::Watch(on) => ListFrame::Watch(on),
-                    ListCommand::Fetch => ListFrame::Fetch,
-                };
-                bytes.clear();
-                encode(&frame, &mut bytes);
-                if let Err(error) = writer.write_all(&bytes).await {
-                    return Some(error.to_string());
+        let ask_at = confirm.map(|within| silent_from + within * (asked + 1) / ASKED);
+        let frame = tokio::select! {
+            command = commands.recv() => match command? {
+                ListCommand::Watch(on) => ListFrame::Watch(on),
+                ListCommand::Fetch => ListFrame::Fetch,
+            },
+            () = sleep_until(ask_at.unwrap_or(silent_from)), if ask_at.is_some() => {
+                asked += 1;
+                if asked >= ASKED {
+                    return ended("it has said nothing for too long, though it was asked".to_owned(), true);
                 }
+                ListFrame::Fetch
             }
             read = reader.read(&mut frames) => {
+                (silent_from, asked) = (Instant::now(), 0);
                 for frame in frames.drain(..) {
                     let message = match frame {
                         ListFrame::Update { scope, version, entries } => {
@@ -107,15 +134,25 @@
                             })
                         }
                         ListFrame::Failed { reason } => ListMessage::Down(reason),
-                        ListFrame::Bye { reason } => return Some(reason),
-                        _ => return Some("a frame that a list service does not send".to_owned()),
+                        ListFrame::Bye { reason } => return ended(reason, true),
+                        _ => return ended("a frame that a list service does not send".to_owned(), true),
                     };
                     inbox.send(message).await.ok()?;
                 }
                 if let Err(error) = read {
-                    return Some(error.to_string());
+                    return ended(error.to_string(), true);
                 }
+                continue;
             }
+        };
+        bytes.clear();
+        encode(&frame, &mut bytes);
+        // One that takes no bytes is as good as gone.
+        let within = confirm.unwrap_or(WRITE_WITHIN);
+        match timeout(within, writer.write_all(&bytes)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return ended(error.to_string(), true),
+            Err(_) => return ended("it takes no bytes".to_owned(), true),
         }
     }
 }
--- a/crates/gaparch-router/src/shell/mod.rs
+++ b/crates/gaparch-router/src/shell/mod.rs
@@ -20,6 +20,7 @@
 mod ops;
 mod owner;
 mod stall;
+mod versions;
 
 pub use fleet::FleetError;
 pub use lag::{Lag, LagSummary};
@@ -37,7 +38,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::task::JoinHandle;
 
 /// Why a router can't start.
@@ -179,12 +180,16 @@
     let book = prepared.as_ref().map(|p| p.book.clone()).unwrap_or_default();
     let core = Core::new(config.clone(), book, run, clock.now(), &mut out);
     let mut fleet = None;
+    let mut versions = None;
     let (desk, operations) = match prepared {
         Some(mut prepared) => {
             let news = ops::news_channel();
             if let (Some(settings), Some(disk)) = (&config.fleet, prepared.fleet.take()) {
-                let ports = fleet::Ports { control: control.clone(), news: news.0.clone() };
+                let (cell, held) = watch::channel(versions::HeldNews::default());
+                let ports = fleet::Ports { control: control.clone(), news: news.0.clone(), held };
                 fleet = fleet::start(settings, &config, run, clock, disk, ports).await?;
+                let follows = fleet.is_some() && settings.confirm.is_some();
+                versions = follows.then(|| versions::Versions::new(config.module.ask, cell));
             }
             let asker = fleet.as_ref().map(fleet::Running::asker);
             let channels = ops::Channels { control: control.clone(), news, fleet: asker };
@@ -205,7 +210,7 @@
         config: config.clone(),
     });
     let ports = Ports { requests: requests_in, gone: gone_in, control: control_in };
-    let owner = Owner::new(core, clock, config.clone(), Arc::clone(&lag), desk);
+    let owner = Owner::new(core, clock, config.clone(), Arc::clone(&lag), desk, versions);
     let owner = tokio::spawn(owner.run(ports, out));
     let addresses = listeners.iter().map(|(address, ..)| *address).collect();
     let accepting = listeners
--- a/crates/gaparch-router/src/shell/ops/hub.rs
+++ b/crates/gaparch-router/src/shell/ops/hub.rs
@@ -323,7 +323,11 @@
                 Answer::Limits { limits: self.board.as_ref().map(|b| b.limits.clone()).unwrap_or_default() }
             }
             Query::Intents {} => Answer::Intents { intents: self.intents() },
-            Query::Subscribe {} | Query::Unsubscribe {} | Query::Order { .. } | Query::Members {} => {
+            Query::Subscribe {}
+            | Query::Unsubscribe {}
+            | Query::Order { .. }
+            | Query::Members {}
+            | Query::Versions {} => {
                 let message = "that is for the session to do".to_owned();
                 Answer::Denied { code: DenyCode::Invalid, message }
             }
--- a/crates/gaparch-router/src/shell/ops/session.rs
+++ b/crates/gaparch-router/src/shell/ops/session.rs
@@ -239,6 +239,20 @@
                 Answer::Denied { code: DenyCode::Unknown, message }
             }
         }),
+        Query::Versions {} => {
+            let versions = match &lobby.fleet {
+                Some(fleet) => fleet.versions().await.ok_or(ENDED)?,
+                None => None,
+            };
+            Ok(match versions {
+                Some(versions) => Answer::Versions { versions: Box::new(versions) },
+                None => {
+                    let message =
+                        "this router follows no other: its settings have no <fleet confirm=\"...\">";
+                    Answer::Denied { code: DenyCode::Unknown, message: message.to_owned() }
+                }
+            })
+        }
         Query::Live { most } => {
             let most = most.clamp(1, MOST_LIVE);
             let (reply, wait) = oneshot::channel();
--- a/crates/gaparch-router/src/shell/owner.rs
+++ b/crates/gaparch-router/src/shell/owner.rs
@@ -4,14 +4,15 @@
 use super::lag::Lag;
 use super::list::{self, ListCommand, ListMessage};
 use super::ops::{Desk, Done, News, OrderReply};
-use crate::core::{Accepted, ConnNo, Core, Counts, Input, Output, ToClient};
+use super::versions::{Adopt, Verdict, Versions};
+use crate::core::{Accepted, ConnNo, Core, Counts, Input, ListUpdate, Output, ToClient};
 use gaparch::api::{RequestId, ServerId};
 use gaparch_config::Config;
 use gaparch_net::Clock;
 use gaparch_ops::book::Denied;
 use gaparch_protocol::engine::EngineFrame;
 use gaparch_protocol::ops::intent::Change;
-use gaparch_protocol::ops::view::{Figures, LiveView};
+use gaparch_protocol::ops::view::{Figures, Happening, LiveView, Severity};
 use gaparch_protocol::ops::{DenyCode, Order};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -54,6 +55,8 @@
     One(RequestId, oneshot::Sender<Option<LiveView>>),
     /// So many routers may be at work.
     Routers(u32),
+    /// A list that another router has handed on.
+    Adopt(Adopt),
     Stop,
     StopNow,
 }
@@ -85,6 +88,8 @@
     list_task: Option<JoinHandle<()>>,
     list_messages: mpsc::Receiver<ListMessage>,
     desk: Option<Desk>,
+    /// The list's versions, where other routers may hand them on.
+    versions: Option<Versions>,
     /// The owner's lag since the board was last shown.
     board_lag: Duration,
 }
@@ -96,14 +101,23 @@
 }
 
 impl Owner {
-    pub fn new(core: Core, clock: Clock, config: Config, lag: Arc<Lag>, desk: Option<Desk>) -> Owner {
+    pub fn new(
+        core: Core,
+        clock: Clock,
+        config: Config,
+        lag: Arc<Lag>,
+        desk: Option<Desk>,
+        versions: Option<Versions>,
+    ) -> Owner {
         let (engine_inbox, engine_messages) = mpsc::channel(ENGINE_INBOX);
         let (list_inbox, list_messages) = mpsc::channel(LIST_INBOX);
         let (list, list_task) = match &config.list {
             Some(settings) => {
                 let (commands, commands_in) = mpsc::channel(LIST_INBOX);
                 let name = config.router.clone();
-                let task = tokio::spawn(list::run(*settings, name, commands_in, list_inbox));
+                let fleet = config.fleet.as_ref().filter(|_| versions.is_some());
+                let confirm = fleet.and_then(|f| f.confirm).map(Duration::from_nanos);
+                let task = tokio::spawn(list::run(*settings, name, confirm, commands_in, list_inbox));
                 (Some(commands), Some(task))
             }
             None => (None, None),
@@ -121,6 +135,7 @@
             list_task,
             list_messages,
             desk,
+            versions,
             board_lag: Duration::ZERO,
         }
     }
@@ -190,6 +205,10 @@
             }
             Control::One(id, answer) => drop(answer.send(self.core.live_one(id))),
             Control::Routers(routers) => self.core.handle(now, Input::Routers(routers), out),
+            Control::Adopt(adopt) => {
+                let update = self.versions.as_mut().and_then(|versions| versions.on_adopt(adopt));
+                update.into_iter().for_each(|update| self.core.handle(now, Input::List(update), out));
+            }
             Control::Stop => self.core.handle(now, Input::Stop, out),
             Control::StopNow => self.core.handle(now, Input::StopNow, out),
         }
@@ -251,15 +270,34 @@
     }
 
     fn on_list(&mut self, message: ListMessage, out: &mut Vec<Output>) {
+        let now = self.clock.now();
         let input = match message {
-            ListMessage::Up => Input::ListUp,
+            ListMessage::Up(epoch) => {
+                self.versions.iter_mut().for_each(|versions| versions.on_up(epoch));
+                Input::ListUp
+            }
             ListMessage::Down(reason) => {
                 tracing::warn!(%reason, "the list service can't be had");
                 Input::ListDown
             }
-            ListMessage::Update(update) => Input::List(update),
+            ListMessage::Update(update) => match self.judge(&update, now) {
+                Verdict::Act => Input::List(update),
+                Verdict::Nothing => return,
+                Verdict::Fetch => return out.push(Output::Fetch),
+            },
         };
-        self.core.handle(self.clock.now(), input, out);
+        self.core.handle(now, input, out);
+    }
+
+    /// Whether an update is to be acted on: where other routers may hand the list on, an older one is not.
+    fn judge(&mut self, update: &ListUpdate, now: u64) -> Verdict {
+        let Some(versions) = &mut self.versions else { return Verdict::Act };
+        let (verdict, text) = versions.on_update(update, now);
+        if let (Some(desk), Some(text)) = (&mut self.desk, text) {
+            let event = Happening { at: now, severity: Severity::Warning, engine: None, text };
+            desk.tell(News::Happened(event));
+        }
+        verdict
     }
 
     /// Carries out what the core wants, and what comes of that, until nothing is left.
--- /dev/null
+++ b/crates/gaparch-router/src/shell/versions.rs
@@ -0,0 +1,104 @@
+//! The list that is held, where other routers may hand it on: what the owner has of it, and the cells between it and the
+//! fleet's task. Neither waits for the other; each cell holds the latest word only.
+
+use crate::core::ListUpdate;
+use gaparch_audit::{Held, HeldList, Nanos, Taken};
+use gaparch_protocol::list::Scope;
+use gaparch_protocol::versions::ListVersion;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// What the fleet's task is told of the list.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeldNews {
+    /// None yet: the settings' engines alone.
+    pub list: Option<Arc<HeldList>>,
+    /// The service itself has said so: when last. None: another router has handed it on.
+    pub sure_at: Option<Nanos>,
+}
+
+/// What the fleet's task wants the owner to do.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Adopt {
+    /// To be acted on, unless a later one is held by then; and who has handed it on.
+    pub list: Option<(Arc<HeldList>, String)>,
+    pub believed: Option<ListVersion>,
+}
+
+/// What to do with an update of the service.
+#[derive(Debug, PartialEq)]
+pub(super) enum Verdict {
+    Act,
+    /// It says what is known, or must not be acted on.
+    Nothing,
+    Fetch,
+}
+
+/// The owner's side.
+pub(super) struct Versions {
+    held: Held,
+    epoch: u64,
+    first: bool,
+    /// The module asks for the list itself, and waits for each answer.
+    asked: bool,
+    cell: watch::Sender<HeldNews>,
+    /// What was refused last, so that it is told once.
+    refused: Option<String>,
+}
+
+impl Versions {
+    pub fn new(asked: bool, cell: watch::Sender<HeldNews>) -> Versions {
+        Versions { held: Held::default(), epoch: 0, first: true, asked, cell, refused: None }
+    }
+
+    /// Connected to that run of the service.
+    pub fn on_up(&mut self, epoch: u64) {
+        (self.epoch, self.first) = (epoch, true);
+    }
+
+    /// What to do with an update, and what to tell operators of it.
+    pub fn on_update(&mut self, update: &ListUpdate, now: Nanos) -> (Verdict, Option<String>) {
+        let first = std::mem::take(&mut self.first);
+        match self.held.from_service(self.epoch, first, update.scope, update.version, &update.entries) {
+            Taken::New { new_epoch } => {
+                self.refused = None;
+                self.cell.send_replace(HeldNews { list: Some(self.held.list()), sure_at: Some(now) });
+                let text = "the list service counts anew: it was started from nothing, or went back";
+                (Verdict::Act, new_epoch.then(|| text.to_owned()))
+            }
+            Taken::Same => {
+                self.cell.send_modify(|news| news.sure_at = Some(now));
+                (if self.asked { Verdict::Act } else { Verdict::Nothing }, None)
+            }
+            Taken::Missed => (Verdict::Fetch, None),
+            Taken::Refused(why) => {
+                let text = format!("what the list service says is not acted on: {why}");
+                let told = self.refused.as_ref() != Some(&text);
+                self.refused = Some(text.clone());
+                (Verdict::Nothing, told.then_some(text))
+            }
+        }
+    }
+
+    /// What another router has handed on, as an update to act on.
+    pub fn on_adopt(&mut self, adopt: Adopt) -> Option<ListUpdate> {
+        if let Some(believed) = adopt.believed {
+            let before = self.held.version();
+            self.held.believe(believed);
+            if self.held.version() != before {
+                // The same list under the count that the others have: what was sure is as sure.
+                let list = self.held.list();
+                self.cell.send_modify(|news| news.list = Some(list));
+            }
+        }
+        let (list, _) = adopt.list?;
+        match self.held.from_peer(&list) {
+            Taken::New { .. } => {
+                self.cell.send_replace(HeldNews { list: Some(self.held.list()), sure_at: None });
+                let version = list.version.version;
+                Some(ListUpdate { scope: Scope::Full, version, after: 0, entries: list.entries.clone() })
+            }
+            Taken::Same | Taken::Missed | Taken::Refused(_) => None,
+        }
+    }
+}
