--- a/crates/gaparch-audit/src/follow.rs
+++ b/crates/gaparch-audit/src/follow.rs
@@ -18,6 +18,8 @@
 const STAMP_EVERY: Nanos = 500 * MS;
 /// Changes that come faster than this are told together.
 const CHANGES_APART: Nanos = 50 * MS;
+/// For the own service to say what others have heard from it already.
+const MOMENT: Nanos = 400 * MS;
 /// Earlier versions that can still be handed on: a fetch must not fail because the list goes on meanwhile.
 const PAST: usize = 8;
 /// Routers whose stamps are kept.
@@ -272,12 +274,15 @@
             }
             return;
         }
-        if self.is_sure() && !(long && believed.corroborated) {
-            // The own service will say it in a moment.
+        let moment = self.now < from + MOMENT.min(self.set.confirm / 2);
+        if self.is_sure() && (moment || !believed.corroborated) {
+            // The own service will say it; if not, it is a copy that hears of no change.
             return;
         }
-        if long && !std::mem::replace(&mut self.behind_told, true) {
-            let told = match self.is_sure() {
+        // It has said the older one again since others had the later one.
+        let old = self.is_sure() && self.sure_at > Some(from);
+        if (long || old) && !std::mem::replace(&mut self.behind_told, true) {
+            let told = match old {
                 true => Happening::SourceIsOld { held, believed: believed.version },
                 false => Happening::Behind { held, believed: believed.version, for_: self.now - from },
             };
--- a/crates/gaparch-audit/tests/fleet.rs
+++ b/crates/gaparch-audit/tests/fleet.rs
@@ -282,15 +282,19 @@
     let taken = router.held.from_service(old.epoch, true, Scope::Full, old.version, &old.entries);
     assert!(matches!(taken, Taken::New { .. }));
     router.follow.on_news(fleet.now, Some(router.held.list()), Some(fleet.now));
+    let mut refused = 0;
     for _ in 0..50 {
         fleet.run(100 * MS);
         let router = &mut fleet.routers[2];
         match router.held.from_service(old.epoch, false, Scope::Full, old.version, &old.entries) {
             Taken::Same => router.follow.on_news(fleet.now, Some(router.held.list()), Some(fleet.now)),
-            other => assert!(matches!(other, Taken::Refused(_)), "{other:?}"),
+            other => {
+                assert!(matches!(other, Taken::Refused(_)), "{other:?}");
+                refused += 1;
+            }
         }
     }
-    assert!(fleet.latest(2));
+    assert!(fleet.latest(2) && refused > 30, "{refused}");
     assert!(fleet.routers[2].told.iter().any(|t| matches!(t, Happening::SourceIsOld { .. })));
 }
 
--- a/crates/gaparch-cli/tests/fleet.rs
+++ b/crates/gaparch-cli/tests/fleet.rs
@@ -87,7 +87,7 @@
     let output = lab(&["no-such-day"]);
     assert!(!output.status.success());
     let said = text(&output.stderr);
-    assert!(said.contains("there are membership, links, membership-long, killed"), "{said}");
+    assert!(said.contains("there are membership, links, audit, membership-long, killed"), "{said}");
     let file = std::env::temp_dir().join(format!("gaparch-day-{}.xml", std::process::id()));
     let day = |inner: &str| format!(r#"<day name="x" says="x" routers="3" lasts="5s">{inner}</day>"#);
     for (inner, wrong) in [
@@ -108,3 +108,20 @@
     }
     let _ = std::fs::remove_file(file);
 }
+
+#[test]
+fn routers_that_lag_are_brought_up() {
+    let output = lab(&["audit", "--small"]);
+    let said = text(&output.stdout);
+    assert!(output.status.success(), "{said}{}", text(&output.stderr));
+    assert!(said.ends_with("fleet: 9 days hold\n"), "{said}");
+}
+
+/// As it was: one whose link is held goes on sending to an engine that was drained.
+#[test]
+fn without_following_a_held_link_keeps_an_old_list_in_force() {
+    let output = lab(&["stalled-list", "--plain"]);
+    let said = text(&output.stdout);
+    assert_eq!(output.status.code(), Some(1), "{said}{}", text(&output.stderr));
+    assert!(said.contains("came to drained engines later than"), "{said}");
+}
--- a/crates/gaparch-lab/src/fleet/day.rs
+++ b/crates/gaparch-lab/src/fleet/day.rs
@@ -49,6 +49,15 @@
     /// What all at work may take of a limit at once.
     #[serde(rename = "@parts", default = "whole")]
     pub parts: f64,
+    /// For how long routers leave the list unconfirmed before they ask one another; none: they never do.
+    #[serde(rename = "@confirm")]
+    pub confirm: Option<Span>,
+    /// Routers whose settings lack that, as before an upgrade.
+    #[serde(rename = "@without")]
+    without: Option<String>,
+    /// So long after the list service drained an engine nothing new may come to it, from whichever router.
+    #[serde(rename = "@stale-after")]
+    pub stale_after: Option<Span>,
     /// Routers run without the refinements.
     #[serde(skip)]
     pub plain: bool,
@@ -84,6 +93,25 @@
     LoseFolder,
     /// From its next start on its wall clock is off by so much.
     Clock,
+    /// The list service changes the state of an engine.
+    List,
+    /// It begins anew, from what it has.
+    ListRestart,
+    /// It changes something ten times a second, for so long.
+    ListChurn,
+    /// These routers are led to another list service, which counts for itself.
+    SecondList,
+    /// These are led to a copy of it that learns of no change from now on.
+    OldReplica,
+}
+
+/// What the list service may say of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Listed {
+    Ready,
+    Draining,
+    Gone,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -119,6 +147,8 @@
     pub engine: Option<String>,
     #[serde(rename = "@fault")]
     fault: Option<String>,
+    #[serde(rename = "@state")]
+    pub state: Option<Listed>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -142,6 +172,11 @@
     Event,
     /// These accuse nobody who lives.
     NoAccusation,
+    /// They hold the list as the service has it.
+    Latest,
+    /// Another router has handed them a list on; none has.
+    BroughtUp,
+    NotBroughtUp,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -291,6 +326,12 @@
                 ));
             }
         }
+        for deed in day.deeds.iter().filter(|d| (d.what == DeedKind::List) != d.state.is_some()) {
+            wrong.push(format!("<do state>: goes with what=\"list\", here it is {:?}", deed.what));
+        }
+        for deed in day.deeds.iter().filter(|d| d.what == DeedKind::List && d.engine.is_none()) {
+            wrong.push(format!("<do engine>: {:?} has to say of which engine", deed.what));
+        }
         for deed in &day.deeds {
             match (deed.what == DeedKind::Fault, deed.fault()) {
                 (_, Err(error)) => wrong.push(error),
@@ -324,7 +365,7 @@
 
     /// The highest number of a router that it names.
     pub fn most_named(&self) -> usize {
-        let texts = [&self.load_to, &self.may_die]
+        let texts = [&self.load_to, &self.may_die, &self.without]
             .into_iter()
             .chain(self.deeds.iter().flat_map(|d| [&d.routers, &d.from, &d.to]))
             .chain(self.wants.iter().flat_map(|w| [&w.routers, &w.by, &w.from, &w.to]));
@@ -340,6 +381,12 @@
         }
     }
 
+    /// For how long that router leaves the list unconfirmed.
+    pub fn confirm_of(&self, router: usize) -> Option<Span> {
+        self.confirm
+            .filter(|_| !self.plain && !numbers(self.without.as_ref(), self.routers).contains(&router))
+    }
+
     pub fn may_die(&self) -> Vec<usize> {
         numbers(self.may_die.as_ref(), self.routers)
     }
--- a/crates/gaparch-lab/src/fleet/days.rs
+++ b/crates/gaparch-lab/src/fleet/days.rs
@@ -8,7 +8,7 @@
     days: &'static [&'static str],
 }
 
-const GROUPS: [Group; 3] = [
+const GROUPS: [Group; 4] = [
     Group {
         name: "membership",
         days: &[
@@ -38,6 +38,20 @@
             include_str!("../../../../days/links/list-links.xml"),
         ],
     },
+    Group {
+        name: "audit",
+        days: &[
+            include_str!("../../../../days/audit/stalled-list.xml"),
+            include_str!("../../../../days/audit/all-but-one.xml"),
+            include_str!("../../../../days/audit/cut-list.xml"),
+            include_str!("../../../../days/audit/list-anew.xml"),
+            include_str!("../../../../days/audit/old-replica.xml"),
+            include_str!("../../../../days/audit/two-services.xml"),
+            include_str!("../../../../days/audit/stopped-across.xml"),
+            include_str!("../../../../days/audit/churn.xml"),
+            include_str!("../../../../days/audit/mixed.xml"),
+        ],
+    },
     Group {
         // Minutes each: by command.
         name: "membership-long",
--- a/crates/gaparch-lab/src/fleet/faults.rs
+++ b/crates/gaparch-lab/src/fleet/faults.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -58,6 +59,7 @@
 pub struct Table {
     faults: BTreeMap<Way, Fault>,
     resets: BTreeMap<Way, u64>,
+    detours: BTreeMap<Way, SocketAddr>,
 }
 
 impl Table {
@@ -68,6 +70,11 @@
     pub fn resets(&self, way: &Way) -> u64 {
         self.resets.get(way).copied().unwrap_or_default()
     }
+
+    /// Where a stream leads in place of where it should.
+    pub fn detour(&self, way: &Way) -> Option<SocketAddr> {
+        self.detours.get(way).copied()
+    }
 }
 
 /// The faults in force, shared by all relays of a fleet.
@@ -91,6 +98,12 @@
             .send_modify(|t| ways.iter().for_each(|way| *t.resets.entry(way.clone()).or_default() += 1));
     }
 
+    /// From now on new streams of these links lead elsewhere; those there are end.
+    pub fn detour(&self, ways: &[Way], to: SocketAddr) {
+        self.table.send_modify(|t| t.detours.extend(ways.iter().map(|way| (way.clone(), to))));
+        self.reset(ways);
+    }
+
     pub fn fault(&self, way: &Way) -> Fault {
         self.table.borrow().fault(way)
     }
--- a/crates/gaparch-lab/src/fleet/rig.rs
+++ b/crates/gaparch-lab/src/fleet/rig.rs
@@ -4,34 +4,39 @@
 //! the five rules are judged by. What routers think of one another is asked of each of them, all the time; what is true
 //! of them the rig knows, since it did it.
 
-use super::day::{Day, Deed, DeedKind};
+use super::day::{Day, Deed, DeedKind, Listed};
 use super::faults::{End, Faults, Way};
 use super::process::Process;
 use super::relay::Relays;
-use super::sentence::{self, Heard, Life, Look, Report, Seen};
+use super::sentence::{self, Heard, Life, ListedNow, Look, Report, Seen, Stale};
 use super::streams::{Streams, Witness};
 use crate::badday;
 use crate::checker;
+use crate::list_service::{ListService, ListShare};
 use crate::load::{Patience, Question};
 use crate::ports;
-use crate::record::{Ask, What};
-use crate::site::{Plan, Site, SiteError, OFFICE_KEY};
+use crate::record::{Ask, Record, What};
+use crate::site::{self, Plan, Site, SiteError, OFFICE_KEY};
+use gaparch::api::ServerState;
+use gaparch_engine::ConnId;
 use gaparch_net::{Credentials, OpsClient, Place};
 use gaparch_protocol::ops::view::{FleetView, Happening};
 use gaparch_protocol::ops::{Answer, OpsRole, Query};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// Between two looks at a router, and for its answer: a stopped one gives none.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 const LOOK_WITHIN: Duration = Duration::from_millis(400);
+/// Between two changes of a list that changes all the time.
+const CHURN: Duration = Duration::from_millis(100);
 /// Threads that are busy on each processor while the machine is starved.
 const BUSY: usize = 12;
 /// Events of one answer.
@@ -49,6 +54,9 @@
     faults: Arc<Faults>,
     relays: Relays,
     streams: Streams,
+    /// A list service that counts for itself, once the day has led somebody to it.
+    second: Option<ListService>,
+    churn: Vec<JoinHandle<()>>,
     /// Links of routers with engines and clients through which nothing comes now.
     silent: BTreeSet<Way>,
     began: Instant,
@@ -85,8 +93,9 @@
         let seeds: String = (0..day.routers.min(2))
             .map(|seed| format!(r#"<seed address="{}"/>"#, relays.address(seed)))
             .collect();
+        let confirm = day.confirm_of(router).map_or(String::new(), |span| format!(r#" confirm="{span}""#));
         let fleet = format!(
-            r#"<fleet listen="{listen}" address="{}" key-file="fleet.key" refined="{}">{seeds}</fleet></gaparch>"#,
+            r#"<fleet listen="{listen}" address="{}" key-file="fleet.key" refined="{}"{confirm}>{seeds}</fleet></gaparch>"#,
             relays.address(router),
             !day.plain
         );
@@ -108,12 +117,15 @@
         faults,
         relays,
         streams,
+        second: None,
+        churn: Vec::new(),
         silent: BTreeSet::new(),
         began: Instant::now(),
         lives,
         seen,
         copies,
     };
+    rig.note_list();
     for router in 0..rig.day.routers {
         rig.processes[router].start()?;
         rig.note_at(Duration::ZERO, router, Life::Running);
@@ -126,6 +138,7 @@
             router,
             began: rig.began,
             began_at,
+            follows: rig.day.confirm_of(router).is_some(),
             seen: Arc::clone(&rig.seen),
             lives: Arc::clone(&rig.lives),
         };
@@ -153,6 +166,12 @@
         }
     }
 
+    /// What the list service has, from now on.
+    fn note_list(&self) {
+        let listed = listed_now(self.began, &self.site.list.share());
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner).lists.push(listed);
+    }
+
     fn record(&self, what: What) {
         self.site.record.add(self.site.clock.now(), what);
     }
@@ -227,7 +246,12 @@
                 }
                 DeedKind::LoseFolder => std::fs::remove_dir_all(self.site.state_folder(router))?,
                 DeedKind::Clock => self.processes[router].set_clock(deed.ahead.unwrap_or(0)),
-                DeedKind::Cut
+                DeedKind::List
+                | DeedKind::ListRestart
+                | DeedKind::OldReplica
+                | DeedKind::ListChurn
+                | DeedKind::SecondList
+                | DeedKind::Cut
                 | DeedKind::Stall
                 | DeedKind::Reset
                 | DeedKind::Links
@@ -252,6 +276,59 @@
                 let all: Vec<Way> = self.silent.iter().cloned().collect();
                 self.hush(&all, false);
             }
+            DeedKind::List => {
+                let state = match deed.state {
+                    Some(Listed::Draining) => ServerState::Draining,
+                    Some(Listed::Gone) => ServerState::Gone,
+                    Some(Listed::Ready) | None => ServerState::Ready,
+                };
+                let engine = deed.engine.as_deref().unwrap_or_default();
+                if !self.site.list.set_state(engine, state) {
+                    // It was gone: it is listed anew.
+                    let spec = self.site.plan().engines.iter().find(|e| e.name == engine);
+                    let handle = self.site.engines.get(engine);
+                    if let (Some(spec), Some(handle)) = (spec, handle) {
+                        self.site.list.set(site::entry(spec, handle.address(), state));
+                    }
+                }
+                self.note_list();
+            }
+            DeedKind::ListRestart => {
+                self.site.list.restart(self.site.clock);
+                self.note_list();
+            }
+            DeedKind::ListChurn => {
+                let (list, seen, began) = (self.site.list.share(), Arc::clone(&self.seen), self.began);
+                let until = Instant::now() + deed.delay.duration();
+                self.churn.push(tokio::spawn(async move {
+                    let (_, _, entries) = list.state();
+                    let Some(mut entry) = entries.into_iter().next() else { return };
+                    let mut on = false;
+                    while Instant::now() < until {
+                        // Something that changes nothing for anybody's requests.
+                        on = !on;
+                        entry.weight = on.then_some(1.0);
+                        list.set(entry.clone());
+                        let listed = listed_now(began, &list);
+                        seen.lock().unwrap_or_else(PoisonError::into_inner).lists.push(listed);
+                        sleep(CHURN).await;
+                    }
+                }));
+            }
+            DeedKind::SecondList | DeedKind::OldReplica => {
+                let address = (Ipv4Addr::LOCALHOST, 0).into();
+                let second = match deed.what {
+                    DeedKind::OldReplica => self.site.list.replica(address, self.site.clock).await?,
+                    _ => {
+                        let (_, _, entries) = self.site.list.state();
+                        ListService::start(address, entries, self.site.clock, Record::default()).await?
+                    }
+                };
+                let ways: Vec<Way> =
+                    deed.routers(of).into_iter().map(|r| (End::Router(r), End::List)).collect();
+                self.faults.detour(&ways, second.address());
+                self.second = Some(second);
+            }
             DeedKind::Starve => starve(deed.delay.duration()),
             DeedKind::Fault => {
                 // The day was checked: there is one.
@@ -296,6 +373,34 @@
         self.copies.join(Site::router_name(router))
     }
 
+    /// What came to engines that the list service had drained, from whichever router, and how long after.
+    fn find_stale(&self) {
+        let began_at = self.site.clock.at(self.began.into_std());
+        let mut names: BTreeMap<(String, ConnId), String> = BTreeMap::new();
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut stale = Vec::new();
+        for entry in self.site.record.entries() {
+            let What::Frame { engine, conn, way: gaparch_engine::observe::Way::In, seen: frame } = entry.what
+            else {
+                continue;
+            };
+            match frame {
+                crate::record::Seen::Hello { router, .. } => {
+                    names.insert((engine, conn), router);
+                }
+                crate::record::Seen::Read { .. } | crate::record::Seen::Write { .. } => {
+                    let at = Duration::from_nanos(entry.at.saturating_sub(began_at));
+                    if let Some(since) = seen.drained_since(&engine, at) {
+                        let router = names.get(&(engine.clone(), conn)).cloned().unwrap_or_default();
+                        stale.push(Stale { router, engine, late: at - since });
+                    }
+                }
+                _ => {}
+            }
+        }
+        seen.stale = stale;
+    }
+
     /// Stands in for a process that is being ended elsewhere.
     fn unstarted(&self, router: usize) -> io::Result<Process> {
         let file =
@@ -344,12 +449,20 @@
         for process in &mut self.processes {
             process.kill()?;
         }
+        self.churn.iter().for_each(JoinHandle::abort);
+        self.find_stale();
         let verdict = checker::check_entries(&self.site.record.entries(), &badday::figures(self.site.plan()));
         let seen = std::mem::take(&mut *self.seen.lock().unwrap_or_else(PoisonError::into_inner));
         Ok(sentence::judge(&self.day, seen, verdict, answered))
     }
 }
 
+fn listed_now(began: Instant, list: &ListShare) -> ListedNow {
+    let (epoch, version, entries) = list.state();
+    let drained = entries.into_iter().filter(|e| e.state != ServerState::Ready).map(|e| e.engine).collect();
+    ListedNow { at: began.elapsed(), epoch, version, drained }
+}
+
 /// Keeps all processors busy for that long, many times over.
 fn starve(time: Duration) {
     let until = std::time::Instant::now() + time;
@@ -405,6 +518,8 @@
     began: Instant,
     /// The same by the clock that events have.
     began_at: u64,
+    /// It is asked for versions, too.
+    follows: bool,
     seen: Arc<Mutex<Seen>>,
     lives: Lives,
 }
@@ -412,7 +527,7 @@
 impl Eye {
     /// Asks the router for its view, all the time, and what it told of.
     async fn look(self, place: Place) {
-        let Eye { router, began, began_at, seen, lives } = self;
+        let Eye { router, began, began_at, follows, seen, lives } = self;
         let office =
             Credentials { key: Some(OFFICE_KEY.to_owned()), role: OpsRole::Watch, who: "rig".to_owned() };
         let mut client: Option<OpsClient> = None;
@@ -435,16 +550,23 @@
                         Answer::Events { events } => events,
                         _ => return None,
                     };
-                Some((view, events))
+                let versions = match follows {
+                    true => match client.ask(Query::Versions {}).await.ok()? {
+                        Answer::Versions { versions } => Some(*versions),
+                        _ => return None,
+                    },
+                    false => None,
+                };
+                Some((view, versions, events))
             };
             match timeout(LOOK_WITHIN, once()).await {
-                Ok(Some((view, events))) => {
+                Ok(Some((view, versions, events))) => {
                     let mut seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
                     // An answer from before it was killed says nothing of now.
                     let life = seen.life(router, began.elapsed());
                     let answers = life.is_some_and(|(since, life)| life == Life::Running && since <= asked);
                     lives.lock().unwrap_or_else(PoisonError::into_inner)[router] = answers;
-                    seen.looks.push(Look { at: began.elapsed(), asked, router, view });
+                    seen.looks.push(Look { at: began.elapsed(), asked, router, view, versions });
                     for event in events {
                         since = since.max(event.at);
                         let at = Duration::from_nanos(event.at.saturating_sub(began_at));
--- a/crates/gaparch-lab/src/fleet/sentence.rs
+++ b/crates/gaparch-lab/src/fleet/sentence.rs
@@ -6,7 +6,8 @@
 use crate::site::Site;
 use gaparch_engine::Fault;
 use gaparch_protocol::fleet::MemberState;
-use gaparch_protocol::ops::view::FleetView;
+use gaparch_protocol::ops::view::{FleetView, VersionsView};
+use std::collections::BTreeSet;
 use std::fmt;
 use std::time::Duration;
 
@@ -37,6 +38,26 @@
     pub asked: Duration,
     pub router: usize,
     pub view: FleetView,
+    /// Where it follows lists.
+    pub versions: Option<VersionsView>,
+}
+
+/// What the list service has from a time on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedNow {
+    pub at: Duration,
+    pub epoch: u64,
+    pub version: u64,
+    /// Engines that may be sent nothing new.
+    pub drained: BTreeSet<String>,
+}
+
+/// Something that came to an engine after the list service had drained it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stale {
+    pub router: String,
+    pub engine: String,
+    pub late: Duration,
 }
 
 /// Something that a router told of.
@@ -53,6 +74,9 @@
     pub looks: Vec<Look>,
     pub events: Vec<Heard>,
     pub lives: Vec<(Duration, usize, Life)>,
+    /// What the list service has had.
+    pub lists: Vec<ListedNow>,
+    pub stale: Vec<Stale>,
     /// Bytes that each router sent to others.
     pub bytes: Vec<u64>,
     pub crashes: Vec<String>,
@@ -84,6 +108,8 @@
     pub starts_cold: bool,
     /// False deaths, and parts of a limit, that the day allows.
     pub may: (usize, f64),
+    /// Past which nothing may come to an engine that the list service drained.
+    pub stale_after: Option<Duration>,
     /// All that was seen.
     pub seen: Seen,
 }
@@ -99,6 +125,17 @@
         self.life(router, at).is_some_and(|(_, life)| life == Life::Running)
     }
 
+    /// What the list service has at that time.
+    fn list(&self, at: Duration) -> Option<&ListedNow> {
+        self.lists.iter().filter(|l| l.at <= at).max_by_key(|l| l.at)
+    }
+
+    /// Since when that engine is drained, if it is at that time.
+    pub(super) fn drained_since(&self, engine: &str, at: Duration) -> Option<Duration> {
+        let before = self.lists.iter().filter(|l| l.at <= at).rev();
+        before.take_while(|l| l.drained.contains(engine)).last().map(|l| l.at)
+    }
+
     /// Those that live all the time between.
     fn living(&self, routers: usize, from: Duration, to: Duration) -> Vec<usize> {
         let whole = |r: &usize| {
@@ -151,6 +188,12 @@
             let accused = look.view.members.iter().filter(|m| living.contains(&m.name));
             !accused.flat_map(|m| &m.accused_by).any(|by| accusers.contains(by))
         }
+        WishKind::Latest => match (&look.versions, seen.list(look.asked)) {
+            (Some(view), Some(now)) => (view.held.epoch, view.held.version) >= (now.epoch, now.version),
+            _ => false,
+        },
+        WishKind::BroughtUp => look.versions.as_ref().is_some_and(|v| v.brought_up > 0),
+        WishKind::NotBroughtUp => look.versions.as_ref().is_some_and(|v| v.brought_up == 0),
         WishKind::Event => false,
     }
 }
@@ -267,6 +310,7 @@
         looks: seen.looks.len(),
         starts_cold: day.deeds.iter().any(|d| matches!(d.fault(), Ok(Some((_, Fault::Start))))),
         may: (day.false_deaths, day.parts),
+        stale_after: day.stale_after.map(|s| s.duration()),
         seen,
     }
 }
@@ -290,6 +334,22 @@
         for (number, rule) in self.verdict.rules.iter().enumerate() {
             short.extend(rule.broken.iter().take(3).map(|b| format!("rule {}: {b}", number + 1)));
         }
+        if let Some(bound) = self.stale_after {
+            let late: Vec<&Stale> = self.seen.stale.iter().filter(|s| s.late > bound).collect();
+            if let Some(worst) = late.iter().max_by_key(|s| s.late) {
+                short.push(format!(
+                    "{} came to drained engines later than {:.1} s after, the last to {} by {} after {:.1} s",
+                    late.len(),
+                    bound.as_secs_f64(),
+                    worst.engine,
+                    worst.router,
+                    worst.late.as_secs_f64()
+                ));
+            }
+            if self.seen.lists.iter().all(|l| l.drained.is_empty()) {
+                short.push("nothing was drained".to_owned());
+            }
+        }
         if self.starts_cold && self.verdict.rules[3].checked == 0 {
             short.push("no cold engine was seen, though one was started".to_owned());
         }
@@ -353,6 +413,15 @@
                 self.verdict.rules[3].nearest * 100.0
             )?;
         }
+        if self.stale_after.is_some() {
+            let worst = self.seen.stale.iter().map(|s| s.late).max().unwrap_or_default();
+            write!(
+                f,
+                "; {} sent to drained engines, {:.2} s after at last",
+                self.seen.stale.len(),
+                worst.as_secs_f64()
+            )?;
+        }
         for short in self.short() {
             write!(f, "\n    {short}")?;
         }
@@ -408,7 +477,7 @@
             misdirected: 0,
             throttled: 0,
         };
-        Look { at, asked: at, router, view }
+        Look { at, asked: at, router, view, versions: None }
     }
 
     /// Three routers; the third is killed after two seconds, and known as dead after three.
--- a/crates/gaparch-lab/src/fleet/streams.rs
+++ b/crates/gaparch-lab/src/fleet/streams.rs
@@ -134,7 +134,8 @@
             return;
         }
         // Where nobody listens the other side is told by the end of its stream, in silence otherwise.
-        let Ok(far) = TcpStream::connect(self.at).await else { return };
+        let at = self.faults.borrow().detour(&there).unwrap_or(self.at);
+        let Ok(far) = TcpStream::connect(at).await else { return };
         let _ = far.set_nodelay(true);
         let (near_in, near_out) = near.into_split();
         let (far_in, far_out) = far.into_split();
--- a/crates/gaparch-lab/src/list_service.rs
+++ b/crates/gaparch-lab/src/list_service.rs
@@ -29,8 +29,6 @@
     history: Vec<(u64, ListEntry)>,
     silent: bool,
     failing: bool,
-    /// What it answers in place of what it has.
-    old: Option<(u64, BTreeMap<String, ListEntry>)>,
 }
 
 /// A running list service. It ends when this is dropped.
@@ -41,6 +39,37 @@
     accepting: JoinHandle<()>,
 }
 
+/// What changes a list service from elsewhere.
+#[derive(Clone, Debug)]
+pub struct ListShare(Arc<watch::Sender<State>>);
+
+impl ListShare {
+    /// As [`ListService::state`].
+    pub fn state(&self) -> (u64, u64, Vec<ListEntry>) {
+        let state = self.0.borrow();
+        (state.epoch, state.version, state.entries.values().cloned().collect())
+    }
+
+    /// As [`ListService::set`].
+    pub fn set(&self, entry: ListEntry) {
+        self.0.send_modify(|s| s.change(entry));
+    }
+}
+
+impl State {
+    fn change(&mut self, entry: ListEntry) {
+        self.version += 1;
+        self.history.push((self.version, entry.clone()));
+        if self.history.len() > HISTORY {
+            self.history.remove(0);
+        }
+        match entry.state {
+            ServerState::Gone => drop(self.entries.remove(&entry.engine)),
+            _ => drop(self.entries.insert(entry.engine.clone(), entry)),
+        }
+    }
+}
+
 impl Drop for ListService {
     fn drop(&mut self) {
         self.accepting.abort();
@@ -58,15 +87,24 @@
         clock: Clock,
         record: Record,
     ) -> io::Result<ListService> {
+        let entries = entries.into_iter().map(|e| (e.engine.clone(), e)).collect();
+        let state = State { epoch: clock.now(), version: 1, entries, ..State::default() };
+        ListService::run(address, state, clock, record).await
+    }
+
+    /// Another one that knows what this one knows, under the same count, and hears of no change from now on.
+    ///
+    /// # Errors
+    /// When the address can't be listened at.
+    pub async fn replica(&self, address: SocketAddr, clock: Clock) -> io::Result<ListService> {
+        let state = self.state.borrow().clone();
+        ListService::run(address, state, clock, Record::default()).await
+    }
+
+    async fn run(address: SocketAddr, state: State, clock: Clock, record: Record) -> io::Result<ListService> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let entries = entries.into_iter().map(|e| (e.engine.clone(), e)).collect();
-        let state = Arc::new(watch::Sender::new(State {
-            epoch: clock.now(),
-            version: 1,
-            entries,
-            ..State::default()
-        }));
+        let state = Arc::new(watch::Sender::new(state));
         let shared = Arc::clone(&state);
         let accepting = tokio::spawn(async move {
             let room = Arc::new(Semaphore::new(MOST_ROUTERS));
@@ -93,19 +131,19 @@
         self.address
     }
 
+    /// What changes it from elsewhere.
+    pub fn share(&self) -> ListShare {
+        ListShare(Arc::clone(&self.state))
+    }
+
+    /// Its epoch and version, and all it lists.
+    pub fn state(&self) -> (u64, u64, Vec<ListEntry>) {
+        self.share().state()
+    }
+
     /// Changes the state of an engine, or adds one.
     pub fn set(&self, entry: ListEntry) {
-        self.state.send_modify(|s| {
-            s.version += 1;
-            s.history.push((s.version, entry.clone()));
-            if s.history.len() > HISTORY {
-                s.history.remove(0);
-            }
-            match entry.state {
-                ServerState::Gone => drop(s.entries.remove(&entry.engine)),
-                _ => drop(s.entries.insert(entry.engine.clone(), entry)),
-            }
-        });
+        self.share().set(entry);
     }
 
     /// Changes the state of an engine that is listed; false if it is not.
@@ -126,15 +164,9 @@
         self.state.send_modify(|s| {
             (s.epoch, s.version) = (clock.now(), 1);
             s.history.clear();
-            s.old = None;
         });
     }
 
-    /// From now on it answers as it stands now, whatever changes; or no more.
-    pub fn old(&self, old: bool) {
-        self.state.send_modify(|s| s.old = old.then(|| (s.version, s.entries.clone())));
-    }
-
     /// Answers every call with a failure while failing.
     pub fn failing(&self, failing: bool) {
         self.state.send_modify(|s| s.failing = failing);
@@ -200,7 +232,7 @@
         }
         if state.silent {
             answers.clear();
-        } else if watching && told < state.version && state.old.is_none() {
+        } else if watching && told < state.version {
             answers.push(since(&state, told));
             told = state.version;
         }
@@ -220,10 +252,6 @@
 
 /// What has changed since a version: one change alone is a delta, anything else the whole list.
 fn since(state: &State, told: u64) -> ListFrame {
-    if let Some((version, entries)) = &state.old {
-        let entries = entries.values().cloned().collect();
-        return ListFrame::Update { scope: Scope::Full, version: *version, entries };
-    }
     match state.history.last() {
         Some((version, entry)) if told > 0 && told + 1 == state.version && *version == state.version => {
             ListFrame::Update { scope: Scope::Delta, version: state.version, entries: vec![entry.clone()] }
--- a/crates/gaparch-router/src/shell/list.rs
+++ b/crates/gaparch-router/src/shell/list.rs
@@ -32,6 +32,8 @@
     Update(ListUpdate),
 }
 
+/// Connections closed in place of a hello, after which the first version is tried once.
+const CLOSED: u32 = 3;
 /// A service that is silent is asked so many times before it counts as gone.
 const ASKED: u32 = 3;
 
@@ -45,17 +47,17 @@
     inbox: mpsc::Sender<ListMessage>,
 ) {
     let mut retry = RETRY_FROM;
-    // A service of the first version knows no other, and closes: it is spoken to in that then.
-    let mut version = if confirm.is_some() { VERSION_EPOCHS } else { VERSION };
+    // A service of the first version knows no other, and closes: after some tries it is spoken to in that. Not for a
+    // link that is silent or breaks once, or a service that tells its epoch would be taken for one that does not.
+    let mut closed = 0;
     loop {
+        let version = if confirm.is_some() && closed < CLOSED { VERSION_EPOCHS } else { VERSION };
         let reason = match timeout(CONNECT_WITHIN, TcpStream::connect(settings.address)).await {
             Ok(Ok(socket)) => {
                 retry = RETRY_FROM;
                 match talk(socket, (&name, version), confirm, &mut commands, &inbox).await {
-                    Some(Ended { reason, met }) => {
-                        if confirm.is_some() && !met {
-                            version = if version == VERSION { VERSION_EPOCHS } else { VERSION };
-                        }
+                    Some(Ended { reason, closed: at_once }) => {
+                        closed = if at_once && closed < CLOSED { closed + 1 } else { 0 };
                         reason
                     }
                     None => return,
@@ -74,10 +76,10 @@
     }
 }
 
-/// How a connection ended; `met`: the service had said hello.
+/// How a connection ended; `closed`: by the service, in place of a hello.
 struct Ended {
     reason: String,
-    met: bool,
+    closed: bool,
 }
 
 /// One connection; why it ended, or `None` if the router has.
@@ -92,15 +94,15 @@
     let (read_half, mut writer) = socket.into_split();
     let mut reader = FrameReader::new(read_half, DEFAULT_MAX_FRAME);
     let mut bytes = bytes::BytesMut::new();
-    let ended = |reason: String, met| Some(Ended { reason, met });
+    let ended = |reason: String, closed| Some(Ended { reason, closed });
     encode(&ListFrame::Hello { version, name: name.to_owned(), epoch: 0 }, &mut bytes);
     if let Err(error) = writer.write_all(&bytes).await {
         return ended(error.to_string(), false);
     }
     let epoch = match timeout(CONNECT_WITHIN, reader.read_one()).await {
         Ok(Ok(ListFrame::Hello { version: theirs, epoch, .. })) if theirs == version => epoch,
-        Ok(Ok(_)) => return ended("its first frame is no hello of this version".to_owned(), false),
-        Ok(Err(error)) => return ended(error.to_string(), false),
+        Ok(Ok(_)) => return ended("its first frame is no hello of this version".to_owned(), true),
+        Ok(Err(error)) => return ended(error.to_string(), true),
         Err(_) => return ended("it does not say hello".to_owned(), false),
     };
     inbox.send(ListMessage::Up(epoch)).await.ok()?;
@@ -117,7 +119,7 @@
             () = sleep_until(ask_at.unwrap_or(silent_from)), if ask_at.is_some() => {
                 asked += 1;
                 if asked >= ASKED {
-                    return ended("it has said nothing for too long, though it was asked".to_owned(), true);
+                    return ended("it has said nothing for too long, though it was asked".to_owned(), false);
                 }
                 ListFrame::Fetch
             }
@@ -134,13 +136,13 @@
                             })
                         }
                         ListFrame::Failed { reason } => ListMessage::Down(reason),
-                        ListFrame::Bye { reason } => return ended(reason, true),
-                        _ => return ended("a frame that a list service does not send".to_owned(), true),
+                        ListFrame::Bye { reason } => return ended(reason, false),
+                        _ => return ended("a frame that a list service does not send".to_owned(), false),
                     };
                     inbox.send(message).await.ok()?;
                 }
                 if let Err(error) = read {
-                    return ended(error.to_string(), true);
+                    return ended(error.to_string(), false);
                 }
                 continue;
             }
@@ -151,8 +153,8 @@
         let within = confirm.unwrap_or(WRITE_WITHIN);
         match timeout(within, writer.write_all(&bytes)).await {
             Ok(Ok(())) => {}
-            Ok(Err(error)) => return ended(error.to_string(), true),
-            Err(_) => return ended("it takes no bytes".to_owned(), true),
+            Ok(Err(error)) => return ended(error.to_string(), false),
+            Err(_) => return ended("it takes no bytes".to_owned(), false),
         }
     }
 }
