Orders of the fleet: a core that keeps all routers at the same orders

Need: a drain had to be ordered at each router. Change: registers by subject with numbers (no clock), the more careful first, what knew nothing of each other told; digests compared, acknowledgements when in force and on disk.

--- a/crates/gaparch-audit/src/lib.rs
+++ b/crates/gaparch-audit/src/lib.rs
@@ -4,16 +4,20 @@
 //! [`Held`] is the list that a router acts on. It takes what the list service says and what other routers hand on, and
 //! never lets an older version take the place of a newer one. [`Follow`] speaks with the other routers: it tells them
 //! what is held here, hears what they hold, believes what enough of them have from the service itself, and fetches it
-//! where the own link to the service is silent, or answers old versions. Times are nanoseconds of one monotonic clock.
+//! where the own link to the service is silent, or answers old versions. [`Orders`] keeps operators' orders the same at
+//! all of them. Times are nanoseconds of one monotonic clock.
 
 mod claims;
 mod fetch;
 mod follow;
 mod held;
+mod orders;
 mod view;
 
 pub use follow::{Follow, Output, Settings};
+pub use gaparch_protocol::versions::FleetOrder;
 pub use held::{digest, Held, HeldList, Refusal, Taken};
+pub use orders::{subject, Acked, OrderHappening, OrderOutput, Orders};
 pub use view::{Happening, Row, View};
 
 /// Nanoseconds.
--- /dev/null
+++ b/crates/gaparch-audit/tests/orders.rs
@@ -0,0 +1,305 @@
+//! Orders of the fleet in virtual time: any order, loss, doubling, splits, kills and old folders.
+
+use gaparch_audit::{subject, FleetOrder, Nanos, OrderHappening, OrderOutput, Orders};
+use gaparch_protocol::ops::intent::{Change, Hold, Note};
+use gaparch_protocol::versions::Talk;
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+
+const MS: Nanos = 1_000_000;
+const STEP: Nanos = 10 * MS;
+
+fn name(n: usize) -> String {
+    format!("router-{n}")
+}
+
+struct Router {
+    orders: Orders,
+    /// What is in force, by what it is about.
+    book: BTreeMap<String, Change>,
+    disk: Vec<FleetOrder>,
+    disk_works: bool,
+    told: Vec<OrderHappening>,
+}
+
+struct Fleet {
+    now: Nanos,
+    rng: ChaCha8Rng,
+    routers: Vec<Option<Router>>,
+    under_way: Vec<(Nanos, usize, usize, Talk)>,
+    loss: f64,
+    /// Routers of different sides hear nothing of one another.
+    sides: Vec<u8>,
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            now: MS,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            routers: Vec::new(),
+            under_way: Vec::new(),
+            loss: 0.0,
+            sides: vec![0; count],
+        };
+        for n in 0..count {
+            fleet.routers.push(None);
+            fleet.start(n, Vec::new(), 1);
+        }
+        fleet
+    }
+
+    fn start(&mut self, n: usize, disk: Vec<FleetOrder>, incarnation: u64) {
+        let seed = self.rng.random();
+        let orders = Orders::new(&name(n), incarnation, seed, disk.clone(), self.now);
+        let book = disk.iter().filter_map(|o| Some((subject(&o.change)?, o.change.clone()))).collect();
+        self.routers[n] = Some(Router { orders, book, disk, disk_works: true, told: Vec::new() });
+    }
+
+    fn give(&mut self, n: usize, change: Change) {
+        let note = Note { who: format!("operator-{n}"), why: "a test".to_owned(), at: 0 };
+        let mut out = Vec::new();
+        let router = self.routers[n].as_mut().expect("it runs");
+        router.book.insert(subject(&change).expect("kept"), change.clone());
+        router.orders.give(self.now, &change, &note, &mut out);
+        self.carry_out(n, out);
+    }
+
+    fn present(&self, n: usize) -> Vec<String> {
+        let here = |o: &usize| *o != n && self.routers[*o].is_some() && self.sides[*o] == self.sides[n];
+        (0..self.routers.len()).filter(here).map(name).collect()
+    }
+
+    fn carry_out(&mut self, n: usize, out: Vec<OrderOutput>) {
+        for output in out {
+            let Some(router) = &mut self.routers[n] else { return };
+            match output {
+                OrderOutput::Say { to, talk } => {
+                    let to: usize =
+                        to.strip_prefix("router-").and_then(|t| t.parse().ok()).expect("a router");
+                    for _ in 0..=usize::from(self.rng.random_bool(self.loss / 2.0)) {
+                        if self.sides[n] == self.sides[to] && !self.rng.random_bool(self.loss) {
+                            let late = self.rng.random_range(MS..80 * MS);
+                            self.under_way.push((self.now + late, n, to, talk.clone()));
+                        }
+                    }
+                }
+                OrderOutput::Apply(order) => {
+                    router.book.insert(subject(&order.change).expect("kept"), order.change.clone());
+                    router.orders.on_applied(&order.id);
+                }
+                OrderOutput::Keep(all) => {
+                    let mut out = Vec::new();
+                    if router.disk_works {
+                        router.disk.clone_from(&all);
+                        router.orders.on_kept(self.now, &all, &mut out);
+                    }
+                    self.carry_out(n, out);
+                }
+                OrderOutput::Happened(what) => router.told.push(what),
+            }
+        }
+    }
+
+    fn run(&mut self, time: Nanos) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += STEP;
+            for n in 0..self.routers.len() {
+                let others = self.present(n);
+                let mut out = Vec::new();
+                if let Some(router) = &mut self.routers[n] {
+                    router.orders.on_time(self.now, others, &mut out);
+                }
+                self.carry_out(n, out);
+            }
+            let (due, later): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.under_way).into_iter().partition(|m| m.0 <= self.now);
+            self.under_way = later;
+            for (_, from, to, talk) in due {
+                let mut out = Vec::new();
+                if let Some(router) = &mut self.routers[to] {
+                    router.orders.on_talk(self.now, &name(from), &talk, &mut out);
+                }
+                self.carry_out(to, out);
+            }
+        }
+    }
+
+    fn book(&self, n: usize) -> &BTreeMap<String, Change> {
+        &self.routers[n].as_ref().expect("it runs").book
+    }
+
+    fn complete(&self, n: usize) -> bool {
+        let others: Vec<String> = (0..self.routers.len()).filter(|o| *o != n).map(name).collect();
+        self.routers[n].as_ref().expect("it runs").orders.acked(&others).iter().all(|a| a.keeps)
+    }
+}
+
+fn drain(engine: usize) -> Change {
+    Change::Hold { engine: format!("engine-{engine}"), hold: Hold::Drain }
+}
+
+fn free(engine: usize) -> Change {
+    Change::Free { engine: format!("engine-{engine}") }
+}
+
+#[test]
+fn an_order_is_kept_by_all_within_a_moment_and_that_is_known_where_it_was_given() {
+    for (count, loss, within) in
+        [(2, 0.0, 600), (9, 0.0, 600), (40, 0.0, 800), (9, 0.3, 2_000), (40, 0.3, 2_000)]
+    {
+        let mut fleet = Fleet::new(count, count as u64);
+        fleet.loss = loss;
+        fleet.run(2_000 * MS);
+        fleet.give(0, drain(1));
+        assert!(!fleet.complete(0), "nobody else can have heard of it");
+        fleet.run(within * MS);
+        assert!((0..count).all(|n| fleet.book(n).len() == 1), "{count} at {loss}");
+        assert!(fleet.complete(0), "{count} at {loss}");
+    }
+}
+
+#[test]
+fn complete_is_never_said_while_one_does_not_keep_it() {
+    let mut fleet = Fleet::new(5, 3);
+    fleet.run(1_000 * MS);
+    fleet.routers[3].as_mut().expect("it runs").disk_works = false;
+    fleet.give(0, drain(1));
+    fleet.run(5_000 * MS);
+    assert_eq!(fleet.book(3).len(), 1, "it is in force there");
+    assert!(!fleet.complete(0), "and a restart would forget it");
+    fleet.routers[4] = None;
+    fleet.routers[3].as_mut().expect("it runs").disk_works = true;
+    fleet.give(1, drain(2));
+    fleet.run(3_000 * MS);
+    assert!(!fleet.complete(0), "one that is gone has not said so");
+    fleet.start(4, Vec::new(), 2);
+    fleet.run(3_000 * MS);
+    assert!(fleet.complete(0));
+}
+
+#[test]
+fn of_two_on_two_sides_of_a_split_one_goes_first_and_both_are_shown() {
+    let mut fleet = Fleet::new(6, 4);
+    fleet.run(1_000 * MS);
+    fleet.give(2, drain(1));
+    fleet.run(1_000 * MS);
+    fleet.sides = vec![0, 0, 0, 1, 1, 1];
+    fleet.give(0, free(1));
+    fleet.give(4, Change::Hold { engine: "engine-1".to_owned(), hold: Hold::Aside });
+    fleet.run(3_000 * MS);
+    assert_ne!(fleet.book(1), fleet.book(5));
+    fleet.sides = vec![0; 6];
+    fleet.run(4_000 * MS);
+    let aside = Change::Hold { engine: "engine-1".to_owned(), hold: Hold::Aside };
+    for n in 0..6 {
+        assert_eq!(fleet.book(n)["engine engine-1"], aside, "the more careful one, at {n}");
+    }
+    let overtaken: usize = fleet.routers.iter().flatten().map(|r| r.orders.overtaken().count()).sum();
+    assert!(overtaken > 0, "what gave way is not lost silently");
+    let told = |w: &OrderHappening| matches!(w, OrderHappening::Overtaken { order, .. } if order.id.router == name(0));
+    assert!(fleet.routers.iter().flatten().any(|r| r.told.iter().any(told)));
+}
+
+#[test]
+fn an_old_folder_brings_no_order_back() {
+    let mut fleet = Fleet::new(4, 5);
+    fleet.run(1_000 * MS);
+    fleet.give(1, drain(1));
+    fleet.run(2_000 * MS);
+    let old = fleet.routers[2].as_ref().expect("it runs").disk.clone();
+    assert_eq!(old.len(), 1);
+    fleet.give(2, free(1));
+    fleet.run(2_000 * MS);
+    fleet.routers[2] = None;
+    fleet.run(500 * MS);
+    fleet.start(2, old, 3);
+    fleet.run(3_000 * MS);
+    assert!((0..4).all(|n| fleet.book(n)["engine engine-1"] == free(1)), "{:?}", fleet.book(2));
+    // And what it orders then is later than all.
+    fleet.give(2, drain(1));
+    fleet.run(2_000 * MS);
+    assert!((0..4).all(|n| fleet.book(n)["engine engine-1"] == drain(1)));
+}
+
+#[test]
+fn a_number_from_the_future_is_not_taken_and_locks_nobody_out() {
+    let mut fleet = Fleet::new(3, 6);
+    fleet.run(1_000 * MS);
+    fleet.give(0, drain(1));
+    fleet.run(1_000 * MS);
+    let mut lie = fleet.routers[1].as_ref().expect("it runs").orders.all().remove(0);
+    (lie.id.number, lie.change, lie.id.care) = (1 << 60, free(1), 0);
+    let mut out = Vec::new();
+    let router = fleet.routers[2].as_mut().expect("it runs");
+    router.orders.on_talk(fleet.now, &name(1), &Talk::Order { order: lie }, &mut out);
+    fleet.carry_out(2, out);
+    fleet.run(1_000 * MS);
+    assert!((0..3).all(|n| fleet.book(n)["engine engine-1"] == drain(1)));
+    let told =
+        |w: &OrderHappening| matches!(w, OrderHappening::Implausible { router, .. } if *router == name(1));
+    assert!(fleet.routers[2].as_ref().expect("it runs").told.iter().any(told));
+    fleet.give(1, free(1));
+    fleet.run(1_000 * MS);
+    assert!((0..3).all(|n| fleet.book(n)["engine engine-1"] == free(1)));
+}
+
+#[test]
+fn hundreds_of_orders_reach_one_that_starts_late() {
+    let mut fleet = Fleet::new(3, 7);
+    fleet.run(500 * MS);
+    (0..300).for_each(|n| fleet.give(n % 2, drain(n)));
+    fleet.routers[2] = None;
+    fleet.run(2_000 * MS);
+    fleet.start(2, Vec::new(), 2);
+    fleet.run(10_000 * MS);
+    assert_eq!(fleet.book(2).len(), 300);
+    assert_eq!(fleet.book(2), fleet.book(0));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    /// Over any orders, loss, splits, kills and folders of any age all come to the same book, the one of the greatest order.
+    #[test]
+    fn all_come_to_the_same_book(
+        seed in any::<u64>(),
+        count in 2usize..6,
+        loss in 0.0f64..0.5,
+        steps in prop::collection::vec((0usize..6, 0u8..6, 0usize..3), 1..16),
+    ) {
+        let mut fleet = Fleet::new(count, seed);
+        fleet.loss = loss;
+        let mut old: Vec<Vec<FleetOrder>> = vec![Vec::new(); count];
+        let mut incarnation = 1;
+        for (who, what, engine) in steps {
+            let n = who % count;
+            match what {
+                0 | 1 => fleet.give(n, drain(engine)),
+                2 => fleet.give(n, free(engine)),
+                3 => (0..count).for_each(|m| fleet.sides[m] = u8::from(m <= n)),
+                4 => old[n] = fleet.routers[n].as_ref().expect("it runs").disk.clone(),
+                _ => {
+                    incarnation += 1;
+                    let disk = old[n].clone();
+                    fleet.start(n, disk, incarnation);
+                }
+            }
+            fleet.run(300 * MS);
+        }
+        fleet.sides = vec![0; count];
+        fleet.run(15_000 * MS);
+        let greatest = |n: usize| {
+            let all = fleet.routers[n].as_ref().expect("it runs").orders.all();
+            all.into_iter().map(|o| (subject(&o.change), o.id)).collect::<BTreeMap<_, _>>()
+        };
+        for n in 1..count {
+            prop_assert_eq!(fleet.book(n), fleet.book(0), "{}", n);
+            prop_assert_eq!(greatest(n), greatest(0));
+        }
+        prop_assert!(fleet.complete(0));
+    }
+}
--- a/crates/gaparch-protocol/src/versions.rs
+++ b/crates/gaparch-protocol/src/versions.rs
@@ -4,13 +4,14 @@
 //! is made of it is decided in `gaparch-audit`.
 
 use crate::list::ListEntry;
+use crate::ops::intent::{Change, Note};
 use crate::wire::{choice, record};
 
 /// Claims of others that one stamp passes on at most.
 pub const MOST_CLAIMS: usize = 2;
 
 record! {
-    /// A version of the list of engines: later ones are greater, whoever told of them.
+    /// A version of the list of engines.
     #[derive(Copy, Eq, PartialOrd, Ord, Default)]
     pub struct ListVersion {
         /// Grows by one with each epoch that follows another; routers count it, for epochs have no order.
@@ -22,6 +23,21 @@
     }
 }
 
+impl ListVersion {
+    /// The same list: ranks are each router's own count, and one that started later counts lower.
+    pub fn is(&self, other: &ListVersion) -> bool {
+        (self.epoch, self.version) == (other.epoch, other.version)
+    }
+
+    /// Within an epoch its versions tell, whatever rank each router counts it by; else the ranks do.
+    pub fn later_than(&self, other: &ListVersion) -> bool {
+        match self.epoch == other.epoch {
+            true => self.version > other.version,
+            false => (self.rank, self.epoch) > (other.rank, other.epoch),
+        }
+    }
+}
+
 record! {
     /// That a router has had a version from the list service itself, and when it was last sure of that.
     #[derive(Eq)]
@@ -35,6 +51,31 @@
     }
 }
 
+record! {
+    /// An order of the fleet's own name. Later ones are greater; of two that knew nothing of each other the more careful one is.
+    #[derive(Eq, PartialOrd, Ord, Hash)]
+    pub struct OrderId {
+        /// One more than any that the router which gave it knew of.
+        pub number: u64,
+        /// How careful it is, where numbers are the same: a drain goes before its end, a small limit before a large one.
+        pub care: u64,
+        pub router: String,
+        /// Of that router's name: an old folder must not give the same number twice.
+        pub incarnation: u64,
+    }
+}
+
+record! {
+    /// An operator's order that all routers of a site keep.
+    pub struct FleetOrder {
+        pub id: OrderId,
+        /// What it takes the place of, as its router knew.
+        pub over: Option<OrderId>,
+        pub change: Change,
+        pub note: Note,
+    }
+}
+
 choice! {
     pub enum Talk {
         /// What the sender holds; `sure`: the service itself has said so, so many milliseconds ago.
@@ -47,6 +88,12 @@
         },
         /// The list of this version, from that entry on.
         2 => Want { version: ListVersion, from: u32, },
+        /// Orders in force at the sender, and those that it keeps on disk, by their digests; `answer`: it wants to hear the
+        /// same.
+        4 => Orders { held: u64, kept: u64, answer: bool, },
+        5 => Order { order: FleetOrder, },
+        /// Orders on what follows that subject, some at once.
+        6 => WantOrders { after: String, },
         /// Entries of a list in the order of their names, from that one on, of so many.
         3 => Page { version: ListVersion, digest: u64, from: u32, of: u32, entries: Vec<ListEntry>, },
     }
