--- a/crates/gaparch-audit/src/orders.rs
+++ b/crates/gaparch-audit/src/orders.rs
@@ -28,6 +28,9 @@
 /// Between two questions whether others keep what was ordered here, and how many are asked each time.
 const ASK_EVERY: Nanos = 200 * MS;
 const ASK: usize = 8;
+/// For how long those are asked after an order, and after a question who keeps them.
+const WAIT: Nanos = 30_000 * MS;
+const WAIT_ASKED: Nanos = 5_000 * MS;
 /// Between two comparisons with others where nothing is waited for.
 const COMPARE_EVERY: Nanos = 1_000 * MS;
 /// Orders sent on one question.
@@ -155,8 +158,8 @@
     words: BTreeMap<String, Word>,
     others: Vec<String>,
     overtaken: VecDeque<(FleetOrder, FleetOrder)>,
-    /// Something was ordered here, and not all have said that they keep it.
-    waits: bool,
+    /// Until then somebody here waits to hear that all keep what was ordered.
+    waits_until: Nanos,
     next_at: Nanos,
     /// Of whom orders were asked, when, how many of them may still come, and whether any was news.
     asked: Option<Asked>,
@@ -177,7 +180,7 @@
 }
 
 impl Orders {
-    /// With the orders that are on disk.
+    /// With the orders that are on disk; none is in force yet.
     pub fn new(router: &str, incarnation: u64, seed: u64, kept: Vec<FleetOrder>, now: Nanos) -> Orders {
         let mut orders = Orders {
             router: router.to_owned(),
@@ -189,7 +192,7 @@
             words: BTreeMap::new(),
             others: Vec::new(),
             overtaken: VecDeque::new(),
-            waits: false,
+            waits_until: 0,
             next_at: now,
             asked: None,
             cursor: String::new(),
@@ -198,7 +201,7 @@
             orders.number = orders.number.max(order.id.number);
             if let Some(about) = subject(&order.change) {
                 let digest = digest(&order);
-                orders.registers.insert(about, Register { order, digest, in_force: true, kept: true });
+                orders.registers.insert(about, Register { order, digest, in_force: false, kept: true });
             }
         }
         orders
@@ -250,7 +253,7 @@
         let over = self.registers.get(&about).map(|r| r.order.id.clone());
         let order = FleetOrder { id, over, change: change.clone(), note };
         self.put(about, order.clone(), true);
-        self.waits = true;
+        self.waits_until = self.now + WAIT;
         self.next_at = self.now;
         self.pass_on(&order, TELL, None, out);
         out.push(OrderOutput::Keep(self.all()));
@@ -271,29 +274,37 @@
     }
 
     /// An order that came from elsewhere is in force here now.
-    pub fn on_applied(&mut self, id: &OrderId) {
-        let register = self.registers.values_mut().find(|r| r.order.id == *id);
-        register.into_iter().for_each(|r| r.in_force = true);
+    pub fn on_applied(&mut self, now: Nanos, id: &OrderId, out: &mut Vec<OrderOutput>) {
+        self.now = now.max(self.now);
+        let Some(register) = self.registers.values_mut().find(|r| r.order.id == *id) else { return };
+        if !std::mem::replace(&mut register.in_force, true) && register.kept {
+            self.tell_giver(id, out);
+        }
     }
 
     /// These are on disk.
     pub fn on_kept(&mut self, now: Nanos, orders: &[FleetOrder], out: &mut Vec<OrderOutput>) {
         self.now = now.max(self.now);
-        let mut givers = Vec::new();
+        let mut givers = BTreeMap::new();
         for order in orders {
             let Some(register) = subject(&order.change).and_then(|about| self.registers.get_mut(&about))
             else {
                 continue;
             };
-            if register.order.id == order.id && !std::mem::replace(&mut register.kept, true) {
-                givers.push(order.id.router.clone());
+            if register.order.id == order.id
+                && !std::mem::replace(&mut register.kept, true)
+                && register.in_force
+            {
+                givers.insert(order.id.router.clone(), order.id.clone());
             }
         }
-        givers.sort();
-        givers.dedup();
-        // Who gave it waits to hear that.
-        for to in givers.into_iter().filter(|to| *to != self.router) {
-            out.push(OrderOutput::Say { to, talk: self.word(false) });
+        givers.values().for_each(|id| self.tell_giver(id, out));
+    }
+
+    /// Who gave an order waits to hear that it is in force and kept.
+    fn tell_giver(&self, id: &OrderId, out: &mut Vec<OrderOutput>) {
+        if id.router != self.router {
+            out.push(OrderOutput::Say { to: id.router.clone(), talk: self.word(false) });
         }
     }
 
@@ -411,24 +422,34 @@
         if self.now < self.next_at {
             return;
         }
-        let kept = self.kept();
+        // What found no room, or was refused as this router stood then, is handed over again.
+        let idle = self.registers.values().filter(|r| !r.in_force).take(PAGE);
+        out.extend(idle.map(|r| OrderOutput::Apply(r.order.clone())));
         let held = self.held();
-        let mut open: Vec<String> = self.others.clone();
-        if self.waits {
-            let behind = |o: &String| self.words.get(o).is_none_or(|word| word.kept != held);
-            open.retain(behind);
-            self.waits = !open.is_empty() || kept != held;
+        let behind = |o: &&String| self.words.get(*o).is_none_or(|word| word.kept != held);
+        let waits = self.now < self.waits_until;
+        let mut some: Vec<String> = self.others.iter().filter(|o| !waits || behind(o)).cloned().collect();
+        // Where nobody waits, or all have said it, one is compared with all the same.
+        let (most, again) = match waits && !some.is_empty() {
+            true => (ASK, ASK_EVERY),
+            false => (1, COMPARE_EVERY),
+        };
+        if some.is_empty() {
+            some.clone_from(&self.others);
         }
-        open.shuffle(&mut self.rng);
-        open.truncate(if self.waits { ASK } else { 1 });
-        for to in open {
+        some.shuffle(&mut self.rng);
+        some.truncate(most);
+        for to in some {
             out.push(OrderOutput::Say { to, talk: self.word(true) });
         }
-        self.next_at = self.now + if self.waits { ASK_EVERY } else { COMPARE_EVERY };
+        self.next_at = self.now + again;
     }
 
     /// Whether each of these routers keeps all that is in force here, this one first.
-    pub fn acked(&self, routers: &[String]) -> Vec<Acked> {
+    /// Somebody waits for it: those that have not said so are asked.
+    pub fn acked(&mut self, routers: &[String]) -> Vec<Acked> {
+        self.waits_until = self.waits_until.max(self.now + WAIT_ASKED);
+        self.next_at = self.next_at.min(self.now + ASK_EVERY);
         let held = self.held();
         let me = Acked { router: self.router.clone(), keeps: self.kept() == held, said_at: Some(self.now) };
         let one = |router: &String| {
--- a/crates/gaparch-audit/tests/orders.rs
+++ b/crates/gaparch-audit/tests/orders.rs
@@ -88,7 +88,9 @@
                 }
                 OrderOutput::Apply(order) => {
                     router.book.insert(subject(&order.change).expect("kept"), order.change.clone());
-                    router.orders.on_applied(&order.id);
+                    let mut out = Vec::new();
+                    router.orders.on_applied(self.now, &order.id, &mut out);
+                    self.carry_out(n, out);
                 }
                 OrderOutput::Keep(all) => {
                     let mut out = Vec::new();
@@ -132,9 +134,9 @@
         &self.routers[n].as_ref().expect("it runs").book
     }
 
-    fn complete(&self, n: usize) -> bool {
+    fn complete(&mut self, n: usize) -> bool {
         let others: Vec<String> = (0..self.routers.len()).filter(|o| *o != n).map(name).collect();
-        self.routers[n].as_ref().expect("it runs").orders.acked(&others).iter().all(|a| a.keeps)
+        self.routers[n].as_mut().expect("it runs").orders.acked(&others).iter().all(|a| a.keeps)
     }
 }
 
--- a/crates/gaparch-cli/src/commands/ctl/mod.rs
+++ b/crates/gaparch-cli/src/commands/ctl/mod.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// The order was denied, and nothing was changed.
 const DENIED: u8 = 3;
@@ -21,6 +22,10 @@
 const NOT_KEPT: u8 = 4;
 /// There is nothing of that name.
 const NOTHING: u8 = 5;
+/// Some router that may be alive did not say in time that it keeps the order.
+const NOT_COMPLETE: u8 = 6;
+/// Between two questions whether all keep an order.
+const ASK_EVERY: Duration = Duration::from_millis(100);
 
 /// Where the router is, and who asks.
 #[derive(Clone, Debug, Args)]
@@ -102,6 +107,15 @@
     /// Only if nobody has changed it since this revision
     #[arg(long)]
     if_revision: Option<u64>,
+    /// At this router alone, where routers follow one another
+    #[arg(long)]
+    here: bool,
+    /// Wait until every router that may be alive keeps it, and show which do
+    #[arg(long, conflicts_with = "here")]
+    wait: bool,
+    /// For so long at most
+    #[arg(long, default_value = "30s", requires = "wait")]
+    within: String,
 }
 
 #[derive(Debug, Subcommand)]
@@ -158,6 +172,8 @@
     Intents,
     /// The routers of the site, as this one sees them
     Members,
+    /// Orders of the fleet, those that gave way, and which routers keep them
+    Orders,
     /// Which router of the site holds which version of the list, and how far behind it is
     Fleet,
     /// Requests that were not served, grouped by why
@@ -233,6 +249,12 @@
     gaparch_net::Clock::default().now()
 }
 
+fn span_of(text: &str) -> Result<Duration, String> {
+    let span: gaparch_config::Span =
+        text.parse().map_err(|_| format!("--within: '{text}' is no span of time: try 30s"))?;
+    Ok(span.duration())
+}
+
 fn since(text: &str) -> Result<u64, String> {
     let span: gaparch_config::Span =
         text.parse().map_err(|_| format!("--since: '{text}' is no span of time: try 30m"))?;
@@ -279,7 +301,10 @@
 
 fn order(change: Change, reason: &Reason, force: bool) -> Query {
     let order = Order { change, why: reason.why.clone(), force, revision: reason.if_revision };
-    Query::Order { order }
+    match reason.here {
+        true => Query::OrderHere { order },
+        false => Query::Order { order },
+    }
 }
 
 fn query(command: &Command) -> Result<Query, String> {
@@ -304,6 +329,7 @@
         Command::Intents => Query::Intents {},
         Command::Members => Query::Members {},
         Command::Fleet => Query::Versions {},
+        Command::Orders => Query::Spread {},
         Command::Refusals(filter) if filter.list => Query::Endings { filter: filter.wanted()? },
         Command::Refusals(filter) => Query::Groups { filter: filter.wanted()? },
         Command::Why { request } => Query::Story { request: *request },
@@ -313,7 +339,8 @@
         }
         Command::History { engine } => Query::Events { engine: Some(engine.clone()), since: 0, most: 200 },
         Command::Stop { why } => {
-            let reason = Reason { why: why.clone(), if_revision: None };
+            let within = String::new();
+            let reason = Reason { why: why.clone(), if_revision: None, here: true, wait: false, within };
             order(Change::Stop {}, &reason, false)
         }
     })
@@ -337,6 +364,13 @@
             answer = Answer::Denied { code: DenyCode::Unknown, message };
         }
     }
+    let wait = options.command.reason().filter(|reason| reason.wait);
+    if let (Some(reason), Answer::Done { effect, .. }) = (wait, &answer) {
+        if !options.json {
+            println!("{effect}");
+        }
+        return wait_for_all(&mut client, span_of(&reason.within)?, options.json).await;
+    }
     let code = code(&answer);
     if options.json {
         println!("{}", serde_json::to_string_pretty(&answer)?);
@@ -358,6 +392,60 @@
     }
 }
 
+impl Command {
+    /// That of an order.
+    fn reason(&self) -> Option<&Reason> {
+        match self {
+            Command::Drain { reason, .. }
+            | Command::Aside { reason, .. }
+            | Command::Undrain { reason, .. }
+            | Command::Pause { reason }
+            | Command::Resume { reason }
+            | Command::Limit { reason, .. } => Some(reason),
+            _ => None,
+        }
+    }
+}
+
+/// Asks until all routers that may be alive keep what is in force, and shows a router as soon as it does.
+async fn wait_for_all(client: &mut OpsClient, within: Duration, json: bool) -> Outcome {
+    let until = tokio::time::Instant::now() + within;
+    let mut shown = std::collections::BTreeSet::new();
+    loop {
+        let answer = client.ask(Query::Spread {}).await?;
+        let Answer::Spread { spread } = &answer else {
+            let Answer::Denied { message, .. } = &answer else { return Err(OpsError::Protocol.into()) };
+            return Err(message.clone().into());
+        };
+        let late = tokio::time::Instant::now() >= until;
+        if json && (spread.complete || late) {
+            println!("{}", serde_json::to_string_pretty(&answer)?);
+        } else if !json {
+            for row in spread.rows.iter().filter(|r| r.keeps) {
+                if shown.insert(row.router.clone()) {
+                    println!("{}: in force and kept", row.router);
+                }
+            }
+        }
+        if spread.complete {
+            if !json {
+                println!("complete");
+            }
+            return Ok(ExitCode::SUCCESS);
+        }
+        if late {
+            if !json {
+                for row in spread.rows.iter().filter(|r| !r.keeps) {
+                    println!("{}: unknown, it counts as {}", row.router, row.state);
+                }
+                println!("NOT complete");
+            }
+            return Ok(ExitCode::from(NOT_COMPLETE));
+        }
+        tokio::time::sleep(ASK_EVERY).await;
+    }
+}
+
 async fn follow(client: &mut OpsClient, json: bool) -> Outcome {
     client.put(Query::Subscribe {}).await?;
     let stop = super::asked_to_stop();
--- a/crates/gaparch-cli/src/commands/ctl/show.rs
+++ b/crates/gaparch-cli/src/commands/ctl/show.rs
@@ -2,11 +2,14 @@
 
 use super::table::Table;
 use gaparch_console::words;
+use gaparch_ops::book;
 use gaparch_ops::watch::span;
 use gaparch_protocol::ops::ending::Ending;
-use gaparch_protocol::ops::view::{EngineView, FleetView, Happening, LiveView, Snapshot, VersionsView};
+use gaparch_protocol::ops::view::{
+    EngineView, FleetView, Happening, LiveView, Snapshot, SpreadView, VersionsView,
+};
 use gaparch_protocol::ops::{Answer, Update};
-use gaparch_protocol::versions::ListVersion;
+use gaparch_protocol::versions::{FleetOrder, ListVersion};
 
 /// An answer as tables; of a snapshot the engines alone if that is what was asked for.
 pub fn answer(answer: &Answer, now: u64, engines_only: bool) -> String {
@@ -71,6 +74,7 @@
         }
         Answer::Members { fleet } => members(fleet, now),
         Answer::Versions { versions } => fleet(versions, now),
+        Answer::Spread { spread } => orders(spread, now),
         Answer::Intents { intents } => {
             let mut table = Table::new(&["change", "what", "by", "at", "kept", "why"]);
             for i in intents {
@@ -221,6 +225,42 @@
     }
 }
 
+/// Orders of the fleet, those that gave way, and who keeps them.
+fn orders(spread: &SpreadView, now: u64) -> String {
+    let mut table = Table::new(&["number", "what", "by", "at", "why", ""]);
+    let row = |order: &FleetOrder, remark: String| {
+        let number = order.id.number.to_string();
+        let by = format!("{} at {}", order.note.who, order.id.router);
+        let why = order.note.why.clone();
+        vec![number, book::words(&order.change), by, words::time(order.note.at, now), why, remark]
+    };
+    for order in &spread.orders {
+        table.row(row(order, String::new()));
+    }
+    for gone in &spread.overtaken {
+        let by = &gone.by;
+        let remark =
+            format!("gave way to number {} of {}, neither knew of the other", by.id.number, by.id.router);
+        table.row(row(&gone.order, remark));
+    }
+    let mut text = match spread.orders.is_empty() {
+        true => "there are no orders of the fleet\n".to_owned(),
+        false => table.to_string(),
+    };
+    let mut routers = Table::new(&["router", "state", "keeps all", "said"]);
+    for row in &spread.rows {
+        routers.row(vec![
+            row.router.clone(),
+            row.state.to_string(),
+            if row.keeps { "yes" } else { "UNKNOWN" }.to_owned(),
+            row.said_at.map_or("never".to_owned(), |at| format!("{} ago", span(now.saturating_sub(at)))),
+        ]);
+    }
+    text += &routers.to_string();
+    text += if spread.complete { "complete\n" } else { "NOT complete\n" };
+    text
+}
+
 /// Which router holds which list: this one, and a line for each that was heard of.
 fn fleet(view: &VersionsView, now: u64) -> String {
     let name = |v: &ListVersion| format!("{}.{}", v.rank, v.version);
--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -52,7 +52,8 @@
                 operations.ok_or("its settings have no <operations>: it keeps nothing on disk")?;
             let disk = LyingDisk::new(Folder::open(&operations.state)?, lie)?;
             let share = || Box::new(disk.clone());
-            Some(Disks { intents: share(), events: share(), endings: share(), fleet: share() })
+            let (events, endings, fleet, fleet_orders) = (share(), share(), share(), share());
+            Some(Disks { intents: share(), events, endings, fleet, fleet_orders })
         }
     };
     super::serve::serve(config, disks, Clock::default().ahead(options.ahead)).await
--- a/crates/gaparch-lab/src/fleet/day.rs
+++ b/crates/gaparch-lab/src/fleet/day.rs
@@ -103,6 +103,8 @@
     SecondList,
     /// These are led to a copy of it that learns of no change from now on.
     OldReplica,
+    /// An operator at the first of these routers drains an engine, sets it aside, or frees it, for all routers.
+    Order,
 }
 
 /// What the list service may say of an engine.
@@ -114,6 +116,15 @@
     Gone,
 }
 
+/// What an operator may want of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Wanted {
+    Drain,
+    Aside,
+    Undrain,
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Deed {
@@ -149,6 +160,8 @@
     fault: Option<String>,
     #[serde(rename = "@state")]
     pub state: Option<Listed>,
+    #[serde(rename = "@order")]
+    pub order: Option<Wanted>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -177,6 +190,12 @@
     /// Another router has handed them a list on; none has.
     BroughtUp,
     NotBroughtUp,
+    /// The orders given at that time are said to be kept by all; are not.
+    Complete,
+    NotComplete,
+    /// That engine is held, or free, by an operator's order.
+    Held,
+    Free,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -329,7 +348,11 @@
         for deed in day.deeds.iter().filter(|d| (d.what == DeedKind::List) != d.state.is_some()) {
             wrong.push(format!("<do state>: goes with what=\"list\", here it is {:?}", deed.what));
         }
-        for deed in day.deeds.iter().filter(|d| d.what == DeedKind::List && d.engine.is_none()) {
+        for deed in day.deeds.iter().filter(|d| (d.what == DeedKind::Order) != d.order.is_some()) {
+            wrong.push(format!("<do order>: goes with what=\"order\", here it is {:?}", deed.what));
+        }
+        let of_engine = |d: &&Deed| matches!(d.what, DeedKind::List | DeedKind::Order) && d.engine.is_none();
+        for deed in day.deeds.iter().filter(of_engine) {
             wrong.push(format!("<do engine>: {:?} has to say of which engine", deed.what));
         }
         for deed in &day.deeds {
@@ -349,7 +372,7 @@
                 | WishKind::Deaf
                 | WishKind::Mute
                 | WishKind::NoAccusation => want.routers.is_none(),
-                WishKind::Event => want.text.is_none(),
+                WishKind::Event | WishKind::Held | WishKind::Free => want.text.is_none(),
                 _ => false,
             };
             if lacks {
--- a/crates/gaparch-lab/src/fleet/days.rs
+++ b/crates/gaparch-lab/src/fleet/days.rs
@@ -50,6 +50,11 @@
             include_str!("../../../../days/audit/stopped-across.xml"),
             include_str!("../../../../days/audit/churn.xml"),
             include_str!("../../../../days/audit/mixed.xml"),
+            include_str!("../../../../days/audit/order.xml"),
+            include_str!("../../../../days/audit/order-dying.xml"),
+            include_str!("../../../../days/audit/order-split.xml"),
+            include_str!("../../../../days/audit/order-lost.xml"),
+            include_str!("../../../../days/audit/order-old.xml"),
         ],
     },
     Group {
--- a/crates/gaparch-lab/src/fleet/rig.rs
+++ b/crates/gaparch-lab/src/fleet/rig.rs
@@ -4,11 +4,11 @@
 //! the five rules are judged by. What routers think of one another is asked of each of them, all the time; what is true
 //! of them the rig knows, since it did it.
 
-use super::day::{Day, Deed, DeedKind, Listed};
+use super::day::{Day, Deed, DeedKind, Listed, Wanted};
 use super::faults::{End, Faults, Way};
 use super::process::Process;
 use super::relay::Relays;
-use super::sentence::{self, Heard, Life, ListedNow, Look, Report, Seen, Stale};
+use super::sentence::{self, Given, Heard, Life, ListedNow, Look, Report, Seen, Stale};
 use super::streams::{Streams, Witness};
 use crate::badday;
 use crate::checker;
@@ -20,8 +20,9 @@
 use gaparch::api::ServerState;
 use gaparch_engine::ConnId;
 use gaparch_net::{Credentials, OpsClient, Place};
+use gaparch_protocol::ops::intent::{Change, Hold, Intent, Subject};
 use gaparch_protocol::ops::view::{FleetView, Happening};
-use gaparch_protocol::ops::{Answer, OpsRole, Query};
+use gaparch_protocol::ops::{Answer, OpsRole, Order, Query};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -35,6 +36,8 @@
 /// Between two looks at a router, and for its answer: a stopped one gives none.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 const LOOK_WITHIN: Duration = Duration::from_millis(400);
+/// Between two questions whether all keep an order.
+const SPREAD_EVERY: Duration = Duration::from_millis(20);
 /// Between two changes of a list that changes all the time.
 const CHURN: Duration = Duration::from_millis(100);
 /// Threads that are busy on each processor while the machine is starved.
@@ -246,7 +249,8 @@
                 }
                 DeedKind::LoseFolder => std::fs::remove_dir_all(self.site.state_folder(router))?,
                 DeedKind::Clock => self.processes[router].set_clock(deed.ahead.unwrap_or(0)),
-                DeedKind::List
+                DeedKind::Order
+                | DeedKind::List
                 | DeedKind::ListRestart
                 | DeedKind::OldReplica
                 | DeedKind::ListChurn
@@ -293,6 +297,24 @@
                 }
                 self.note_list();
             }
+            DeedKind::Order => {
+                let change = match (deed.order, deed.engine.clone().unwrap_or_default()) {
+                    (Some(Wanted::Aside), engine) => Change::Hold { engine, hold: Hold::Aside },
+                    (Some(Wanted::Undrain), engine) => Change::Free { engine },
+                    (Some(Wanted::Drain) | None, engine) => Change::Hold { engine, hold: Hold::Drain },
+                };
+                if let Some(router) = deed.routers(of).first().copied() {
+                    let operator = Operator {
+                        place: Place::Socket(self.site.state_folder(router).with_extension("sock")),
+                        router,
+                        routers: of,
+                        witness: Witness { clock: self.site.clock, record: self.site.record.clone() },
+                        began: self.began,
+                        seen: Arc::clone(&self.seen),
+                    };
+                    self.churn.push(tokio::spawn(operator.order(change)));
+                }
+            }
             DeedKind::ListRestart => {
                 self.site.list.restart(self.site.clock);
                 self.note_list();
@@ -457,6 +479,13 @@
     }
 }
 
+fn held_engine(intent: Intent) -> Option<String> {
+    match intent.subject {
+        Subject::Engine { engine, .. } => Some(engine),
+        Subject::Intake {} | Subject::Limit { .. } => None,
+    }
+}
+
 fn listed_now(began: Instant, list: &ListShare) -> ListedNow {
     let (epoch, version, entries) = list.state();
     let drained = entries.into_iter().filter(|e| e.state != ServerState::Ready).map(|e| e.engine).collect();
@@ -485,6 +514,73 @@
     Ok(())
 }
 
+/// Somebody who gives an order at one router, and waits until all keep it.
+struct Operator {
+    place: Place,
+    router: usize,
+    routers: usize,
+    witness: Witness,
+    began: Instant,
+    seen: Arc<Mutex<Seen>>,
+}
+
+impl Operator {
+    async fn order(self, change: Change) {
+        let number = {
+            let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+            seen.orders.push(Given { at: self.began.elapsed(), complete: None, answer: None });
+            seen.orders.len() - 1
+        };
+        let note = |at: Option<u64>, routers: &mut dyn Iterator<Item = usize>| {
+            let (engine, drained) = match &change {
+                Change::Hold { engine, .. } => (engine.clone(), true),
+                Change::Free { engine } => (engine.clone(), false),
+                _ => return,
+            };
+            for router in routers {
+                let (router, engine) = (Site::router_name(router), engine.clone());
+                let at = at.unwrap_or_else(|| self.witness.clock.now());
+                self.witness.record.add(at, What::Ordered { router, engine, drained });
+            }
+        };
+        // What may be sent again is so at whichever router knows first.
+        if matches!(change, Change::Free { .. }) {
+            note(None, &mut (0..self.routers));
+        }
+        let office =
+            Credentials { key: Some(OFFICE_KEY.to_owned()), role: OpsRole::Change, who: "rig".to_owned() };
+        let Ok(mut client) = OpsClient::connect(&self.place, &office).await else { return };
+        let order =
+            Order { change: change.clone(), why: "a day of the rig".to_owned(), force: true, revision: None };
+        let answer = client.ask(Query::Order { order }).await;
+        let done = matches!(answer, Ok(Answer::Done { .. }));
+        {
+            let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+            seen.orders[number].answer = Some(format!("{answer:?}"));
+        }
+        if !done {
+            return;
+        }
+        let held = matches!(change, Change::Hold { .. });
+        if held {
+            note(None, &mut std::iter::once(self.router));
+        }
+        loop {
+            match client.ask(Query::Spread {}).await {
+                Ok(Answer::Spread { spread }) if spread.complete => break,
+                Ok(_) => sleep(SPREAD_EVERY).await,
+                Err(_) => return,
+            }
+        }
+        // From now on all know, or it should not have been said.
+        if held {
+            note(None, &mut (0..self.routers).filter(|r| *r != self.router));
+        }
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.orders[number].complete = Some(self.began.elapsed());
+    }
+}
+
 /// What came of the day's requests: put, and served.
 pub type Answered = (usize, usize);
 
@@ -557,16 +653,20 @@
                     },
                     false => None,
                 };
-                Some((view, versions, events))
+                let held = match client.ask(Query::Intents {}).await.ok()? {
+                    Answer::Intents { intents } => intents.into_iter().filter_map(held_engine).collect(),
+                    _ => return None,
+                };
+                Some((view, versions, held, events))
             };
             match timeout(LOOK_WITHIN, once()).await {
-                Ok(Some((view, versions, events))) => {
+                Ok(Some((view, versions, held, events))) => {
                     let mut seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
                     // An answer from before it was killed says nothing of now.
                     let life = seen.life(router, began.elapsed());
                     let answers = life.is_some_and(|(since, life)| life == Life::Running && since <= asked);
                     lives.lock().unwrap_or_else(PoisonError::into_inner)[router] = answers;
-                    seen.looks.push(Look { at: began.elapsed(), asked, router, view, versions });
+                    seen.looks.push(Look { at: began.elapsed(), asked, router, view, versions, held });
                     for event in events {
                         since = since.max(event.at);
                         let at = Duration::from_nanos(event.at.saturating_sub(began_at));
--- a/crates/gaparch-lab/src/fleet/sentence.rs
+++ b/crates/gaparch-lab/src/fleet/sentence.rs
@@ -40,6 +40,17 @@
     pub view: FleetView,
     /// Where it follows lists.
     pub versions: Option<VersionsView>,
+    /// Engines that operators hold.
+    pub held: BTreeSet<String>,
+}
+
+/// An operator's order for all routers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Given {
+    pub at: Duration,
+    /// When all routers were said to keep it.
+    pub complete: Option<Duration>,
+    pub answer: Option<String>,
 }
 
 /// What the list service has from a time on.
@@ -77,6 +88,7 @@
     /// What the list service has had.
     pub lists: Vec<ListedNow>,
     pub stale: Vec<Stale>,
+    pub orders: Vec<Given>,
     /// Bytes that each router sent to others.
     pub bytes: Vec<u64>,
     pub crashes: Vec<String>,
@@ -194,16 +206,45 @@
         },
         WishKind::BroughtUp => look.versions.as_ref().is_some_and(|v| v.brought_up > 0),
         WishKind::NotBroughtUp => look.versions.as_ref().is_some_and(|v| v.brought_up == 0),
-        WishKind::Event => false,
+        WishKind::Held => want.text.as_ref().is_some_and(|engine| look.held.contains(engine)),
+        WishKind::Free => want.text.as_ref().is_some_and(|engine| !look.held.contains(engine)),
+        WishKind::Event | WishKind::Complete | WishKind::NotComplete => false,
     }
 }
 
+/// When the orders given at that time were said to be kept by all.
+fn find_complete(want: &Want, what: String, seen: &Seen) -> Found {
+    let (at, by) = (want.at.duration(), want.at.duration() + want.within.duration());
+    let given: Vec<&Given> =
+        seen.orders.iter().filter(|g| g.at + DEED_WITHIN >= at && g.at <= at + DEED_WITHIN).collect();
+    let mut took = Vec::new();
+    let mut short = given.is_empty().then(|| "no order was given then".to_owned());
+    for order in given {
+        let in_time = order.complete.filter(|complete| *complete <= by);
+        match (want.what, in_time) {
+            (WishKind::Complete, Some(complete)) => took.push(complete.saturating_sub(at)),
+            (WishKind::Complete, None) => {
+                short = Some(format!("it was not said in time; answered {:?}", order.answer));
+            }
+            (_, Some(complete)) => {
+                let after = complete.saturating_sub(order.at).as_secs_f64();
+                short = Some(format!("said after {after:.2} s, though not all can know"));
+            }
+            (_, None) => {}
+        }
+    }
+    Found { what, took, short }
+}
+
 /// By when each of those who have to see it did, and for good.
 fn find(want: &Want, day: &Day, seen: &Seen) -> Found {
     let what = format!("{:?} {:?}", want.what, want.routers(day.routers)).replace(" []", "").to_lowercase();
     let (at, by) = (want.at.duration(), want.at.duration() + want.within.duration());
     let until = by + want.stays.duration();
-    if let Some(text) = &want.text {
+    if matches!(want.what, WishKind::Complete | WishKind::NotComplete) {
+        return find_complete(want, what, seen);
+    }
+    if let Some(text) = want.text.as_ref().filter(|_| want.what == WishKind::Event) {
         let observers = want.by(day.routers).unwrap_or_else(|| (0..day.routers).collect());
         let heard = seen.events.iter().find(|e| {
             observers.contains(&e.router) && (at..=by).contains(&e.at) && e.text.contains(text.as_str())
@@ -477,7 +518,7 @@
             misdirected: 0,
             throttled: 0,
         };
-        Look { at, asked: at, router, view, versions: None }
+        Look { at, asked: at, router, view, versions: None, held: BTreeSet::new() }
     }
 
     /// Three routers; the third is killed after two seconds, and known as dead after three.
--- a/crates/gaparch-lab/tests/appliance.rs
+++ b/crates/gaparch-lab/tests/appliance.rs
@@ -235,7 +235,8 @@
 
 fn disks(intents: &FaultyDisk) -> Disks {
     let calm = || Box::new(FaultyDisk::default());
-    Disks { intents: Box::new(intents.clone()), events: calm(), endings: calm(), fleet: calm() }
+    let intents = Box::new(intents.clone());
+    Disks { intents, events: calm(), endings: calm(), fleet: calm(), fleet_orders: calm() }
 }
 
 /// Kills a router at each write of its store; what was acknowledged holds in the next one.
--- a/crates/gaparch-ops/src/book.rs
+++ b/crates/gaparch-ops/src/book.rs
@@ -193,6 +193,21 @@
         Ok((Taken { revision: self.revision + 1, change: order.change.clone(), note }, effect))
     }
 
+    /// An order that another router has handed on, as it is taken here; `None` where it is what holds already. What would
+    /// leave no engine of a role was weighed where it was given.
+    ///
+    /// # Errors
+    /// When it sets a limit that this router does not have, or not that far.
+    pub fn adopt(&self, change: &Change, note: &Note, site: &[LimitView]) -> Result<Option<Taken>, Denied> {
+        if let Change::Limit { name, value } = change {
+            limits::check(name, *value, site)?;
+        }
+        let known = about(change).and_then(|about| self.last.get(&about));
+        let holds = known.is_some_and(|taken| taken.change == *change);
+        let taken = || Taken { revision: self.revision + 1, change: change.clone(), note: note.clone() };
+        Ok((!holds).then(taken))
+    }
+
     /// Two operators may look at the same engine; the second to act should know of the first.
     fn not_changed_since(&self, order: &Order) -> Result<(), Denied> {
         let Some((about, seen)) = about(&order.change).zip(order.revision) else { return Ok(()) };
--- a/crates/gaparch-protocol/src/ops/mod.rs
+++ b/crates/gaparch-protocol/src/ops/mod.rs
@@ -14,7 +14,7 @@
 use bytes::BytesMut;
 use ending::{Ending, EndingFilter, Group, RequestName};
 use intent::{Change, Intent, LimitView};
-use view::{EngineView, Figures, FleetView, Happening, LiveView, Snapshot, VersionsView};
+use view::{EngineView, Figures, FleetView, Happening, LiveView, Snapshot, SpreadView, VersionsView};
 use winnow::ModalResult;
 
 /// The version spoken here.
@@ -69,6 +69,10 @@
         12 => Members {},
         /// Which of them holds which version of the list.
         13 => Versions {},
+        /// An order for this router alone, where others would be for all of the site.
+        14 => OrderHere { order: Order, },
+        /// Which routers keep all orders of the fleet that are in force here.
+        15 => Spread {},
     }
 }
 
@@ -106,6 +110,7 @@
         12 => Intents { intents: Vec<Intent>, },
         13 => Members { fleet: Box<FleetView>, },
         14 => Versions { versions: Box<VersionsView>, },
+        15 => Spread { spread: Box<SpreadView>, },
     }
 }
 
--- a/crates/gaparch-protocol/src/ops/view.rs
+++ b/crates/gaparch-protocol/src/ops/view.rs
@@ -3,7 +3,7 @@
 use super::ending::{EndKind, RequestName, Step};
 use super::intent::{Intent, LimitView};
 use crate::fleet::MemberState;
-use crate::versions::ListVersion;
+use crate::versions::{FleetOrder, ListVersion};
 use crate::wire::{closed_set, record};
 
 closed_set! {
@@ -234,6 +234,37 @@
     }
 }
 
+record! {
+    /// Whether one router keeps all orders of the fleet that are in force where this is asked.
+    pub struct SpreadRow {
+        pub router: String,
+        pub state: MemberState,
+        /// In force there and on its disk.
+        pub keeps: bool,
+        /// When it last said what it keeps, nanoseconds since the Unix epoch.
+        pub said_at: Option<u64>,
+    }
+}
+
+record! {
+    /// An order that gave way to another; neither knew of the other.
+    pub struct Overtaken {
+        pub order: FleetOrder,
+        pub by: FleetOrder,
+    }
+}
+
+record! {
+    pub struct SpreadView {
+        /// Every router that may be alive keeps all of them.
+        pub complete: bool,
+        pub orders: Vec<FleetOrder>,
+        pub overtaken: Vec<Overtaken>,
+        /// This router first; those that left in good order are left out.
+        pub rows: Vec<SpreadRow>,
+    }
+}
+
 record! {
     /// Which router holds which version of the list.
     pub struct VersionsView {
--- a/crates/gaparch-router/src/core/operate.rs
+++ b/crates/gaparch-router/src/core/operate.rs
@@ -10,7 +10,7 @@
 use gaparch_protocol::ops::ending::{
     self, Cause, EndKind, Ending, Evidence, RequestName, Step, MAX_EVIDENCE,
 };
-use gaparch_protocol::ops::intent::{Change, LimitView, Taken};
+use gaparch_protocol::ops::intent::{Change, LimitView, Note, Taken};
 use gaparch_protocol::ops::view::{
     Avoid, EngineRole, EngineState, EngineView, Figures, LiveView, PartRest, Phase, Setting,
 };
@@ -84,6 +84,14 @@
         Ok(Proposal { taken, effect })
     }
 
+    /// An order that another router has handed on, as it is taken here; `None` where it is what holds already.
+    ///
+    /// # Errors
+    /// When it makes no sense here; the message says why.
+    pub fn adopt(&self, change: &Change, note: &Note) -> Result<Option<Taken>, Denied> {
+        self.book.adopt(change, note, &self.limits())
+    }
+
     fn standing(&self) -> Standing {
         let standing = |view: EngineView| EngineStanding {
             takes_new: view.state == EngineState::Ready && view.avoided != Some(Avoid::Unreachable),
--- a/crates/gaparch-router/src/shell/fleet.rs
+++ b/crates/gaparch-router/src/shell/fleet.rs
@@ -3,18 +3,23 @@
 //! It has a task of its own, and waits neither for the owner nor for the disk: what the owner is to know, and what is
 //! to be kept, stands in a cell that holds the latest word only, and is taken from there by tasks that may wait.
 
+use super::fleet_orders::{self, Issued, Kept, Shelf};
 use super::ops::News;
 use super::owner::Control;
 use super::versions::{Adopt, HeldNews};
-use gaparch_audit::{self as audit, Follow};
+use gaparch_audit::{self as audit, FleetOrder, Follow, OrderOutput, Orders};
 use gaparch_config::{Config, Fleet};
 use gaparch_membership::{Happening, Membership, Output, Rejected, Settings, SiteKey, View};
 use gaparch_net::{read_key, Clock};
 use gaparch_protocol::engine::RouterRun;
-use gaparch_protocol::fleet::MOST_BYTES;
-use gaparch_protocol::ops::view::{self, EdgeRow, FleetView, MemberRow, Severity, VersionRow, VersionsView};
+use gaparch_protocol::fleet::{MemberState, MOST_BYTES};
+use gaparch_protocol::ops::view::{
+    self, EdgeRow, FleetView, MemberRow, Overtaken, Severity, SpreadRow, SpreadView, VersionRow, VersionsView,
+};
 use gaparch_protocol::ops::{from_bytes, to_bytes};
+use gaparch_protocol::versions::{OrderId, Talk};
 use gaparch_store::{Disk, Journal};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -49,9 +54,12 @@
     pub news: mpsc::Sender<News>,
     /// The list as the owner has it.
     pub held: watch::Receiver<HeldNews>,
+    /// Orders given here that all routers are to keep.
+    pub issued: mpsc::Receiver<Issued>,
 }
 
 enum Ask {
+    Spread(oneshot::Sender<Option<SpreadView>>),
     View(oneshot::Sender<FleetView>),
     /// `None`: lists are not followed here.
     Versions(oneshot::Sender<Option<VersionsView>>),
@@ -70,6 +78,13 @@
         wait.await.ok()
     }
 
+    /// Which router keeps the orders of the fleet; `None` once the router has ended.
+    pub async fn spread(&self) -> Option<Option<SpreadView>> {
+        let (reply, wait) = oneshot::channel();
+        self.0.send(Ask::Spread(reply)).await.ok()?;
+        wait.await.ok()
+    }
+
     /// Which router holds which version; `None` once the router has ended.
     pub async fn versions(&self) -> Option<Option<VersionsView>> {
         let (reply, wait) = oneshot::channel();
@@ -132,6 +147,13 @@
     follow: Option<Follow>,
     held: watch::Receiver<HeldNews>,
     adopt: watch::Sender<Adopt>,
+    /// What is made of orders, where lists are followed, too.
+    orders: Option<Orders>,
+    issued: mpsc::Receiver<Issued>,
+    apply: mpsc::Sender<FleetOrder>,
+    applied: mpsc::Receiver<OrderId>,
+    keep_orders: watch::Sender<Kept>,
+    kept_orders: watch::Receiver<Kept>,
 }
 
 /// Reads what is kept, binds the socket and starts.
@@ -144,7 +166,7 @@
     config: &Config,
     run: RouterRun,
     clock: Clock,
-    disk: Box<dyn Disk>,
+    (disk, orders_disk): (Box<dyn Disk>, Box<dyn Disk>),
     ports: Ports,
 ) -> Result<Option<Running>, FleetError> {
     let key = read_key(&fleet.key_file).map_err(|e| e.to_string());
@@ -162,7 +184,8 @@
     };
     let wrong = |source| FleetError::Listen { address: fleet.listen, source };
     let socket = UdpSocket::bind(fleet.listen).await.map_err(wrong)?;
-    let (keeper, kept) = tokio::task::spawn_blocking(move || Keeper::open(disk)).await?;
+    let open = move || (Keeper::open(disk), Shelf::open(orders_disk));
+    let ((keeper, kept), (shelf, orders)) = tokio::task::spawn_blocking(open).await?;
     let zone = config.module.zone.and_then(|z| config.names.zones.get(z.0)).cloned().unwrap_or_default();
     let settings = Settings {
         name: config.router.clone(),
@@ -189,6 +212,14 @@
             audit::Settings { router: config.router.clone(), confirm, seed: config.module.seed ^ run.0 };
         Follow::new(settings, clock.now())
     });
+    let incarnation_now = kept.saturating_add(1);
+    let orders = fleet.confirm.map(|_| {
+        Orders::new(&config.router, incarnation_now, config.module.seed ^ run.0, orders, clock.now())
+    });
+    let (apply, apply_in) = mpsc::channel(fleet_orders::APPLIED);
+    let (applied, applied_in) = mpsc::channel(fleet_orders::APPLIED);
+    let (keep_orders, keep_orders_in) = watch::channel(Kept::default());
+    let (kept_orders, kept_orders_in) = watch::channel(Kept::default());
     let task = Task {
         core,
         socket,
@@ -203,11 +234,19 @@
         follow,
         held: ports.held,
         adopt,
+        orders,
+        issued: ports.issued,
+        apply,
+        applied: applied_in,
+        keep_orders,
+        kept_orders: kept_orders_in,
     };
     let tasks = vec![
         tokio::spawn(task.run(out)),
         tokio::spawn(tell_owner(routers_in, ports.control.clone(), Control::Routers)),
-        tokio::spawn(tell_owner(adopt_in, ports.control, Control::Adopt)),
+        tokio::spawn(tell_owner(adopt_in, ports.control.clone(), Control::Adopt)),
+        tokio::spawn(fleet_orders::apply(apply_in, ports.control, applied)),
+        tokio::spawn(fleet_orders::keep(shelf, keep_orders_in, kept_orders, ports.news.clone())),
         tokio::spawn(keep(keeper, incarnation_in, ports.news)),
     ];
     Ok(Some(Running { address: fleet.listen, asks, tasks }))
@@ -233,8 +272,9 @@
         let mut datagram = [0; MOST_BYTES + 1];
         loop {
             self.carry_out(&mut out);
-            let follow_at = self.follow.as_ref().map(Follow::next_at);
-            let due = follow_at.map_or(self.core.next_at(), |at| at.min(self.core.next_at()));
+            let others = self.follow.as_ref().map(Follow::next_at).into_iter();
+            let others = others.chain(self.orders.as_ref().map(Orders::next_at));
+            let due = others.fold(self.core.next_at(), u64::min);
             let due = Instant::from_std(self.clock.instant(due));
             tokio::select! {
                 biased;
@@ -243,6 +283,17 @@
                     self.core.on_time(self.clock.now(), &mut out);
                     self.carry_out(&mut out);
                     self.follow_on(&mut out, Follow::on_time);
+                    self.order(&mut out, |orders, now, others, wanted| orders.on_time(now, others, wanted));
+                }
+                Some((change, note)) = self.issued.recv(), if self.orders.is_some() => {
+                    self.order(&mut out, |orders, now, _, wanted| orders.give(now, &change, &note, wanted));
+                }
+                Some(id) = self.applied.recv(), if self.orders.is_some() => {
+                    self.order(&mut out, |orders, now, _, wanted| orders.on_applied(now, &id, wanted));
+                }
+                Ok(()) = self.kept_orders.changed(), if self.orders.is_some() => {
+                    let kept = Kept::clone(&self.kept_orders.borrow_and_update());
+                    self.order(&mut out, |orders, now, _, wanted| orders.on_kept(now, &kept, wanted));
                 }
                 Ok(()) = self.held.changed(), if self.follow.is_some() => {
                     let news = self.held.borrow_and_update().clone();
@@ -253,6 +304,9 @@
                         // Who asked may have left.
                         let _ = reply.send(self.view());
                     }
+                    Some(Ask::Spread(reply)) => {
+                        let _ = reply.send(self.spread());
+                    }
                     Some(Ask::Versions(reply)) => {
                         let view = self.follow.as_ref().map(|follow| versions(follow.view()));
                         let _ = reply.send(view);
@@ -301,11 +355,14 @@
                         let _ = self.socket.try_send_to(&datagram, to);
                     }
                 }
-                Output::Keep { incarnation } => drop(self.incarnation.send_replace(incarnation)),
+                Output::Keep { incarnation } => {
+                    self.orders.iter_mut().for_each(|orders| orders.on_incarnation(incarnation));
+                    self.incarnation.send_replace(incarnation);
+                }
                 Output::Routers(routers) => drop(self.routers.send_replace(routers)),
                 Output::Talk { from, bytes } => {
                     // A word that is not known here is of a newer build.
-                    if let Some(talk) = from_bytes(&bytes) {
+                    if let Some(talk) = from_bytes::<Talk>(&bytes) {
                         talks.push((from, talk));
                     }
                 }
@@ -322,10 +379,55 @@
             }
         }
         for (from, talk) in talks {
+            self.order(out, |orders, now, _, wanted| orders.on_talk(now, &from, &talk, wanted));
             self.follow_on(out, |follow, now, _, answers| follow.on_talk(now, &from, talk, answers));
         }
     }
 
+    /// Lets the one that keeps orders do something, and does what it wants.
+    fn order(
+        &mut self,
+        out: &mut Vec<Output>,
+        act: impl FnOnce(&mut Orders, u64, Vec<String>, &mut Vec<OrderOutput>),
+    ) {
+        let now = self.clock.now();
+        let Some(orders) = &mut self.orders else { return };
+        let mut wanted = Vec::new();
+        act(orders, now, self.core.others(), &mut wanted);
+        for one in wanted {
+            match one {
+                OrderOutput::Say { to, talk } => self.core.talk(now, &to, to_bytes(&talk), out),
+                // One that finds no room is handed over again.
+                OrderOutput::Apply(order) => drop(self.apply.try_send(order)),
+                OrderOutput::Keep(all) => drop(self.keep_orders.send_replace(Kept::new(all))),
+                OrderOutput::Happened(what) => self.tell(Severity::Warning, what.to_string()),
+            }
+        }
+    }
+
+    /// Who keeps the orders of the fleet. Whoever did not say that it leaves may be alive: one that counts as dead may only
+    /// be cut off.
+    fn spread(&mut self) -> Option<SpreadView> {
+        let orders = self.orders.as_mut()?;
+        let view = self.core.view();
+        let members: BTreeMap<String, MemberState> =
+            view.members.into_iter().map(|m| (m.facts.name, m.state)).collect();
+        let stay = members.iter().filter(|(_, state)| **state != MemberState::Left);
+        let names: Vec<String> = stay.map(|(name, _)| name.clone()).collect();
+        let row = |acked: audit::Acked| SpreadRow {
+            state: members.get(&acked.router).copied().unwrap_or(MemberState::Alive),
+            router: acked.router,
+            keeps: acked.keeps,
+            said_at: acked.said_at,
+        };
+        let rows: Vec<SpreadRow> = orders.acked(&names).into_iter().map(row).collect();
+        let overtaken = orders
+            .overtaken()
+            .map(|(order, by)| Overtaken { order: order.clone(), by: by.clone() })
+            .collect();
+        Some(SpreadView { complete: rows.iter().all(|r| r.keeps), orders: orders.all(), overtaken, rows })
+    }
+
     /// Lets the one that follows lists do something, and does what it wants.
     fn follow_on(
         &mut self,
--- a/crates/gaparch-router/src/shell/mod.rs
+++ b/crates/gaparch-router/src/shell/mod.rs
@@ -15,6 +15,7 @@
 mod client;
 mod engine;
 mod fleet;
+mod fleet_orders;
 mod lag;
 mod list;
 mod ops;
@@ -184,12 +185,14 @@
     let (desk, operations) = match prepared {
         Some(mut prepared) => {
             let news = ops::news_channel();
-            if let (Some(settings), Some(disk)) = (&config.fleet, prepared.fleet.take()) {
+            if let (Some(settings), Some(disks)) = (&config.fleet, prepared.fleet.take()) {
                 let (cell, held) = watch::channel(versions::HeldNews::default());
-                let ports = fleet::Ports { control: control.clone(), news: news.0.clone(), held };
-                fleet = fleet::start(settings, &config, run, clock, disk, ports).await?;
+                let (issued, issued_in) = mpsc::channel(fleet_orders::ISSUED);
+                let (control, news) = (control.clone(), news.0.clone());
+                let ports = fleet::Ports { control, news, held, issued: issued_in };
+                fleet = fleet::start(settings, &config, run, clock, disks, ports).await?;
                 let follows = fleet.is_some() && settings.confirm.is_some();
-                versions = follows.then(|| versions::Versions::new(config.module.ask, cell));
+                versions = follows.then(|| versions::Versions::new(config.module.ask, cell, issued));
             }
             let asker = fleet.as_ref().map(fleet::Running::asker);
             let channels = ops::Channels { control: control.clone(), news, fleet: asker };
--- a/crates/gaparch-router/src/shell/ops/hub.rs
+++ b/crates/gaparch-router/src/shell/ops/hub.rs
@@ -326,6 +326,8 @@
             Query::Subscribe {}
             | Query::Unsubscribe {}
             | Query::Order { .. }
+            | Query::OrderHere { .. }
+            | Query::Spread {}
             | Query::Members {}
             | Query::Versions {} => {
                 let message = "that is for the session to do".to_owned();
--- a/crates/gaparch-router/src/shell/ops/mod.rs
+++ b/crates/gaparch-router/src/shell/ops/mod.rs
@@ -64,6 +64,8 @@
     pub endings: Box<dyn Disk>,
     /// How often the router was started.
     pub fleet: Box<dyn Disk>,
+    /// Orders of the fleet.
+    pub fleet_orders: Box<dyn Disk>,
 }
 
 impl Disks {
@@ -74,7 +76,8 @@
     pub fn open(settings: &Operations) -> Result<Disks, StoreError> {
         let folder = Folder::open(&settings.state)?;
         let (events, endings) = (Box::new(folder.share()), Box::new(folder.share()));
-        Ok(Disks { fleet: Box::new(folder.share()), intents: Box::new(folder), events, endings })
+        let (fleet, fleet_orders) = (Box::new(folder.share()), Box::new(folder.share()));
+        Ok(Disks { fleet, fleet_orders, intents: Box::new(folder), events, endings })
     }
 }
 
@@ -229,8 +232,8 @@
     /// Operators that can't come in, and why.
     locked_out: Vec<String>,
     settings: Operations,
-    /// What the fleet's side keeps.
-    pub fleet: Option<Box<dyn Disk>>,
+    /// Where the fleet's side keeps how often the router was started, and its orders.
+    pub fleet: Option<(Box<dyn Disk>, Box<dyn Disk>)>,
 }
 
 /// Reads the state folder. What operators have ordered is known before the first request comes.
@@ -251,7 +254,7 @@
             &mut chronicle,
             &mut ledger,
         )?;
-        let fleet = Some(disks.fleet);
+        let fleet = Some((disks.fleet, disks.fleet_orders));
         Ok(Prepared { book, keeper, historian, chronicle, ledger, operators, locked_out, settings, fleet })
     };
     let wrong = |e: tokio::task::JoinError| OperationsError::Io {
--- a/crates/gaparch-router/src/shell/ops/session.rs
+++ b/crates/gaparch-router/src/shell/ops/session.rs
@@ -225,7 +225,15 @@
             let unsubscribed = lobby.news.send(News::Unsubscribe(session)).await;
             unsubscribed.map(|()| Answer::Unsubscribed {}).map_err(|_| ENDED.to_owned())
         }
-        Query::Order { order } => carry_out(order, guest, lobby).await,
+        Query::Order { order } => carry_out(order, false, guest, lobby).await,
+        Query::OrderHere { order } => carry_out(order, true, guest, lobby).await,
+        Query::Spread {} => {
+            let spread = match &lobby.fleet {
+                Some(fleet) => fleet.spread().await.ok_or(ENDED)?,
+                None => None,
+            };
+            Ok(spread.map_or_else(alone, |spread| Answer::Spread { spread: Box::new(spread) }))
+        }
         Query::Members {} => Ok(match &lobby.fleet {
             Some(fleet) => {
                 let view = fleet.ask().await.ok_or(ENDED)?;
@@ -244,14 +252,7 @@
                 Some(fleet) => fleet.versions().await.ok_or(ENDED)?,
                 None => None,
             };
-            Ok(match versions {
-                Some(versions) => Answer::Versions { versions: Box::new(versions) },
-                None => {
-                    let message =
-                        "this router follows no other: its settings have no <fleet confirm=\"...\">";
-                    Answer::Denied { code: DenyCode::Unknown, message: message.to_owned() }
-                }
-            })
+            Ok(versions.map_or_else(alone, |versions| Answer::Versions { versions: Box::new(versions) }))
         }
         Query::Live { most } => {
             let most = most.clamp(1, MOST_LIVE);
@@ -287,14 +288,20 @@
     wait.await.map_err(|_| ENDED.to_owned())
 }
 
-async fn carry_out(order: Order, guest: &Guest, lobby: &Lobby) -> Result<Answer, String> {
+/// The answer of a router that follows no other.
+fn alone() -> Answer {
+    let message = "this router follows no other: its settings have no <fleet confirm=\"...\">";
+    Answer::Denied { code: DenyCode::Unknown, message: message.to_owned() }
+}
+
+async fn carry_out(order: Order, here: bool, guest: &Guest, lobby: &Lobby) -> Result<Answer, String> {
     if guest.role != OpsRole::Change {
         let message = format!("{} may look, and change nothing", guest.who);
         return Ok(Answer::Denied { code: DenyCode::Role, message });
     }
     let (reply, wait) = oneshot::channel();
     let who = guest.who.clone();
-    lobby.control.send(Control::Order { order, who, reply }).await.map_err(|_| ENDED)?;
+    lobby.control.send(Control::Order { order, who, here, reply }).await.map_err(|_| ENDED)?;
     Ok(match wait.await.map_err(|_| ENDED)? {
         Ok(done) => Answer::Done { revision: done.revision, effect: done.effect },
         Err(denied) => Answer::Denied { code: denied.code, message: denied.message },
--- a/crates/gaparch-router/src/shell/owner.rs
+++ b/crates/gaparch-router/src/shell/owner.rs
@@ -5,15 +5,16 @@
 use super::list::{self, ListCommand, ListMessage};
 use super::ops::{Desk, Done, News, OrderReply};
 use super::versions::{Adopt, Verdict, Versions};
-use crate::core::{Accepted, ConnNo, Core, Counts, Input, ListUpdate, Output, ToClient};
+use crate::core::{Accepted, ConnNo, Core, Counts, Input, ListUpdate, Output, Proposal, ToClient};
 use gaparch::api::{RequestId, ServerId};
 use gaparch_config::Config;
 use gaparch_net::Clock;
 use gaparch_ops::book::Denied;
 use gaparch_protocol::engine::EngineFrame;
-use gaparch_protocol::ops::intent::Change;
+use gaparch_protocol::ops::intent::{Change, Note};
 use gaparch_protocol::ops::view::{Figures, Happening, LiveView, Severity};
 use gaparch_protocol::ops::{DenyCode, Order};
+use gaparch_protocol::versions::FleetOrder;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -45,11 +46,18 @@
 pub(super) enum Control {
     Counts(oneshot::Sender<Counts>),
     Open(oneshot::Sender<usize>),
+    /// `here`: for this router alone.
     Order {
         order: Order,
         who: String,
+        here: bool,
         reply: OrderReply,
     },
+    /// An order that another router has handed on; whether it is in force now.
+    FleetOrder {
+        order: FleetOrder,
+        reply: oneshot::Sender<bool>,
+    },
     /// The oldest open requests, at most so many, and how many there are.
     Live(usize, oneshot::Sender<(Vec<LiveView>, u64)>),
     One(RequestId, oneshot::Sender<Option<LiveView>>),
@@ -198,7 +206,12 @@
         match control {
             Control::Counts(answer) => drop(answer.send(self.core.counts())),
             Control::Open(answer) => drop(answer.send(self.core.open())),
-            Control::Order { order, who, reply } => self.on_order(&order, &who, reply, out),
+            Control::Order { order, who, here, reply } => self.on_order(&order, &who, here, reply, out),
+            Control::FleetOrder { order, reply } => {
+                let done = self.on_fleet_order(&order, out);
+                // Who asked may have ended.
+                let _ = reply.send(done);
+            }
             Control::Live(most, answer) => {
                 let live = (self.core.live_views(most), self.core.open() as u64);
                 drop(answer.send(live));
@@ -215,7 +228,7 @@
     }
 
     /// Carries out an order at once; it is acknowledged when it is kept.
-    fn on_order(&mut self, order: &Order, who: &str, reply: OrderReply, out: &mut Vec<Output>) {
+    fn on_order(&mut self, order: &Order, who: &str, here: bool, reply: OrderReply, out: &mut Vec<Output>) {
         let now = self.clock.now();
         let Some(desk) = &mut self.desk else { return };
         let proposal = match self.core.propose(now, order, who) {
@@ -232,6 +245,14 @@
             let message = "too many orders wait to be kept; nothing was changed";
             return drop(reply.send(Err(Denied::new(DenyCode::Busy, message))));
         };
+        let fleet = self.versions.as_ref().filter(|_| !here);
+        if let Some(versions) = fleet {
+            let Some(permit) = versions.reserve() else {
+                let message = "too many orders are on their way to the other routers; nothing was changed";
+                return drop(reply.send(Err(Denied::new(DenyCode::Busy, message))));
+            };
+            permit.send((proposal.taken.change.clone(), proposal.taken.note.clone()));
+        }
         self.core.handle(now, Input::Taken(proposal.taken.clone()), out);
         // Whoever asks after the acknowledgement sees what it did.
         self.show();
@@ -240,6 +261,33 @@
         }
     }
 
+    /// Puts an order of another router in force, and keeps it as one given here; whether it is in force now.
+    fn on_fleet_order(&mut self, order: &FleetOrder, out: &mut Vec<Output>) -> bool {
+        let now = self.clock.now();
+        let who = format!("{} at {}", order.note.who, order.id.router);
+        let note = Note { who, ..order.note.clone() };
+        let Some(desk) = &mut self.desk else { return false };
+        let taken = match self.core.adopt(&order.change, &note) {
+            Ok(None) => return true,
+            Ok(Some(taken)) => taken,
+            Err(denied) => {
+                let text = format!("an order of the fleet can't be in force here: {denied}");
+                let event = Happening { at: now, severity: Severity::Trouble, engine: None, text };
+                desk.tell(News::Happened(event));
+                return false;
+            }
+        };
+        let Some(permit) = desk.reserve() else { return false };
+        self.core.handle(now, Input::Taken(taken.clone()), out);
+        self.show();
+        if let Some(desk) = &mut self.desk {
+            // The fleet's own record of it is what is answered for; that this one is kept, too, nobody waits for.
+            let (reply, _) = oneshot::channel();
+            desk.keep(permit, Proposal { taken, effect: String::new() }, reply);
+        }
+        true
+    }
+
     /// Shows how all stands.
     fn show(&mut self) {
         let Some(desk) = &mut self.desk else { return };
--- a/crates/gaparch-router/src/shell/versions.rs
+++ b/crates/gaparch-router/src/shell/versions.rs
@@ -1,12 +1,13 @@
 //! The list that is held, where other routers may hand it on: what the owner has of it, and the cells between it and the
 //! fleet's task. Neither waits for the other; each cell holds the latest word only.
 
+use super::fleet_orders::Issued;
 use crate::core::ListUpdate;
 use gaparch_audit::{Held, HeldList, Nanos, Taken};
 use gaparch_protocol::list::Scope;
 use gaparch_protocol::versions::ListVersion;
 use std::sync::Arc;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// What the fleet's task is told of the list.
 #[derive(Clone, Debug, Default)]
@@ -42,13 +43,20 @@
     /// The module asks for the list itself, and waits for each answer.
     asked: bool,
     cell: watch::Sender<HeldNews>,
+    /// Orders given here, on their way to the others.
+    issued: mpsc::Sender<Issued>,
     /// What was refused last, so that it is told once.
     refused: Option<String>,
 }
 
 impl Versions {
-    pub fn new(asked: bool, cell: watch::Sender<HeldNews>) -> Versions {
-        Versions { held: Held::default(), epoch: 0, first: true, asked, cell, refused: None }
+    pub fn new(asked: bool, cell: watch::Sender<HeldNews>, issued: mpsc::Sender<Issued>) -> Versions {
+        Versions { held: Held::default(), epoch: 0, first: true, asked, cell, issued, refused: None }
+    }
+
+    /// Room for one more order that is to reach all routers, if there is any.
+    pub fn reserve(&self) -> Option<mpsc::OwnedPermit<Issued>> {
+        self.issued.clone().try_reserve_owned().ok()
     }
 
     /// Connected to that run of the service.
