--- a/crates/gaparch-audit/src/claims.rs
+++ b/crates/gaparch-audit/src/claims.rs
@@ -58,7 +58,7 @@
     /// The latest ones of others, for whoever is told.
     pub fn best(&self, most: usize, not: &str, now: Nanos) -> Vec<Claim> {
         let mut all: Vec<(&String, &Known)> = self.by.iter().filter(|(router, _)| *router != not).collect();
-        all.sort_by(|a, b| (b.1.version, b.1.at).cmp(&(a.1.version, a.1.at)));
+        all.sort_by_key(|one| std::cmp::Reverse((one.1.version, one.1.at)));
         let claim = |(router, known): (&String, &Known)| Claim {
             router: router.clone(),
             version: known.version,
@@ -81,7 +81,7 @@
         for known in &mut fresh {
             known.version.rank = ranks[&known.version.epoch];
         }
-        fresh.sort_by(|a, b| b.version.cmp(&a.version));
+        fresh.sort_by_key(|known| std::cmp::Reverse(known.version));
         let (known, corroborated) = match fresh[..] {
             [] => return None,
             [only] => (only, false),
--- a/crates/gaparch-audit/tests/fleet.rs
+++ b/crates/gaparch-audit/tests/fleet.rs
@@ -389,9 +389,9 @@
                 _ => (0..what).for_each(|_| fleet.service.change()),
             }
             fleet.run(700 * MS);
-            for n in 0..routers {
-                prop_assert!(!before[n].later_than(&fleet.version(n)), "{} went back", n);
-                before[n] = fleet.version(n);
+            for (n, before) in before.iter_mut().enumerate() {
+                prop_assert!(!before.later_than(&fleet.version(n)), "{} went back", n);
+                *before = fleet.version(n);
             }
         }
         (0..routers).for_each(|n| fleet.routers[n].linked = n == 0);
