--- a/crates/gaparch-audit/src/follow.rs
+++ b/crates/gaparch-audit/src/follow.rs
@@ -202,7 +202,7 @@
             Talk::Page { version, digest, from: entry, of, entries } => {
                 self.on_page(from, (version, digest), (entry, of), entries, out);
             }
-            Talk::Orders { .. } | Talk::Order { .. } | Talk::WantOrders { .. } => {}
+            _ => {}
         }
     }
 
--- a/crates/gaparch-audit/src/orders.rs
+++ b/crates/gaparch-audit/src/orders.rs
@@ -348,7 +348,7 @@
                 };
                 out.extend(all.take(PAGE).map(say));
             }
-            Talk::Stamp { .. } | Talk::Want { .. } | Talk::Page { .. } => {}
+            _ => {}
         }
     }
 
--- /dev/null
+++ b/crates/gaparch-audit/src/record.rs
@@ -0,0 +1,431 @@
+//! What a router acted by, and what it sent meanwhile.
+//!
+//! [`Tally`] counts on the hot path and never waits. What it has counted goes to the [`Book`], which makes pieces of it: each
+//! has a number, and the hash of the piece before. A piece that was removed, altered, swapped or never written shows as a
+//! [`Gap`], and so does the end of a process that did not end in good order: nobody knows what it sent last.
+
+use gaparch_protocol::ops::to_bytes;
+use gaparch_protocol::versions::{AuditFilter, AuditRow, Piece, Sends, Single, Stamp};
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+
+/// Single sends that one hand-over, and one piece, has room for.
+const SINGLES: usize = 512;
+/// Pieces that can be asked about; older ones are on disk only.
+const PIECES: usize = 2048;
+/// A piece is closed after so long, in nanoseconds: what a kill loses.
+const CLOSE_AFTER: u64 = 5_000_000_000;
+/// Rows of one answer.
+const ROWS: usize = 512;
+
+/// What is sent to an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Read = 1,
+    Write = 2,
+    Probe = 3,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Count {
+    by_kind: [u64; 3],
+    first_at: u64,
+    last_at: u64,
+}
+
+/// Counts of what is sent under one stamp, by the engine's number.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    counts: BTreeMap<u32, Count>,
+    singles: Vec<(u32, Single)>,
+    left_out: u64,
+}
+
+impl Tally {
+    /// Something goes out now.
+    pub fn note(&mut self, engine: u32, kind: Kind, request: u64, attempt: u32, at: u64) {
+        let count = self.counts.entry(engine).or_insert(Count { first_at: at, ..Count::default() });
+        count.by_kind[kind as usize - 1] += 1;
+        count.last_at = at;
+        if self.singles.len() < SINGLES {
+            self.singles.push((engine, Single { at, request, attempt, engine: 0, kind: kind as u8 }));
+        } else {
+            self.left_out += 1;
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+
+    /// All of it, with the engines' names; the tally begins anew.
+    pub fn take(&mut self, stamp: Stamp, at: u64, name: impl Fn(u32) -> String) -> Sent {
+        let tally = std::mem::take(self);
+        let mut numbers = BTreeMap::new();
+        let mut sends = Vec::new();
+        for (engine, count) in tally.counts {
+            numbers.insert(engine, sends.len() as u16);
+            let [reads, writes, probes] = count.by_kind;
+            let (first_at, last_at) = (count.first_at, count.last_at);
+            sends.push(Sends { engine: name(engine), reads, writes, probes, first_at, last_at });
+        }
+        let place = |(engine, single): (u32, Single)| Single {
+            engine: numbers.get(&engine).copied().unwrap_or(u16::MAX),
+            ..single
+        };
+        let singles = tally.singles.into_iter().map(place).collect();
+        Sent { stamp, at, sends, singles, left_out: tally.left_out }
+    }
+}
+
+/// What a tally has counted under one stamp, up to a time.
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct Sent {
+    pub stamp: Stamp,
+    pub at: u64,
+    pub sends: Vec<Sends>,
+    pub singles: Vec<Single>,
+    pub left_out: u64,
+}
+
+/// Where something is missing in a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Gap {
+    /// Pieces between these numbers are not there, or can't be read.
+    Missing { after: u64, before: u64 },
+    /// That piece does not follow the one before it: one of the two was altered.
+    Broken { at: u64 },
+    /// It stands out of its order.
+    Swapped { at: u64 },
+    /// A process ended without a last word; what it sent after that time is not known.
+    Killed { run: u64, after: u64 },
+    /// Others, or the folder's own mark, have witnessed a later piece than is there.
+    Cut { after: u64, witnessed: u64 },
+}
+
+impl fmt::Display for Gap {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Gap::Missing { after, before } => write!(f, "pieces {} to {} are missing", after + 1, before - 1),
+            Gap::Broken { at } => {
+                write!(f, "piece {at} does not follow the one before: one of them was altered")
+            }
+            Gap::Swapped { at } => write!(f, "piece {at} stands out of its order"),
+            Gap::Killed { run, after } => {
+                write!(
+                    f,
+                    "process {run:x} ended without a last word; what it sent after {after} ns is not known"
+                )
+            }
+            Gap::Cut { after, witnessed } => {
+                write!(f, "it ends with piece {after}, though piece {witnessed} was written")
+            }
+        }
+    }
+}
+
+fn hash(piece: &Piece) -> (u64, u64) {
+    let hash = Sha256::digest(to_bytes(piece));
+    let part = |from: usize| hash.iter().skip(from).take(8).fold(0, |sum, byte| sum << 8 | u64::from(*byte));
+    (part(0), part(8))
+}
+
+/// Walks over pieces, in the order in which they are kept.
+#[derive(Clone, Debug, Default)]
+pub struct Chain {
+    last: Option<(u64, (u64, u64))>,
+    open: Option<(u64, u64)>,
+    pub pieces: u64,
+    pub gaps: Vec<Gap>,
+}
+
+/// Gaps that are told one by one.
+const GAPS: usize = 1000;
+
+impl Chain {
+    pub fn take(&mut self, piece: &Piece) {
+        self.pieces += 1;
+        if let Some((number, before)) = self.last {
+            if piece.number <= number {
+                self.gap(Gap::Swapped { at: piece.number });
+            } else if piece.number > number + 1 {
+                self.gap(Gap::Missing { after: number, before: piece.number });
+            } else if (piece.before, piece.before_low) != before {
+                self.gap(Gap::Broken { at: piece.number });
+            }
+        }
+        if let Some((run, after)) = self.open.take().filter(|(run, _)| *run != piece.run) {
+            self.gap(Gap::Killed { run, after });
+        }
+        self.open = (!piece.ends).then_some((piece.run, piece.to));
+        if self.last.is_none_or(|(number, _)| piece.number > number) {
+            self.last = Some((piece.number, hash(piece)));
+        }
+    }
+
+    /// A later piece than any here is known to have been written.
+    pub fn witnessed(&mut self, number: u64) {
+        let after = self.number();
+        if number > after {
+            self.gap(Gap::Cut { after, witnessed: number });
+        }
+    }
+
+    fn gap(&mut self, gap: Gap) {
+        if self.gaps.len() < GAPS {
+            self.gaps.push(gap);
+        }
+    }
+
+    /// The number of the last piece.
+    pub fn number(&self) -> u64 {
+        self.last.map_or(0, |(number, _)| number)
+    }
+}
+
+/// A router's record: the chain on disk, and what can be asked about.
+#[derive(Clone, Debug)]
+pub struct Book {
+    run: u64,
+    chain: Chain,
+    pieces: VecDeque<Piece>,
+    open: Option<Piece>,
+    began: bool,
+}
+
+impl Book {
+    /// With the pieces that are on disk, in their order, and the number of the last one that was written there.
+    pub fn new(run: u64, kept: impl IntoIterator<Item = Piece>, written: u64) -> Book {
+        let mut book =
+            Book { run, chain: Chain::default(), pieces: VecDeque::new(), open: None, began: false };
+        for piece in kept {
+            book.chain.take(&piece);
+            book.remember(piece);
+        }
+        book.chain.witnessed(written);
+        if let Some((run, after)) = book.chain.open.take() {
+            book.chain.gap(Gap::Killed { run, after });
+        }
+        // What was written under these numbers once must not be written anew.
+        if written > book.chain.number() {
+            book.chain.last = Some((written, (0, 0)));
+        }
+        book
+    }
+
+    fn remember(&mut self, piece: Piece) {
+        if self.pieces.len() >= PIECES {
+            self.pieces.pop_front();
+        }
+        self.pieces.push_back(piece);
+    }
+
+    pub fn gaps(&self) -> &[Gap] {
+        &self.chain.gaps
+    }
+
+    /// The number of the last piece that was closed.
+    pub fn number(&self) -> u64 {
+        self.chain.number()
+    }
+
+    /// Takes what was sent; the piece that is to be written now, if one is closed by it.
+    pub fn take(&mut self, sent: &Sent) -> Option<Piece> {
+        let closed = match &self.open {
+            Some(open) if open.stamp != sent.stamp => self.close(false),
+            _ => None,
+        };
+        let begins = !std::mem::replace(&mut self.began, true);
+        let run = self.run;
+        let open = self.open.get_or_insert_with(|| Piece {
+            number: 0,
+            before: 0,
+            before_low: 0,
+            run,
+            from: sent.at,
+            to: sent.at,
+            begins,
+            ends: false,
+            stamp: sent.stamp.clone(),
+            sends: Vec::new(),
+            singles: Vec::new(),
+            left_out: 0,
+        });
+        open.to = sent.at;
+        open.left_out += sent.left_out;
+        let mut places = Vec::new();
+        for one in &sent.sends {
+            open.from = open.from.min(one.first_at);
+            let at = open.sends.iter().position(|s| s.engine == one.engine);
+            match at.and_then(|at| open.sends.get_mut(at)) {
+                Some(known) => {
+                    known.reads += one.reads;
+                    known.writes += one.writes;
+                    known.probes += one.probes;
+                    known.first_at = known.first_at.min(one.first_at);
+                    known.last_at = known.last_at.max(one.last_at);
+                }
+                None => open.sends.push(one.clone()),
+            }
+            places.push(at.unwrap_or(open.sends.len() - 1) as u16);
+        }
+        for single in &sent.singles {
+            match places.get(usize::from(single.engine)).filter(|_| open.singles.len() < SINGLES) {
+                Some(place) => open.singles.push(Single { engine: *place, ..*single }),
+                None => open.left_out += 1,
+            }
+        }
+        let old = open.to >= open.from.saturating_add(CLOSE_AFTER);
+        closed.or_else(|| if old { self.close(false) } else { None })
+    }
+
+    /// Closes what is open; `ends`: the process ends in good order.
+    pub fn close(&mut self, ends: bool) -> Option<Piece> {
+        let mut piece = self.open.take()?;
+        let (number, (before, before_low)) = self.chain.last.unwrap_or((0, (0, 0)));
+        (piece.number, piece.before, piece.before_low, piece.ends) = (number + 1, before, before_low, ends);
+        self.chain.last = Some((piece.number, hash(&piece)));
+        self.chain.pieces += 1;
+        self.remember(piece.clone());
+        Some(piece)
+    }
+
+    /// The process ends in good order: the last piece says so.
+    pub fn end(&mut self, at: u64) -> Option<Piece> {
+        let stamp = self.pieces.back().map(|piece| piece.stamp.clone()).unwrap_or_default();
+        let stamp = self.open.as_ref().map_or(stamp, |open| open.stamp.clone());
+        self.take(&Sent { stamp, at, ..Sent::default() });
+        self.close(true)
+    }
+
+    /// What was sent, by version and engine.
+    pub fn rows(&self, filter: &AuditFilter) -> Vec<AuditRow> {
+        let mut rows: Vec<AuditRow> = Vec::new();
+        for piece in self.pieces.iter().chain(&self.open) {
+            let list = piece.stamp.list;
+            if filter.below.is_some_and(|below| list.version >= below) {
+                continue;
+            }
+            for (n, sends) in piece.sends.iter().enumerate() {
+                let engine = filter.engine.as_ref().is_none_or(|engine| *engine == sends.engine);
+                let until = filter.until.unwrap_or(u64::MAX);
+                let time = sends.last_at >= filter.since && sends.first_at <= until;
+                let asked = |request| {
+                    piece.singles.iter().any(|s| usize::from(s.engine) == n && s.request == request)
+                };
+                if !engine || !time || !filter.request.is_none_or(asked) {
+                    continue;
+                }
+                let same = |r: &AuditRow| r.list == list && r.sends.engine == sends.engine;
+                match rows.iter().position(same) {
+                    Some(at) => {
+                        let row = &mut rows[at];
+                        row.sends.reads += sends.reads;
+                        row.sends.writes += sends.writes;
+                        row.sends.probes += sends.probes;
+                        row.sends.first_at = row.sends.first_at.min(sends.first_at);
+                        row.sends.last_at = row.sends.last_at.max(sends.last_at);
+                        row.sure &= piece.stamp.sure;
+                    }
+                    None if rows.len() < ROWS => {
+                        rows.push(AuditRow { list, sure: piece.stamp.sure, sends: sends.clone() });
+                    }
+                    None => return rows,
+                }
+            }
+        }
+        rows
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use gaparch_protocol::versions::ListVersion;
+
+    fn stamp(version: u64) -> Stamp {
+        Stamp { list: ListVersion { rank: 1, epoch: 7, version }, sure: true, ..Stamp::default() }
+    }
+
+    fn name(engine: u32) -> String {
+        format!("engine-{engine}")
+    }
+
+    /// A record of so many pieces, each under another version.
+    fn record(run: u64, kept: Vec<Piece>, count: u64, ends: bool) -> Vec<Piece> {
+        let written = kept.last().map_or(0, |p| p.number);
+        let mut pieces = kept.clone();
+        let mut book = Book::new(run, kept, written);
+        let mut tally = Tally::default();
+        for n in 0..count {
+            for send in 0..3 {
+                tally.note(send as u32 % 2, Kind::Read, n * 10 + send, 1, run * 1000 + n);
+            }
+            pieces.extend(book.take(&tally.take(stamp(n), run * 1000 + n, name)));
+        }
+        pieces.extend(book.close(ends));
+        pieces
+    }
+
+    fn gaps(pieces: &[Piece], witnessed: u64) -> Vec<Gap> {
+        let mut chain = Chain::default();
+        pieces.iter().for_each(|piece| chain.take(piece));
+        chain.witnessed(witnessed);
+        chain.gaps
+    }
+
+    #[test]
+    fn a_sound_record_has_no_gap_over_restarts_and_counts_exactly() {
+        let first = record(1, Vec::new(), 4, true);
+        let both = record(2, first, 3, true);
+        assert_eq!(gaps(&both, 7), []);
+        let book = Book::new(3, both, 7);
+        let all: u64 = book.rows(&AuditFilter::default()).iter().map(|r| r.sends.reads).sum();
+        assert_eq!(all, 7 * 3);
+        let below = AuditFilter { below: Some(2), engine: Some(name(0)), ..AuditFilter::default() };
+        let rows = book.rows(&below);
+        assert_eq!(rows.len(), 2, "{rows:?}");
+        let one = AuditFilter { request: Some(10), ..AuditFilter::default() };
+        assert_eq!(book.rows(&one).iter().map(|r| r.list.version).collect::<Vec<_>>(), [1]);
+    }
+
+    #[test]
+    fn whatever_is_done_to_a_record_is_named() {
+        let sound = record(1, Vec::new(), 6, true);
+        let mut removed = sound.clone();
+        removed.remove(2);
+        assert_eq!(gaps(&removed, 6), [Gap::Missing { after: 2, before: 4 }]);
+        let mut altered = sound.clone();
+        altered[2].sends[0].reads -= 1;
+        assert_eq!(gaps(&altered, 6), [Gap::Broken { at: 4 }], "a suppressed send");
+        let mut swapped = sound.clone();
+        swapped.swap(1, 3);
+        assert!(gaps(&swapped, 6).iter().any(|g| matches!(g, Gap::Swapped { .. })));
+        let cut = &sound[..4];
+        assert!(gaps(cut, 6).contains(&Gap::Cut { after: 4, witnessed: 6 }));
+        let killed = record(2, record(1, Vec::new(), 2, false), 1, true);
+        assert!(matches!(gaps(&killed, 3)[..], [Gap::Killed { run: 1, .. }]));
+    }
+
+    #[test]
+    fn what_finds_no_room_one_by_one_is_counted_all_the_same() {
+        let mut tally = Tally::default();
+        (0..5000).for_each(|n| tally.note(1, Kind::Write, n, 1, n));
+        let mut book = Book::new(1, Vec::new(), 0);
+        book.take(&tally.take(stamp(1), 5000, name));
+        let piece = book.close(true).expect("a piece");
+        assert_eq!((piece.sends[0].writes, piece.singles.len() as u64 + piece.left_out), (5000, 5000));
+    }
+
+    #[test]
+    fn numbers_of_a_cut_record_are_not_given_anew() {
+        let sound = record(1, Vec::new(), 6, true);
+        let mut book = Book::new(2, sound[..3].to_vec(), 6);
+        assert!(book.gaps().contains(&Gap::Cut { after: 3, witnessed: 6 }));
+        let mut tally = Tally::default();
+        tally.note(1, Kind::Probe, 0, 0, 9);
+        book.take(&tally.take(stamp(1), 9, name));
+        assert_eq!(book.close(true).expect("a piece").number, 7);
+    }
+}
--- a/crates/gaparch-cli/src/commands/ctl/mod.rs
+++ b/crates/gaparch-cli/src/commands/ctl/mod.rs
@@ -11,6 +11,7 @@
 use gaparch_protocol::ops::ending::{Cause, EndKind, EndingFilter, RequestName, WaitedFor};
 use gaparch_protocol::ops::intent::{Change, Hold};
 use gaparch_protocol::ops::{Answer, DenyCode, OpsRole, Order, Query};
+use gaparch_protocol::versions::AuditFilter;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -118,6 +119,43 @@
     within: String,
 }
 
+#[derive(Debug, Subcommand)]
+enum FleetWhat {
+    /// What routers sent to which engine under which version, by the records of all of them
+    Audit(Audit),
+}
+
+#[derive(Debug, Args)]
+struct Audit {
+    /// To one engine
+    #[arg(long)]
+    engine: Option<String>,
+    /// From so long ago, as 90s, 30m or 12h
+    #[arg(long)]
+    since: Option<String>,
+    /// Until so long ago
+    #[arg(long)]
+    until: Option<String>,
+    /// Under a lower version of the list than that
+    #[arg(long)]
+    version: Option<u64>,
+    /// Of one request, by its number at its router, where single sends are still kept
+    #[arg(long)]
+    request: Option<u64>,
+}
+
+impl Audit {
+    fn filter(&self) -> Result<AuditFilter, String> {
+        Ok(AuditFilter {
+            engine: self.engine.clone(),
+            since: self.since.as_deref().map(since).transpose()?.unwrap_or(0),
+            until: self.until.as_deref().map(since).transpose()?,
+            below: self.version,
+            request: self.request,
+        })
+    }
+}
+
 #[derive(Debug, Subcommand)]
 enum Command {
     /// How all stands
@@ -175,7 +213,10 @@
     /// Orders of the fleet, those that gave way, and which routers keep them
     Orders,
     /// Which router of the site holds which version of the list, and how far behind it is
-    Fleet,
+    Fleet {
+        #[command(subcommand)]
+        what: Option<FleetWhat>,
+    },
     /// Requests that were not served, grouped by why
     Refusals(Filter),
     /// The story of one request
@@ -328,7 +369,8 @@
         }
         Command::Intents => Query::Intents {},
         Command::Members => Query::Members {},
-        Command::Fleet => Query::Versions {},
+        Command::Fleet { what: None } => Query::Versions {},
+        Command::Fleet { what: Some(FleetWhat::Audit(asked)) } => Query::Audit { filter: asked.filter()? },
         Command::Orders => Query::Spread {},
         Command::Refusals(filter) if filter.list => Query::Endings { filter: filter.wanted()? },
         Command::Refusals(filter) => Query::Groups { filter: filter.wanted()? },
--- a/crates/gaparch-cli/src/commands/ctl/show.rs
+++ b/crates/gaparch-cli/src/commands/ctl/show.rs
@@ -6,7 +6,7 @@
 use gaparch_ops::watch::span;
 use gaparch_protocol::ops::ending::Ending;
 use gaparch_protocol::ops::view::{
-    EngineView, FleetView, Happening, LiveView, Snapshot, SpreadView, VersionsView,
+    AuditView, EngineView, FleetView, Happening, LiveView, Snapshot, SpreadView, VersionsView,
 };
 use gaparch_protocol::ops::{Answer, Update};
 use gaparch_protocol::versions::{FleetOrder, ListVersion};
@@ -75,6 +75,7 @@
         Answer::Members { fleet } => members(fleet, now),
         Answer::Versions { versions } => fleet(versions, now),
         Answer::Spread { spread } => orders(spread, now),
+        Answer::Audit { audit } => audited(audit, now),
         Answer::Intents { intents } => {
             let mut table = Table::new(&["change", "what", "by", "at", "kept", "why"]);
             for i in intents {
@@ -225,6 +226,34 @@
     }
 }
 
+/// What was sent under which version, the earliest first.
+fn audited(audit: &AuditView, now: u64) -> String {
+    let mut rows: Vec<_> = audit.rows.iter().collect();
+    rows.sort_by_key(|row| (row.list.rank, row.list.version, row.sends.first_at));
+    let mut table =
+        Table::new(&["list", "router", "engine", "reads", "writes", "probes", "first", "last", ""]);
+    for row in rows {
+        let sends = &row.sends;
+        table.row(vec![
+            format!("{}.{}", row.list.rank, row.list.version),
+            row.router.clone(),
+            sends.engine.clone(),
+            sends.reads.to_string(),
+            sends.writes.to_string(),
+            sends.probes.to_string(),
+            words::time(sends.first_at, now),
+            words::time(sends.last_at, now),
+            if row.sure { "" } else { "the list was not confirmed" }.to_owned(),
+        ]);
+    }
+    let mut text = table.to_string();
+    for unknown in &audit.unknown {
+        text += &format!("unknown: {unknown}\n");
+    }
+    text += if audit.complete { "complete\n" } else { "INCOMPLETE\n" };
+    text
+}
+
 /// Orders of the fleet, those that gave way, and who keeps them.
 fn orders(spread: &SpreadView, now: u64) -> String {
     let mut table = Table::new(&["number", "what", "by", "at", "why", ""]);
--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -6,7 +6,7 @@
 use gaparch_lab::fleet::lying::{Lie, LyingDisk};
 use gaparch_lab::fleet::{days, picture, process, rig};
 use gaparch_net::Clock;
-use gaparch_router::shell::Disks;
+use gaparch_router::shell::{Disks, FleetDisks};
 use gaparch_store::Folder;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -52,8 +52,8 @@
                 operations.ok_or("its settings have no <operations>: it keeps nothing on disk")?;
             let disk = LyingDisk::new(Folder::open(&operations.state)?, lie)?;
             let share = || Box::new(disk.clone());
-            let (events, endings, fleet, fleet_orders) = (share(), share(), share(), share());
-            Some(Disks { intents: share(), events, endings, fleet, fleet_orders })
+            let fleet = FleetDisks::of(|| share());
+            Some(Disks { intents: share(), events: share(), endings: share(), fleet })
         }
     };
     super::serve::serve(config, disks, Clock::default().ahead(options.ahead)).await
--- a/crates/gaparch-cli/src/commands/mod.rs
+++ b/crates/gaparch-cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The sub-commands, each with its own options.
 
+pub mod audit;
 pub mod badday;
 pub mod check;
 pub mod console;
--- a/crates/gaparch-cli/src/main.rs
+++ b/crates/gaparch-cli/src/main.rs
@@ -44,6 +44,8 @@
     Load(commands::load::Options),
     /// Play a bad day on loopback and judge the five rules by what went over the sockets
     Badday(commands::badday::Options),
+    /// Look at what a router that is down has recorded
+    Audit(commands::audit::Options),
     /// Break a fleet of routers, as processes of this program, and judge what they do
     Lab(commands::lab::Options),
 }
@@ -84,6 +86,7 @@
         Command::Demo(options) => commands::demo::run(options).await,
         Command::Load(options) => commands::load::run(options).await,
         Command::Badday(options) => commands::badday::run(options).await,
+        Command::Audit(options) => commands::audit::run(options).await,
         Command::Lab(options) => commands::lab::run(options).await,
     }
 }
--- a/crates/gaparch-lab/src/fleet/day.rs
+++ b/crates/gaparch-lab/src/fleet/day.rs
@@ -196,6 +196,9 @@
     /// That engine is held, or free, by an operator's order.
     Held,
     Free,
+    /// At the day's end the records of all say what came to the engines, entry by entry, of routers that were neither
+    /// killed nor had left; `text`: and name that router as one that sent to a drained engine under an old version.
+    Audit,
 }
 
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/gaparch-lab/src/fleet/rig.rs
+++ b/crates/gaparch-lab/src/fleet/rig.rs
@@ -23,6 +23,7 @@
 use gaparch_protocol::ops::intent::{Change, Hold, Intent, Subject};
 use gaparch_protocol::ops::view::{FleetView, Happening};
 use gaparch_protocol::ops::{Answer, OpsRole, Order, Query};
+use gaparch_protocol::versions::AuditFilter;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -36,6 +37,8 @@
 /// Between two looks at a router, and for its answer: a stopped one gives none.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 const LOOK_WITHIN: Duration = Duration::from_millis(400);
+/// For the records of all routers.
+const RECORDS_WITHIN: Duration = Duration::from_secs(4);
 /// Between two questions whether all keep an order.
 const SPREAD_EVERY: Duration = Duration::from_millis(20);
 /// Between two changes of a list that changes all the time.
@@ -152,6 +155,7 @@
     let answered = load.await.unwrap_or_default();
     sleep(SETTLE).await;
     tasks.shutdown().await;
+    rig.ask_records().await;
     rig.judge(answered)
 }
 
@@ -395,12 +399,32 @@
         self.copies.join(Site::router_name(router))
     }
 
+    /// What the records of all routers say, by the first one that answers.
+    async fn ask_records(&self) {
+        for router in (0..self.day.routers).filter(|r| self.day.confirm_of(*r).is_some()) {
+            let place = Place::Socket(self.site.state_folder(router).with_extension("sock"));
+            let office =
+                Credentials { key: Some(OFFICE_KEY.to_owned()), role: OpsRole::Watch, who: "rig".to_owned() };
+            let ask = async {
+                let mut client = OpsClient::connect(&place, &office).await.ok()?;
+                match client.ask(Query::Audit { filter: AuditFilter::default() }).await.ok()? {
+                    Answer::Audit { audit } => Some(*audit),
+                    _ => None,
+                }
+            };
+            if let Ok(Some(audit)) = timeout(RECORDS_WITHIN, ask).await {
+                self.seen.lock().unwrap_or_else(PoisonError::into_inner).audit = Some(audit);
+                return;
+            }
+        }
+    }
+
     /// What came to engines that the list service had drained, from whichever router, and how long after.
     fn find_stale(&self) {
         let began_at = self.site.clock.at(self.began.into_std());
         let mut names: BTreeMap<(String, ConnId), String> = BTreeMap::new();
         let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut stale = Vec::new();
+        let (mut stale, mut arrived) = (Vec::new(), BTreeMap::<(String, String), (u64, u64)>::new());
         for entry in self.site.record.entries() {
             let What::Frame { engine, conn, way: gaparch_engine::observe::Way::In, seen: frame } = entry.what
             else {
@@ -412,15 +436,20 @@
                 }
                 crate::record::Seen::Read { .. } | crate::record::Seen::Write { .. } => {
                     let at = Duration::from_nanos(entry.at.saturating_sub(began_at));
+                    let router = names.get(&(engine.clone(), conn)).cloned().unwrap_or_default();
+                    let count = arrived.entry((router.clone(), engine.clone())).or_insert((0, 0));
+                    match frame {
+                        crate::record::Seen::Read { .. } => count.0 += 1,
+                        _ => count.1 += 1,
+                    }
                     if let Some(since) = seen.drained_since(&engine, at) {
-                        let router = names.get(&(engine.clone(), conn)).cloned().unwrap_or_default();
                         stale.push(Stale { router, engine, late: at - since });
                     }
                 }
                 _ => {}
             }
         }
-        seen.stale = stale;
+        (seen.stale, seen.arrived) = (stale, arrived);
     }
 
     /// Stands in for a process that is being ended elsewhere.
--- a/crates/gaparch-lab/src/fleet/sentence.rs
+++ b/crates/gaparch-lab/src/fleet/sentence.rs
@@ -6,8 +6,8 @@
 use crate::site::Site;
 use gaparch_engine::Fault;
 use gaparch_protocol::fleet::MemberState;
-use gaparch_protocol::ops::view::{FleetView, VersionsView};
-use std::collections::BTreeSet;
+use gaparch_protocol::ops::view::{AuditView, FleetView, VersionsView};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -89,6 +89,9 @@
     pub lists: Vec<ListedNow>,
     pub stale: Vec<Stale>,
     pub orders: Vec<Given>,
+    /// What all records said at the day's end, and what came to the engines: reads and writes by router and engine.
+    pub audit: Option<AuditView>,
+    pub arrived: BTreeMap<(String, String), (u64, u64)>,
     /// Bytes that each router sent to others.
     pub bytes: Vec<u64>,
     pub crashes: Vec<String>,
@@ -208,10 +211,62 @@
         WishKind::NotBroughtUp => look.versions.as_ref().is_some_and(|v| v.brought_up == 0),
         WishKind::Held => want.text.as_ref().is_some_and(|engine| look.held.contains(engine)),
         WishKind::Free => want.text.as_ref().is_some_and(|engine| !look.held.contains(engine)),
-        WishKind::Event | WishKind::Complete | WishKind::NotComplete => false,
+        WishKind::Event | WishKind::Complete | WishKind::NotComplete | WishKind::Audit => false,
     }
 }
 
+/// Compares what the records say with what came to the engines.
+fn find_audit(want: &Want, day: &Day, what: String, seen: &Seen) -> Found {
+    let mut short = None;
+    let mut fail = |text: String| short = short.take().or(Some(text));
+    let Some(audit) = &seen.audit else {
+        return Found { what, took: Vec::new(), short: Some("no answer to the question came".to_owned()) };
+    };
+    let killed = |router: &String| {
+        let ends = [Life::Killed, Life::Left];
+        seen.lives.iter().any(|(_, r, life)| Site::router_name(*r) == *router && ends.contains(life))
+    };
+    let mut said: BTreeMap<(String, String), (u64, u64)> = BTreeMap::new();
+    for row in &audit.rows {
+        let sent = said.entry((row.router.clone(), row.sends.engine.clone())).or_default();
+        *sent = (sent.0 + row.sends.reads, sent.1 + row.sends.writes);
+    }
+    let whole = (0..day.routers).map(Site::router_name).filter(|router| !killed(router));
+    for router in whole {
+        let of = |all: &BTreeMap<(String, String), (u64, u64)>| -> BTreeMap<String, (u64, u64)> {
+            let own = all.iter().filter(|((r, _), count)| *r == router && **count != (0, 0));
+            own.map(|((_, engine), count)| (engine.clone(), *count)).collect()
+        };
+        let (said, arrived) = (of(&said), of(&seen.arrived));
+        if said != arrived {
+            fail(format!("{router} says that it sent {said:?}, and {arrived:?} came"));
+        }
+    }
+    if seen.arrived.is_empty() {
+        fail("nothing came to any engine".to_owned());
+    }
+    if !seen.lives.iter().any(|(_, _, life)| *life == Life::Killed) && !audit.complete {
+        fail(format!("it is not complete: {}", audit.unknown.join(", ")));
+    }
+    if let Some(name) = &want.text {
+        let late = seen.stale.iter().filter(|s| s.late > STALE).map(|s| (s.router.clone(), s.engine.clone()));
+        let late: BTreeSet<(String, String)> = late.collect();
+        let newest = audit.rows.iter().map(|r| r.list.version).max().unwrap_or(0);
+        let old = |router: &String, engine: &String| {
+            let of = audit.rows.iter().filter(|r| r.router == *router && r.sends.engine == *engine);
+            of.clone().any(|r| r.list.version < newest && !r.sure)
+        };
+        let named = late.iter().any(|(router, engine)| router == name && old(router, engine));
+        if !named {
+            fail(format!("it does not name {name}: late were {late:?}"));
+        }
+    }
+    Found { what, took: Vec::new(), short }
+}
+
+/// What comes so long after a drain is late.
+const STALE: Duration = Duration::from_millis(500);
+
 /// When the orders given at that time were said to be kept by all.
 fn find_complete(want: &Want, what: String, seen: &Seen) -> Found {
     let (at, by) = (want.at.duration(), want.at.duration() + want.within.duration());
@@ -241,6 +296,9 @@
     let what = format!("{:?} {:?}", want.what, want.routers(day.routers)).replace(" []", "").to_lowercase();
     let (at, by) = (want.at.duration(), want.at.duration() + want.within.duration());
     let until = by + want.stays.duration();
+    if want.what == WishKind::Audit {
+        return find_audit(want, day, what, seen);
+    }
     if matches!(want.what, WishKind::Complete | WishKind::NotComplete) {
         return find_complete(want, what, seen);
     }
@@ -454,6 +512,10 @@
                 self.verdict.rules[3].nearest * 100.0
             )?;
         }
+        if let Some(audit) = &self.seen.audit {
+            let word = if audit.complete { "complete" } else { "incomplete" };
+            write!(f, "; audit of {} rows {word}", audit.rows.len())?;
+        }
         if self.stale_after.is_some() {
             let worst = self.seen.stale.iter().map(|s| s.late).max().unwrap_or_default();
             write!(
--- a/crates/gaparch-lab/tests/appliance.rs
+++ b/crates/gaparch-lab/tests/appliance.rs
@@ -11,7 +11,7 @@
 use gaparch_protocol::ops::intent::{Change, Hold, Subject};
 use gaparch_protocol::ops::view::Happening;
 use gaparch_protocol::ops::{Answer, DenyCode, OpsRole, Order, Query, Update};
-use gaparch_router::shell::Disks;
+use gaparch_router::shell::{Disks, FleetDisks};
 use gaparch_store::faulty::{Faults, FaultyDisk, Unsynced};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -236,7 +236,7 @@
 fn disks(intents: &FaultyDisk) -> Disks {
     let calm = || Box::new(FaultyDisk::default());
     let intents = Box::new(intents.clone());
-    Disks { intents, events: calm(), endings: calm(), fleet: calm(), fleet_orders: calm() }
+    Disks { intents, events: calm(), endings: calm(), fleet: FleetDisks::of(|| calm()) }
 }
 
 /// Kills a router at each write of its store; what was acknowledged holds in the next one.
--- a/crates/gaparch-protocol/src/ops/mod.rs
+++ b/crates/gaparch-protocol/src/ops/mod.rs
@@ -10,11 +10,14 @@
 pub mod view;
 
 use crate::frame::Frame;
+use crate::versions::AuditFilter;
 use crate::wire::{choice, closed_set, malformed, record, Wire};
 use bytes::BytesMut;
 use ending::{Ending, EndingFilter, Group, RequestName};
 use intent::{Change, Intent, LimitView};
-use view::{EngineView, Figures, FleetView, Happening, LiveView, Snapshot, SpreadView, VersionsView};
+use view::{
+    AuditView, EngineView, Figures, FleetView, Happening, LiveView, Snapshot, SpreadView, VersionsView,
+};
 use winnow::ModalResult;
 
 /// The version spoken here.
@@ -73,6 +76,8 @@
         14 => OrderHere { order: Order, },
         /// Which routers keep all orders of the fleet that are in force here.
         15 => Spread {},
+        /// What the records of all routers say.
+        16 => Audit { filter: AuditFilter, },
     }
 }
 
@@ -111,6 +116,7 @@
         13 => Members { fleet: Box<FleetView>, },
         14 => Versions { versions: Box<VersionsView>, },
         15 => Spread { spread: Box<SpreadView>, },
+        16 => Audit { audit: Box<AuditView>, },
     }
 }
 
--- a/crates/gaparch-protocol/src/ops/view.rs
+++ b/crates/gaparch-protocol/src/ops/view.rs
@@ -3,7 +3,7 @@
 use super::ending::{EndKind, RequestName, Step};
 use super::intent::{Intent, LimitView};
 use crate::fleet::MemberState;
-use crate::versions::{FleetOrder, ListVersion};
+use crate::versions::{FleetOrder, ListVersion, Sends};
 use crate::wire::{closed_set, record};
 
 closed_set! {
@@ -234,6 +234,26 @@
     }
 }
 
+record! {
+    /// What one router sent to one engine under one version of the list; times by the clock of whoever was asked.
+    pub struct AuditOf {
+        pub router: String,
+        pub list: ListVersion,
+        pub sure: bool,
+        pub sends: Sends,
+    }
+}
+
+record! {
+    pub struct AuditView {
+        /// Every router that may be alive has answered, and none has a gap in its record.
+        pub complete: bool,
+        /// Those of which it is not known, with why.
+        pub unknown: Vec<String>,
+        pub rows: Vec<AuditOf>,
+    }
+}
+
 record! {
     /// Whether one router keeps all orders of the fleet that are in force where this is asked.
     pub struct SpreadRow {
--- a/crates/gaparch-protocol/src/versions.rs
+++ b/crates/gaparch-protocol/src/versions.rs
@@ -76,6 +76,93 @@
     }
 }
 
+record! {
+    /// What a router acts by.
+    #[derive(Eq, Default)]
+    pub struct Stamp {
+        pub list: ListVersion,
+        /// The list service itself confirmed that list in time.
+        pub sure: bool,
+        /// The number of the last change by an operator that is in force there.
+        pub orders: u64,
+        pub build: String,
+    }
+}
+
+record! {
+    /// What was sent to one engine under one stamp; times in nanoseconds since the Unix epoch.
+    #[derive(Eq)]
+    pub struct Sends {
+        pub engine: String,
+        pub reads: u64,
+        pub writes: u64,
+        pub probes: u64,
+        pub first_at: u64,
+        pub last_at: u64,
+    }
+}
+
+record! {
+    /// One attempt, or a probe (request 0).
+    #[derive(Copy, Eq)]
+    pub struct Single {
+        pub at: u64,
+        pub request: u64,
+        pub attempt: u32,
+        /// Where the engine stands among the piece's sends.
+        pub engine: u16,
+        /// 1 read, 2 write, 3 probe.
+        pub kind: u8,
+    }
+}
+
+record! {
+    /// A stretch of a router's record: what it acted by, and what it sent meanwhile.
+    #[derive(Eq)]
+    pub struct Piece {
+        /// Grows by one, over restarts too.
+        pub number: u64,
+        /// The first 16 bytes of the SHA-256 of the piece before, as two numbers.
+        pub before: u64,
+        pub before_low: u64,
+        /// The process.
+        pub run: u64,
+        pub from: u64,
+        pub to: u64,
+        /// The first of its process; the last one, that ended in good order.
+        pub begins: bool,
+        pub ends: bool,
+        pub stamp: Stamp,
+        pub sends: Vec<Sends>,
+        pub singles: Vec<Single>,
+        /// Single ones that there was no room for; they are counted above.
+        pub left_out: u64,
+    }
+}
+
+record! {
+    /// What is asked of a record.
+    #[derive(Eq, Default)]
+    pub struct AuditFilter {
+        pub engine: Option<String>,
+        pub since: u64,
+        pub until: Option<u64>,
+        /// Only what was sent under a lower version of the list than that.
+        pub below: Option<u64>,
+        pub request: Option<u64>,
+    }
+}
+
+record! {
+    /// What one router sent to one engine under one version of the list.
+    #[derive(Eq)]
+    pub struct AuditRow {
+        pub list: ListVersion,
+        pub sure: bool,
+        pub sends: Sends,
+    }
+}
+
 choice! {
     pub enum Talk {
         /// What the sender holds; `sure`: the service itself has said so, so many milliseconds ago.
@@ -94,6 +181,10 @@
         5 => Order { order: FleetOrder, },
         /// Orders on what follows that subject, some at once.
         6 => WantOrders { after: String, },
+        /// What does your record say, from that row on?
+        7 => AuditAsk { nonce: u64, filter: AuditFilter, from: u32, },
+        /// Rows from that one on, of so many; `now` by the sender's clock, `gaps` in its record.
+        8 => AuditRows { nonce: u64, now: u64, gaps: u32, from: u32, of: u32, rows: Vec<AuditRow>, },
         /// Entries of a list in the order of their names, from that one on, of so many.
         3 => Page { version: ListVersion, digest: u64, from: u32, of: u32, entries: Vec<ListEntry>, },
     }
--- a/crates/gaparch-router/src/core/operate.rs
+++ b/crates/gaparch-router/src/core/operate.rs
@@ -84,6 +84,16 @@
         Ok(Proposal { taken, effect })
     }
 
+    /// The number of the last change by an operator.
+    pub fn orders_revision(&self) -> u64 {
+        self.book.revision()
+    }
+
+    /// The name of an engine that was ever listed.
+    pub fn engine_name(&self, engine: ServerId) -> &str {
+        self.roster.name(engine)
+    }
+
     /// An order that another router has handed on, as it is taken here; `None` where it is what holds already.
     ///
     /// # Errors
--- a/crates/gaparch-router/src/shell/fleet.rs
+++ b/crates/gaparch-router/src/shell/fleet.rs
@@ -3,24 +3,28 @@
 //! It has a task of its own, and waits neither for the owner nor for the disk: what the owner is to know, and what is
 //! to be kept, stands in a cell that holds the latest word only, and is taken from there by tasks that may wait.
 
+use super::audit as audit_record;
 use super::fleet_orders::{self, Issued, Kept, Shelf};
+use super::ops::FleetDisks;
 use super::ops::News;
 use super::owner::Control;
 use super::versions::{Adopt, HeldNews};
-use gaparch_audit::{self as audit, FleetOrder, Follow, OrderOutput, Orders};
+use gaparch_audit::{self as audit, FleetOrder, Follow, Gather, OrderOutput, Orders};
 use gaparch_config::{Config, Fleet};
 use gaparch_membership::{Happening, Membership, Output, Rejected, Settings, SiteKey, View};
 use gaparch_net::{read_key, Clock};
 use gaparch_protocol::engine::RouterRun;
 use gaparch_protocol::fleet::{MemberState, MOST_BYTES};
 use gaparch_protocol::ops::view::{
-    self, EdgeRow, FleetView, MemberRow, Overtaken, Severity, SpreadRow, SpreadView, VersionRow, VersionsView,
+    self, AuditOf, AuditView, EdgeRow, FleetView, MemberRow, Overtaken, Severity, SpreadRow, SpreadView,
+    VersionRow, VersionsView,
 };
 use gaparch_protocol::ops::{from_bytes, to_bytes};
-use gaparch_protocol::versions::{OrderId, Talk};
+use gaparch_protocol::versions::{AuditFilter, OrderId, Talk};
 use gaparch_store::{Disk, Journal};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::UdpSocket;
@@ -56,9 +60,12 @@
     pub held: watch::Receiver<HeldNews>,
     /// Orders given here that all routers are to keep.
     pub issued: mpsc::Receiver<Issued>,
+    /// What was sent, to be recorded.
+    pub sent: mpsc::Receiver<audit_record::Message>,
 }
 
 enum Ask {
+    Audit(AuditFilter, oneshot::Sender<Option<AuditView>>),
     Spread(oneshot::Sender<Option<SpreadView>>),
     View(oneshot::Sender<FleetView>),
     /// `None`: lists are not followed here.
@@ -78,6 +85,13 @@
         wait.await.ok()
     }
 
+    /// What all records say of that; `None` once the router has ended.
+    pub async fn audit(&self, filter: AuditFilter) -> Option<Option<AuditView>> {
+        let (reply, wait) = oneshot::channel();
+        self.0.send(Ask::Audit(filter, reply)).await.ok()?;
+        wait.await.ok()
+    }
+
     /// Which router keeps the orders of the fleet; `None` once the router has ended.
     pub async fn spread(&self) -> Option<Option<SpreadView>> {
         let (reply, wait) = oneshot::channel();
@@ -154,6 +168,10 @@
     applied: mpsc::Receiver<OrderId>,
     keep_orders: watch::Sender<Kept>,
     kept_orders: watch::Receiver<Kept>,
+    record: audit_record::Shared,
+    /// Questions to all records that are under way.
+    gathers: Vec<(Gather, oneshot::Sender<Option<AuditView>>)>,
+    nonce: u64,
 }
 
 /// Reads what is kept, binds the socket and starts.
@@ -166,7 +184,7 @@
     config: &Config,
     run: RouterRun,
     clock: Clock,
-    (disk, orders_disk): (Box<dyn Disk>, Box<dyn Disk>),
+    disks: FleetDisks,
     ports: Ports,
 ) -> Result<Option<Running>, FleetError> {
     let key = read_key(&fleet.key_file).map_err(|e| e.to_string());
@@ -184,8 +202,13 @@
     };
     let wrong = |source| FleetError::Listen { address: fleet.listen, source };
     let socket = UdpSocket::bind(fleet.listen).await.map_err(wrong)?;
-    let open = move || (Keeper::open(disk), Shelf::open(orders_disk));
-    let ((keeper, kept), (shelf, orders)) = tokio::task::spawn_blocking(open).await?;
+    let FleetDisks { incarnation, orders, audit, audit_mark } = disks;
+    let open = move || {
+        let record = audit_record::Shelf::open(audit, audit_mark, run.0);
+        (Keeper::open(incarnation), Shelf::open(orders), record)
+    };
+    let ((keeper, kept), (shelf, orders), (record_shelf, record)) = tokio::task::spawn_blocking(open).await?;
+    let record: audit_record::Shared = Arc::new(Mutex::new(record));
     let zone = config.module.zone.and_then(|z| config.names.zones.get(z.0)).cloned().unwrap_or_default();
     let settings = Settings {
         name: config.router.clone(),
@@ -240,12 +263,16 @@
         applied: applied_in,
         keep_orders,
         kept_orders: kept_orders_in,
+        record: Arc::clone(&record),
+        gathers: Vec::new(),
+        nonce: 0,
     };
     let tasks = vec![
         tokio::spawn(task.run(out)),
         tokio::spawn(tell_owner(routers_in, ports.control.clone(), Control::Routers)),
         tokio::spawn(tell_owner(adopt_in, ports.control.clone(), Control::Adopt)),
         tokio::spawn(fleet_orders::apply(apply_in, ports.control, applied)),
+        tokio::spawn(audit_record::run(record_shelf, record, ports.sent, clock, ports.news.clone())),
         tokio::spawn(fleet_orders::keep(shelf, keep_orders_in, kept_orders, ports.news.clone())),
         tokio::spawn(keep(keeper, incarnation_in, ports.news)),
     ];
@@ -274,6 +301,7 @@
             self.carry_out(&mut out);
             let others = self.follow.as_ref().map(Follow::next_at).into_iter();
             let others = others.chain(self.orders.as_ref().map(Orders::next_at));
+            let others = others.chain(self.gathers.iter().map(|(gather, _)| gather.next_at()));
             let due = others.fold(self.core.next_at(), u64::min);
             let due = Instant::from_std(self.clock.instant(due));
             tokio::select! {
@@ -284,6 +312,7 @@
                     self.carry_out(&mut out);
                     self.follow_on(&mut out, Follow::on_time);
                     self.order(&mut out, |orders, now, others, wanted| orders.on_time(now, others, wanted));
+                    self.gather(&mut out);
                 }
                 Some((change, note)) = self.issued.recv(), if self.orders.is_some() => {
                     self.order(&mut out, |orders, now, _, wanted| orders.give(now, &change, &note, wanted));
@@ -304,6 +333,7 @@
                         // Who asked may have left.
                         let _ = reply.send(self.view());
                     }
+                    Some(Ask::Audit(filter, reply)) => self.ask_all(filter, reply, &mut out),
                     Some(Ask::Spread(reply)) => {
                         let _ = reply.send(self.spread());
                     }
@@ -379,6 +409,7 @@
             }
         }
         for (from, talk) in talks {
+            self.on_audit(&from, &talk, out);
             self.order(out, |orders, now, _, wanted| orders.on_talk(now, &from, &talk, wanted));
             self.follow_on(out, |follow, now, _, answers| follow.on_talk(now, &from, talk, answers));
         }
@@ -405,6 +436,72 @@
         }
     }
 
+    /// Asks all routers that may be alive what their records say.
+    fn ask_all(
+        &mut self,
+        filter: AuditFilter,
+        reply: oneshot::Sender<Option<AuditView>>,
+        out: &mut Vec<Output>,
+    ) {
+        if self.follow.is_none() || self.gathers.len() >= ASKED {
+            return drop(reply.send(None));
+        }
+        let stays = |m: &gaparch_membership::MemberView| m.state != MemberState::Left;
+        let routers = self.core.view().members.into_iter().filter(stays).map(|m| m.facts.name).collect();
+        self.nonce += 1;
+        self.gathers.push((Gather::new(self.nonce, filter, routers, self.clock.now()), reply));
+        self.gather(out);
+    }
+
+    /// Asks on, and answers whoever asked once all is there or the time is over.
+    fn gather(&mut self, out: &mut Vec<Output>) {
+        let now = self.clock.now();
+        let mut asks = Vec::new();
+        self.gathers.iter_mut().for_each(|(gather, _)| gather.on_time(now, &mut asks));
+        for (to, talk) in asks {
+            self.core.talk(now, &to, to_bytes(&talk), out);
+        }
+        let (over, open): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.gathers).into_iter().partition(|(gather, _)| gather.is_over(now));
+        self.gathers = open;
+        for (gather, reply) in over {
+            let filter = gather.filter().clone();
+            let mut told = gather.told();
+            let book = audit_record::lock(&self.record);
+            let gaps = u32::try_from(book.gaps().len()).unwrap_or(u32::MAX);
+            told.push(audit::Told {
+                router: self.core.facts().name,
+                rows: book.rows(&filter),
+                gaps: Some(gaps),
+            });
+            let _ = reply.send(Some(audit_view(told)));
+        }
+    }
+
+    fn on_audit(&mut self, from: &str, talk: &Talk, out: &mut Vec<Output>) {
+        let now = self.clock.now();
+        if let Talk::AuditAsk { nonce, filter, from: row } = talk {
+            let pages = {
+                let book = audit_record::lock(&self.record);
+                let gaps = u32::try_from(book.gaps().len()).unwrap_or(u32::MAX);
+                audit::answer(*nonce, now, gaps, &book.rows(filter), *row)
+            };
+            for page in pages {
+                self.core.talk(now, from, to_bytes(&page), out);
+            }
+        }
+        if matches!(talk, Talk::AuditRows { .. }) {
+            let mut asks = Vec::new();
+            for (gather, _) in &mut self.gathers {
+                gather.on_talk(now, from, talk, &mut asks);
+            }
+            for (to, talk) in asks {
+                self.core.talk(now, &to, to_bytes(&talk), out);
+            }
+            self.gather(out);
+        }
+    }
+
     /// Who keeps the orders of the fleet. Whoever did not say that it leaves may be alive: one that counts as dead may only
     /// be cut off.
     fn spread(&mut self) -> Option<SpreadView> {
@@ -502,6 +599,26 @@
     }
 }
 
+/// What all records say together: those that did not answer, or have gaps, are unknown.
+fn audit_view(mut told: Vec<audit::Told>) -> AuditView {
+    told.sort_by(|a, b| a.router.cmp(&b.router));
+    let (mut rows, mut unknown) = (Vec::new(), Vec::new());
+    for one in told {
+        match one.gaps {
+            None => unknown.push(format!("{} did not answer in time", one.router)),
+            Some(0) => {}
+            Some(gaps) => unknown.push(format!("{} has {gaps} gaps in its record", one.router)),
+        }
+        rows.extend(one.rows.into_iter().map(|row| AuditOf {
+            router: one.router.clone(),
+            list: row.list,
+            sure: row.sure,
+            sends: row.sends,
+        }));
+    }
+    AuditView { complete: unknown.is_empty(), unknown, rows }
+}
+
 fn versions(view: audit::View) -> VersionsView {
     let row = |row: audit::Row| VersionRow {
         router: row.router,
--- a/crates/gaparch-router/src/shell/mod.rs
+++ b/crates/gaparch-router/src/shell/mod.rs
@@ -12,6 +12,7 @@
 //! | datagrams of other routers | the socket's own buffer | lost, as any may be |
 //! | open requests, connections | `limits` | refused; closed |
 
+mod audit;
 mod client;
 mod engine;
 mod fleet;
@@ -23,9 +24,10 @@
 mod stall;
 mod versions;
 
+pub use audit::verify as verify_record;
 pub use fleet::FleetError;
 pub use lag::{Lag, LagSummary};
-pub use ops::{Disks, OperationsError};
+pub use ops::{Disks, FleetDisks, OperationsError};
 
 use crate::core::{Core, Counts};
 use gaparch_config::Config;
@@ -42,6 +44,9 @@
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::task::JoinHandle;
 
+/// For the last of the record to be written.
+const RECORD_WITHIN: Duration = Duration::from_secs(1);
+
 /// Why a router can't start.
 #[derive(Debug, Error)]
 pub enum ServeError {
@@ -63,6 +68,8 @@
     owner: JoinHandle<()>,
     operations: Option<ops::Running>,
     fleet: Option<fleet::Running>,
+    /// Where what was sent is recorded.
+    record: Option<mpsc::Sender<audit::Message>>,
     shutdown: Duration,
 }
 
@@ -129,6 +136,17 @@
         let counts = self.counts().await;
         // The last answers are on their way to the clients' tasks: they get a moment to be written.
         tokio::time::sleep(Duration::from_millis(50)).await;
+        if let Some(record) = &self.record {
+            let (written, wait) = oneshot::channel();
+            let finish = async {
+                if record.send(audit::Message::Finish(written)).await.is_ok() {
+                    // Dropped unsent, its task has ended.
+                    let _ = wait.await;
+                }
+            };
+            // Without its last word it shows a gap, as it should.
+            let _ = tokio::time::timeout(RECORD_WITHIN, finish).await;
+        }
         if let Some(operations) = &self.operations {
             operations.finish().await;
         }
@@ -182,6 +200,7 @@
     let core = Core::new(config.clone(), book, run, clock.now(), &mut out);
     let mut fleet = None;
     let mut versions = None;
+    let mut record = None;
     let (desk, operations) = match prepared {
         Some(mut prepared) => {
             let news = ops::news_channel();
@@ -189,10 +208,14 @@
                 let (cell, held) = watch::channel(versions::HeldNews::default());
                 let (issued, issued_in) = mpsc::channel(fleet_orders::ISSUED);
                 let (control, news) = (control.clone(), news.0.clone());
-                let ports = fleet::Ports { control, news, held, issued: issued_in };
+                let (sent, sent_in) = mpsc::channel(audit::INBOX);
+                let ports = fleet::Ports { control, news, held, issued: issued_in, sent: sent_in };
                 fleet = fleet::start(settings, &config, run, clock, disks, ports).await?;
                 let follows = fleet.is_some() && settings.confirm.is_some();
-                versions = follows.then(|| versions::Versions::new(config.module.ask, cell, issued));
+                let confirm = settings.confirm.unwrap_or(0);
+                record = follows.then(|| sent.clone());
+                versions =
+                    follows.then(|| versions::Versions::new(config.module.ask, confirm, cell, issued, sent));
             }
             let asker = fleet.as_ref().map(fleet::Running::asker);
             let channels = ops::Channels { control: control.clone(), news, fleet: asker };
@@ -221,7 +244,7 @@
         .map(|(_, socket, dialect)| tokio::spawn(client::accept(socket, dialect, Arc::clone(&shared))))
         .collect();
     let shutdown = config.limits.shutdown.duration();
-    Ok(RouterHandle { addresses, control, lag, accepting, owner, operations, fleet, shutdown })
+    Ok(RouterHandle { addresses, control, lag, accepting, owner, operations, fleet, record, shutdown })
 }
 
 /// Two routers of one process never have the same run.
--- a/crates/gaparch-router/src/shell/ops/hub.rs
+++ b/crates/gaparch-router/src/shell/ops/hub.rs
@@ -328,6 +328,7 @@
             | Query::Order { .. }
             | Query::OrderHere { .. }
             | Query::Spread {}
+            | Query::Audit { .. }
             | Query::Members {}
             | Query::Versions {} => {
                 let message = "that is for the session to do".to_owned();
--- a/crates/gaparch-router/src/shell/ops/mod.rs
+++ b/crates/gaparch-router/src/shell/ops/mod.rs
@@ -62,10 +62,24 @@
     pub intents: Box<dyn Disk>,
     pub events: Box<dyn Disk>,
     pub endings: Box<dyn Disk>,
+    pub fleet: FleetDisks,
+}
+
+/// Where what concerns the other routers is kept.
+pub struct FleetDisks {
     /// How often the router was started.
-    pub fleet: Box<dyn Disk>,
-    /// Orders of the fleet.
-    pub fleet_orders: Box<dyn Disk>,
+    pub incarnation: Box<dyn Disk>,
+    pub orders: Box<dyn Disk>,
+    /// What was sent under which version, and a mark of the last of it.
+    pub audit: Box<dyn Disk>,
+    pub audit_mark: Box<dyn Disk>,
+}
+
+impl FleetDisks {
+    /// One disk for each.
+    pub fn of(mut share: impl FnMut() -> Box<dyn Disk>) -> FleetDisks {
+        FleetDisks { incarnation: share(), orders: share(), audit: share(), audit_mark: share() }
+    }
 }
 
 impl Disks {
@@ -76,8 +90,8 @@
     pub fn open(settings: &Operations) -> Result<Disks, StoreError> {
         let folder = Folder::open(&settings.state)?;
         let (events, endings) = (Box::new(folder.share()), Box::new(folder.share()));
-        let (fleet, fleet_orders) = (Box::new(folder.share()), Box::new(folder.share()));
-        Ok(Disks { fleet, fleet_orders, intents: Box::new(folder), events, endings })
+        let fleet = FleetDisks::of(|| Box::new(folder.share()));
+        Ok(Disks { fleet, intents: Box::new(folder), events, endings })
     }
 }
 
@@ -232,8 +246,7 @@
     /// Operators that can't come in, and why.
     locked_out: Vec<String>,
     settings: Operations,
-    /// Where the fleet's side keeps how often the router was started, and its orders.
-    pub fleet: Option<(Box<dyn Disk>, Box<dyn Disk>)>,
+    pub fleet: Option<FleetDisks>,
 }
 
 /// Reads the state folder. What operators have ordered is known before the first request comes.
@@ -254,7 +267,7 @@
             &mut chronicle,
             &mut ledger,
         )?;
-        let fleet = Some((disks.fleet, disks.fleet_orders));
+        let fleet = Some(disks.fleet);
         Ok(Prepared { book, keeper, historian, chronicle, ledger, operators, locked_out, settings, fleet })
     };
     let wrong = |e: tokio::task::JoinError| OperationsError::Io {
--- a/crates/gaparch-router/src/shell/ops/session.rs
+++ b/crates/gaparch-router/src/shell/ops/session.rs
@@ -247,6 +247,13 @@
                 Answer::Denied { code: DenyCode::Unknown, message }
             }
         }),
+        Query::Audit { filter } => {
+            let audit = match &lobby.fleet {
+                Some(fleet) => fleet.audit(filter).await.ok_or(ENDED)?,
+                None => None,
+            };
+            Ok(audit.map_or_else(alone, |audit| Answer::Audit { audit: Box::new(audit) }))
+        }
         Query::Versions {} => {
             let versions = match &lobby.fleet {
                 Some(fleet) => fleet.versions().await.ok_or(ENDED)?,
--- a/crates/gaparch-router/src/shell/owner.rs
+++ b/crates/gaparch-router/src/shell/owner.rs
@@ -7,10 +7,11 @@
 use super::versions::{Adopt, Verdict, Versions};
 use crate::core::{Accepted, ConnNo, Core, Counts, Input, ListUpdate, Output, Proposal, ToClient};
 use gaparch::api::{RequestId, ServerId};
+use gaparch_audit::Kind;
 use gaparch_config::Config;
 use gaparch_net::Clock;
 use gaparch_ops::book::Denied;
-use gaparch_protocol::engine::EngineFrame;
+use gaparch_protocol::engine::{AttemptKey, EngineFrame};
 use gaparch_protocol::ops::intent::{Change, Note};
 use gaparch_protocol::ops::view::{Figures, Happening, LiveView, Severity};
 use gaparch_protocol::ops::{DenyCode, Order};
@@ -35,6 +36,9 @@
 const REQUEST_BATCH: usize = 32;
 const GONE_BATCH: usize = 64;
 
+/// Of what is no attempt.
+const NO_ATTEMPT: AttemptKey = AttemptKey { request: 0, attempt: 0 };
+
 /// A request on its way to the owner, with where its answers go.
 #[derive(Debug)]
 pub(super) struct NewRequest {
@@ -169,6 +173,7 @@
                 }
                 _ = show.tick(), if self.desk.is_some() => {
                     self.show();
+                    self.hand_over();
                     Duration::ZERO
                 }
                 _ = ports.gone.recv_many(&mut gone_batch, GONE_BATCH) => Duration::ZERO,
@@ -219,11 +224,15 @@
             Control::One(id, answer) => drop(answer.send(self.core.live_one(id))),
             Control::Routers(routers) => self.core.handle(now, Input::Routers(routers), out),
             Control::Adopt(adopt) => {
+                self.hand_over();
                 let update = self.versions.as_mut().and_then(|versions| versions.on_adopt(adopt));
                 update.into_iter().for_each(|update| self.core.handle(now, Input::List(update), out));
             }
             Control::Stop => self.core.handle(now, Input::Stop, out),
-            Control::StopNow => self.core.handle(now, Input::StopNow, out),
+            Control::StopNow => {
+                self.core.handle(now, Input::StopNow, out);
+                self.hand_over();
+            }
         }
     }
 
@@ -253,6 +262,7 @@
             };
             permit.send((proposal.taken.change.clone(), proposal.taken.note.clone()));
         }
+        self.hand_over();
         self.core.handle(now, Input::Taken(proposal.taken.clone()), out);
         // Whoever asks after the acknowledgement sees what it did.
         self.show();
@@ -278,6 +288,7 @@
             }
         };
         let Some(permit) = desk.reserve() else { return false };
+        self.hand_over();
         self.core.handle(now, Input::Taken(taken.clone()), out);
         self.show();
         if let Some(desk) = &mut self.desk {
@@ -337,8 +348,17 @@
         self.core.handle(now, input, out);
     }
 
+    /// Hands over what was sent, to be recorded.
+    fn hand_over(&mut self) {
+        let Some(versions) = &mut self.versions else { return };
+        let core = &self.core;
+        let name = |engine| core.engine_name(ServerId(engine)).to_owned();
+        versions.hand_over(core.orders_revision(), self.clock.now(), name);
+    }
+
     /// Whether an update is to be acted on: where other routers may hand the list on, an older one is not.
     fn judge(&mut self, update: &ListUpdate, now: u64) -> Verdict {
+        self.hand_over();
         let Some(versions) = &mut self.versions else { return Verdict::Act };
         let (verdict, text) = versions.on_update(update, now);
         if let (Some(desk), Some(text)) = (&mut self.desk, text) {
@@ -422,6 +442,17 @@
             tracing::trace!(request = key.request, attempt = key.attempt, engine = engine.0, "to engine");
         }
         let Some(task) = self.engines.get(&engine) else { return };
+        if let Some(versions) = &mut self.versions {
+            let (kind, key) = match &frame {
+                EngineFrame::Read(job) => (Some(Kind::Read), job.key),
+                EngineFrame::Write { job, .. } => (Some(Kind::Write), job.key),
+                EngineFrame::Probe { .. } => (Some(Kind::Probe), NO_ATTEMPT),
+                _ => (None, NO_ATTEMPT),
+            };
+            if let Some(kind) = kind {
+                versions.tally.note(engine.0, kind, key.request, key.attempt, self.clock.now());
+            }
+        }
         if task.frames.try_send(frame).is_err() {
             let conn = task.conn;
             tracing::warn!(engine = engine.0, "an engine does not take its frames");
--- a/crates/gaparch-router/src/shell/versions.rs
+++ b/crates/gaparch-router/src/shell/versions.rs
@@ -1,11 +1,13 @@
 //! The list that is held, where other routers may hand it on: what the owner has of it, and the cells between it and the
 //! fleet's task. Neither waits for the other; each cell holds the latest word only.
 
+use super::audit::Message;
 use super::fleet_orders::Issued;
 use crate::core::ListUpdate;
-use gaparch_audit::{Held, HeldList, Nanos, Taken};
+use gaparch_audit::{Held, HeldList, Nanos, Sent, Taken, Tally};
 use gaparch_protocol::list::Scope;
-use gaparch_protocol::versions::ListVersion;
+use gaparch_protocol::versions::{ListVersion, Stamp};
+use std::collections::VecDeque;
 use std::sync::Arc;
 use tokio::sync::{mpsc, watch};
 
@@ -47,11 +49,67 @@
     issued: mpsc::Sender<Issued>,
     /// What was refused last, so that it is told once.
     refused: Option<String>,
+    /// What was sent since it was handed over last, and what could not be handed over yet.
+    pub tally: Tally,
+    waiting: VecDeque<Sent>,
+    record: mpsc::Sender<Message>,
+    confirm: Nanos,
 }
 
+/// Hand-overs that wait for the record's task. Past it the singles of the oldest two are thrown together.
+const WAITING: usize = 64;
+
 impl Versions {
-    pub fn new(asked: bool, cell: watch::Sender<HeldNews>, issued: mpsc::Sender<Issued>) -> Versions {
-        Versions { held: Held::default(), epoch: 0, first: true, asked, cell, issued, refused: None }
+    pub fn new(
+        asked: bool,
+        confirm: Nanos,
+        cell: watch::Sender<HeldNews>,
+        issued: mpsc::Sender<Issued>,
+        record: mpsc::Sender<Message>,
+    ) -> Versions {
+        Versions {
+            held: Held::default(),
+            epoch: 0,
+            first: true,
+            asked,
+            cell,
+            issued,
+            refused: None,
+            tally: Tally::default(),
+            waiting: VecDeque::new(),
+            record,
+            confirm,
+        }
+    }
+
+    /// Hands over what was sent under the versions that hold now: before each change of them, and now and then.
+    pub fn hand_over(&mut self, orders: u64, now: Nanos, name: impl Fn(u32) -> String) {
+        if !self.tally.is_empty() {
+            let sure_at = self.cell.borrow().sure_at;
+            let stamp = Stamp {
+                list: self.held.version().unwrap_or_default(),
+                sure: sure_at.is_some_and(|at| at.saturating_add(self.confirm) >= now),
+                orders,
+                build: env!("CARGO_PKG_VERSION").to_owned(),
+            };
+            let sent = self.tally.take(stamp, now, name);
+            if self.waiting.len() < WAITING {
+                self.waiting.push_back(sent);
+            } else if let Some(last) = self.waiting.back_mut() {
+                // The record's disk has been stuck for long: counts are kept, under the version that held first.
+                last.left_out += sent.left_out + sent.singles.len() as u64;
+                last.at = sent.at;
+                last.sends.extend(sent.sends);
+            }
+        }
+        while let Some(sent) = self.waiting.pop_front() {
+            if let Err(error) = self.record.try_send(Message::Sent(sent)) {
+                if let mpsc::error::TrySendError::Full(Message::Sent(sent)) = error {
+                    self.waiting.push_front(sent);
+                }
+                return;
+            }
+        }
     }
 
     /// Room for one more order that is to reach all routers, if there is any.
