--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -81,6 +81,9 @@
     /// JSON instead of lines
     #[arg(long)]
     json: bool,
+    /// Copy the routers' state folders into this folder at the day's end; for one day
+    #[arg(long)]
+    keep: Option<PathBuf>,
     /// Draw who thought what of whom, an SVG a day, into this folder
     #[arg(long)]
     pictures: Option<PathBuf>,
@@ -124,6 +127,7 @@
         }
         day.seed = options.seed.unwrap_or(day.seed);
         day.plain = options.plain;
+        day.keep.clone_from(&options.keep);
         waiting.push(day);
     }
     let at_once = if options.small { SMALL_AT_ONCE } else { usize::from(options.at_once) };
--- a/crates/gaparch-lab/src/fleet/day.rs
+++ b/crates/gaparch-lab/src/fleet/day.rs
@@ -61,6 +61,9 @@
     /// Routers run without the refinements.
     #[serde(skip)]
     pub plain: bool,
+    /// Where the routers' folders are copied to at its end.
+    #[serde(skip)]
+    pub keep: Option<std::path::PathBuf>,
     #[serde(rename = "do", default)]
     pub deeds: Vec<Deed>,
     #[serde(rename = "want", default)]
--- a/crates/gaparch-lab/src/fleet/days.rs
+++ b/crates/gaparch-lab/src/fleet/days.rs
@@ -50,6 +50,7 @@
             include_str!("../../../../days/audit/stopped-across.xml"),
             include_str!("../../../../days/audit/churn.xml"),
             include_str!("../../../../days/audit/mixed.xml"),
+            include_str!("../../../../days/audit/straggler.xml"),
             include_str!("../../../../days/audit/order.xml"),
             include_str!("../../../../days/audit/order-dying.xml"),
             include_str!("../../../../days/audit/order-split.xml"),
--- a/crates/gaparch-lab/src/fleet/rig.rs
+++ b/crates/gaparch-lab/src/fleet/rig.rs
@@ -501,6 +501,10 @@
             process.kill()?;
         }
         self.churn.iter().for_each(JoinHandle::abort);
+        for router in self.day.keep.iter().flat_map(|_| 0..self.day.routers) {
+            let kept = self.day.keep.iter().map(|keep| keep.join(Site::router_name(router)));
+            kept.into_iter().try_for_each(|kept| copy(&self.site.state_folder(router), &kept))?;
+        }
         self.find_stale();
         let verdict = checker::check_entries(&self.site.record.entries(), &badday::figures(self.site.plan()));
         let seen = std::mem::take(&mut *self.seen.lock().unwrap_or_else(PoisonError::into_inner));
--- a/crates/gaparch-lab/src/fleet/sentence.rs
+++ b/crates/gaparch-lab/src/fleet/sentence.rs
@@ -515,6 +515,26 @@
         if let Some(audit) = &self.seen.audit {
             let word = if audit.complete { "complete" } else { "incomplete" };
             write!(f, "; audit of {} rows {word}", audit.rows.len())?;
+            let newest = audit.rows.iter().map(|r| r.list.version).max().unwrap_or(0);
+            for row in audit.rows.iter().filter(|r| r.list.version < newest && !r.sure) {
+                let late =
+                    self.seen.stale.iter().filter(|s| s.router == row.router && s.engine == row.sends.engine);
+                let late: Vec<&Stale> = late.filter(|s| s.late > STALE).collect();
+                if !late.is_empty() {
+                    write!(
+                        f,
+                        "\n    the audit names {}: {} reads and {} writes to {} under list {}.{}, which nobody confirmed to it; \
+                         the engine had {} after its drain",
+                        row.router,
+                        row.sends.reads,
+                        row.sends.writes,
+                        row.sends.engine,
+                        row.list.rank,
+                        row.list.version,
+                        late.len()
+                    )?;
+                }
+            }
         }
         if self.stale_after.is_some() {
             let worst = self.seen.stale.iter().map(|s| s.late).max().unwrap_or_default();
--- a/crates/gaparch-router/src/shell/audit.rs
+++ b/crates/gaparch-router/src/shell/audit.rs
@@ -102,14 +102,18 @@
     for gap in lock(&book).gaps() {
         tracing::warn!(%gap, "the audit's record has a gap");
     }
+    let mut begins = lock(&book).begin(clock.now());
     loop {
-        let (piece, finished) = tokio::select! {
+        let (piece, finished) = match begins.take() {
+            Some(piece) => (Some(piece), None),
+            None => tokio::select! {
             message = inbox.recv() => match message {
                 Some(Message::Sent(sent)) => (lock(&book).take(&sent), None),
                 Some(Message::Finish(reply)) => (lock(&book).end(clock.now()), Some(reply)),
                 None => return,
             },
             _ = close.tick() => (lock(&book).close(false), None),
+            },
         };
         if let Some(piece) = piece {
             let work = tokio::task::spawn_blocking(move || {
