Nothing is recorded where no list is followed

Need: with fleet but without confirm a router wrote pieces of a record that nobody counts for. Change: the record's, orders' and adopting tasks start where confirm is set only.

--- a/crates/gaparch-router/src/shell/audit.rs
+++ b/crates/gaparch-router/src/shell/audit.rs
@@ -104,16 +104,17 @@
     }
     let mut begins = lock(&book).begin(clock.now());
     loop {
-        let (piece, finished) = match begins.take() {
-            Some(piece) => (Some(piece), None),
-            None => tokio::select! {
-            message = inbox.recv() => match message {
-                Some(Message::Sent(sent)) => (lock(&book).take(&sent), None),
-                Some(Message::Finish(reply)) => (lock(&book).end(clock.now()), Some(reply)),
-                None => return,
-            },
-            _ = close.tick() => (lock(&book).close(false), None),
-            },
+        let (piece, finished) = if begins.is_some() {
+            (begins.take(), None)
+        } else {
+            tokio::select! {
+                message = inbox.recv() => match message {
+                    Some(Message::Sent(sent)) => (lock(&book).take(&sent), None),
+                    Some(Message::Finish(reply)) => (lock(&book).end(clock.now()), Some(reply)),
+                    None => return,
+                },
+                _ = close.tick() => (lock(&book).close(false), None),
+            }
         };
         if let Some(piece) = piece {
             let work = tokio::task::spawn_blocking(move || {
--- a/crates/gaparch-router/src/shell/fleet.rs
+++ b/crates/gaparch-router/src/shell/fleet.rs
@@ -267,15 +267,20 @@
         gathers: Vec::new(),
         nonce: 0,
     };
-    let tasks = vec![
+    let mut tasks = vec![
         tokio::spawn(task.run(out)),
         tokio::spawn(tell_owner(routers_in, ports.control.clone(), Control::Routers)),
-        tokio::spawn(tell_owner(adopt_in, ports.control.clone(), Control::Adopt)),
-        tokio::spawn(fleet_orders::apply(apply_in, ports.control, applied)),
-        tokio::spawn(audit_record::run(record_shelf, record, ports.sent, clock, ports.news.clone())),
-        tokio::spawn(fleet_orders::keep(shelf, keep_orders_in, kept_orders, ports.news.clone())),
-        tokio::spawn(keep(keeper, incarnation_in, ports.news)),
+        tokio::spawn(keep(keeper, incarnation_in, ports.news.clone())),
     ];
+    // Where no list is followed nothing is written for it either.
+    if fleet.confirm.is_some() {
+        tasks.extend([
+            tokio::spawn(tell_owner(adopt_in, ports.control.clone(), Control::Adopt)),
+            tokio::spawn(fleet_orders::apply(apply_in, ports.control, applied)),
+            tokio::spawn(audit_record::run(record_shelf, record, ports.sent, clock, ports.news.clone())),
+            tokio::spawn(fleet_orders::keep(shelf, keep_orders_in, kept_orders, ports.news)),
+        ]);
+    }
     Ok(Some(Running { address: fleet.listen, asks, tasks }))
 }
 
