--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -6,7 +6,7 @@
 use gaparch_lab::fleet::lying::{Lie, LyingDisk};
 use gaparch_lab::fleet::{days, picture, process, rig};
 use gaparch_net::Clock;
-use gaparch_router::shell::Disks;
+use gaparch_router::shell::{Disks, FleetDisks};
 use gaparch_store::Folder;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -52,7 +52,8 @@
                 operations.ok_or("its settings have no <operations>: it keeps nothing on disk")?;
             let disk = LyingDisk::new(Folder::open(&operations.state)?, lie)?;
             let share = || Box::new(disk.clone());
-            Some(Disks { intents: share(), events: share(), endings: share(), fleet: share() })
+            let fleet = FleetDisks::of(|| share());
+            Some(Disks { intents: share(), events: share(), endings: share(), fleet })
         }
     };
     super::serve::serve(config, disks, Clock::default().ahead(options.ahead)).await
@@ -80,6 +81,9 @@
     /// JSON instead of lines
     #[arg(long)]
     json: bool,
+    /// Copy the routers' state folders into this folder at the day's end; for one day
+    #[arg(long)]
+    keep: Option<PathBuf>,
     /// Draw who thought what of whom, an SVG a day, into this folder
     #[arg(long)]
     pictures: Option<PathBuf>,
@@ -123,6 +127,7 @@
         }
         day.seed = options.seed.unwrap_or(day.seed);
         day.plain = options.plain;
+        day.keep.clone_from(&options.keep);
         waiting.push(day);
     }
     let at_once = if options.small { SMALL_AT_ONCE } else { usize::from(options.at_once) };
--- a/crates/gaparch-lab/src/fleet/sentence.rs
+++ b/crates/gaparch-lab/src/fleet/sentence.rs
@@ -6,8 +6,8 @@
 use crate::site::Site;
 use gaparch_engine::Fault;
 use gaparch_protocol::fleet::MemberState;
-use gaparch_protocol::ops::view::{FleetView, VersionsView};
-use std::collections::BTreeSet;
+use gaparch_protocol::ops::view::{AuditView, FleetView, VersionsView};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -40,6 +40,17 @@
     pub view: FleetView,
     /// Where it follows lists.
     pub versions: Option<VersionsView>,
+    /// Engines that operators hold.
+    pub held: BTreeSet<String>,
+}
+
+/// An operator's order for all routers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Given {
+    pub at: Duration,
+    /// When all routers were said to keep it.
+    pub complete: Option<Duration>,
+    pub answer: Option<String>,
 }
 
 /// What the list service has from a time on.
@@ -77,6 +88,10 @@
     /// What the list service has had.
     pub lists: Vec<ListedNow>,
     pub stale: Vec<Stale>,
+    pub orders: Vec<Given>,
+    /// What all records said at the day's end, and what came to the engines: reads and writes by router and engine.
+    pub audit: Option<AuditView>,
+    pub arrived: BTreeMap<(String, String), (u64, u64)>,
     /// Bytes that each router sent to others.
     pub bytes: Vec<u64>,
     pub crashes: Vec<String>,
@@ -194,8 +209,86 @@
         },
         WishKind::BroughtUp => look.versions.as_ref().is_some_and(|v| v.brought_up > 0),
         WishKind::NotBroughtUp => look.versions.as_ref().is_some_and(|v| v.brought_up == 0),
-        WishKind::Event => false,
+        WishKind::Held => want.text.as_ref().is_some_and(|engine| look.held.contains(engine)),
+        WishKind::Free => want.text.as_ref().is_some_and(|engine| !look.held.contains(engine)),
+        WishKind::Event | WishKind::Complete | WishKind::NotComplete | WishKind::Audit => false,
+    }
+}
+
+/// Compares what the records say with what came to the engines.
+fn find_audit(want: &Want, day: &Day, what: String, seen: &Seen) -> Found {
+    let mut short = None;
+    let mut fail = |text: String| short = short.take().or(Some(text));
+    let Some(audit) = &seen.audit else {
+        return Found { what, took: Vec::new(), short: Some("no answer to the question came".to_owned()) };
+    };
+    let killed = |router: &String| {
+        let ends = [Life::Killed, Life::Left];
+        seen.lives.iter().any(|(_, r, life)| Site::router_name(*r) == *router && ends.contains(life))
+    };
+    let mut said: BTreeMap<(String, String), (u64, u64)> = BTreeMap::new();
+    for row in &audit.rows {
+        let sent = said.entry((row.router.clone(), row.sends.engine.clone())).or_default();
+        *sent = (sent.0 + row.sends.reads, sent.1 + row.sends.writes);
+    }
+    let whole = (0..day.routers).map(Site::router_name).filter(|router| !killed(router));
+    for router in whole {
+        let of = |all: &BTreeMap<(String, String), (u64, u64)>| -> BTreeMap<String, (u64, u64)> {
+            let own = all.iter().filter(|((r, _), count)| *r == router && **count != (0, 0));
+            own.map(|((_, engine), count)| (engine.clone(), *count)).collect()
+        };
+        let (said, arrived) = (of(&said), of(&seen.arrived));
+        if said != arrived {
+            fail(format!("{router} says that it sent {said:?}, and {arrived:?} came"));
+        }
+    }
+    if seen.arrived.is_empty() {
+        fail("nothing came to any engine".to_owned());
+    }
+    if !seen.lives.iter().any(|(_, _, life)| *life == Life::Killed) && !audit.complete {
+        fail(format!("it is not complete: {}", audit.unknown.join(", ")));
+    }
+    if let Some(name) = &want.text {
+        let late = seen.stale.iter().filter(|s| s.late > STALE).map(|s| (s.router.clone(), s.engine.clone()));
+        let late: BTreeSet<(String, String)> = late.collect();
+        let newest = audit.rows.iter().map(|r| r.list.version).max().unwrap_or(0);
+        let old = |router: &String, engine: &String| {
+            let of = audit.rows.iter().filter(|r| r.router == *router && r.sends.engine == *engine);
+            of.clone().any(|r| r.list.version < newest && !r.sure)
+        };
+        let named = late.iter().any(|(router, engine)| router == name && old(router, engine));
+        if !named {
+            fail(format!("it does not name {name}: late were {late:?}"));
+        }
     }
+    Found { what, took: Vec::new(), short }
+}
+
+/// What comes so long after a drain is late.
+const STALE: Duration = Duration::from_millis(500);
+
+/// When the orders given at that time were said to be kept by all.
+fn find_complete(want: &Want, what: String, seen: &Seen) -> Found {
+    let (at, by) = (want.at.duration(), want.at.duration() + want.within.duration());
+    let given: Vec<&Given> =
+        seen.orders.iter().filter(|g| g.at + DEED_WITHIN >= at && g.at <= at + DEED_WITHIN).collect();
+    let mut took = Vec::new();
+    let mut short = given.is_empty().then(|| "no order was given then".to_owned());
+    for order in given {
+        let in_time = order.complete.filter(|complete| *complete <= by);
+        match (want.what, in_time) {
+            (WishKind::Complete, Some(complete)) => took.push(complete.saturating_sub(at)),
+            (WishKind::Complete, None) => {
+                short = Some(format!("it was not said in time; answered {:?}", order.answer));
+            }
+            (_, Some(complete)) => {
+                let after = complete.saturating_sub(order.at).as_secs_f64();
+                short = Some(format!("said after {after:.2} s, though not all can know"));
+            }
+            (_, None) => {}
+        }
+    }
+    Found { what, took, short }
 }
 
 /// By when each of those who have to see it did, and for good.
@@ -203,7 +296,13 @@
     let what = format!("{:?} {:?}", want.what, want.routers(day.routers)).replace(" []", "").to_lowercase();
     let (at, by) = (want.at.duration(), want.at.duration() + want.within.duration());
     let until = by + want.stays.duration();
-    if let Some(text) = &want.text {
+    if want.what == WishKind::Audit {
+        return find_audit(want, day, what, seen);
+    }
+    if matches!(want.what, WishKind::Complete | WishKind::NotComplete) {
+        return find_complete(want, what, seen);
+    }
+    if let Some(text) = want.text.as_ref().filter(|_| want.what == WishKind::Event) {
         let observers = want.by(day.routers).unwrap_or_else(|| (0..day.routers).collect());
         let heard = seen.events.iter().find(|e| {
             observers.contains(&e.router) && (at..=by).contains(&e.at) && e.text.contains(text.as_str())
@@ -413,6 +512,30 @@
                 self.verdict.rules[3].nearest * 100.0
             )?;
         }
+        if let Some(audit) = &self.seen.audit {
+            let word = if audit.complete { "complete" } else { "incomplete" };
+            write!(f, "; audit of {} rows {word}", audit.rows.len())?;
+            let newest = audit.rows.iter().map(|r| r.list.version).max().unwrap_or(0);
+            for row in audit.rows.iter().filter(|r| r.list.version < newest && !r.sure) {
+                let late =
+                    self.seen.stale.iter().filter(|s| s.router == row.router && s.engine == row.sends.engine);
+                let late: Vec<&Stale> = late.filter(|s| s.late > STALE).collect();
+                if !late.is_empty() {
+                    write!(
+                        f,
+                        "\n    the audit names {}: {} reads and {} writes to {} under list {}.{}, which nobody confirmed to it; \
+                         the engine had {} after its drain",
+                        row.router,
+                        row.sends.reads,
+                        row.sends.writes,
+                        row.sends.engine,
+                        row.list.rank,
+                        row.list.version,
+                        late.len()
+                    )?;
+                }
+            }
+        }
         if self.stale_after.is_some() {
             let worst = self.seen.stale.iter().map(|s| s.late).max().unwrap_or_default();
             write!(
@@ -477,7 +600,7 @@
             misdirected: 0,
             throttled: 0,
         };
-        Look { at, asked: at, router, view, versions: None }
+        Look { at, asked: at, router, view, versions: None, held: BTreeSet::new() }
     }
 
     /// Three routers; the third is killed after two seconds, and known as dead after three.
--- a/crates/gaparch-router/src/shell/ops/hub.rs
+++ b/crates/gaparch-router/src/shell/ops/hub.rs
@@ -326,6 +326,9 @@
             Query::Subscribe {}
             | Query::Unsubscribe {}
             | Query::Order { .. }
+            | Query::OrderHere { .. }
+            | Query::Spread {}
+            | Query::Audit { .. }
             | Query::Members {}
             | Query::Versions {} => {
                 let message = "that is for the session to do".to_owned();
--- a/crates/gaparch-router/src/shell/owner.rs
+++ b/crates/gaparch-router/src/shell/owner.rs
@@ -5,15 +5,17 @@
 use super::list::{self, ListCommand, ListMessage};
 use super::ops::{Desk, Done, News, OrderReply};
 use super::versions::{Adopt, Verdict, Versions};
-use crate::core::{Accepted, ConnNo, Core, Counts, Input, ListUpdate, Output, ToClient};
+use crate::core::{Accepted, ConnNo, Core, Counts, Input, ListUpdate, Output, Proposal, ToClient};
 use gaparch::api::{RequestId, ServerId};
+use gaparch_audit::Kind;
 use gaparch_config::Config;
 use gaparch_net::Clock;
 use gaparch_ops::book::Denied;
-use gaparch_protocol::engine::EngineFrame;
-use gaparch_protocol::ops::intent::Change;
+use gaparch_protocol::engine::{AttemptKey, EngineFrame};
+use gaparch_protocol::ops::intent::{Change, Note};
 use gaparch_protocol::ops::view::{Figures, Happening, LiveView, Severity};
 use gaparch_protocol::ops::{DenyCode, Order};
+use gaparch_protocol::versions::FleetOrder;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +36,9 @@
 const REQUEST_BATCH: usize = 32;
 const GONE_BATCH: usize = 64;
 
+/// Of what is no attempt.
+const NO_ATTEMPT: AttemptKey = AttemptKey { request: 0, attempt: 0 };
+
 /// A request on its way to the owner, with where its answers go.
 #[derive(Debug)]
 pub(super) struct NewRequest {
@@ -45,11 +50,18 @@
 pub(super) enum Control {
     Counts(oneshot::Sender<Counts>),
     Open(oneshot::Sender<usize>),
+    /// `here`: for this router alone.
     Order {
         order: Order,
         who: String,
+        here: bool,
         reply: OrderReply,
     },
+    /// An order that another router has handed on; whether it is in force now.
+    FleetOrder {
+        order: FleetOrder,
+        reply: oneshot::Sender<bool>,
+    },
     /// The oldest open requests, at most so many, and how many there are.
     Live(usize, oneshot::Sender<(Vec<LiveView>, u64)>),
     One(RequestId, oneshot::Sender<Option<LiveView>>),
@@ -161,6 +173,7 @@
                 }
                 _ = show.tick(), if self.desk.is_some() => {
                     self.show();
+                    self.hand_over();
                     Duration::ZERO
                 }
                 _ = ports.gone.recv_many(&mut gone_batch, GONE_BATCH) => Duration::ZERO,
@@ -198,7 +211,12 @@
         match control {
             Control::Counts(answer) => drop(answer.send(self.core.counts())),
             Control::Open(answer) => drop(answer.send(self.core.open())),
-            Control::Order { order, who, reply } => self.on_order(&order, &who, reply, out),
+            Control::Order { order, who, here, reply } => self.on_order(&order, &who, here, reply, out),
+            Control::FleetOrder { order, reply } => {
+                let done = self.on_fleet_order(&order, out);
+                // Who asked may have ended.
+                let _ = reply.send(done);
+            }
             Control::Live(most, answer) => {
                 let live = (self.core.live_views(most), self.core.open() as u64);
                 drop(answer.send(live));
@@ -206,16 +224,20 @@
             Control::One(id, answer) => drop(answer.send(self.core.live_one(id))),
             Control::Routers(routers) => self.core.handle(now, Input::Routers(routers), out),
             Control::Adopt(adopt) => {
+                self.hand_over();
                 let update = self.versions.as_mut().and_then(|versions| versions.on_adopt(adopt));
                 update.into_iter().for_each(|update| self.core.handle(now, Input::List(update), out));
             }
             Control::Stop => self.core.handle(now, Input::Stop, out),
-            Control::StopNow => self.core.handle(now, Input::StopNow, out),
+            Control::StopNow => {
+                self.core.handle(now, Input::StopNow, out);
+                self.hand_over();
+            }
         }
     }
 
     /// Carries out an order at once; it is acknowledged when it is kept.
-    fn on_order(&mut self, order: &Order, who: &str, reply: OrderReply, out: &mut Vec<Output>) {
+    fn on_order(&mut self, order: &Order, who: &str, here: bool, reply: OrderReply, out: &mut Vec<Output>) {
         let now = self.clock.now();
         let Some(desk) = &mut self.desk else { return };
         let proposal = match self.core.propose(now, order, who) {
@@ -232,6 +254,15 @@
             let message = "too many orders wait to be kept; nothing was changed";
             return drop(reply.send(Err(Denied::new(DenyCode::Busy, message))));
         };
+        let fleet = self.versions.as_ref().filter(|_| !here);
+        if let Some(versions) = fleet {
+            let Some(permit) = versions.reserve() else {
+                let message = "too many orders are on their way to the other routers; nothing was changed";
+                return drop(reply.send(Err(Denied::new(DenyCode::Busy, message))));
+            };
+            permit.send((proposal.taken.change.clone(), proposal.taken.note.clone()));
+        }
+        self.hand_over();
         self.core.handle(now, Input::Taken(proposal.taken.clone()), out);
         // Whoever asks after the acknowledgement sees what it did.
         self.show();
@@ -240,6 +271,34 @@
         }
     }
 
+    /// Puts an order of another router in force, and keeps it as one given here; whether it is in force now.
+    fn on_fleet_order(&mut self, order: &FleetOrder, out: &mut Vec<Output>) -> bool {
+        let now = self.clock.now();
+        let who = format!("{} at {}", order.note.who, order.id.router);
+        let note = Note { who, ..order.note.clone() };
+        let Some(desk) = &mut self.desk else { return false };
+        let taken = match self.core.adopt(&order.change, &note) {
+            Ok(None) => return true,
+            Ok(Some(taken)) => taken,
+            Err(denied) => {
+                let text = format!("an order of the fleet can't be in force here: {denied}");
+                let event = Happening { at: now, severity: Severity::Trouble, engine: None, text };
+                desk.tell(News::Happened(event));
+                return false;
+            }
+        };
+        let Some(permit) = desk.reserve() else { return false };
+        self.hand_over();
+        self.core.handle(now, Input::Taken(taken.clone()), out);
+        self.show();
+        if let Some(desk) = &mut self.desk {
+            // The fleet's own record of it is what is answered for; that this one is kept, too, nobody waits for.
+            let (reply, _) = oneshot::channel();
+            desk.keep(permit, Proposal { taken, effect: String::new() }, reply);
+        }
+        true
+    }
+
     /// Shows how all stands.
     fn show(&mut self) {
         let Some(desk) = &mut self.desk else { return };
@@ -289,8 +348,17 @@
         self.core.handle(now, input, out);
     }
 
+    /// Hands over what was sent, to be recorded.
+    fn hand_over(&mut self) {
+        let Some(versions) = &mut self.versions else { return };
+        let core = &self.core;
+        let name = |engine| core.engine_name(ServerId(engine)).to_owned();
+        versions.hand_over(core.orders_revision(), self.clock.now(), name);
+    }
+
     /// Whether an update is to be acted on: where other routers may hand the list on, an older one is not.
     fn judge(&mut self, update: &ListUpdate, now: u64) -> Verdict {
+        self.hand_over();
         let Some(versions) = &mut self.versions else { return Verdict::Act };
         let (verdict, text) = versions.on_update(update, now);
         if let (Some(desk), Some(text)) = (&mut self.desk, text) {
@@ -374,6 +442,17 @@
             tracing::trace!(request = key.request, attempt = key.attempt, engine = engine.0, "to engine");
         }
         let Some(task) = self.engines.get(&engine) else { return };
+        if let Some(versions) = &mut self.versions {
+            let (kind, key) = match &frame {
+                EngineFrame::Read(job) => (Some(Kind::Read), job.key),
+                EngineFrame::Write { job, .. } => (Some(Kind::Write), job.key),
+                EngineFrame::Probe { .. } => (Some(Kind::Probe), NO_ATTEMPT),
+                _ => (None, NO_ATTEMPT),
+            };
+            if let Some(kind) = kind {
+                versions.tally.note(engine.0, kind, key.request, key.attempt, self.clock.now());
+            }
+        }
         if task.frames.try_send(frame).is_err() {
             let conn = task.conn;
             tracing::warn!(engine = engine.0, "an engine does not take its frames");
