--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinSet;
 
 /// Their processes are idle most of the time.
-const SMALL_AT_ONCE: usize = 5;
+const SMALL_AT_ONCE: usize = 6;
 
 #[derive(Debug, Args)]
 pub struct Options {
@@ -72,7 +72,7 @@
     /// Days at once; more on a small machine make all late
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=16))]
     at_once: u8,
-    /// The form for continuous integration: five days at once
+    /// The form for continuous integration: six days at once
     #[arg(long)]
     small: bool,
     /// Routers run plain SWIM, without the refinements: to see what those are for
