The example names confirm, and the reader's test its default

Seen: a fresh clone's run failed in the config crate: the example has to name every attribute of the schema, and confirm was new. Change: the example sets 3s, a test that the default is off.

--- a/crates/gaparch-config/tests/settings.rs
+++ b/crates/gaparch-config/tests/settings.rs
@@ -32,12 +32,17 @@
 #[test]
 fn a_fleet_has_defaults_and_its_key_file_counts_from_the_settings_folder() {
     let text = edited(" address=\"127.0.0.1:7400\" key-file", " key-file")
-        .replace(" period=\"200ms\" hold=\"60s\" refined=\"true\"", "");
+        .replace(" period=\"200ms\" hold=\"60s\" confirm=\"3s\" refined=\"true\"", "");
     let fleet = Config::parse(&text).expect("sound").fleet.expect("there is one");
     assert_eq!((fleet.address, fleet.period, fleet.hold), (fleet.listen, 200_000_000, 60_000_000_000));
     assert!(fleet.refined);
     let example = Config::parse(EXAMPLE).expect("sound").fleet.expect("there is one");
-    assert_eq!(example, fleet);
+    assert_eq!(
+        (fleet.confirm, example.confirm),
+        (None, Some(3_000_000_000)),
+        "nothing is followed unless it is wanted"
+    );
+    assert_eq!(gaparch_config::Fleet { confirm: None, ..example.clone() }, fleet);
     assert_eq!(example.at("/etc/gaparch".as_ref()).key_file.to_str(), Some("/etc/gaparch/fleet.key"));
 }
 
