What a stuck record's disk holds back is bounded, and under no wrong version

Seen on reading once more: past 64 hand-overs that wait, sends were appended without a bound and under the version that held first. Change: counts are added by engine, and where versions differ they stand under none.

--- a/crates/gaparch-router/src/shell/versions.rs
+++ b/crates/gaparch-router/src/shell/versions.rs
@@ -96,10 +96,24 @@
             if self.waiting.len() < WAITING {
                 self.waiting.push_back(sent);
             } else if let Some(last) = self.waiting.back_mut() {
-                // The record's disk has been stuck for long: counts are kept, under the version that held first.
+                // The record's disk has been stuck for long: counts are kept, one an engine, and where versions differ under
+                // none, for a clean record of the wrong one would be a lie.
                 last.left_out += sent.left_out + sent.singles.len() as u64;
                 last.at = sent.at;
-                last.sends.extend(sent.sends);
+                if last.stamp != sent.stamp {
+                    last.stamp = Stamp::default();
+                }
+                for one in sent.sends {
+                    match last.sends.iter_mut().find(|known| known.engine == one.engine) {
+                        Some(known) => {
+                            known.reads += one.reads;
+                            known.writes += one.writes;
+                            known.probes += one.probes;
+                            known.last_at = one.last_at;
+                        }
+                        None => last.sends.push(one),
+                    }
+                }
             }
         }
         while let Some(sent) = self.waiting.pop_front() {
