Nothing is sent for who has left or past a repeat's window, and closes destroy nothing

Change: what is ahead is read and dropped beyond one request, and a flood counts as gone; the request itself says that its client has left, looked at before the first byte; `Send` has a time by which its last byte is out, else moot; writing and trailing figures have the settings' times; closes end the sending, look once more for a request and take what comes for 150 ms; the longest that a change of the list can be missed is an inequality in the code.

--- a/crates/gaparch-node/src/client/connection.rs
+++ b/crates/gaparch-node/src/client/connection.rs
@@ -6,7 +6,7 @@
 use crate::shared::{Answer, Forward, Message, Phase, Shared};
 use bytes::BytesMut;
 use gaparch::api::{Nanos, RequestId};
-use gaparch_platform::ask::{Ask, AskError, Txn, READY_PATH};
+use gaparch_platform::ask::{Ask, AskError, READY_PATH};
 use gaparch_platform::body::{put_chunk, Framing, LAST_CHUNK, MOST_BODY};
 use gaparch_platform::head::{self, HeadError, RequestHead};
 use std::sync::Arc;
@@ -21,20 +21,22 @@
 const REQUEST_TIME: Duration = Duration::from_secs(2);
 /// A client that takes none of its stream for so long is gone.
 const STALLED: Duration = Duration::from_secs(20);
-/// After an error that leaves bytes unread: closing at once would destroy the answer on its way.
-const LINGER: Duration = Duration::from_millis(300);
+/// After our last byte: closing over unread bytes resets the connection, and what is on its way to the client goes with
+/// it. Less than the time in which a place has to come free ([`super::PLACE`]).
+const LINGER: Duration = Duration::from_millis(150);
 const LINGER_BYTES: usize = 256 * 1024;
+/// A client that sends so much beyond what is kept for it, before its answer, takes none of them: it counts as gone.
+const FLOOD: usize = 4 * 1024 * 1024;
 /// Runs of events put into one write, in bytes.
 const COALESCE: usize = 16 * 1024;
 
-/// The connection is of no use any more.
-struct Over;
-
 pub(super) struct Connection {
     link: Link,
     shared: Arc<Shared>,
     idle: Arc<Idle>,
     since: Instant,
+    /// Bytes ahead of an answer that were not kept: where the next message begins is not known any more.
+    flood: usize,
 }
 
 /// A client's message that can't be taken.
@@ -65,7 +67,9 @@
 
 /// Why no request has come.
 enum Nothing {
-    /// The client closed, or is asked to go.
+    /// The client has closed, or takes nothing any more.
+    Gone,
+    /// It is asked to go.
     Close,
     Bad(Bad),
 }
@@ -79,15 +83,17 @@
 /// A request that is open with the owner. Dropped before its answer is over, its client has left.
 struct Ticket {
     id: RequestId,
-    txn: Txn,
+    forward: Arc<Forward>,
     shared: Arc<Shared>,
     over: bool,
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.shared.give_back(&self.txn);
+        self.shared.give_back(&self.forward.txn);
         if !self.over {
+            // An attempt that is just coming up sees it here, however long the owner's queue is.
+            self.forward.leave();
             self.shared.tell(Message::Gone(self.id));
         }
     }
@@ -95,7 +101,7 @@
 
 impl Connection {
     pub fn new(socket: TcpStream, shared: Arc<Shared>, idle: Arc<Idle>) -> Connection {
-        Connection { link: Link::new(socket), shared, idle, since: Instant::now() }
+        Connection { link: Link::new(socket), shared, idle, since: Instant::now(), flood: 0 }
     }
 
     pub async fn serve(mut self) {
@@ -108,8 +114,9 @@
                 Err(nothing) => Err(nothing),
             };
             match served {
-                Ok(true) => self.link.trim(),
-                Ok(false) | Err(Nothing::Close) => return,
+                Ok(true) if self.flood == 0 => self.link.trim(),
+                Ok(_) | Err(Nothing::Close) => return self.close().await,
+                Err(Nothing::Gone) => return,
                 Err(Nothing::Bad(bad)) => return self.reject(&bad).await,
             }
         }
@@ -127,23 +134,29 @@
             let from = if first { Some(self.since) } else { began };
             let until = from.map(|from| from + REQUEST_TIME);
             let quiet = began.is_none();
-            tokio::select! {
+            let come = tokio::select! {
                 biased;
-                read = self.link.read() => match read {
-                    Ok(0) | Err(_) => return Err(Nothing::Close),
-                    Ok(_) => {
-                        began = began.or_else(|| Some(Instant::now()));
-                        resting = None;
-                    }
-                },
+                read = self.link.read() => Some(read),
                 () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => {
-                    return Err(match quiet {
-                        true => Nothing::Close,
-                        false => Nothing::Bad(too_late()),
-                    });
+                    match quiet {
+                        true => None,
+                        false => return Err(Nothing::Bad(too_late())),
+                    }
+                }
+                () = asked_to_close(resting.as_ref()), if quiet => None,
+                _ = phase.wait_for(|phase| *phase == Phase::Closing), if quiet => None,
+            };
+            let come = match come {
+                Some(read) => read,
+                // A request may have come in this very moment.
+                None => self.link.at_hand().await.ok_or(Nothing::Close)?,
+            };
+            match come {
+                Ok(0) | Err(_) => return Err(Nothing::Gone),
+                Ok(_) => {
+                    began = began.or_else(|| Some(Instant::now()));
+                    resting = None;
                 }
-                () = asked_to_close(resting.as_ref()), if quiet => return Err(Nothing::Close),
-                _ = phase.wait_for(|phase| *phase == Phase::Closing), if quiet => return Err(Nothing::Close),
             }
         }
     }
@@ -159,7 +172,7 @@
         let ask = Ask::read(&head, &self.shared.config.site).map_err(Bad::from)?;
         let body = match timeout_at(began + REQUEST_TIME, self.link.body(head.framing, MOST_BODY)).await {
             Ok(Ok(body)) => body,
-            Ok(Err(NoBody::Ended)) => return Err(Nothing::Close),
+            Ok(Err(NoBody::Ended)) => return Err(Nothing::Gone),
             Ok(Err(error)) => return Err(Bad::from(error).into()),
             Err(_) => return Err(too_late().into()),
         };
@@ -173,14 +186,15 @@
         }
         let (answer, answered) = oneshot::channel();
         let id = self.shared.next_id();
-        let mut ticket = Ticket { id, txn: ask.txn.clone(), shared: Arc::clone(&self.shared), over: false };
+        let forward = Arc::new(Forward::new(head.target.clone(), ask.txn.clone(), body));
+        let mut ticket =
+            Ticket { id, forward: Arc::clone(&forward), shared: Arc::clone(&self.shared), over: false };
         let began = self.shared.clock.at(began.into_std());
-        let forward = Arc::new(Forward { target: head.target.clone(), txn: ask.txn.clone(), body });
         self.shared.tell(Message::Ask { id, ask: Box::new(ask), forward, began, answer });
-        let Ok(answer) = self.watched(answered).await else { return Ok(false) };
+        let answer = self.watched(answered).await?;
         let close = head.close || self.shared.phase() >= Phase::Leaving;
         let (status, extra) = match answer {
-            Ok(Answer::Stream(pieces)) => return Ok(self.stream(pieces, &mut ticket, close).await),
+            Ok(Answer::Stream(pieces)) => return self.stream(pieces, &mut ticket, close).await,
             Ok(Answer::Refused { over_share, retry_after }) => {
                 (if over_share { 429 } else { 503 }, come_back(retry_after))
             }
@@ -193,25 +207,32 @@
         self.put(&head::answer(status, &extra, text, close), close).await
     }
 
-    /// Waits for something of the request while the client stays.
-    async fn watched<T>(&mut self, what: impl std::future::Future<Output = T>) -> Result<T, Over> {
+    /// Waits for something of the request while the client stays. What it sends meanwhile is read also where there is no
+    /// room for it, or its leaving would stand behind it unseen.
+    async fn watched<T>(&mut self, what: impl std::future::Future<Output = T>) -> Result<T, Nothing> {
         tokio::pin!(what);
         loop {
-            let room = self.link.buf.len() < AHEAD;
             tokio::select! {
                 biased;
                 done = &mut what => return Ok(done),
-                stays = self.link.more(), if room => if !stays { return Err(Over) },
+                stays = self.link.more() => if !stays || self.flood > FLOOD { return Err(Nothing::Gone) },
             }
+            self.flood += self.link.buf.len().saturating_sub(AHEAD);
+            self.link.buf.truncate(AHEAD);
         }
     }
 
     /// Passes a stream on; whether another request may follow.
-    async fn stream(&mut self, mut pieces: mpsc::Receiver<Piece>, ticket: &mut Ticket, close: bool) -> bool {
+    async fn stream(
+        &mut self,
+        mut pieces: mpsc::Receiver<Piece>,
+        ticket: &mut Ticket,
+        close: bool,
+    ) -> Result<bool, Nothing> {
         let mut out = BytesMut::from(head::stream_head(close));
         let mut whole = false;
         while !whole {
-            let Ok(piece) = self.watched(pieces.recv()).await else { return false };
+            let piece = self.watched(pieces.recv()).await?;
             let mut next = piece;
             loop {
                 match next {
@@ -224,8 +245,7 @@
                     // It broke: the connection ends without the last chunk, which says so.
                     None => {
                         ticket.over = true;
-                        let _ = timeout(STALLED, self.link.stream.write_all(&out)).await;
-                        return false;
+                        return self.put(&out, true).await;
                     }
                 }
                 if out.len() >= COALESCE {
@@ -237,19 +257,17 @@
                     Err(mpsc::error::TryRecvError::Disconnected) => None,
                 };
             }
-            if !matches!(timeout(STALLED, self.link.stream.write_all(&out)).await, Ok(Ok(()))) {
-                return false;
-            }
+            self.put(&out, close).await?;
             out.clear();
         }
         ticket.over = true;
-        !close
+        Ok(!close)
     }
 
     async fn put(&mut self, answer: &[u8], close: bool) -> Result<bool, Nothing> {
         match timeout(STALLED, self.link.stream.write_all(answer)).await {
             Ok(Ok(())) => Ok(!close),
-            _ => Err(Nothing::Close),
+            _ => Err(Nothing::Gone),
         }
     }
 
@@ -257,7 +275,15 @@
     async fn reject(mut self, bad: &Bad) {
         tracing::debug!(status = bad.status, why = %bad.text, "a client's message was not taken");
         let answer = head::answer(bad.status, &[], &bad.text, true);
-        if self.put(&answer, true).await.is_err() || self.link.stream.shutdown().await.is_err() {
+        if self.put(&answer, true).await.is_ok() {
+            self.close().await;
+        }
+    }
+
+    /// Ends the sending and takes what still comes, for a while: nothing of that is answered, and the client has the end
+    /// before it could think otherwise.
+    async fn close(mut self) {
+        if self.link.stream.shutdown().await.is_err() {
             return;
         }
         self.link.buf = BytesMut::new();
--- a/crates/gaparch-node/src/client/mod.rs
+++ b/crates/gaparch-node/src/client/mod.rs
@@ -7,6 +7,7 @@
 use crate::shared::{Phase, Shared};
 use bytes::Bytes;
 use connection::Connection;
+use gaparch_platform::body::MOST_BODY;
 use idle::Idle;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,8 +16,8 @@
 
 /// Runs of events that wait for one client.
 pub(crate) const PIECES: usize = 32;
-/// Bytes that a client may send ahead of an answer.
-pub(crate) const AHEAD: usize = 64 * 1024;
+/// Bytes kept that a client sends ahead of an answer: one more request of any size.
+pub(crate) const AHEAD: usize = MOST_BODY + 32 * 1024;
 /// For a place to come free, once an idle connection was told to close.
 const PLACE: Duration = Duration::from_millis(200);
 /// After an error of accepting that does not go away by trying again at once, as with no descriptors left.
--- a/crates/gaparch-node/src/discovery.rs
+++ b/crates/gaparch-node/src/discovery.rs
@@ -23,6 +23,16 @@
 const CONNECT: Duration = Duration::from_millis(500);
 /// Between two tries.
 const AGAIN: Duration = Duration::from_millis(100);
+/// What there is to tell counts as told so long after the agent had it and could be reached.
+const TOLD: Duration = Duration::from_secs(6);
+/// The longest that a change can be missed: a watch falls silent as it begins, the next connection hangs, the one after
+/// it is asked at the very end of its time. No wait here grows with the number of tries, or this would not be all.
+const MISSED: Duration = Duration::from_millis(
+    (WAIT.as_millis() + ANSWER.as_millis() // the silent watch
+        + 2 * (AGAIN.as_millis() + CONNECT.as_millis()) // two connections, the first in vain
+        + ANSWER.as_millis()) as u64, // the list
+);
+const _: () = assert!(MISSED.as_millis() < TOLD.as_millis());
 
 /// What the module wants of the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/gaparch-node/src/lib.rs
+++ b/crates/gaparch-node/src/lib.rs
@@ -11,7 +11,7 @@
 //! | client connections | their part of the descriptors | the one idle for longest is closed, else the new one |
 //! | connections to workers | their part | an idle one is closed, else the attempt could not connect |
 //! | runs of events to one client | [`client::PIECES`] | its worker is not read from |
-//! | bytes ahead of an answer from a client | [`client::AHEAD`] | it is not read from |
+//! | bytes ahead of an answer from a client | [`client::AHEAD`] | read and dropped, and its connection closes with the answer; past a bound it counts as gone |
 
 mod budget;
 mod client;
--- a/crates/gaparch-node/src/link.rs
+++ b/crates/gaparch-node/src/link.rs
@@ -61,6 +61,17 @@
         matches!(self.read().await, Ok(n) if n > 0)
     }
 
+    /// What has come by now and was not yet noticed, as [`Link::read`] tells it; `None`: nothing.
+    pub async fn at_hand(&mut self) -> Option<io::Result<usize>> {
+        // Until the poller has been asked once more, bytes that have arrived are not known of.
+        tokio::task::yield_now().await;
+        tokio::select! {
+            biased;
+            read = self.read() => Some(read),
+            () = std::future::ready(()) => None,
+        }
+    }
+
     /// The next answer's head that is no interim one.
     pub async fn answer(&mut self) -> Result<AnswerHead, NoAnswer> {
         let mut interim = 0;
--- a/crates/gaparch-node/src/owner.rs
+++ b/crates/gaparch-node/src/owner.rs
@@ -3,7 +3,7 @@
 use crate::client::{Piece, PIECES};
 use crate::discovery::Wanted;
 use crate::peers::{Heard, PeerSocket};
-use crate::settings::release_try;
+use crate::settings::{connect_within, release_try};
 use crate::shared::{Answer, Forward, Message, Seen, Shared};
 use crate::worker::{self, Job, Pool, Release, Target};
 use gaparch::api::{AttemptNo, Nanos, RequestId, ServerId, Status};
@@ -282,7 +282,20 @@
             before.task
         });
         let forward = Arc::clone(&open.forward);
-        let job = Job { id, no, target, reads, wait_ms: ask.patience_ms, forward, prior, written };
+        let settings = &self.shared.config.site.settings;
+        let job = Job {
+            id,
+            no,
+            target,
+            reads,
+            wait_ms: ask.patience_ms,
+            forward,
+            prior,
+            write_within: connect_within(settings),
+            write_by: self.core.write_by(id),
+            figures_within: release_try(settings),
+            written,
+        };
         let task = worker::exchange(job, Arc::clone(&self.pool), Arc::clone(&self.shared));
         open.exchange = Some(Exchange { no, task: tokio::spawn(task), written: seen });
     }
--- a/crates/gaparch-node/src/run.rs
+++ b/crates/gaparch-node/src/run.rs
@@ -19,12 +19,14 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 /// After SIGTERM new connections keep arriving for up to 0.4 s: until then and a little longer all goes on.
 const ARRIVALS: Duration = Duration::from_millis(550);
 /// For what runs after that. Whoever ends the process does so when he will; a stream may take a minute.
 const FINISH: Duration = Duration::from_secs(90);
+/// For clients' connections to end after the last answer was given.
+const LAST_WORDS: Duration = Duration::from_millis(500);
 /// Where the catalogue is silent at the start, the list as last held serves after this.
 const FIRST_LIST: Duration = Duration::from_millis(800);
 
@@ -98,6 +100,8 @@
             shared.serving();
         });
     }
+    let clients = Arc::clone(&budget.clients);
+    let most_clients = budget.most_clients;
     let accepting = tokio::spawn(client::accept(listener, budget, Arc::clone(&shared)));
     loop {
         tokio::select! {
@@ -128,8 +132,9 @@
         }
     }
     shared.tell(Message::StopNow);
-    // The last answers are on their way to the clients' tasks: they get a moment to be written.
-    sleep(Duration::from_millis(50)).await;
+    // The last answers are on their way to the clients' tasks: these get a moment to write them, and to take what still
+    // comes on connections that they have ended. Unread bytes would reset them, and the answers be lost.
+    let _ = timeout(LAST_WORDS, clients.acquire_many(most_clients as u32)).await;
     tracing::info!("ended");
     Ok(())
 }
--- a/crates/gaparch-node/src/shared.rs
+++ b/crates/gaparch-node/src/shared.rs
@@ -7,7 +7,7 @@
 use gaparch_platform::config::NodeConfig;
 use gaparch_router::core::ListUpdate;
 use std::collections::HashSet;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -29,6 +29,23 @@
     pub target: String,
     pub txn: Txn,
     pub body: bytes::Bytes,
+    gone: AtomicBool,
+}
+
+impl Forward {
+    pub fn new(target: String, txn: Txn, body: bytes::Bytes) -> Forward {
+        Forward { target, txn, body, gone: AtomicBool::new(false) }
+    }
+
+    /// Its client has left.
+    pub fn leave(&self) {
+        self.gone.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether its client has left: nothing more may be sent for it.
+    pub fn is_left(&self) -> bool {
+        self.gone.load(Ordering::Relaxed)
+    }
 }
 
 /// The first that a client hears of its request.
--- a/crates/gaparch-node/src/worker/exchange.rs
+++ b/crates/gaparch-node/src/worker/exchange.rs
@@ -33,6 +33,12 @@
     pub forward: Arc<Forward>,
     /// The attempt before it, which must be off its connection before this one is written.
     pub prior: Option<JoinHandle<()>>,
+    /// For writing the request on a connection that is up.
+    pub write_within: Duration,
+    /// When its last byte has to be written, whatever the connection takes.
+    pub write_by: Nanos,
+    /// For the few figures behind a head that has told all that matters.
+    pub figures_within: Duration,
     /// Says when the last byte was written.
     pub written: watch::Sender<bool>,
 }
@@ -98,13 +104,24 @@
 
 async fn attempt(job: &Job, pool: &Pool, shared: &Shared, trace: &mut Trace) -> End {
     let Ok(mut conn) = pool.get(job.target).await else { return End::broken(Status::ConnectFailed) };
+    // Its client may have left while the connection came up: nothing is sent, and nothing has run.
+    if job.forward.is_left() {
+        return End::broken(Status::Moot);
+    }
     trace.idle = conn.idle;
     trace.connected = shared.clock.now();
-    let Forward { target, txn, body } = &*job.forward;
+    let Forward { target, txn, body, .. } = &*job.forward;
     let head = job_head(target, txn, &job.target.address.to_string(), job.wait_ms, body.len());
-    // Before its last byte is written a request has not run.
-    if conn.link.stream.write_all_buf(&mut head.chain(&body[..])).await.is_err() {
-        return End::broken(Status::ConnectFailed);
+    // Before its last byte is written a request has not run. A worker that takes none of it must not get the rest when
+    // the time of a drain or of a repeat is over.
+    let mut request = head.chain(&body[..]);
+    let left = Duration::from_nanos(job.write_by.saturating_sub(shared.clock.now()));
+    let within = job.write_within.min(left);
+    if left.is_zero()
+        || !matches!(timeout(within, conn.link.stream.write_all_buf(&mut request)).await, Ok(Ok(())))
+    {
+        let late = shared.clock.now() >= job.write_by;
+        return End::broken(if late { Status::Moot } else { Status::ConnectFailed });
     }
     trace.written = shared.clock.now();
     job.written.send_replace(true);
@@ -122,20 +139,22 @@
     pool.heard(job.target);
     match meaning(&head, job.reads) {
         Meaning::Ended(status, note) => {
-            End { seen: Some(Seen::Ended { status, note }), conn: figures(conn, head).await.1 }
+            let (_, conn) = figures(conn, head, job.figures_within).await;
+            End { seen: Some(Seen::Ended { status, note }), conn }
         }
         Meaning::Read => {
             // The head alone says that it is read; a body that breaks off costs only the figure.
-            let (body, conn) = figures(conn, head).await;
+            let (body, conn) = figures(conn, head, job.figures_within).await;
             End { seen: Some(Seen::Read { kept: kept(&body) }), conn }
         }
         Meaning::Stream => stream(job, shared, conn, head).await,
     }
 }
 
-/// Reads a body of a few figures; without it the connection is of no further use.
-async fn figures(mut conn: Conn, head: AnswerHead) -> (Bytes, Option<(Conn, AnswerHead)>) {
-    match timeout(SILENCE, conn.link.body(head.framing, MOST_ANSWER)).await {
+/// Reads a body of a few figures; without it the connection is of no further use. One that never ends must not hold back
+/// what the head has told: a read state's time runs, and so does the client's.
+async fn figures(mut conn: Conn, head: AnswerHead, within: Duration) -> (Bytes, Option<(Conn, AnswerHead)>) {
+    match timeout(within, conn.link.body(head.framing, MOST_ANSWER)).await {
         Ok(Ok(body)) => (body, Some((conn, head))),
         _ => (Bytes::new(), None),
     }
--- a/crates/gaparch-router/src/core/actions.rs
+++ b/crates/gaparch-router/src/core/actions.rs
@@ -11,7 +11,7 @@
 impl Core {
     pub(super) fn act(&mut self, action: Action, out: &mut Vec<Output>) {
         match action {
-            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Send { id, server, timeout, by } => self.send(id, server, timeout, by),
             Action::Cancel { id, attempt } => self.cancel(id, attempt),
             Action::Refuse { id, retry_after, why } => {
                 let (cause, waited_for) = (why.reason.into(), why.held_by.map(Into::into));
@@ -44,12 +44,13 @@
         out.append(&mut self.wire);
     }
 
-    pub(super) fn send(&mut self, id: RequestId, server: ServerId, timeout: Nanos) {
+    pub(super) fn send(&mut self, id: RequestId, server: ServerId, timeout: Nanos, by: Nanos) {
         let now = self.now;
         let most = self.config.module.max_attempts;
         let Some(live) = self.live.get_mut(&id) else { return self.moot(id, AttemptNo(0), server, true) };
         let no = AttemptNo(live.next_attempt);
         live.next_attempt += 1;
+        live.write_by = by;
         let second = live.attempt.is_some() && !self.config.module.second_copies;
         if live.ended || second || no.0 >= most || now >= live.give_up_at {
             let ended = live.ended;
@@ -96,6 +97,11 @@
     pub(super) fn write_attempt(&mut self, id: RequestId) {
         let Some(live) = self.live.get_mut(&id) else { return };
         let Some(attempt) = live.attempt.as_mut() else { return };
+        if self.now >= live.write_by {
+            // The connection took too long: sent now it would be no repeat any more.
+            let no = attempt.no;
+            return self.close_by(id, no, Status::Moot);
+        }
         attempt.waits = false;
         let attempt = *attempt;
         let job = live.ask.job(id, attempt.no, live.give_up_at, self.now);
--- a/crates/gaparch-router/src/core/mod.rs
+++ b/crates/gaparch-router/src/core/mod.rs
@@ -261,6 +261,11 @@
         self.live.get(&id).map(Live::phase)
     }
 
+    /// When the last byte of a request's attempt has to be written; what can't be by then is not sent.
+    pub fn write_by(&self, id: RequestId) -> Nanos {
+        self.live.get(&id).map_or(Nanos::MAX, |live| live.write_by)
+    }
+
     /// Where a listed engine is, and when its process began; 0: long ago.
     pub fn process(&self, engine: ServerId) -> Option<(SocketAddr, Nanos)> {
         self.roster.process(engine)
--- a/crates/gaparch-router/src/core/request.rs
+++ b/crates/gaparch-router/src/core/request.rs
@@ -115,6 +115,8 @@
     pub ask: Accepted,
     pub give_up_at: Nanos,
     pub next_attempt: u32,
+    /// When the last byte of the attempt that is out has to be written.
+    pub write_by: Nanos,
     pub attempt: Option<Attempt>,
     /// The reader whose state a writer is to fetch.
     pub state_at: Option<ServerId>,
@@ -148,6 +150,7 @@
             ask,
             give_up_at,
             next_attempt: 0,
+            write_by: Nanos::MAX,
             attempt: None,
             state_at: None,
             held_at: Vec::new(),
--- a/crates/gaparch-simhost/src/wire.rs
+++ b/crates/gaparch-simhost/src/wire.rs
@@ -194,7 +194,8 @@
 
 pub fn action(action: &Action, who: u64) -> Value {
     match action {
-        Action::Send { id, server, timeout } => {
+        // Nothing waits for a connection on this wire: what is sent is out at once.
+        Action::Send { id, server, timeout, by: _ } => {
             json!({"t": "transmit", "who": who, "msgId": id.0, "worker": server.0, "giveUpAfterNs": timeout})
         }
         Action::Cancel { id, attempt } => {
--- a/src/api.rs
+++ b/src/api.rs
@@ -418,11 +418,13 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// `timeout` 0: until the client gives up.
+    /// `timeout` 0: until the client gives up. The request's last byte is out before `by`, or none of it is sent:
+    /// the outcome is moot then.
     Send {
         id: RequestId,
         server: ServerId,
         timeout: Nanos,
+        by: Nanos,
     },
     Cancel {
         id: RequestId,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -165,9 +165,7 @@
 
     fn hold(&mut self, id: RequestId) {
         let Some(work) = self.works.get(&id) else { return };
-        let class = self.set.classes.get(work.request.class.0);
-        let window = work.may_have_run.zip(class).map(|(ran, class)| ran.at.saturating_add(class.window));
-        let end = work.request.give_up_at.min(window.unwrap_or(Nanos::MAX));
+        let end = work.request.give_up_at.min(self.repeat_by(work));
         self.waiting.insert(id, work, end);
     }
 
@@ -510,10 +508,16 @@
     fn spent(&self, work: &Work) -> bool {
         let Some(ran) = work.may_have_run else { return false };
         let Some(class) = self.set.classes.get(work.request.class.0) else { return true };
-        let over = self.now.saturating_add(TICK) >= ran.at.saturating_add(class.window);
+        let over = self.now.saturating_add(TICK) >= self.repeat_by(work);
         class.effect == Effect::Unsafe || class.group.of(ran.zone, ran.cell).is_none() || over
     }
 
+    /// When the last byte of its next send has to be out: a keyed one is a repeat only within its window.
+    fn repeat_by(&self, work: &Work) -> Nanos {
+        let ran = work.may_have_run.zip(self.set.classes.get(work.request.class.0));
+        ran.map_or(Nanos::MAX, |(ran, class)| ran.at.saturating_add(class.window))
+    }
+
     fn send(&mut self, id: RequestId, plan: Sent) {
         let (now, server, stage) = (self.now, plan.server, plan.stage);
         // What it weighs at a cold server: its class's mean work, in mean requests.
@@ -534,8 +538,9 @@
         work.sent = Some(sent);
         let safe = stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
         let timeout = if self.set.cancel || !safe { 0 } else { blind };
+        let by = self.works.get(&id).map_or(Nanos::MAX, |w| self.repeat_by(w));
         self.works.note(&id);
-        self.out.push(Action::Send { id, server, timeout });
+        self.out.push(Action::Send { id, server, timeout, by });
     }
 
     /// Whether an attempt tells of itself before its end, so that silence says something.
@@ -580,8 +585,7 @@
         let Some(work) = self.works.get_mut(&o.id) else { return };
         let Some(sent) = work.sent.take_if(|s| s.no == o.attempt) else { return };
         work.ended |= o.closed;
-        let prompt = work.request.prompt_len;
-        let aim = work.aim();
+        let (prompt, aim) = (work.request.prompt_len, work.aim());
         if let Some(s) = self.servers.get_mut(&o.server) {
             s.close(self.now, REPORT_LAG, &sent);
             s.note_report(self.now, REPORT_LAG, o.report, self.reads.size.value);
@@ -668,9 +672,8 @@
         };
         let retry_after = self.set.come_back_after();
         let why = Why { reason, held_by: self.held_by(work, reason) };
-        let refusal = Action::Refuse { id, retry_after, why };
-        let answer = if harmless { refusal } else { Action::Fail { id, why } };
-        self.end(id, Some(answer));
+        let last = if harmless { Action::Refuse { id, retry_after, why } } else { Action::Fail { id, why } };
+        self.end(id, Some(last));
     }
 
     /// Closes a request: by a final answer of ours, or because its client has left.
@@ -829,9 +832,7 @@
         // Of those held, none but the ones whose time or aim runs out.
         let aim = self.now.saturating_add(self.to_first.value as Nanos);
         let due = self.waiting.due(self.last_call(), aim);
-        let mut ids: Vec<RequestId> = due.chain(self.works.active().iter().copied()).collect();
-        ids.sort_unstable();
-        ids.dedup();
+        let ids: std::collections::BTreeSet<_> = due.chain(self.works.active().iter().copied()).collect();
         ids.into_iter().for_each(|id| self.look_after(id));
         self.probe();
         self.tell();
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -418,7 +418,10 @@
         work.sent = Some(sent);
         let safe = stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
         let timeout = if self.set.cancel || !safe { 0 } else { BLIND_PATIENCE.max(patience) };
-        self.out.push(Action::Send { id, server, timeout });
+        let ran =
+            work.may_have_run.map(|ran| ran.at.saturating_add(self.set.classes[work.request.class.0].window));
+        let by = ran.unwrap_or(Nanos::MAX);
+        self.out.push(Action::Send { id, server, timeout, by });
     }
 
     fn patience(&self, work: &Work, sent: &Sent) -> Nanos {
