The node's shell has tests of its own, between scripted workers and clients

Change: `serve` takes orders where `run` takes signals; the platform around a router (workers, catalogue, file) and a worker to which connections come up late stand in gaparch-lab, used by the tests of process and shell alike; the catalogue can fall silent; ten tests of guards in crates/gaparch-node/tests; a judge of second copies, sends for who has left and sends past a drain's grace.

--- a/crates/gaparch-cli/tests/node.rs
+++ b/crates/gaparch-cli/tests/node.rs
@@ -1,33 +1,32 @@
 //! The router in service, a process of its own between stand-ins of the platform.
 
 use gaparch_lab::platform::{
-    ask, events, head_and_body, instance, raw, stream, Catalogue, Floor, Got, Seen, Step, Worker,
+    ask, events, folder, head_and_body, instance, raw, settings, stream, until, Catalogue, Floor, Got,
+    Platform, Seen, Step, Stuck, Worker, LONG,
 };
-use rustix::net;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::ops::Deref;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-/// Far beyond what anything here takes on a machine that is not stuck.
-const LONG: Duration = Duration::from_secs(20);
-
-/// Two readers, two writers, a catalogue and a router.
+/// A router as a process of its own, on its platform.
 struct Site {
-    floor: Floor,
-    readers: [Worker; 2],
-    writers: [Worker; 2],
-    catalogue: Catalogue,
-    listen: SocketAddr,
-    file: PathBuf,
-    config: Value,
+    platform: Platform,
     router: Child,
 }
 
+impl Deref for Site {
+    type Target = Platform;
+
+    fn deref(&self) -> &Platform {
+        &self.platform
+    }
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         let _ = self.router.kill();
@@ -35,96 +34,25 @@
     }
 }
 
-fn settings() -> Value {
-    json!({
-        "me": 0, "replicasOfMe": 1, "stepNs": 2_000_000, "zone": "a", "zones": ["a"],
-        "flavors": ["prefill", "decode"], "discovery": "push",
-        "services": [{"name": "chat", "idempotency": "free", "aimNs": 4_000_000_000u64, "streamed": true,
-            "deadlineNs": 5_000_000_000u64, "worth": 1.0, "lateShare": 0.1}],
-        "tenants": [{"name": "acme", "fraction": 1.0, "quotaPerS": 1000.0}],
-        "caps": {"cancel": true, "connectTimeoutNs": 250_000_000, "idleCloseNs": 30_000_000_000u64,
-            "maxAttempts": 5, "mayDuplicate": false, "peers": false, "probes": true, "retryAfter": true,
-            "maxRetryAfterNs": 1_500_000_000},
-        "rules": {"answerSlackNs": 8_000_000, "coldFrom": 0.5, "rampTimeNs": 1_000_000_000,
-            "overloadFactor": 2.5, "overloadForNs": 2_000_000_000u64, "stopSendingWithinNs": 500_000_000},
-        "familyInfo": {"ahead": true, "resume": false, "selfPrefill": false, "releaseWithinNs": 500_000_000,
-            "roleByKind": ["read", "write"], "tokensByKind": [200_000, 200_000],
-            "tokenAimNs": [50_000_000], "aimUsPer1000PromptTokens": [60_000.0]},
-        "fees": {"probe": 0.001, "peer": 0.001}
-    })
-}
-
-/// An address of this test alone: a port that was free a moment ago could be another test's by now.
-fn own_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(1);
-    let (process, test) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let octets = [127, 1 + (process / 250 % 250) as u8, 1 + (process % 250) as u8, (test % 250) as u8];
-    SocketAddr::from((octets, 8080))
-}
-
-fn folder() -> PathBuf {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let folder = std::env::temp_dir().join(format!("gaparch-node-{}-{number}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("made");
-    folder
-}
-
 fn start(file: &PathBuf) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_gaparch"));
     command.arg("node").env("ROUTER_CONFIG", file).stdout(Stdio::null()).stderr(Stdio::piped());
     command.spawn().expect("it starts")
 }
 
-/// Waits until something holds.
-fn until(what: &str, holds: impl Fn() -> bool) {
-    let from = Instant::now();
-    while !holds() {
-        assert!(from.elapsed() < LONG, "never: {what}");
-        std::thread::sleep(Duration::from_millis(10));
-    }
-}
-
 impl Site {
     fn new() -> Site {
         Site::with(|_| {})
     }
 
     fn with(change: impl FnOnce(&mut Value)) -> Site {
-        let floor = Floor::default();
-        let (reader, writer) = (Worker::reader("r-1", &floor), Worker::writer("w-1", &floor));
-        let readers = [reader.clone(), reader.twin("r-2", &floor)];
-        let writers = [writer.clone(), writer.twin("w-2", &floor)];
-        let catalogue = Catalogue::start(Site::list(&readers, &writers));
-        let listen = own_address();
-        let mut config = json!({"name": "n0", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
-            "discovery": catalogue.address.to_string(), "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
-            "settings": settings()});
-        change(&mut config);
-        let file = folder().join("config.json");
-        std::fs::write(&file, config.to_string()).expect("written");
-        let router = start(&file);
-        let site = Site { floor, readers, writers, catalogue, listen, file, config, router };
+        let platform = Platform::new(change);
+        let router = start(&platform.file);
+        let site = Site { platform, router };
         until("the router is ready", || site.health() == 200);
         site
     }
 
-    fn list(readers: &[Worker; 2], writers: &[Worker; 2]) -> Vec<Value> {
-        let readers = readers.iter().map(|w| instance(w, "prefill", "ready"));
-        readers.chain(writers.iter().map(|w| instance(w, "decode", "ready"))).collect()
-    }
-
-    /// The same with its writers drained.
-    fn without_writers(list: &[Value]) -> Vec<Value> {
-        let mut list = list.to_vec();
-        list[2..].iter_mut().for_each(|entry| entry["lifecycle"] = json!("draining"));
-        list
-    }
-
-    fn health(&self) -> u16 {
-        raw(self.listen, b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n", LONG).status
-    }
-
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.router.id() as i32).expect("a process");
         kill_process(pid, signal).expect("it runs");
@@ -140,20 +68,6 @@
             std::thread::sleep(Duration::from_millis(10));
         }
     }
-
-    /// The next write gets this, whichever writer is asked.
-    fn next_write(&self, steps: &[Step]) {
-        self.writers[0].then(steps.to_vec());
-    }
-
-    fn writes(&self, txn: &str) -> usize {
-        self.floor.asked().iter().filter(|(worker, of)| worker.starts_with("w-") && of == txn).count()
-    }
-
-    fn no_second_copies(&self) {
-        let copies = self.floor.seen().into_iter().filter(|s| matches!(s, Seen::SecondCopy { .. }));
-        assert_eq!(copies.collect::<Vec<_>>(), vec![]);
-    }
 }
 
 fn put(text: &str) -> Step {
@@ -431,7 +345,7 @@
 #[test]
 fn nothing_goes_to_a_drained_worker_and_nonsense_never_empties_the_list() {
     let site = Site::new();
-    let mut list = Site::list(&site.readers, &site.writers);
+    let mut list = Platform::list(&site.readers, &site.writers);
     list[0]["lifecycle"] = json!("draining");
     list[2]["lifecycle"] = json!("draining");
     let calls = site.catalogue.calls();
@@ -453,26 +367,13 @@
     assert!(asked.iter().all(|(worker, _)| worker == "r-2" || worker == "w-2"), "{asked:?}");
     // A whole list brings them back.
     site.catalogue.nonsense(None);
-    site.catalogue.set(Site::list(&site.readers, &site.writers));
+    site.catalogue.set(Platform::list(&site.readers, &site.writers));
     until("both readers are used", || {
         ask(site.listen, &format!("txn-{}", site.floor.seen().len()));
         site.floor.asked()[before..].iter().any(|(worker, _)| worker == "w-1" || worker == "r-1")
     });
 }
 
-/// A listener with no place in its queue: a connection to it comes up a second after somebody has accepted.
-fn stuck() -> (TcpListener, TcpStream) {
-    let socket = net::socket(net::AddressFamily::INET, net::SocketType::STREAM, None).expect("a socket");
-    net::bind(&socket, &SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
-    net::listen(&socket, 0).expect("it listens");
-    let listener = TcpListener::from(socket);
-    let address = listener.local_addr().expect("its address");
-    let only = TcpStream::connect(address).expect("one has room");
-    let next = TcpStream::connect_timeout(&address, Duration::from_millis(200));
-    assert!(next.is_err(), "there is room for a second");
-    (listener, only)
-}
-
 /// Found by reading: a connection got the settings' time even where that is longer than the grace of a drain that is told
 /// meanwhile, and the request went out after it.
 #[test]
@@ -481,20 +382,15 @@
         let caps = &mut config["settings"]["caps"];
         (caps["connectTimeoutNs"], caps["maxAttempts"]) = (json!(3_500_000_000u64), json!(2));
     });
-    let (listener, _only) = stuck();
+    let late = Stuck::start();
     let stuck = |state: &str| {
         let mut entry = instance(&site.writers[0], "decode", state);
         entry["instanceId"] = json!("w-stuck");
-        entry["hostPort"] = json!(listener.local_addr().expect("its address").to_string());
+        entry["hostPort"] = json!(late.address.to_string());
         entry
     };
-    let list = Site::list(&site.readers, &site.writers);
-    let tell = |list: Vec<Value>| {
-        let calls = site.catalogue.calls();
-        site.catalogue.set(list);
-        until("the list is told", || site.catalogue.calls() > calls + 1);
-    };
-    tell([Site::without_writers(&list), vec![stuck("ready")]].concat());
+    let list = Platform::list(&site.readers, &site.writers);
+    site.tell([Platform::without_writers(&list), vec![stuck("ready")]].concat());
     let listen = site.listen;
     let client = std::thread::spawn(move || {
         let from = Instant::now();
@@ -504,16 +400,8 @@
     site.catalogue.set([&list[..], &[stuck("draining")]].concat());
     // Past the grace there is room again: what still waits comes now.
     std::thread::sleep(Duration::from_millis(700));
-    listener.set_nonblocking(true).expect("set");
-    let (end, mut bytes) = (Instant::now() + Duration::from_millis(2500), 0);
-    while Instant::now() < end {
-        if let Ok((mut socket, _)) = listener.accept() {
-            let _ = socket.set_read_timeout(Some(Duration::from_millis(300)));
-            bytes += socket.read(&mut [0; 512]).unwrap_or(0);
-        }
-        std::thread::sleep(Duration::from_millis(10));
-    }
-    assert_eq!(bytes, 0, "a drained worker got something");
+    let heard = late.heard_within(Duration::from_millis(2500));
+    assert_eq!(heard, "", "a drained worker got something");
     // It was answered as soon as the connection had had its time, not when the client was about to leave.
     let (got, took) = client.join().expect("it ends");
     assert_eq!(got.status, 503, "{got:?}");
@@ -528,7 +416,7 @@
         config["settings"]["services"][0]["aimNs"] = json!(600_000_000);
         config["settings"]["caps"]["maxAttempts"] = json!(2);
     });
-    let list = Site::list(&site.readers, &site.writers);
+    let list = Platform::list(&site.readers, &site.writers);
     let refused = |txn: &str| {
         let from = Instant::now();
         let got = ask(site.listen, txn);
@@ -543,7 +431,7 @@
     refused("broken-read");
     // No writer is left to wait for: its aim ends the wait.
     let calls = site.catalogue.calls();
-    site.catalogue.set(Site::without_writers(&list));
+    site.catalogue.set(Platform::without_writers(&list));
     until("the list is told", || site.catalogue.calls() > calls + 1);
     refused("no-writer");
 }
@@ -576,7 +464,7 @@
 #[test]
 fn sighup_takes_another_catalogue_and_a_broken_file_changes_nothing() {
     let site = Site::new();
-    let other = Catalogue::start(Site::list(&site.readers, &site.writers));
+    let other = Catalogue::start(Platform::list(&site.readers, &site.writers));
     // A broken file first, and another twice in a row.
     std::fs::write(&site.file, "{\"name\":").expect("written");
     site.signal(Signal::HUP);
@@ -589,7 +477,7 @@
     site.signal(Signal::HUP);
     site.signal(Signal::HUP);
     until("the new catalogue is followed", || other.calls() > 1);
-    let mut list = Site::list(&site.readers, &site.writers);
+    let mut list = Platform::list(&site.readers, &site.writers);
     list[2]["lifecycle"] = json!("draining");
     let calls = other.calls();
     other.set(list);
--- a/crates/gaparch-lab/src/platform/catalogue.rs
+++ b/crates/gaparch-lab/src/platform/catalogue.rs
@@ -2,6 +2,7 @@
 
 use super::{answer, message, Worker};
 use serde_json::{json, Value};
+use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
@@ -14,6 +15,9 @@
     /// Said in place of any answer.
     nonsense: Option<String>,
     calls: u64,
+    /// Calls are taken and never answered; those that were pending then neither.
+    silent: bool,
+    silences: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -58,6 +62,11 @@
         self.change(|s| s.nonsense = text.map(str::to_owned));
     }
 
+    /// Says nothing from now on, also to calls that wait; what is asked meanwhile is never answered.
+    pub fn silent(&self, silent: bool) {
+        self.change(|s| (s.silent, s.silences) = (silent, s.silences + u64::from(silent)));
+    }
+
     /// Calls answered so far.
     pub fn calls(&self) -> u64 {
         self.state.0.lock().unwrap_or_else(PoisonError::into_inner).calls
@@ -73,9 +82,16 @@
             let after = number("after");
             let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
             let state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
-            let same = |s: &mut State| s.nonsense.is_none() && after == Some(s.generation);
+            let (silences, deaf) = (state.silences, state.silent);
+            let same = |s: &mut State| s.nonsense.is_none() && after == Some(s.generation) && !s.silent;
             let waited = self.state.1.wait_timeout_while(state, wait, same);
             let mut state = waited.unwrap_or_else(PoisonError::into_inner).0;
+            if deaf || state.silences != silences {
+                drop(state);
+                // Until the other side has given up.
+                while socket.read(&mut [0; 256]).is_ok_and(|n| n > 0) {}
+                return;
+            }
             state.calls += 1;
             let text = match &state.nonsense {
                 Some(text) => text.clone(),
--- a/crates/gaparch-lab/src/platform/client.rs
+++ b/crates/gaparch-lab/src/platform/client.rs
@@ -39,7 +39,8 @@
     read(&mut socket, within)
 }
 
-fn read(socket: &mut TcpStream, within: Duration) -> Got {
+/// Reads one answer, for so long at most.
+pub fn read(socket: &mut TcpStream, within: Duration) -> Got {
     let until = Instant::now() + within;
     let mut bytes = Vec::new();
     let mut piece = [0; 4096];
--- a/crates/gaparch-lab/src/platform/mod.rs
+++ b/crates/gaparch-lab/src/platform/mod.rs
@@ -3,10 +3,16 @@
 
 mod catalogue;
 mod client;
+mod judge;
+mod site;
+mod stuck;
 mod worker;
 
 pub use catalogue::{instance, Catalogue};
-pub use client::{ask, head_and_body, raw, Got};
+pub use client::{ask, head_and_body, raw, read, Got};
+pub use judge::{judge, Facts, LEFT};
+pub use site::{folder, own_address, settings, until, Platform, LONG};
+pub use stuck::Stuck;
 pub use worker::{events, stream, Floor, Reply, Seen, Step, Worker};
 
 use std::io::{Read, Write};
--- a/crates/gaparch-lab/src/platform/worker.rs
+++ b/crates/gaparch-lab/src/platform/worker.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// One thing that a worker does on a connection.
 #[derive(Clone, Debug)]
@@ -51,7 +51,7 @@
 /// The record of all workers of a site, and the attempts that are out.
 #[derive(Clone, Debug, Default)]
 pub struct Floor {
-    seen: Arc<Mutex<Vec<Seen>>>,
+    seen: Arc<Mutex<Vec<(Instant, Seen)>>>,
     open: Arc<Mutex<Vec<(String, TcpStream)>>>,
 }
 
@@ -70,6 +70,11 @@
 
 impl Floor {
     pub fn seen(&self) -> Vec<Seen> {
+        self.log().into_iter().map(|(_, seen)| seen).collect()
+    }
+
+    /// The same with when it was seen.
+    pub fn log(&self) -> Vec<(Instant, Seen)> {
         lock(&self.seen).clone()
     }
 
@@ -83,7 +88,7 @@
     }
 
     fn note(&self, seen: Seen) {
-        lock(&self.seen).push(seen);
+        lock(&self.seen).push((Instant::now(), seen));
     }
 
     fn begin(&self, txn: &str, socket: &TcpStream) {
--- a/crates/gaparch-node/src/lib.rs
+++ b/crates/gaparch-node/src/lib.rs
@@ -24,4 +24,4 @@
 mod shared;
 mod worker;
 
-pub use run::{run, NodeError};
+pub use run::{run, serve, NodeError, Order};
--- a/crates/gaparch-node/src/run.rs
+++ b/crates/gaparch-node/src/run.rs
@@ -50,15 +50,44 @@
     NodeConfig::read(&text, fallback).map_err(|source| NodeError::Config { file: name, source })
 }
 
-/// Runs a router by the platform's configuration until it is told to end.
+/// What whoever started a router tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Read the configuration again, as on SIGHUP.
+    Reload,
+    /// Finish what is open and end, as on SIGTERM.
+    End,
+}
+
+/// Runs a router by the platform's configuration until the process is told to end.
 ///
 /// # Errors
 /// When the file can't be used or an address can't be listened at.
 pub async fn run(file: PathBuf) -> Result<(), NodeError> {
-    let config = load(&file)?;
     // Before anybody can hear that this router is ready, a signal must not end it.
     let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
     let mut reload = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
+    let (orders, taken) = mpsc::channel(4);
+    tokio::spawn(async move {
+        loop {
+            let order = tokio::select! {
+                _ = terminate.recv() => Order::End,
+                _ = reload.recv() => Order::Reload,
+            };
+            if orders.send(order).await.is_err() {
+                return;
+            }
+        }
+    });
+    serve(file, taken).await
+}
+
+/// Runs a router by the platform's configuration until it is ordered to end, or nobody is left who could.
+///
+/// # Errors
+/// When the file can't be used or an address can't be listened at.
+pub async fn serve(file: PathBuf, mut orders: mpsc::Receiver<Order>) -> Result<(), NodeError> {
+    let config = load(&file)?;
     let listen = |address| move |source| NodeError::Listen { address, source };
     let listener = TcpListener::bind(config.listen).await.map_err(listen(config.listen))?;
     let peer_socket = match config.peers.clone().filter(|_| config.site.settings.peers) {
@@ -103,20 +132,17 @@
     let clients = Arc::clone(&budget.clients);
     let most_clients = budget.most_clients;
     let accepting = tokio::spawn(client::accept(listener, budget, Arc::clone(&shared)));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => match load(&file) {
-                Ok(new) => {
-                    tracing::info!(discovery = %new.discovery, "a new configuration");
-                    if new.site.settings != shared.config.site.settings {
-                        tracing::warn!("the settings have changed: they are taken at the next start");
-                        new.odd.iter().for_each(|line| tracing::warn!("{line}"));
-                    }
-                    discovery.send_replace(new.discovery);
+    while let Some(Order::Reload) = orders.recv().await {
+        match load(&file) {
+            Ok(new) => {
+                tracing::info!(discovery = %new.discovery, "a new configuration");
+                if new.site.settings != shared.config.site.settings {
+                    tracing::warn!("the settings have changed: they are taken at the next start");
+                    new.odd.iter().for_each(|line| tracing::warn!("{line}"));
                 }
-                Err(error) => tracing::error!(%error, "the configuration stays as it was"),
-            },
+                discovery.send_replace(new.discovery);
+            }
+            Err(error) => tracing::error!(%error, "the configuration stays as it was"),
         }
     }
     tracing::info!("ending: what is open is finished");
--- /dev/null
+++ b/crates/gaparch-node/tests/guards.rs
@@ -0,0 +1,292 @@
+//! Each guard of the shell, on the moment it is for.
+
+mod common;
+
+use common::{put, Site};
+use gaparch_lab::platform::{
+    ask, head_and_body, instance, raw, read, until, Got, Platform, Step, Stuck, Worker, LONG,
+};
+use gaparch_node::Order;
+use serde_json::{json, Value};
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// What ends a connection that nothing is written to any more: its clean end, not a reset.
+fn end(socket: &mut TcpStream) -> Result<Vec<u8>, ErrorKind> {
+    socket.set_read_timeout(Some(LONG)).expect("set");
+    let mut rest = Vec::new();
+    socket.read_to_end(&mut rest).map(|_| rest).map_err(|error| error.kind())
+}
+
+#[test]
+fn a_client_that_floods_and_goes_is_seen_to_go() {
+    let site = Site::with(|_| {});
+    let list = Platform::list(&site.readers, &site.writers);
+    site.tell(Platform::without_writers(&list));
+    let mut client = TcpStream::connect(site.listen).expect("it listens");
+    client.write_all(&head_and_body("flood", "{}")).expect("written");
+    // Waits for a writer. A megabyte behind the request must not hide the end.
+    let _ = client.write_all(&vec![b'x'; 1 << 20]);
+    drop(client);
+    std::thread::sleep(ms(300));
+    site.tell(list);
+    assert_eq!(ask(site.listen, "next").status, 200);
+    assert!(site.floor.asked().iter().all(|(_, txn)| txn == "next"), "{:?}", site.floor.asked());
+}
+
+#[test]
+fn one_more_request_of_any_size_may_come_ahead_of_an_answer() {
+    let site = Site::with(|_| {});
+    let mut client = TcpStream::connect(site.listen).expect("it listens");
+    let long = format!("{{{}}}", " ".repeat(200 * 1024));
+    let both = [head_and_body("one", "{}"), head_and_body("two", &long)].concat();
+    client.write_all(&both).expect("written");
+    // Each stream has a last chunk of its own; the second one is read from where the first ends.
+    let mut text = String::new();
+    client.set_read_timeout(Some(LONG)).expect("set");
+    while text.matches("[DONE]").count() < 2 {
+        let mut piece = [0; 4096];
+        let n = client.read(&mut piece).expect("an answer");
+        assert!(n > 0, "it closed: {text}");
+        text.push_str(&String::from_utf8_lossy(&piece[..n]));
+    }
+    assert_eq!(site.writes("two"), 1);
+}
+
+/// A list with one writer to which connections come up late.
+fn late_writer(site: &Site, late: &Stuck) -> Vec<Value> {
+    let mut entry = instance(&site.writers[0], "decode", "ready");
+    entry["instanceId"] = json!("w-late");
+    entry["hostPort"] = json!(late.address.to_string());
+    [Platform::without_writers(&Platform::list(&site.readers, &site.writers)), vec![entry]].concat()
+}
+
+#[test]
+fn what_waits_for_a_connection_is_not_sent_once_its_client_has_left() {
+    // Attempts can't be called off here, and the connection may take long.
+    let site = Site::with(|config| {
+        let settings = &mut config["settings"];
+        settings["caps"]["cancel"] = json!(false);
+        settings["caps"]["connectTimeoutNs"] = json!(3_500_000_000u64);
+        settings["rules"]["stopSendingWithinNs"] = json!(0);
+    });
+    let late = Stuck::start();
+    site.tell(late_writer(&site, &late));
+    let mut client = TcpStream::connect(site.listen).expect("it listens");
+    client.write_all(&head_and_body("left", "{}")).expect("written");
+    until("it is read", || site.floor.asked().iter().any(|(_, txn)| txn == "left"));
+    std::thread::sleep(ms(100));
+    drop(client);
+    std::thread::sleep(ms(100));
+    // Releases may go to any worker.
+    let heard = late.heard_within(ms(2000));
+    assert!(!heard.contains("POST"), "sent for a client that had left: {heard}");
+}
+
+#[test]
+fn a_repeat_whose_connection_outlasts_its_window_is_not_sent() {
+    let site = Site::with(|config| {
+        let settings = &mut config["settings"];
+        let class = &mut settings["services"][0];
+        class["idempotency"] = json!("guarded");
+        (class["dedupScope"], class["dedupWindowNs"]) = (json!("all"), json!(600_000_000));
+        settings["caps"]["connectTimeoutNs"] = json!(3_500_000_000u64);
+        settings["rules"]["stopSendingWithinNs"] = json!(0);
+        settings["familyInfo"]["releaseWithinNs"] = json!(5_000_000_000u64);
+    });
+    let late = Stuck::start();
+    // The first write breaks: it may have run. By then only the late writer is left.
+    site.writers.iter().for_each(|w| w.always(vec![Step::Wait(ms(300)), Step::Close]));
+    let listen = site.listen;
+    let client = std::thread::spawn(move || ask(listen, "repeat"));
+    until("it is written", || site.writes("repeat") == 1);
+    site.catalogue.set(late_writer(&site, &late));
+    std::thread::sleep(ms(700));
+    let heard = late.heard_within(ms(2000));
+    assert!(!heard.contains("POST"), "a repeat past its window: {heard}");
+    let got = client.join().expect("it ends");
+    assert!(got.status >= 400, "{got:?}");
+    assert_eq!(site.writes("repeat"), 1);
+}
+
+#[test]
+fn what_a_head_has_told_does_not_wait_for_a_body_without_end() {
+    let site = Site::with(|_| {});
+    let endless = |head: &str| {
+        vec![put(&format!("HTTP/1.1 {head}\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n")), Step::Hang]
+    };
+    site.readers[0].then(endless("202 Accepted"));
+    let from = Instant::now();
+    assert_eq!(ask(site.listen, "read").status, 200);
+    site.next_write(&endless("503 Full\r\nX-Turned-Away: 1"));
+    assert_eq!(ask(site.listen, "full").status, 200);
+    assert!(from.elapsed() < ms(3000), "{:?}", from.elapsed());
+    assert_eq!((site.writes("read"), site.writes("full")), (1, 2));
+    site.no_second_copies();
+}
+
+/// On a connection that rests a request is answered, or the connection ends with nothing of it read.
+fn answered_or_unread(got: Result<Vec<u8>, ErrorKind>, what: &str) -> bool {
+    let text = String::from_utf8_lossy(&got.unwrap_or_else(|e| panic!("{what}: {e}"))).into_owned();
+    assert!(text.is_empty() || text.contains("[DONE]") && text.ends_with("0\r\n\r\n"), "{what}: {text}");
+    !text.is_empty()
+}
+
+#[test]
+fn requests_in_the_moment_of_the_shutdown_are_answered_or_unread() {
+    let site = Site::with(|config| config["limits"]["sockets"] = json!(512));
+    let clients: Vec<TcpStream> =
+        (0..120).map(|_| TcpStream::connect(site.listen).expect("it listens")).collect();
+    // All have asked before, and rest.
+    let clients: Vec<TcpStream> = clients
+        .into_iter()
+        .enumerate()
+        .map(|(number, mut client)| {
+            client.write_all(&head_and_body(&format!("first-{number}"), "{}")).expect("written");
+            assert!(read(&mut client, LONG).whole);
+            client
+        })
+        .collect();
+    site.order(Order::End);
+    let from = Instant::now();
+    let asking = clients.into_iter().enumerate().map(|(number, mut client)| {
+        std::thread::spawn(move || {
+            let at = from + ms(500) + Duration::from_micros(number as u64 * 800);
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            let txn = format!("txn-{number}");
+            let _ = client.write_all(&head_and_body(&txn, "{}"));
+            (txn, end(&mut client))
+        })
+    });
+    let asking: Vec<_> = asking.collect();
+    let mut answered = Vec::new();
+    for client in asking {
+        let (txn, got) = client.join().expect("no panic");
+        if answered_or_unread(got, &txn) {
+            answered.push(txn);
+        }
+    }
+    // Some came before, some after; what was not answered never went on.
+    assert!(!answered.is_empty() && answered.len() < 120, "{}", answered.len());
+    let asked = site.floor.asked();
+    assert!(asked.iter().all(|(_, txn)| txn.starts_with("first") || answered.contains(txn)));
+    site.ended();
+}
+
+#[test]
+fn who_rests_longest_is_shed_and_its_request_of_that_moment_answered_or_unread() {
+    let site = Site::with(|config| config["limits"]["sockets"] = json!(64));
+    let resting: Vec<TcpStream> = (0..20)
+        .map(|number| {
+            let mut client = TcpStream::connect(site.listen).expect("it listens");
+            client.write_all(&head_and_body(&format!("first-{number}"), "{}")).expect("written");
+            assert!(read(&mut client, LONG).whole);
+            client
+        })
+        .collect();
+    let (listen, from) = (site.listen, Instant::now());
+    let crowd = std::thread::spawn(move || {
+        let mut all = Vec::new();
+        while from.elapsed() < ms(400) {
+            all.extend(TcpStream::connect(listen));
+        }
+        all
+    });
+    let asking: Vec<_> = resting
+        .into_iter()
+        .enumerate()
+        .map(|(number, mut client)| {
+            std::thread::spawn(move || {
+                std::thread::sleep(ms(10 * number as u64));
+                let request = head_and_body(&format!("txn-{number}"), "{}");
+                let _ = client.write_all(&request);
+                client.set_read_timeout(Some(ms(1500))).expect("set");
+                let mut piece = vec![0; 64 * 1024];
+                // The first bytes of an answer, or the end.
+                client.read(&mut piece).map(|n| n > 0).map_err(|e| e.kind())
+            })
+        })
+        .collect();
+    for client in asking {
+        let got = client.join().expect("no panic");
+        assert!(got.is_ok(), "{got:?}");
+    }
+    drop(crowd.join().expect("no panic"));
+    assert_eq!(ask(site.listen, "after").status, 200);
+}
+
+#[test]
+fn an_answer_before_the_end_of_its_connection_outlives_what_comes_behind_the_request() {
+    let site = Site::with(|_| {});
+    site.order(Order::End);
+    until("it is on its way out", || site.health() != 200);
+    let mut client = TcpStream::connect(site.listen).expect("new connections still arrive");
+    client.write_all(&head_and_body("last", "{}")).expect("written");
+    // It goes on sending until nobody takes it any more.
+    let mut more = client.try_clone().expect("cloned");
+    let sending = std::thread::spawn(move || {
+        while more.write_all(&[b'x'; 500]).is_ok() {
+            std::thread::sleep(ms(1));
+        }
+    });
+    let text = String::from_utf8_lossy(&end(&mut client).expect("no reset")).into_owned();
+    assert!(text.contains("Connection: close") && text.ends_with("0\r\n\r\n"), "{text}");
+    drop(client);
+    sending.join().expect("no panic");
+    site.ended();
+}
+
+#[test]
+fn discovery_is_heard_in_time_while_idle_clients_hold_all_they_can_get() {
+    let site = Site::with(|config| config["limits"]["sockets"] = json!(128));
+    site.catalogue.silent(true);
+    let _crowd: Vec<TcpStream> = (0..400).filter_map(|_| TcpStream::connect(site.listen).ok()).collect();
+    let mut list = Platform::list(&site.readers, &site.writers);
+    list[0]["lifecycle"] = json!("draining");
+    list[2]["lifecycle"] = json!("draining");
+    std::thread::sleep(ms(2500));
+    site.catalogue.set(list);
+    site.catalogue.silent(false);
+    let from = Instant::now();
+    let (calls, drained) = (site.catalogue.calls(), [&site.readers[0].name, &site.writers[0].name]);
+    until("it is asked again", || site.catalogue.calls() > calls + 1);
+    assert!(from.elapsed() < ms(6000), "{:?}", from.elapsed());
+    for number in 0..4 {
+        let got: Got = raw(site.listen, &head_and_body(&format!("txn-{number}"), "{}"), LONG);
+        assert_eq!(got.status, 200);
+    }
+    let asked = site.floor.asked();
+    assert!(asked.iter().all(|(worker, _)| !drained.contains(&worker)), "{asked:?}");
+}
+
+#[test]
+fn entries_that_make_no_sense_cost_nobody_else_and_are_not_sent_to() {
+    let site = Site::with(|_| {});
+    let worker: &Worker = &site.writers[0];
+    let bad = |field: &str, value: Value| {
+        let mut entry = instance(worker, "decode", "ready");
+        entry["instanceId"] = json!(format!("w-bad-{field}"));
+        entry[field] = value;
+        entry
+    };
+    let strange = vec![
+        bad("hostPort", json!("nowhere")),
+        bad("hostPort", json!(7)),
+        bad("lifecycle", json!("sleeping")),
+        bad("instanceId", json!("")),
+        bad("startedAtMs", json!(-5)),
+        bad("weight", json!("heavy")),
+        json!([]),
+        json!(null),
+    ];
+    site.tell([Platform::list(&site.readers, &site.writers), strange].concat());
+    for number in 0..6 {
+        assert_eq!(ask(site.listen, &format!("txn-{number}")).status, 200);
+    }
+    assert_eq!(site.health(), 200);
+}
