--- a/crates/gaparch-lab/tests/checker.rs
+++ b/crates/gaparch-lab/tests/checker.rs
@@ -256,3 +256,27 @@
     let twice = while_cut.into_iter().chain([again]).collect();
     assert_eq!(broken(&verdict(Effect::Safe, twice, none)), [1]);
 }
+
+/// The judge of what workers saw names each kind of breach, and nothing where there is none.
+#[test]
+fn what_workers_saw_is_judged_by_when_it_came() {
+    use gaparch_lab::platform::{judge, Facts, Seen, LEFT};
+    use std::time::{Duration, Instant};
+    let from = Instant::now();
+    let asked = |worker: &str, txn: &str, ms: u64| {
+        let (worker, txn) = (worker.to_owned(), txn.to_owned());
+        (
+            from + Duration::from_millis(ms),
+            Seen::Asked { worker, txn, target: String::new(), body: Vec::new() },
+        )
+    };
+    let mut facts = Facts::default();
+    facts.left.insert("left".to_owned(), from);
+    facts.drained.insert("w-1".to_owned(), from + Duration::from_millis(500));
+    let late = LEFT.as_millis() as u64 + 1;
+    let sound = vec![asked("w-2", "left", late - 1), asked("w-1", "a", 500), asked("w-2", "a", 900)];
+    assert_eq!(judge(&sound, &facts), Vec::<String>::new());
+    let copy = (from, Seen::SecondCopy { txn: "a".to_owned() });
+    let bad = vec![asked("w-2", "left", late), asked("w-1", "a", 501), copy];
+    assert_eq!(judge(&bad, &facts).len(), 3, "{:?}", judge(&bad, &facts));
+}
--- a/crates/gaparch-node/src/link.rs
+++ b/crates/gaparch-node/src/link.rs
@@ -119,3 +119,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "link_tests.rs"]
+mod tests;
--- a/crates/gaparch-node/src/run.rs
+++ b/crates/gaparch-node/src/run.rs
@@ -19,13 +19,13 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// After SIGTERM new connections keep arriving for up to 0.4 s: until then and a little longer all goes on.
 const ARRIVALS: Duration = Duration::from_millis(550);
 /// For what runs after that. Whoever ends the process does so when he will; a stream may take a minute.
 const FINISH: Duration = Duration::from_secs(90);
-/// For clients' connections to end after the last answer was given.
+/// For clients' connections to end after the last answer was given, however late that was.
 const LAST_WORDS: Duration = Duration::from_millis(500);
 /// Where the catalogue is silent at the start, the list as last held serves after this.
 const FIRST_LIST: Duration = Duration::from_millis(800);
@@ -158,9 +158,10 @@
         }
     }
     shared.tell(Message::StopNow);
-    // The last answers are on their way to the clients' tasks: these get a moment to write them, and to take what still
-    // comes on connections that they have ended. Unread bytes would reset them, and the answers be lost.
-    let _ = timeout(LAST_WORDS, clients.acquire_many(most_clients as u32)).await;
+    // The last answers are with the clients' tasks, which may still be writing them, and take what comes on connections
+    // that they have ended: unread bytes would reset these. Each of them has its own bounds.
+    let until = until.max(Instant::now() + LAST_WORDS);
+    let _ = timeout_at(until, clients.acquire_many(most_clients as u32)).await;
     tracing::info!("ended");
     Ok(())
 }
--- a/crates/gaparch-node/tests/common/mod.rs
+++ b/crates/gaparch-node/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A router's shell on a thread of its own, on the scripted platform.
 
-use gaparch_lab::platform::{events, until, Platform, Step};
+use gaparch_lab::platform::{until, Platform, Step};
 use gaparch_node::{serve, NodeError, Order};
 use serde_json::Value;
 use std::ops::Deref;
@@ -49,9 +49,3 @@
 pub fn put(text: &str) -> Step {
     Step::Put(text.as_bytes().to_vec())
 }
-
-/// The head of a stream and its first event.
-pub fn first_event() -> Step {
-    let event = &events()[0];
-    put(&format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n", event.len()))
-}
--- a/crates/gaparch-node/tests/guards.rs
+++ b/crates/gaparch-node/tests/guards.rs
@@ -127,6 +127,10 @@
     assert_eq!(ask(site.listen, "full").status, 200);
     assert!(from.elapsed() < ms(3000), "{:?}", from.elapsed());
     assert_eq!((site.writes("read"), site.writes("full")), (1, 2));
+    // Not called off and read anew: what the head told was heard.
+    let reads =
+        |of: &str| site.floor.asked().iter().filter(|(w, txn)| w.starts_with("r-") && txn == of).count();
+    assert_eq!((reads("read"), reads("full")), (1, 1));
     site.no_second_copies();
 }
 
@@ -156,7 +160,10 @@
     let from = Instant::now();
     let asking = clients.into_iter().enumerate().map(|(number, mut client)| {
         std::thread::spawn(move || {
-            let at = from + ms(500) + Duration::from_micros(number as u64 * 800);
+            // Half of them around the moment, and half far enough to both sides of it on any machine.
+            let wide = Duration::from_micros(number as u64 * 6000) + ms(200);
+            let near = Duration::from_micros(number as u64 * 300) + ms(535);
+            let at = from + if number % 2 == 0 { wide } else { near };
             std::thread::sleep(at.saturating_duration_since(Instant::now()));
             let txn = format!("txn-{number}");
             let _ = client.write_all(&head_and_body(&txn, "{}"));
@@ -241,6 +248,37 @@
     site.ended();
 }
 
+/// Of some lengths the rest is neither with the worker's exchange any more nor yet in the sockets' buffers.
+#[test]
+fn a_stream_that_its_worker_has_finished_is_passed_on_to_its_end_before_the_router_ends() {
+    std::thread::scope(|all| {
+        for step in 1..=12 {
+            all.spawn(move || {
+                let site = Site::with(|_| {});
+                let event = format!("data: {{\"choices\":[],\"x\":\"{}\"}}\n\n", "x".repeat(8000));
+                let length = 250 + step * 25;
+                let mut whole = vec![event; length];
+                whole.push("data: [DONE]\n\n".to_owned());
+                site.next_write(&[Step::Put(gaparch_lab::platform::stream(&whole))]);
+                let mut client = TcpStream::connect(site.listen).expect("it listens");
+                rustix::net::sockopt::set_socket_recv_buffer_size(&client, 64 * 1024).expect("set");
+                client.write_all(&head_and_body("long", "{}")).expect("written");
+                until("it is written", || site.writes("long") == 1);
+                site.order(Order::End);
+                // It takes nothing for a while.
+                std::thread::sleep(ms(900));
+                let bytes = end(&mut client).unwrap_or_else(|e| panic!("{length}: {e}"));
+                assert!(
+                    bytes.ends_with(b"0\r\n\r\n") && bytes.len() > length * 8000,
+                    "{length}: cut at {}",
+                    bytes.len()
+                );
+                site.ended();
+            });
+        }
+    });
+}
+
 #[test]
 fn discovery_is_heard_in_time_while_idle_clients_hold_all_they_can_get() {
     let site = Site::with(|config| config["limits"]["sockets"] = json!(128));
