Home yields where it is busier by a typical read, in place of a fixed count of tokens

READER_YIELD, 5,000 tokens, was chosen while the pace was learnt several times too small, so it stood for a fifth of that; at the true pace it is 240 ms, on top of the cost of the miss that the comparison has already. Change: the margin is what reads have had to read lately, or this one if more, at the home's own speed. The constant goes. Tests of the fleet on a cold server and of the mechanism hold.

--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -15,7 +15,6 @@
 const FULL_SHARE: f64 = 0.92; // of its memory, from which a writer looks full: answers in progress grow
 const WRITER_YIELD: f64 = 0.25; // a near writer yields with this share of memory more held than the least
 const MOVE_YIELD: f64 = 0.5; // and this more for each second that far writes begin later: slow links
-const READER_YIELD: f64 = 5000.0; // home yields with a wait of this many tokens more than the least
 const HOME_MOST: f64 = 1.6; // times an even share that a reader is home to, whatever writers its cell has
 const HOMES: f64 = 3.0; // of a shared beginning, for each reader's even part of all requests it makes up
 const SEEN_SPAN: Nanos = 60_000 * MS; // over which requests are counted for that
@@ -218,7 +217,8 @@
         let other = readers.iter().filter(|s| s.id != home.id).max_by_key(rank);
         let look_at: Vec<ServerId> = [home].iter().chain(other).map(|s| s.id).collect();
         let home = Some(home).filter(|s| room(&s)).unwrap_or(least);
-        let chosen = if cost(home) > cost(least) + READER_YIELD { least } else { home };
+        let margin = self.reads.size.value.max(unread(home)) / self.speed(home);
+        let chosen = if cost(home) > cost(least) + margin { least } else { home };
         let stage = if chosen.role == Role::Both { Stage::Whole } else { Stage::Read };
         let (unread, queued, behind) =
             (unread(chosen), cost(chosen), chosen.asked_before(self.now, LOOK_FOR));
