--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -185,6 +185,27 @@
     assert_eq!((r.now - read_at) / MS, 500);
 }
 
+/// Found by reading: a repeat was judged when it was decided, and its connection could outlast its window.
+#[test]
+fn a_repeat_says_by_when_its_last_byte_has_to_be_out() {
+    let keyed = Settings { classes: vec![class(Effect::Keyed, Group::All)], ..settings() };
+    let mut r = Router::new(keyed, pairs());
+    let by = |done: &[Action]| {
+        done.iter()
+            .find_map(|a| if let Action::Send { by, .. } = a { Some(*by) } else { None })
+            .expect("a send")
+    };
+    let asked = r.ask(1);
+    assert_eq!(by(&asked), Nanos::MAX, "a read has no effect");
+    let reader = sent_to(&asked).expect("a read");
+    let written = r.outcome(1, reader, Status::Read);
+    assert_eq!(by(&written), Nanos::MAX, "nothing has run yet");
+    let first = r.now;
+    r.pass(300 * MS);
+    let again = r.outcome(1, sent_to(&written).expect("a write"), Status::Reset);
+    assert_eq!(by(&again), first + 2 * S, "the window counts from the send that may have run");
+}
+
 // 4: cold servers.
 
 #[test]
