An attempt is cancelled before its request is refused, and fails where it can't be

Ruled out: reads that had ended, the second read itself, writes turned away, the words of the settings (the class arrives as one that may not be repeated). At fault: Policy::end, which gave the answer first and the cancel after it. Change: the cancel goes first, in the same actions. Where attempts can't be cancelled a request that may not simply be repeated fails instead of being refused while its read is out. The plain reference does the same. Conclusion: a read has no effect however it ends, but one that is out is still an attempt.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -665,7 +665,9 @@
     fn give_up(&mut self, id: RequestId, reason: Reason) {
         let Some(work) = self.works.get(&id) else { return };
         let Some(class) = self.set.classes.get(work.request.class.0) else { return };
-        let ran = work.may_have_run.is_some() || work.sent.is_some_and(|s| s.stage != Stage::Read);
+        // A read has no effect, but one that is out and can't be cancelled may not have ended yet.
+        let runs = |s: Sent| s.stage != Stage::Read || !self.set.cancel;
+        let ran = work.may_have_run.is_some() || work.sent.is_some_and(runs);
         let harmless = match class.effect {
             Effect::Safe => true,
             Effect::Keyed => !ran || class.group == Group::All,
@@ -684,16 +686,13 @@
         let (sent, state) = (work.sent, work.state);
         self.waiting.remove(&id);
         self.works.note(&id);
+        // First, so that no retry crosses an attempt that is out.
+        let cancel = sent.filter(|s| self.set.cancel && !s.begun && !s.cancelled);
+        self.out.extend(cancel.map(|s| Action::Cancel { id, attempt: s.no }));
         self.out.extend(answer);
-        match sent {
-            Some(sent) if self.set.cancel && !sent.begun && !sent.cancelled => {
-                self.out.push(Action::Cancel { id, attempt: sent.no });
-            }
-            Some(_) => {}
-            None => {
-                self.out.extend(state.map(|_| Action::Release(id)));
-                self.works.remove(&id);
-            }
+        if sent.is_none() {
+            self.out.extend(state.map(|_| Action::Release(id)));
+            self.works.remove(&id);
         }
     }
 
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -539,7 +539,9 @@
     fn give_up(&mut self, id: RequestId) {
         let Some(work) = self.works.get(&id) else { return };
         let Some(class) = self.set.classes.get(work.request.class.0) else { return };
-        let ran = work.may_have_run.is_some() || work.sent.is_some_and(|s| s.stage != Stage::Read);
+        // A read has no effect, but one that is out and can't be cancelled may not have ended yet.
+        let runs = |s: Sent| s.stage != Stage::Read || !self.set.cancel;
+        let ran = work.may_have_run.is_some() || work.sent.is_some_and(runs);
         let harmless = match class.effect {
             Effect::Safe => true,
             Effect::Keyed => !ran || class.group == Group::All,
@@ -558,13 +560,14 @@
         let Some(work) = self.works.get_mut(&id).filter(|w| !w.ended) else { return };
         work.ended = true;
         self.waiting.remove(&(work.over_share, work.aim_at, id));
-        self.out.extend(answer);
         match work.sent {
             Some(sent) if self.set.cancel && !sent.begun && !sent.cancelled => {
                 self.out.push(Action::Cancel { id, attempt: sent.no });
+                self.out.extend(answer);
             }
-            Some(_) => {}
+            Some(_) => self.out.extend(answer),
             None => {
+                self.out.extend(answer);
                 self.out.extend(work.state.map(|_| Action::Release(id)));
                 self.works.remove(&id);
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -101,6 +101,36 @@
     assert!(!refused(&done, 1));
 }
 
+#[test]
+fn a_read_that_is_out_is_cancelled_before_its_request_is_refused() {
+    for (effect, group) in
+        [(Effect::Unsafe, Group::All), (Effect::Keyed, Group::Cell), (Effect::Safe, Group::All)]
+    {
+        let settings = Settings { classes: vec![class(effect, group)], ..settings() };
+        let mut r = Router::new(settings, pairs());
+        r.ask(1);
+        let done = r.pass(5 * S);
+        let at = |of: fn(&Action) -> bool| {
+            done.iter().rposition(of).unwrap_or_else(|| panic!("{effect:?}: {done:?}"))
+        };
+        let cancelled = at(|a| matches!(a, Action::Cancel { .. }));
+        let answered = at(|a| matches!(a, Action::Refuse { .. }));
+        assert!(cancelled < answered, "{effect:?}: {done:?}");
+    }
+}
+
+#[test]
+fn where_a_read_that_is_out_cant_be_cancelled_a_request_that_may_not_be_repeated_fails() {
+    for (effect, group) in [(Effect::Unsafe, Group::All), (Effect::Keyed, Group::Cell)] {
+        let settings =
+            Settings { classes: vec![class(effect, group)], cancel: false, probes: false, ..settings() };
+        let mut r = Router::new(settings, pairs());
+        r.ask(1);
+        let done = r.pass(5 * S);
+        assert!(failed(&done, 1) && !refused(&done, 1), "{effect:?}: {done:?}");
+    }
+}
+
 #[test]
 fn a_keyed_request_that_may_have_run_stays_in_its_group_and_window() {
     let mut r = whole_site(Effect::Keyed, Group::Cell);
