Timers of a request are cancelled with it

Seen by reading core/timers.rs: none was ever taken back, and each stays until it falls due. A client may state up to an hour and leave at once, so that bad clients fill the memory: 500 requests that were over after 30 s had left 554 timers. Ruled out: the module's own timers, one tick and one ask. At fault: Timers::set, which gave nothing to cancel by. Change: a timer has a key; an attempt's and the overdue one go when the attempt or the request ends. Measured: a test of the core, 554 timers left without the cancel, under 10 with it. Conclusion: the table of timers is bounded by what is open.

--- a/crates/gaparch-router/src/core/actions.rs
+++ b/crates/gaparch-router/src/core/actions.rs
@@ -60,9 +60,9 @@
         let until =
             if timeout == 0 { live.give_up_at } else { live.give_up_at.min(now.saturating_add(timeout)) };
         let stage = if role == Some(Role::Read) { Stage::Read } else { Stage::Write };
-        live.attempt = Some(Attempt { no, server, stage, sent_at: now, begun: false, waits: false });
+        let timer = self.timers.set(until, Timer::Attempt(id, no));
+        live.attempt = Some(Attempt { no, server, stage, sent_at: now, begun: false, waits: false, timer });
         live.step_begins(server, stage, now);
-        self.timers.set(until, Timer::Attempt(id, no));
         let Some(link) = self.engines.get_mut(&server) else {
             return self.close_by(id, no, Status::ConnectFailed);
         };
--- a/crates/gaparch-router/src/core/attempts.rs
+++ b/crates/gaparch-router/src/core/attempts.rs
@@ -30,7 +30,9 @@
         report: Option<Report>,
     ) {
         let Some(live) = self.live.get_mut(&id) else { return };
-        live.attempt = None;
+        if let Some(attempt) = live.attempt.take() {
+            self.timers.cancel(attempt.timer);
+        }
         live.step_ends(status, self.now);
         if let Some(link) = self.engines.get_mut(&attempt.server) {
             link.attempts.remove(&id);
@@ -119,12 +121,14 @@
 
     /// Whether a begun stream has gone on for too long, or has been silent for too long.
     pub(super) fn on_stream_time(&mut self, id: RequestId, out: &mut Vec<Output>) {
-        let Some(live) = self.live.get(&id) else { return };
-        let Some(attempt) = live.attempt.filter(|a| a.begun) else { return };
+        let Some(live) = self.live.get_mut(&id) else { return };
         let until = live.stream_until(&self.config.class_times);
+        let Some(attempt) = live.attempt.as_mut().filter(|a| a.begun) else { return };
         if self.now < until {
-            return self.timers.set(until, Timer::Stream(id));
+            attempt.timer = self.timers.set(until, Timer::Stream(id));
+            return;
         }
+        let attempt = *attempt;
         self.call_off(id, attempt);
         self.break_stream(id, attempt, Status::Timeout, out);
     }
--- a/crates/gaparch-router/src/core/clients.rs
+++ b/crates/gaparch-router/src/core/clients.rs
@@ -30,8 +30,9 @@
             return self.forget_if_done(id);
         }
         let overdue = request.give_up_at.saturating_add(self.config.module.answer_slack);
-        self.timers.set(overdue, Timer::Overdue(id));
-        self.live.insert(id, Live::new(ask, request.give_up_at, self.now));
+        let overdue = self.timers.set(overdue, Timer::Overdue(id));
+        let live = Live::new(ask, request.give_up_at, self.now);
+        self.live.insert(id, Live { overdue: Some(overdue), ..live });
         self.events.push_back(Event::Request(request));
     }
 
@@ -74,8 +75,11 @@
     }
 
     pub(super) fn forget_if_done(&mut self, id: RequestId) {
-        if self.live.get(&id).is_some_and(Live::is_done) {
-            self.live.remove(&id);
+        if !self.live.get(&id).is_some_and(Live::is_done) {
+            return;
+        }
+        if let Some(overdue) = self.live.remove(&id).and_then(|live| live.overdue) {
+            self.timers.cancel(overdue);
         }
     }
 
--- a/crates/gaparch-router/src/core/links.rs
+++ b/crates/gaparch-router/src/core/links.rs
@@ -212,9 +212,11 @@
         live.first_at = Some(self.now);
         live.last_token_at = self.now;
         let usage = Usage { output: 0, ..live.usage };
+        self.timers.cancel(attempt.timer);
         let until = live.stream_until(&self.config.class_times);
         if until < Nanos::MAX {
-            self.timers.set(until, Timer::Stream(id));
+            let timer = self.timers.set(until, Timer::Stream(id));
+            live.attempt = Some(Attempt { begun: true, timer, ..attempt });
         }
         out.push(Output::Client { id, event: ToClient::Opened { usage } });
         // The writer has taken the state; all else that was held goes.
--- a/crates/gaparch-router/src/core/mod.rs
+++ b/crates/gaparch-router/src/core/mod.rs
@@ -266,6 +266,11 @@
         self.live.get(&id).map_or(Nanos::MAX, |live| live.write_by)
     }
 
+    /// When the client of a request stops waiting for its first token; the present where it is not known any more.
+    pub fn give_up_at(&self, id: RequestId) -> Nanos {
+        self.live.get(&id).map_or(self.now, |live| live.give_up_at)
+    }
+
     /// When a request came; the present where it is not known any more.
     pub fn asked_at(&self, id: RequestId) -> Nanos {
         self.live.get(&id).map_or(self.now, |live| live.asked_at)
@@ -281,6 +286,11 @@
         self.roster.engines().into_iter()
     }
 
+    /// Timers that are set, and would be kept for as long as they run.
+    pub fn timers(&self) -> usize {
+        self.timers.len()
+    }
+
     /// When [`on_time`](Core::on_time) has something to do.
     pub fn next_at(&self) -> Option<Nanos> {
         self.timers.next()
--- a/crates/gaparch-router/src/core/request.rs
+++ b/crates/gaparch-router/src/core/request.rs
@@ -1,5 +1,6 @@
 //! A request from its acceptance to its one final answer.
 
+use super::timers::TimerKey;
 use gaparch::api::{
     AttemptNo, ClassId, Key, Nanos, Request, RequestId, ServerId, Settings, Status, TenantId,
 };
@@ -97,6 +98,8 @@
     pub begun: bool,
     /// For its connection; nothing has been written yet.
     pub waits: bool,
+    /// Its time-out, or that of its stream once it has begun.
+    pub timer: TimerKey,
 }
 
 /// Where a request is in its life.
@@ -117,6 +120,8 @@
     pub next_attempt: u32,
     /// When the last byte of the attempt that is out has to be written.
     pub write_by: Nanos,
+    /// Falls due where the module has not answered in the client's time.
+    pub overdue: Option<TimerKey>,
     pub attempt: Option<Attempt>,
     /// The reader whose state a writer is to fetch.
     pub state_at: Option<ServerId>,
@@ -151,6 +156,7 @@
             give_up_at,
             next_attempt: 0,
             write_by: Nanos::MAX,
+            overdue: None,
             attempt: None,
             state_at: None,
             held_at: Vec::new(),
--- a/crates/gaparch-router/src/core/timers.rs
+++ b/crates/gaparch-router/src/core/timers.rs
@@ -18,22 +18,40 @@
     Reconnect(ServerId),
 }
 
-/// None is taken back: one that is of no use any more does nothing when it falls due. Their number is bounded
-/// by what is started within the longest deadline.
+/// Stands for a timer that was set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct TimerKey {
+    at: Nanos,
+    number: u64,
+}
+
+/// A request's timers are cancelled with it: a client may state an hour, and leave at once. The others are few, and do
+/// nothing where they are of no use any more when they fall due.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Timers {
-    due: BTreeMap<(Nanos, u64), Timer>,
+    due: BTreeMap<TimerKey, Timer>,
     next: u64,
 }
 
 impl Timers {
-    pub fn set(&mut self, at: Nanos, timer: Timer) {
+    pub fn set(&mut self, at: Nanos, timer: Timer) -> TimerKey {
         self.next += 1;
-        self.due.insert((at, self.next), timer);
+        let key = TimerKey { at, number: self.next };
+        self.due.insert(key, timer);
+        key
+    }
+
+    /// One that has fallen due or was cancelled before is none any more.
+    pub fn cancel(&mut self, key: TimerKey) {
+        self.due.remove(&key);
+    }
+
+    pub fn len(&self) -> usize {
+        self.due.len()
     }
 
     pub fn next(&self) -> Option<Nanos> {
-        self.due.keys().next().map(|(at, _)| *at)
+        self.due.keys().next().map(|key| key.at)
     }
 
     pub fn pop(&mut self, now: Nanos) -> Option<Timer> {
--- a/crates/gaparch-router/tests/core.rs
+++ b/crates/gaparch-router/tests/core.rs
@@ -470,3 +470,26 @@
     let (_, began) = again(&mut bench, ahead);
     assert_eq!(began, bench.now);
 }
+
+/// Clients may state an hour and leave at once: what is kept for them must not stay for that hour.
+#[test]
+fn requests_that_are_over_leave_no_timers_however_long_their_clients_would_have_waited() {
+    let mut bench = Bench::new();
+    let before = bench.core.timers();
+    for id in 1..=500 {
+        let ask = Accepted { give_up_at: Some(bench.now + 3600 * S), ..question() };
+        let asked = bench.input(Input::Ask { id: RequestId(id), ask });
+        if id % 2 == 0 {
+            bench.input(Input::ClientGone(RequestId(id)));
+        } else if let Some((engine, key)) = sent(&asked) {
+            bench.frame(engine, EngineFrame::ReadDone { key, kept: 0, prompt_len: 500, report: None });
+            bench.input(Input::ClientGone(RequestId(id)));
+        } else {
+            bench.pass(100 * MS);
+            bench.input(Input::ClientGone(RequestId(id)));
+        }
+    }
+    bench.pass(30 * S);
+    let left = bench.core.timers().saturating_sub(before);
+    assert!(left < 10, "{left} timers for 500 requests that are over");
+}
