Crossings in the shell: told time, drains, moved lists, late answers, ids and the end

Change: a look at the socket, the client, the drain and the clock just before the first byte; generations are one agent's, and the first call on a connection does not wait; kept connections rest 20 ms; ids are given back by the owner; each round takes timers, messages and routers; places in the queue; the end refuses new ones, then waits. The known list serves once the catalogue is known not to answer, in place of a timer. Discovery's errors are an enum.

--- a/crates/gaparch-lab/src/platform/catalogue.rs
+++ b/crates/gaparch-lab/src/platform/catalogue.rs
@@ -18,6 +18,10 @@
     /// Calls are taken and never answered; those that were pending then neither.
     silent: bool,
     silences: u64,
+    /// So many of the next connections are taken and never answered.
+    deaf_next: u32,
+    /// Connections on which nothing was answered that the other side has given up.
+    given_up: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -67,12 +71,41 @@
         self.change(|s| (s.silent, s.silences) = (silent, s.silences + u64::from(silent)));
     }
 
+    /// Says nothing on so many of the next connections.
+    pub fn silent_on_next(&self, connections: u32) {
+        self.change(|s| s.deaf_next = connections);
+    }
+
+    /// Connections without an answer that the router has given up so far.
+    pub fn given_up(&self) -> u64 {
+        self.state.0.lock().unwrap_or_else(PoisonError::into_inner).given_up
+    }
+
+    /// Until the other side gives the connection up.
+    fn hang(&self, socket: &mut TcpStream) {
+        while socket.read(&mut [0; 256]).is_ok_and(|n| n > 0) {}
+        self.change(|s| s.given_up += 1);
+    }
+
+    /// Whether this connection is one on which nothing is said.
+    fn takes_deaf(&self) -> bool {
+        let mut deaf = false;
+        self.change(|s| {
+            deaf = s.deaf_next > 0;
+            s.deaf_next = s.deaf_next.saturating_sub(1);
+        });
+        deaf
+    }
+
     /// Calls answered so far.
     pub fn calls(&self) -> u64 {
         self.state.0.lock().unwrap_or_else(PoisonError::into_inner).calls
     }
 
     fn serve(&self, mut socket: TcpStream) {
+        if self.takes_deaf() {
+            return self.hang(&mut socket);
+        }
         while let Some((head, _)) = message(&mut socket) {
             let target = head.split_whitespace().nth(1).unwrap_or_default().to_owned();
             let number = |name: &str| {
@@ -88,9 +121,7 @@
             let mut state = waited.unwrap_or_else(PoisonError::into_inner).0;
             if deaf || state.silences != silences {
                 drop(state);
-                // Until the other side has given up.
-                while socket.read(&mut [0; 256]).is_ok_and(|n| n > 0) {}
-                return;
+                return self.hang(&mut socket);
             }
             state.calls += 1;
             let text = match &state.nonsense {
--- a/crates/gaparch-node/src/client/connection.rs
+++ b/crates/gaparch-node/src/client/connection.rs
@@ -90,7 +90,6 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.shared.give_back(&self.forward.txn);
         if !self.over {
             // An attempt that is just coming up sees it here, however long the owner's queue is.
             self.forward.leave();
@@ -180,6 +179,8 @@
             return Err(Bad::from(AskError::NoBody).into());
         }
         let ask = ask.with_body(body.len());
+        let asks = Arc::clone(&self.shared.asks);
+        let Ok(place) = self.watched(asks.acquire_owned()).await? else { return Err(Nothing::Close) };
         if !self.shared.take(&ask.txn) {
             let text = "a request of this id is open".to_owned();
             return Err(Bad { status: 409, text }.into());
@@ -190,7 +191,7 @@
         let mut ticket =
             Ticket { id, forward: Arc::clone(&forward), shared: Arc::clone(&self.shared), over: false };
         let began = self.shared.clock.at(began.into_std());
-        self.shared.tell(Message::Ask { id, ask: Box::new(ask), forward, began, answer });
+        self.shared.tell(Message::Ask { id, ask: Box::new(ask), forward, began, answer, place });
         let answer = self.watched(answered).await?;
         let close = head.close || self.shared.phase() >= Phase::Leaving;
         let (status, extra) = match answer {
@@ -317,3 +318,7 @@
     let seconds = retry_after as f64 / 1e9;
     (retry_after > 0).then(|| ("Retry-After", format!("{seconds:.3}"))).into_iter().collect()
 }
+
+#[cfg(test)]
+#[path = "connection_tests.rs"]
+mod tests;
--- a/crates/gaparch-node/src/client/mod.rs
+++ b/crates/gaparch-node/src/client/mod.rs
@@ -9,9 +9,12 @@
 use connection::Connection;
 use gaparch_platform::body::MOST_BODY;
 use idle::Idle;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, OwnedSemaphorePermit};
 use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
 
 /// Runs of events that wait for one client.
@@ -25,6 +28,8 @@
 /// A connection without an open request may be closed from then on.
 const IDLE_AT_LEAST: Duration = Duration::from_secs(2);
 const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// For taking what has arrived by the time at which the listener closes.
+const LAST_ARRIVALS: Duration = Duration::from_millis(500);
 
 /// A run of whole events, or the word that there are no more.
 #[derive(Debug)]
@@ -35,46 +40,79 @@
 
 /// Accepts until nothing new comes any more.
 pub(crate) async fn accept(listener: TcpListener, budget: Budget, shared: Arc<Shared>) {
-    let idle = Arc::new(Idle::default());
-    let mut phase = shared.phase.subscribe();
+    let clients = Clients { budget, shared, idle: Arc::new(Idle::default()) };
+    let mut phase = clients.shared.phase.subscribe();
     let mut look = interval(LOOK_EVERY);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let accepted = tokio::select! {
+        tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
-            _ = look.tick() => {
-                // Before there is need: half the places stay free for those who want to ask.
-                if budget.clients.available_permits() < budget.most_clients / 2 {
-                    idle.close_older(IDLE_AT_LEAST);
-                }
-                continue;
-            }
-        };
+            () = until_closing(&mut phase) => break,
+            _ = look.tick() => clients.shed_early(),
+            accepted = listener.accept() => clients.take(accepted).await,
+        }
+    }
+    // What this machine has taken for us by now would be reset with the listener. A flood must not hold up the end.
+    let _ = timeout(LAST_ARRIVALS, clients.take_waiting(&listener)).await;
+}
+
+async fn until_closing(phase: &mut watch::Receiver<Phase>) {
+    // Without a sender there is no router any more.
+    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+}
+
+/// Where accepted connections go.
+struct Clients {
+    budget: Budget,
+    shared: Arc<Shared>,
+    idle: Arc<Idle>,
+}
+
+impl Clients {
+    /// Before there is need: half the places stay free for those who want to ask.
+    fn shed_early(&self) {
+        if self.budget.clients.available_permits() < self.budget.most_clients / 2 {
+            self.idle.close_older(IDLE_AT_LEAST);
+        }
+    }
+
+    /// Serves a connection on a task of its own, if there is a place for it.
+    async fn take(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
         let socket = match accepted {
             Ok((socket, _)) => socket,
             Err(error) => {
                 tracing::warn!(%error, "can't accept");
-                sleep(ACCEPT_AGAIN).await;
-                continue;
+                return sleep(ACCEPT_AGAIN).await;
             }
         };
-        let place = match Arc::clone(&budget.clients).try_acquire_owned() {
-            Ok(place) => place,
-            Err(_) => {
-                // Full: the one that is idle for longest makes room, else the new one goes.
-                idle.close_longest();
-                match timeout(PLACE, Arc::clone(&budget.clients).acquire_owned()).await {
-                    Ok(Ok(place)) => place,
-                    _ => continue,
-                }
-            }
-        };
-        let connection = Connection::new(socket, Arc::clone(&shared), Arc::clone(&idle));
+        let Some(place) = self.place().await else { return };
+        let connection = Connection::new(socket, Arc::clone(&self.shared), Arc::clone(&self.idle));
         tokio::spawn(async move {
             connection.serve().await;
             drop(place);
         });
     }
+
+    /// Where all places are taken the connection that is idle for longest makes room, else the new one goes.
+    async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        let places = &self.budget.clients;
+        if let Ok(place) = Arc::clone(places).try_acquire_owned() {
+            return Some(place);
+        }
+        self.idle.close_longest();
+        timeout(PLACE, Arc::clone(places).acquire_owned()).await.ok()?.ok()
+    }
+
+    /// Takes the connections that wait to be accepted, and waits for no others.
+    async fn take_waiting(&self, listener: &TcpListener) {
+        loop {
+            // Until the poller has been asked once more, those that have just come are not known of.
+            tokio::task::yield_now().await;
+            tokio::select! {
+                biased;
+                accepted = listener.accept() => self.take(accepted).await,
+                () = std::future::ready(()) => return,
+            }
+        }
+    }
 }
--- a/crates/gaparch-node/src/discovery.rs
+++ b/crates/gaparch-node/src/discovery.rs
@@ -1,15 +1,17 @@
 //! The catalogue: the whole list, then one watch after the other on one connection. This task waits for nobody, so
 //! that a watch never lapses.
 
-use crate::link::Link;
+use crate::link::{Link, NoAnswer, NoBody};
 use crate::shared::{Message, Shared};
 use gaparch_platform::body::MOST_BODY;
-use gaparch_platform::catalogue::{list_call, watch_call, Members};
+use gaparch_platform::catalogue::{list_call, watch_call, CatalogueError, Members};
 use gaparch_protocol::list::Scope;
 use gaparch_router::core::ListUpdate;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -19,20 +21,24 @@
 /// notices a silent agent early.
 const WAIT: Duration = Duration::from_millis(1000);
 /// For the answer, beyond the wait: the agent answers immediately.
-const ANSWER: Duration = Duration::from_millis(1000);
+const ANSWER: Duration = Duration::from_millis(800);
+/// For a connection to the agent.
 const CONNECT: Duration = Duration::from_millis(500);
 /// Between two tries.
 const AGAIN: Duration = Duration::from_millis(100);
 /// What there is to tell counts as told so long after the agent had it and could be reached.
 const TOLD: Duration = Duration::from_secs(6);
-/// The longest that a change can be missed: a watch falls silent as it begins, the next connection hangs, the one after
-/// it is asked at the very end of its time. No wait here grows with the number of tries, or this would not be all.
-const MISSED: Duration = Duration::from_millis(
-    (WAIT.as_millis() + ANSWER.as_millis() // the silent watch
-        + 2 * (AGAIN.as_millis() + CONNECT.as_millis()) // two connections, the first in vain
-        + ANSWER.as_millis()) as u64, // the list
-);
-const _: () = assert!(MISSED.as_millis() < TOLD.as_millis());
+/// One connection after a fault, up to the answer of its first call, which does not wait.
+const ONE_TRY: Duration =
+    Duration::from_millis((AGAIN.as_millis() + CONNECT.as_millis() + ANSWER.as_millis()) as u64);
+/// The longest that a change can be missed: a watch falls silent as it begins, the next connection is taken and stays
+/// silent, too, and the one after it answers at the very end of its time. No wait here grows with the number of tries,
+/// or this would not be all.
+const MISSED: Duration =
+    Duration::from_millis((WAIT.as_millis() + ANSWER.as_millis() + 2 * ONE_TRY.as_millis()) as u64);
+/// For a process that gets so little of its core that it comes late to what has arrived.
+const STARVED: Duration = Duration::from_secs(1);
+const _: () = assert!(MISSED.as_millis() + STARVED.as_millis() < TOLD.as_millis());
 
 /// What the module wants of the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -42,39 +48,90 @@
     pub fetches: u64,
 }
 
+/// Why a connection to the agent is given up.
+#[derive(Debug, Error)]
+enum Fault {
+    #[error("can't connect: {0}")]
+    Connect(io::Error),
+    #[error("no connection in time")]
+    ConnectTimeout,
+    #[error("no answer in time")]
+    Silent,
+    #[error("the connection broke: {0}")]
+    Broken(io::Error),
+    #[error(transparent)]
+    Answer(#[from] NoAnswer),
+    #[error("its body: {0}")]
+    Body(#[from] NoBody),
+    #[error("it answers {0}")]
+    Status(u16),
+    #[error(transparent)]
+    List(#[from] CatalogueError),
+    #[error("changes where the whole list was asked for")]
+    NotWhole,
+}
+
+impl Fault {
+    /// Whether the agent was reached and may have told something that was lost: only the whole list makes up for it.
+    fn loses_generation(&self) -> bool {
+        !matches!(self, Fault::Connect(_) | Fault::ConnectTimeout | Fault::Silent)
+    }
+}
+
+/// How far the list is known, across connections.
+#[derive(Debug, Default)]
+struct Progress {
+    /// The agent that `generation` is of.
+    agent: Option<SocketAddr>,
+    generation: Option<u64>,
+    fetched: u64,
+    down: bool,
+}
+
+impl Progress {
+    /// Generations are one agent's: another one has to tell its whole list.
+    fn turn_to(&mut self, agent: SocketAddr) {
+        if self.agent.replace(agent) != Some(agent) {
+            self.generation = None;
+        }
+    }
+}
+
+/// Follows the list for as long as the router runs.
 pub(crate) async fn follow(
     mut address: watch::Receiver<SocketAddr>,
     mut wanted: watch::Receiver<Wanted>,
     shared: Arc<Shared>,
 ) {
-    let mut fetched = 0;
-    let mut generation = None;
-    let mut down = false;
+    let mut progress = Progress::default();
     loop {
-        if wanted.wait_for(|w| w.watch || w.fetches > fetched).await.is_err() {
+        if wanted.wait_for(|w| w.watch || w.fetches > progress.fetched).await.is_err() {
             return;
         }
-        let to = *address.borrow_and_update();
-        let talk = talk(to, &wanted, &mut fetched, &mut generation, &mut down, &shared);
-        let why = tokio::select! {
-            why = talk => match why {
-                Some(why) => why,
-                None => continue,
-            },
+        let agent = *address.borrow_and_update();
+        // Also an address that changed while nothing was asked, between two tries.
+        progress.turn_to(agent);
+        let ended = tokio::select! {
+            ended = talk(agent, &wanted, &mut progress, &shared) => ended,
             changed = address.changed() => {
                 if changed.is_err() {
                     return;
                 }
                 tracing::info!(address = %*address.borrow(), "the catalogue has moved");
-                // Generations are one agent's: the new one tells the whole list.
-                generation = None;
+                // Also the same address again: what an answer was lost with is not known.
+                progress.generation = None;
                 continue;
             }
         };
-        if !down {
-            down = true;
-            tracing::warn!(%why, "the catalogue does not answer");
+        let Err(fault) = ended else { continue };
+        if fault.loses_generation() {
+            progress.generation = None;
+        }
+        if !std::mem::replace(&mut progress.down, true) {
+            tracing::warn!(%fault, "the catalogue does not answer");
             shared.tell(Message::ListDown);
+            // At the start the list as last held serves, once the catalogue is known not to answer.
+            shared.serve_known_list();
         }
         sleep(AGAIN).await;
     }
@@ -82,69 +139,69 @@
 
 /// Talks to an agent until something is wrong, or nothing more is wanted of it.
 async fn talk(
-    to: SocketAddr,
+    agent: SocketAddr,
     wanted: &watch::Receiver<Wanted>,
-    fetched: &mut u64,
-    generation: &mut Option<u64>,
-    down: &mut bool,
+    progress: &mut Progress,
     shared: &Shared,
-) -> Option<String> {
-    let mut link = match timeout(CONNECT, TcpStream::connect(to)).await {
-        Ok(Ok(stream)) => Link::new(stream),
-        Ok(Err(error)) => return Some(error.to_string()),
-        Err(_) => return Some("no connection in time".to_owned()),
-    };
-    let host = to.to_string();
+) -> Result<(), Fault> {
+    let connecting = timeout(CONNECT, TcpStream::connect(agent)).await;
+    let stream = connecting.map_err(|_| Fault::ConnectTimeout)?.map_err(Fault::Connect)?;
+    let mut link = Link::new(stream);
+    let host = agent.to_string();
+    // The first call on a connection is answered at once: a silent one is noticed that much sooner.
+    let mut wait = Duration::ZERO;
     loop {
         let Wanted { watch, fetches } = *wanted.borrow();
-        let after = generation.filter(|_| fetches <= *fetched);
+        let after = progress.generation.filter(|_| fetches <= progress.fetched);
         let call = match after {
-            Some(after) if watch => watch_call(&host, after, WAIT.as_millis() as u64),
-            Some(_) => return None,
+            Some(after) if watch => watch_call(&host, after, wait.as_millis() as u64),
+            Some(_) => return Ok(()),
             None => list_call(&host),
         };
+        let within = if after.is_some() { wait + ANSWER } else { ANSWER };
         let asked = Instant::now();
-        let members = match timeout(WAIT + ANSWER, ask(&mut link, &call)).await {
-            Ok(Ok(members)) => members,
-            Ok(Err(why)) => {
-                // Nonsense, or a broken connection: the whole list tells what was missed.
-                *generation = None;
-                return Some(why);
-            }
-            Err(_) => return Some("silent".to_owned()),
-        };
+        let members = timeout(within, ask(&mut link, &call)).await.map_err(|_| Fault::Silent)??;
         if after.is_none() {
-            *fetched = fetches;
+            progress.fetched = fetches;
             if members.scope != Scope::Full {
-                *generation = None;
-                return Some("changes where the whole list was asked for".to_owned());
+                return Err(Fault::NotWhole);
             }
         }
-        if std::mem::take(down) {
+        if std::mem::take(&mut progress.down) {
             tracing::info!("the catalogue answers");
         }
-        if members.dropped > 0 {
-            tracing::warn!(entries = members.dropped, "entries of the catalogue make no sense");
-        }
         let news = after != Some(members.generation) || !members.entries.is_empty();
-        *generation = Some(members.generation);
+        progress.generation = Some(members.generation);
         if news {
-            let (scope, version) = (members.scope, members.generation);
-            let after = after.unwrap_or(0);
-            shared.tell(Message::List(ListUpdate { scope, version, after, entries: members.entries }));
-        } else if asked.elapsed() < AGAIN {
+            tell(members, after, shared);
+        } else if !wait.is_zero() && asked.elapsed() < AGAIN {
             // An agent that does not wait must not be asked without end; the next call still continues the watch.
             sleep(AGAIN).await;
         }
+        wait = WAIT;
+    }
+}
+
+/// Hands on what the agent has told, first to those who are about to send.
+fn tell(members: Members, after: Option<u64>, shared: &Shared) {
+    if members.dropped > 0 {
+        tracing::warn!(entries = members.dropped, "entries of the catalogue make no sense");
     }
+    shared.ready_workers.update(members.scope, &members.entries);
+    shared.tell(Message::List(ListUpdate {
+        scope: members.scope,
+        version: members.generation,
+        after: after.unwrap_or(0),
+        entries: members.entries,
+    }));
 }
 
-async fn ask(link: &mut Link, call: &str) -> Result<Members, String> {
-    link.stream.write_all(call.as_bytes()).await.map_err(|e| e.to_string())?;
-    let head = link.answer().await.map_err(|e| e.to_string())?;
-    let body = link.body(head.framing, MOST_BODY).await.map_err(|e| e.to_string())?;
+async fn ask(link: &mut Link, call: &str) -> Result<Members, Fault> {
+    link.stream.write_all(call.as_bytes()).await.map_err(Fault::Broken)?;
+    let head = link.answer().await?;
+    let body = link.body(head.framing, MOST_BODY).await?;
     if head.status != 200 {
-        return Err(format!("it answers {}", head.status));
+        return Err(Fault::Status(head.status));
     }
-    Members::read(&body).map_err(|e| e.to_string())
+    Ok(Members::read(&body)?)
 }
--- a/crates/gaparch-node/src/lib.rs
+++ b/crates/gaparch-node/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! | queue or table | bound | full |
 //! | --- | --- | --- |
-//! | messages to the owner | a few for each descriptor | can't be: who sends them holds a descriptor |
+//! | requests that wait for the owner | as many as clients may be connected | the client waits; one that leaves is never told of |
+//! | other messages to the owner | a few for each descriptor | can't be: who sends them holds a descriptor |
 //! | messages of other routers | [`peers::WAITING`] | dropped and counted |
 //! | client connections | their part of the descriptors | the one idle for longest is closed, else the new one |
 //! | connections to workers | their part | an idle one is closed, else the attempt could not connect |
@@ -19,9 +20,12 @@
 mod link;
 mod owner;
 mod peers;
+mod ready_workers;
 mod run;
 mod settings;
 mod shared;
+#[cfg(test)]
+mod test_support;
 mod worker;
 
 pub use run::{run, serve, NodeError, Order};
--- a/crates/gaparch-node/src/owner.rs
+++ b/crates/gaparch-node/src/owner.rs
@@ -39,6 +39,41 @@
     written: watch::Receiver<bool>,
 }
 
+/// What one round of the owner takes.
+#[derive(Default)]
+struct Round {
+    messages: Vec<Message>,
+    heard: Vec<Heard>,
+}
+
+impl Round {
+    /// Waits for a message, another router or the next timer, and takes what there is of all three: where a round takes
+    /// longer than the time to the next timer there is always one due, and nothing else would ever have its turn.
+    /// `false` once nobody is left who could send a message.
+    async fn wait(
+        &mut self,
+        due: Option<Instant>,
+        messages: &mut mpsc::UnboundedReceiver<Message>,
+        heard: &mut mpsc::Receiver<Heard>,
+    ) -> bool {
+        tokio::select! {
+            biased;
+            () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
+            Some(message) = heard.recv() => self.heard.push(message),
+            taken = messages.recv_many(&mut self.messages, BATCH) => if taken == 0 { return false },
+        }
+        while self.messages.len() < BATCH {
+            let Ok(message) = messages.try_recv() else { break };
+            self.messages.push(message);
+        }
+        while self.heard.len() < BATCH {
+            let Ok(message) = heard.try_recv() else { break };
+            self.heard.push(message);
+        }
+        true
+    }
+}
+
 pub(crate) struct Owner {
     core: Core,
     shared: Arc<Shared>,
@@ -101,7 +136,7 @@
         mut messages: mpsc::UnboundedReceiver<Message>,
         mut heard: mpsc::Receiver<Heard>,
     ) {
-        let mut batch = Vec::with_capacity(BATCH);
+        let mut round = Round::default();
         let mut out = Vec::new();
         let mut tidy = interval(TIDY_EVERY);
         let mut summary = interval(SUMMARY_EVERY);
@@ -111,34 +146,40 @@
             let due = self.core.next_at().map(|at| Instant::from_std(self.shared.clock.instant(at)));
             tokio::select! {
                 biased;
-                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
-                    self.lag = self.lag.max(due.map_or(Duration::ZERO, |due| due.elapsed()));
-                }
-                Some(Heard { from, data }) = heard.recv() => {
-                    self.core.handle(self.shared.clock.now(), Input::Peer { from, data }, &mut out);
-                }
-                taken = messages.recv_many(&mut batch, BATCH) => if taken == 0 { return },
-                _ = tidy.tick() => {
-                    self.pool.tidy();
-                    while self.releases.try_join_next().is_some() {}
-                    while self.calls.try_join_next().is_some() {}
-                }
+                there = round.wait(due, &mut messages, &mut heard) => if !there { return },
+                _ = tidy.tick() => self.tidy(),
                 _ = summary.tick() => self.summary(),
             }
-            for message in batch.drain(..) {
+            self.lag = self.lag.max(due.map_or(Duration::ZERO, |due| due.elapsed()));
+            for message in round.messages.drain(..) {
                 self.take(message, &mut out);
                 self.carry_out(&mut out);
             }
+            for Heard { from, data } in round.heard.drain(..) {
+                self.core.handle(self.shared.clock.now(), Input::Peer { from, data }, &mut out);
+            }
             self.core.on_time(self.shared.clock.now(), &mut out);
             self.carry_out(&mut out);
             self.forget();
+            let now = self.shared.clock.now();
+            if !messages.is_empty() || self.core.next_at().is_some_and(|at| at <= now) {
+                // Clients that close, lists and answers are noticed between two rounds, however many there are to do.
+                tokio::task::yield_now().await;
+            }
         }
     }
 
+    fn tidy(&mut self) {
+        self.pool.tidy();
+        while self.releases.try_join_next().is_some() {}
+        while self.calls.try_join_next().is_some() {}
+    }
+
     fn take(&mut self, message: Message, out: &mut Vec<Output>) {
         let now = self.shared.clock.now();
         match message {
-            Message::Ask { id, ask, forward, began, answer } => {
+            Message::Ask { id, ask, forward, began, answer, place } => {
+                drop(place);
                 self.touched.push(id);
                 self.open.insert(id, Open { forward, answer: Some(answer), exchange: None });
                 self.core.handle(now, Input::Ask { id, ask: accepted(&ask, began) }, out);
@@ -164,6 +205,7 @@
                 while self.releases.try_join_next().is_some() {}
                 let _ = reply.send(self.open.len() + self.releases.len());
             }
+            Message::Stop => self.core.handle(now, Input::Stop, out),
             Message::StopNow => self.core.handle(now, Input::StopNow, out),
         }
     }
@@ -235,6 +277,8 @@
             EngineFrame::Read(job) => self.send(server, &job, true),
             EngineFrame::Write { job, .. } => self.send(server, &job, false),
             EngineFrame::Cancel(key) => {
+                // Nobody may be told anything more of it: its client has left, and its attempt's time is up.
+                self.touched.push(RequestId(key.request));
                 let exchange = self.open.get(&RequestId(key.request)).and_then(|o| o.exchange.as_ref());
                 tracing::debug!(target: "gaparch_node::wire", request = key.request, attempt = key.attempt, "called off");
                 exchange.into_iter().filter(|e| e.no.0 == key.attempt).for_each(|e| e.task.abort());
@@ -248,7 +292,10 @@
                 let (pool, shared) = (Arc::clone(&self.pool), Arc::clone(&self.shared));
                 self.calls.spawn(worker::reserve(of, target, written, pool, shared));
             }
-            EngineFrame::Release { request } => self.release(RequestId(request), server),
+            EngineFrame::Release { request } => {
+                self.touched.push(RequestId(request));
+                self.release(RequestId(request), server);
+            }
             EngineFrame::Probe { nonce } => {
                 let (pool, shared) = (Arc::clone(&self.pool), Arc::clone(&self.shared));
                 match self.target(server) {
@@ -302,7 +349,7 @@
             no,
             target,
             reads,
-            wait_ms: ask.patience_ms,
+            give_up_at: self.core.give_up_at(id),
             forward,
             prior,
             write_within: connect_within(settings),
@@ -331,8 +378,12 @@
     /// Drops what the core knows no more.
     fn forget(&mut self) {
         for id in self.touched.drain(..) {
-            if self.core.phase(id).is_none() {
-                self.open.remove(&id);
+            if self.core.phase(id).is_some() {
+                continue;
+            }
+            // Its attempts have ended: only now may another request have its id.
+            if let Some(open) = self.open.remove(&id) {
+                self.shared.give_back(&open.forward.txn);
             }
         }
         if self.open.is_empty() {
@@ -392,3 +443,7 @@
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     line.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or(0)
 }
+
+#[cfg(test)]
+#[path = "owner_tests.rs"]
+mod tests;
--- a/crates/gaparch-node/src/run.rs
+++ b/crates/gaparch-node/src/run.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::time::{sleep, timeout_at, Instant};
 
 /// After SIGTERM new connections keep arriving for up to 0.4 s: until then and a little longer all goes on.
@@ -27,8 +27,9 @@
 const FINISH: Duration = Duration::from_secs(90);
 /// For clients' connections to end after the last answer was given, however late that was.
 const LAST_WORDS: Duration = Duration::from_millis(500);
-/// Where the catalogue is silent at the start, the list as last held serves after this.
-const FIRST_LIST: Duration = Duration::from_millis(800);
+
+/// Between two questions whether anything is open yet.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
 
 /// Why a router can't start.
 #[derive(Debug, Error)]
@@ -112,8 +113,7 @@
     let (owner, messages) = mpsc::unbounded_channel();
     let core = core_config(&config);
     let discovery = watch::Sender::new(config.discovery);
-    let has_list = config.known.is_some();
-    let shared = Arc::new(Shared::new(config, Clock::default(), owner));
+    let shared = Arc::new(Shared::new(config, Clock::default(), owner, budget.most_clients));
     let (said, heard) = mpsc::channel(peers::WAITING);
     if let Some(peers) = &peer_socket {
         tokio::spawn(Arc::clone(peers).hear(said));
@@ -122,13 +122,6 @@
     tokio::spawn(discovery::follow(discovery.subscribe(), wanted.subscribe(), Arc::clone(&shared)));
     let owner = Owner::new(core, Arc::clone(&shared), pool, peer_socket, wanted);
     tokio::spawn(owner.run(messages, heard));
-    if has_list {
-        let shared = Arc::clone(&shared);
-        tokio::spawn(async move {
-            sleep(FIRST_LIST).await;
-            shared.serving();
-        });
-    }
     let clients = Arc::clone(&budget.clients);
     let most_clients = budget.most_clients;
     let accepting = tokio::spawn(client::accept(listener, budget, Arc::clone(&shared)));
@@ -145,29 +138,45 @@
             Err(error) => tracing::error!(%error, "the configuration stays as it was"),
         }
     }
-    tracing::info!("ending: what is open is finished");
     shared.phase.send_replace(Phase::Leaving);
+    tracing::info!("ending: what is open is finished");
     sleep(ARRIVALS).await;
     shared.phase.send_replace(Phase::Closing);
     let _ = accepting.await;
+    finish(&shared, &clients, most_clients).await;
+    tracing::info!("ended");
+    Ok(())
+}
+
+/// Waits for all that is open, within bounds: requests, what is held for them, and the answers on their way to clients.
+async fn finish(shared: &Shared, clients: &Semaphore, most_clients: usize) {
     let until = Instant::now() + FINISH;
-    while Instant::now() < until {
-        match open(&shared).await {
-            Some(open) if open > 0 => sleep(Duration::from_millis(20)).await,
-            _ => break,
-        }
+    let _ = timeout_at(until, nothing_open(shared)).await;
+    // A request may have been read since: what comes from now on is refused, and what came before is waited for.
+    shared.tell(Message::Stop);
+    if timeout_at(until, nothing_open(shared)).await.is_err() {
+        shared.tell(Message::StopNow);
     }
-    shared.tell(Message::StopNow);
     // The last answers are with the clients' tasks, which may still be writing them, and take what comes on connections
     // that they have ended: unread bytes would reset these. Each of them has its own bounds.
     let until = until.max(Instant::now() + LAST_WORDS);
     let _ = timeout_at(until, clients.acquire_many(most_clients as u32)).await;
-    tracing::info!("ended");
-    Ok(())
+    // What was ended by force has left something behind.
+    let _ = timeout_at(Instant::now() + LAST_WORDS, nothing_open(shared)).await;
 }
 
-async fn open(shared: &Shared) -> Option<usize> {
-    let (reply, answer) = oneshot::channel();
-    shared.tell(Message::Open(reply));
-    answer.await.ok()
+/// Waits until no request and no release is open. Without an owner nothing is.
+async fn nothing_open(shared: &Shared) {
+    loop {
+        let (reply, answer) = oneshot::channel();
+        shared.tell(Message::Open(reply));
+        if answer.await.unwrap_or(0) == 0 {
+            return;
+        }
+        sleep(LOOK_EVERY).await;
+    }
 }
+
+#[cfg(test)]
+#[path = "run_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gaparch-node/src/run_tests.rs
@@ -0,0 +1,63 @@
+//! The end of a router, with the test in the owner's place: what it is asked and told, in which order.
+
+use super::{finish, Message, Shared};
+use crate::test_support::shared;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+
+const CLIENTS: usize = 4;
+
+/// The end of a router whose clients have all gone.
+fn ending(shared: &Arc<Shared>) -> JoinHandle<()> {
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move { finish(&shared, &Semaphore::new(CLIENTS), CLIENTS).await })
+}
+
+/// Takes the next message, which must be the question what is open, and answers it.
+async fn asked_what_is_open(messages: &mut UnboundedReceiver<Message>, open: usize) {
+    match messages.recv().await.expect("a message") {
+        Message::Open(reply) => reply.send(open).expect("it is waited for"),
+        other => panic!("not asked what is open: {other:?}"),
+    }
+}
+
+/// A request that is read between the answer 'nothing is open' and the refusal of all new ones has been sent by then.
+#[tokio::test]
+async fn what_comes_as_the_last_question_is_answered_is_waited_for() {
+    let (shared, mut messages) = shared(CLIENTS);
+    let end = ending(&shared);
+    asked_what_is_open(&mut messages, 1).await;
+    asked_what_is_open(&mut messages, 0).await;
+    assert!(matches!(messages.recv().await, Some(Message::Stop)));
+    // The crossing: one was taken just before.
+    asked_what_is_open(&mut messages, 1).await;
+    assert!(!end.is_finished());
+    asked_what_is_open(&mut messages, 0).await;
+    asked_what_is_open(&mut messages, 0).await;
+    end.await.expect("no panic");
+}
+
+/// What had to be ended by force still lets go of what it holds.
+#[tokio::test(start_paused = true)]
+async fn releases_of_what_was_ended_by_force_are_waited_for() {
+    let (shared, mut messages) = shared(CLIENTS);
+    let end = ending(&shared);
+    let mut stopped = false;
+    while !stopped {
+        match messages.recv().await.expect("a message") {
+            // The last question is given up with the wait.
+            Message::Open(reply) => drop(reply.send(1)),
+            Message::StopNow => stopped = true,
+            Message::Stop => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    asked_what_is_open(&mut messages, 1).await;
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    assert!(!end.is_finished());
+    asked_what_is_open(&mut messages, 0).await;
+    end.await.expect("no panic");
+}
--- a/crates/gaparch-node/src/shared.rs
+++ b/crates/gaparch-node/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the tasks of a router share.
 
 use crate::client::Piece;
+use crate::ready_workers::ReadyWorkers;
 use gaparch::api::{AttemptNo, Nanos, RequestId, ServerId, Status};
 use gaparch_net::Clock;
 use gaparch_platform::ask::{Ask, Txn};
@@ -9,7 +10,7 @@
 use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch, OwnedSemaphorePermit, Semaphore};
 
 /// How far a router is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -81,6 +82,8 @@
         forward: Arc<Forward>,
         began: Nanos,
         answer: oneshot::Sender<Answer>,
+        /// Its place in the owner's queue, free again once it is taken.
+        place: OwnedSemaphorePermit,
     },
     Gone(RequestId),
     Worker {
@@ -100,6 +103,9 @@
     ListDown,
     /// How many requests and releases are open.
     Open(oneshot::Sender<usize>),
+    /// Nothing new is taken from now on.
+    Stop,
+    /// What still runs is ended.
     StopNow,
 }
 
@@ -109,14 +115,33 @@
     pub clock: Clock,
     pub owner: mpsc::UnboundedSender<Message>,
     pub phase: watch::Sender<Phase>,
+    pub ready_workers: ReadyWorkers,
+    /// Places of requests in the owner's queue: clients that come and leave faster than it takes them would fill the
+    /// memory otherwise.
+    pub asks: Arc<Semaphore>,
     next_id: AtomicU64,
     open: Mutex<HashSet<Txn>>,
 }
 
 impl Shared {
-    pub fn new(config: NodeConfig, clock: Clock, owner: mpsc::UnboundedSender<Message>) -> Shared {
+    /// `asks`: requests that may wait for the owner.
+    pub fn new(
+        config: NodeConfig,
+        clock: Clock,
+        owner: mpsc::UnboundedSender<Message>,
+        asks: usize,
+    ) -> Shared {
         let phase = watch::Sender::new(Phase::Starting);
-        Shared { config, clock, owner, phase, next_id: AtomicU64::new(1), open: Mutex::default() }
+        Shared {
+            config,
+            clock,
+            owner,
+            phase,
+            ready_workers: ReadyWorkers::default(),
+            asks: Arc::new(Semaphore::new(asks)),
+            next_id: AtomicU64::new(1),
+            open: Mutex::default(),
+        }
     }
 
     pub fn phase(&self) -> Phase {
@@ -132,6 +157,13 @@
         });
     }
 
+    /// The catalogue is silent: where a list was last held, clients may come by that.
+    pub fn serve_known_list(&self) {
+        if self.config.known.is_some() {
+            self.serving();
+        }
+    }
+
     pub fn next_id(&self) -> RequestId {
         RequestId(self.next_id.fetch_add(1, Ordering::Relaxed))
     }
@@ -141,7 +173,7 @@
         let _ = self.owner.send(message);
     }
 
-    /// Takes an id for as long as its request is open; `false` if one of that id is.
+    /// Takes an id until the owner gives it back, when nothing of its request is out any more; `false` if it is taken.
     pub fn take(&self, txn: &Txn) -> bool {
         lock(&self.open).insert(txn.clone())
     }
--- /dev/null
+++ b/crates/gaparch-node/src/test_support.rs
@@ -0,0 +1,18 @@
+//! What the tests inside this crate share: the state of a router whose owner is the test itself.
+
+use crate::shared::{Message, Shared};
+use gaparch_lab::platform::settings;
+use gaparch_net::Clock;
+use gaparch_platform::config::NodeConfig;
+use serde_json::json;
+use std::sync::Arc;
+use tokio::sync::mpsc::{self, UnboundedReceiver};
+
+/// The shared state of a router with a queue for so many requests, and that queue.
+pub(crate) fn shared(asks: usize) -> (Arc<Shared>, UnboundedReceiver<Message>) {
+    let config =
+        json!({"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": settings()});
+    let config = NodeConfig::read(config.to_string().as_bytes(), |_| None).expect("sound");
+    let (owner, messages) = mpsc::unbounded_channel();
+    (Arc::new(Shared::new(config, Clock::default(), owner, asks)), messages)
+}
--- a/crates/gaparch-node/src/worker/exchange.rs
+++ b/crates/gaparch-node/src/worker/exchange.rs
@@ -29,7 +29,8 @@
     pub no: AttemptNo,
     pub target: Target,
     pub reads: bool,
-    pub wait_ms: u32,
+    /// When the client stops waiting for its first token.
+    pub give_up_at: Nanos,
     pub forward: Arc<Forward>,
     /// The attempt before it, which must be off its connection before this one is written.
     pub prior: Option<JoinHandle<()>>,
@@ -104,24 +105,15 @@
 
 async fn attempt(job: &Job, pool: &Pool, shared: &Shared, trace: &mut Trace) -> End {
     let Ok(mut conn) = pool.get(job.target).await else { return End::broken(Status::ConnectFailed) };
-    // Its client may have left while the connection came up: nothing is sent, and nothing has run.
-    if job.forward.is_left() {
-        return End::broken(Status::Moot);
+    // Until the poller has been asked once more, a close or a change of the list that has arrived is not known of.
+    tokio::task::yield_now().await;
+    if let Some(reason) = not_sent(job, shared) {
+        return End::broken(reason);
     }
     trace.idle = conn.idle;
     trace.connected = shared.clock.now();
-    let Forward { target, txn, body, .. } = &*job.forward;
-    let head = job_head(target, txn, &job.target.address.to_string(), job.wait_ms, body.len());
-    // Before its last byte is written a request has not run. A worker that takes none of it must not get the rest when
-    // the time of a drain or of a repeat is over.
-    let mut request = head.chain(&body[..]);
-    let left = Duration::from_nanos(job.write_by.saturating_sub(shared.clock.now()));
-    let within = job.write_within.min(left);
-    if left.is_zero()
-        || !matches!(timeout(within, conn.link.stream.write_all_buf(&mut request)).await, Ok(Ok(())))
-    {
-        let late = shared.clock.now() >= job.write_by;
-        return End::broken(if late { Status::Moot } else { Status::ConnectFailed });
+    if let Err(reason) = write(job, shared, &mut conn).await {
+        return End::broken(reason);
     }
     trace.written = shared.clock.now();
     job.written.send_replace(true);
@@ -151,6 +143,35 @@
     }
 }
 
+/// Why an attempt whose connection is up must not be sent any more, as it is told to the module; nothing has run.
+fn not_sent(job: &Job, shared: &Shared) -> Option<Status> {
+    let now = shared.clock.now();
+    if job.forward.is_left() || now >= job.write_by || now >= job.give_up_at {
+        return Some(Status::Moot);
+    }
+    // Drained or gone since it was decided on, perhaps told in a list that the owner has not come to yet.
+    let ready = shared.ready_workers.may_be_sent_to(job.target.server);
+    (!ready).then_some(Status::ConnectFailed)
+}
+
+/// Writes the request up to its last byte, before which it has not run. A worker that takes none of it must not get the
+/// rest when the time of a drain or of a repeat is over.
+async fn write(job: &Job, shared: &Shared, conn: &mut Conn) -> Result<(), Status> {
+    let Forward { target, txn, body, .. } = &*job.forward;
+    let now = shared.clock.now();
+    // What is left to the client now, not when the attempt was decided on.
+    let wait_ms = Duration::from_nanos(job.give_up_at.saturating_sub(now)).as_millis().max(1);
+    let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
+    let head = job_head(target, txn, &job.target.address.to_string(), wait_ms, body.len());
+    let mut request = head.chain(&body[..]);
+    let within = job.write_within.min(Duration::from_nanos(job.write_by.saturating_sub(now)));
+    match timeout(within, conn.link.stream.write_all_buf(&mut request)).await {
+        Ok(Ok(())) => Ok(()),
+        _ if shared.clock.now() >= job.write_by => Err(Status::Moot),
+        _ => Err(Status::ConnectFailed),
+    }
+}
+
 /// Reads a body of a few figures; without it the connection is of no further use. One that never ends must not hold back
 /// what the head has told: a read state's time runs, and so does the client's.
 async fn figures(mut conn: Conn, head: AnswerHead, within: Duration) -> (Bytes, Option<(Conn, AnswerHead)>) {
--- a/crates/gaparch-node/src/worker/pool.rs
+++ b/crates/gaparch-node/src/worker/pool.rs
@@ -21,6 +21,9 @@
 /// After a kept connection has broken under a request before any answer, kept ones are left alone for so long: on a
 /// network that drops them a quarter of the requests on them were reset, of those on new ones one in twenty.
 const DISTRUST: Duration = Duration::from_secs(2);
+/// Bytes that belong to nobody may follow an answer some milliseconds late. Read on a connection used again by then, they
+/// would pass for the answer to the next request.
+const SETTLE: Duration = Duration::from_millis(20);
 /// A worker not heard from for so long is forgotten here; the list brings it back.
 const FORGET: Duration = Duration::from_secs(60);
 
@@ -92,9 +95,17 @@
         }
         let mut workers = lock(&self.workers);
         let worker = workers.get_mut(&target.server).filter(|w| w.target == target)?;
-        while let Some((mut conn, since)) = worker.idle.pop() {
-            if since.elapsed() < self.idle_for && conn.link.is_quiet() {
-                conn.idle = Some(since.elapsed());
+        // The most recently used first; what has come or closed meanwhile takes its connection with it.
+        let mut at = worker.idle.len();
+        while at > 0 {
+            at -= 1;
+            let idle_for = worker.idle[at].1.elapsed();
+            if idle_for < SETTLE {
+                continue;
+            }
+            let (mut conn, _) = worker.idle.remove(at);
+            if idle_for < self.idle_for && conn.link.is_quiet() {
+                conn.idle = Some(idle_for);
                 return Some(conn);
             }
         }
