A write's connection may not outlast what was read for it

Ruled out: the release itself (answered 1 ms after it was asked for), a release that no worker took (none is logged). Change: a send says by when its last byte has to be out; for a write that is the end of the release time, too, and the shell and the core end the connection's wait there. The plain reference does the same.

--- a/crates/gaparch-node/src/worker/exchange.rs
+++ b/crates/gaparch-node/src/worker/exchange.rs
@@ -1,7 +1,7 @@
 //! One attempt at a worker: its request is written, and what comes back is told to the owner. Nothing is ever sent
 //! again from here.
 
-use super::pool::{Conn, Pool, Target};
+use super::pool::{Conn, NoConnection, Pool, Target};
 use crate::client::Piece;
 use crate::link::NoAnswer;
 use crate::shared::{Forward, Message, Seen, Shared};
@@ -104,7 +104,12 @@
 }
 
 async fn attempt(job: &Job, pool: &Pool, shared: &Shared, trace: &mut Trace) -> End {
-    let Ok(mut conn) = pool.get(job.target).await else { return End::broken(Status::ConnectFailed) };
+    let left = Duration::from_nanos(job.write_by.saturating_sub(shared.clock.now()));
+    let mut conn = match timeout(left, pool.get(job.target)).await {
+        Ok(Ok(conn)) => conn,
+        Ok(Err(NoConnection)) => return End::broken(Status::ConnectFailed),
+        Err(_) => return End::broken(Status::Moot),
+    };
     // Until the poller has been asked once more, a close or a change of the list that has arrived is not known of.
     tokio::task::yield_now().await;
     if let Some(reason) = not_sent(job, shared) {
--- a/crates/gaparch-node/tests/crossings.rs
+++ b/crates/gaparch-node/tests/crossings.rs
@@ -5,7 +5,7 @@
 
 use common::{put, Site};
 use gaparch_lab::platform::{
-    ask, head_and_body, instance, read, stream, until, Catalogue, Got, Platform, Step, Stuck, LONG,
+    ask, head_and_body, instance, read, stream, until, Catalogue, Got, Platform, Seen, Step, Stuck, LONG,
 };
 use gaparch_node::Order;
 use serde_json::{json, Value};
@@ -77,6 +77,25 @@
     assert!(!heard.contains("POST"), "sent to a drained writer: {heard}");
 }
 
+/// The connection may take 3.5 s, what was read has to be let go of within one.
+#[test]
+fn what_was_read_is_let_go_of_in_time_though_a_connection_is_still_coming_up() {
+    let site = Site::with(|config| {
+        patient(config);
+        config["settings"]["familyInfo"]["releaseWithinNs"] = json!(1_000_000_000u64);
+    });
+    let late = Stuck::start();
+    let mut client = waiting_for(&site, &late, "pinned");
+    until("what was read is let go of", || site.released("pinned"));
+    let log = site.floor.log();
+    let first = |of: fn(&Seen) -> bool| log.iter().find(|(_, seen)| of(seen)).expect("it is there").0;
+    let read_at = first(|seen| matches!(seen, Seen::Asked { .. }));
+    let held = first(|seen| matches!(seen, Seen::Released { .. })) - read_at;
+    assert!(held < ms(1000) + SLACK, "{held:?}");
+    assert!(matches!(read(&mut client, LONG).status, 429 | 503));
+    assert!(!late.heard_within(ms(2500)).contains("POST"));
+}
+
 /// Generations are one agent's. The address changes while nothing is asked: between two tries.
 #[test]
 fn a_catalogue_that_moves_between_two_tries_is_asked_for_its_whole_list() {
--- a/crates/gaparch-router/src/core/actions.rs
+++ b/crates/gaparch-router/src/core/actions.rs
@@ -73,7 +73,8 @@
             if let Some(attempt) = live.attempt.as_mut() {
                 attempt.waits = true;
             }
-            self.timers.set(now.saturating_add(self.config.module.connect_timeout), Timer::Connect(id, no));
+            let until = now.saturating_add(self.config.module.connect_timeout).min(by);
+            self.timers.set(until, Timer::Connect(id, no));
         } else {
             self.close_by(id, no, Status::ConnectFailed);
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -467,7 +467,7 @@
         let Some((_, since)) = work.state.filter(|_| work.sent.is_none()) else { return };
         let patience = (self.set.release_within as f64 * RELEASE_SHARE) as Nanos;
         let must = self.now.saturating_add(self.look_within()) >= since.saturating_add(patience);
-        let over = self.now > since && self.now >= since.saturating_add(self.set.release_within);
+        let over = self.now > since && self.now >= work.release_by(self.set.release_within);
         if let Some(server) = self.pick_writer(work, must).filter(|_| !over) {
             self.send(id, Sent::to(server, Stage::Write));
         } else if must {
@@ -540,7 +540,8 @@
         work.sent = Some(sent);
         let safe = stage == Stage::Read || self.set.classes[work.request.class.0].effect == Effect::Safe;
         let timeout = if self.set.cancel || !safe { 0 } else { blind };
-        let by = self.works.get(&id).map_or(Nanos::MAX, |w| self.repeat_by(w));
+        let within = self.set.release_within.max(self.look_within());
+        let by = self.works.get(&id).map_or(Nanos::MAX, |w| self.repeat_by(w).min(w.release_by(within)));
         self.works.note(&id);
         self.out.push(Action::Send { id, server, timeout, by });
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -506,6 +506,11 @@
 }
 
 impl Work {
+    /// When what was read for it has to be taken or let go of, which is within so long after its read.
+    pub fn release_by(&self, within: Nanos) -> Nanos {
+        self.state.map_or(Nanos::MAX, |(_, since)| since.saturating_add(within))
+    }
+
     pub fn new(
         request: Request,
         now: Nanos,
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -429,7 +429,10 @@
         let timeout = if self.set.cancel || !safe { 0 } else { BLIND_PATIENCE.max(patience) };
         let ran =
             work.may_have_run.map(|ran| ran.at.saturating_add(self.set.classes[work.request.class.0].window));
-        let by = ran.unwrap_or(Nanos::MAX);
+        let within = self.set.release_within.max(2 * self.set.tick).max(TICK);
+        let state = self.works.get(&id).and_then(|w| w.state);
+        let release_by = state.map_or(Nanos::MAX, |(_, since)| since.saturating_add(within));
+        let by = ran.unwrap_or(Nanos::MAX).min(release_by);
         self.out.push(Action::Send { id, server, timeout, by });
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -215,25 +215,46 @@
     assert_eq!((r.now - read_at) / MS, 500);
 }
 
+fn send_by(done: &[Action]) -> Nanos {
+    let by = |a: &Action| if let Action::Send { by, .. } = a { Some(*by) } else { None };
+    done.iter().find_map(by).expect("a send")
+}
+
+/// Its connection may take longer than what was read may still wait.
+#[test]
+fn a_write_says_by_when_what_was_read_has_to_be_taken_or_let_go_of() {
+    let mut r = Router::new(settings(), pairs());
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    let read_at = r.now;
+    let written = r.outcome(1, reader, Status::Read);
+    assert_eq!(send_by(&written), read_at + 500 * MS);
+    r.pass(400 * MS);
+    // No writer was reached: the time has not begun again.
+    let again = r.outcome(1, sent_to(&written).expect("a write"), Status::ConnectFailed);
+    assert_eq!(send_by(&again), read_at + 500 * MS);
+    let too_late = r.outcome(1, sent_to(&again).expect("a write"), Status::Moot);
+    assert!(refused(&too_late, 1) && released(&too_late, 1), "{too_late:?}");
+}
+
 /// Found by reading: a repeat was judged when it was decided, and its connection could outlast its window.
 #[test]
 fn a_repeat_says_by_when_its_last_byte_has_to_be_out() {
-    let keyed = Settings { classes: vec![class(Effect::Keyed, Group::All)], ..settings() };
+    let classes = vec![class(Effect::Keyed, Group::All)];
+    let keyed = Settings { classes, release_within: 5 * S, ..settings() };
     let mut r = Router::new(keyed, pairs());
-    let by = |done: &[Action]| {
-        done.iter()
-            .find_map(|a| if let Action::Send { by, .. } = a { Some(*by) } else { None })
-            .expect("a send")
-    };
     let asked = r.ask(1);
-    assert_eq!(by(&asked), Nanos::MAX, "a read has no effect");
+    assert_eq!(send_by(&asked), Nanos::MAX, "a read has no effect");
     let reader = sent_to(&asked).expect("a read");
     let written = r.outcome(1, reader, Status::Read);
-    assert_eq!(by(&written), Nanos::MAX, "nothing has run yet");
     let first = r.now;
+    assert_eq!(
+        send_by(&written),
+        first + 5 * S,
+        "nothing has run yet: what was read is to be let go of then"
+    );
     r.pass(300 * MS);
     let again = r.outcome(1, sent_to(&written).expect("a write"), Status::Reset);
-    assert_eq!(by(&again), first + 2 * S, "the window counts from the send that may have run");
+    assert_eq!(send_by(&again), first + 2 * S, "the window counts from the send that may have run");
 }
 
 // 4: cold servers.
