Connections of probes and releases are used again at once

A read follows the probe of its home within some milliseconds, and then opened a connection of its own, which costs its worker a handshake. At fault: Pool::put, which treated a call like an attempt; only answers to requests are followed by others. Change: what the last exchange was says whether a connection rests; kept connections are a named type. Measured: the pool's test asks for both; all tests of the crate hold. Conclusion: only what may be followed by a late answer rests.

--- a/crates/gaparch-node/src/worker/calls.rs
+++ b/crates/gaparch-node/src/worker/calls.rs
@@ -1,6 +1,6 @@
 //! Calls without a body: probes, and what is held.
 
-use super::pool::{Conn, NoConnection, Pool, Target};
+use super::pool::{Conn, LastExchange, NoConnection, Pool, Target};
 use crate::shared::{Message, Seen, Shared};
 use bytes::Bytes;
 use gaparch::api::{AttemptNo, RequestId, Status};
@@ -24,7 +24,7 @@
     let answer = conn.link.answer().await.ok()?;
     pool.heard(conn.target);
     if conn.link.body(answer.framing, MOST_BODY).await.is_ok() {
-        pool.put(conn, &answer);
+        pool.put(conn, &answer, LastExchange::Call);
     }
     Some(answer.status)
 }
--- a/crates/gaparch-node/src/worker/exchange.rs
+++ b/crates/gaparch-node/src/worker/exchange.rs
@@ -1,7 +1,7 @@
 //! One attempt at a worker: its request is written, and what comes back is told to the owner. Nothing is ever sent
 //! again from here.
 
-use super::pool::{Conn, NoConnection, Pool, Target};
+use super::pool::{Conn, LastExchange, NoConnection, Pool, Target};
 use crate::client::Piece;
 use crate::link::NoAnswer;
 use crate::shared::{Forward, Message, Seen, Shared};
@@ -102,7 +102,7 @@
         "exchange"
     );
     if let Some((conn, head)) = end.conn {
-        pool.put(conn, &head);
+        pool.put(conn, &head, LastExchange::Attempt);
     }
     if let Some(seen) = end.seen {
         shared.tell(Message::Worker { server: job.target.server, id: job.id, no: job.no, at, seen });
--- a/crates/gaparch-node/src/worker/pool.rs
+++ b/crates/gaparch-node/src/worker/pool.rs
@@ -49,7 +49,25 @@
 struct Worker {
     target: Target,
     heard: Instant,
-    idle: Vec<(Conn, Instant)>,
+    idle: Vec<Kept>,
+}
+
+/// A connection that carries nothing now.
+#[derive(Debug)]
+struct Kept {
+    conn: Conn,
+    since: Instant,
+    /// What may follow its last answer has come by then.
+    settled_at: Instant,
+}
+
+/// What the last exchange on a connection was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LastExchange {
+    /// An attempt of a request, whose answer may be followed by another some milliseconds late.
+    Attempt,
+    /// A call without a body, as a probe or a release.
+    Call,
 }
 
 /// Why there is no connection. Nothing was sent.
@@ -104,11 +122,11 @@
         let mut at = worker.idle.len();
         while at > 0 {
             at -= 1;
-            let idle_for = worker.idle[at].1.elapsed();
-            if idle_for < SETTLE {
+            if worker.idle[at].settled_at > Instant::now() {
                 continue;
             }
-            let (mut conn, _) = worker.idle.remove(at);
+            let Kept { mut conn, since, .. } = worker.idle.remove(at);
+            let idle_for = since.elapsed();
             if idle_for < self.idle_for && conn.link.is_quiet() {
                 conn.idle = Some(idle_for);
                 return Some(conn);
@@ -123,7 +141,7 @@
             return Some(place);
         }
         let mut workers = lock(&self.workers);
-        let oldest = workers.values_mut().filter(|w| !w.idle.is_empty()).min_by_key(|w| w.idle[0].1)?;
+        let oldest = workers.values_mut().filter(|w| !w.idle.is_empty()).min_by_key(|w| w.idle[0].since)?;
         drop(oldest.idle.remove(0));
         drop(workers);
         Arc::clone(&self.places).try_acquire_owned().ok()
@@ -151,7 +169,7 @@
 
     /// Takes back a connection after an answer, if it can be used again: what follows an answer belongs to nobody, and
     /// the connection goes with it.
-    pub fn put(&self, mut conn: Conn, last: &AnswerHead) {
+    pub fn put(&self, mut conn: Conn, last: &AnswerHead, exchange: LastExchange) {
         if last.close || !conn.link.buf.is_empty() {
             return;
         }
@@ -163,7 +181,9 @@
         if worker.idle.len() >= MOST_IDLE {
             worker.idle.remove(0);
         }
-        worker.idle.push((conn, Instant::now()));
+        let since = Instant::now();
+        let settled_at = if exchange == LastExchange::Attempt { since + SETTLE } else { since };
+        worker.idle.push(Kept { conn, since, settled_at });
     }
 
     /// When that process last answered anything, if it is still known.
@@ -181,7 +201,7 @@
     pub fn tidy(&self) {
         let idle_for = self.idle_for;
         lock(&self.workers).retain(|_, worker| {
-            worker.idle.retain(|(conn, since)| since.elapsed() < idle_for && conn.link.is_quiet());
+            worker.idle.retain(|kept| kept.since.elapsed() < idle_for && kept.conn.link.is_quiet());
             worker.idle.shrink_to(4);
             !worker.idle.is_empty() || worker.heard.elapsed() < FORGET
         });
--- a/crates/gaparch-node/src/worker/pool_tests.rs
+++ b/crates/gaparch-node/src/worker/pool_tests.rs
@@ -1,6 +1,6 @@
 //! Kept connections on which something comes in the moment of their use.
 
-use super::{AnswerHead, Pool, Target, SETTLE};
+use super::{AnswerHead, LastExchange, Pool, Target, SETTLE};
 use bytes::BytesMut;
 use gaparch::api::ServerId;
 use gaparch_platform::head::take_answer;
@@ -24,7 +24,7 @@
     let conn = pool.fresh(target).await.expect("it listens");
     let (socket, _) = listener.accept().expect("accepted");
     pool.heard(target);
-    pool.put(conn, &answer_head());
+    pool.put(conn, &answer_head(), LastExchange::Attempt);
     tokio::time::sleep(SETTLE * 2).await;
     (pool, target, listener, socket)
 }
@@ -34,9 +34,13 @@
     let (pool, target, _listener, _socket) = kept().await;
     let conn = pool.get(target).await.expect("it is kept");
     assert!(conn.idle.is_some());
-    pool.put(conn, &answer_head());
+    pool.put(conn, &answer_head(), LastExchange::Attempt);
     // Bytes that belong to nobody may still be on their way.
     assert!(pool.idle(target).is_none());
+    // Behind a probe none are, and the read that was probed for follows at once.
+    let conn = pool.fresh(target).await.expect("it listens");
+    pool.put(conn, &answer_head(), LastExchange::Call);
+    assert!(pool.idle(target).is_some());
 }
 
 /// Nothing is awaited between the worker's write or close and the use: the poller does not know of it yet.
