--- a/crates/gaparch-lab/src/fleet/day.rs
+++ b/crates/gaparch-lab/src/fleet/day.rs
@@ -27,7 +27,7 @@
 pub struct Day {
     #[serde(rename = "@name")]
     pub name: String,
-    /// The sentence that it proves.
+    /// The statement that it proves.
     #[serde(rename = "@says")]
     pub says: String,
     #[serde(rename = "@routers")]
--- a/crates/gaparch-lab/src/fleet/mod.rs
+++ b/crates/gaparch-lab/src/fleet/mod.rs
@@ -2,18 +2,21 @@
 //!
 //! [`world`] plays the membership core alone, in virtual time, at any size. The rest plays processes of the built
 //! program: [`day`] says what is done when and what has to be seen by when, [`relay`] stands between any two routers and
-//! [`streams`] between a router and all else, as [`faults`] says; [`process`] starts, stops and kills them, [`rig`] plays a day, and [`sentence`] judges what was seen. [`lying`] is a disk that lies, [`liar`] a router that does,
-//! [`picture`] draws who thought what of whom.
+//! [`streams`] between a router and all else, as [`faults`] says; [`process`] starts, stops and kills them, and [`rig`]
+//! plays a day. [`observations`] are what was seen of it, [`invariants`] judges them, and [`report`] says what came of
+//! it. [`lying`] is a disk that lies, [`liar`] a router that does, [`picture`] draws who thought what of whom.
 
 pub mod day;
 pub mod days;
 pub mod faults;
+pub mod invariants;
 pub mod liar;
 pub mod lying;
+pub mod observations;
 pub mod picture;
 pub mod process;
 pub mod relay;
+pub mod report;
 pub mod rig;
-pub mod sentence;
 pub mod streams;
 pub mod world;
--- a/crates/gaparch-lab/src/fleet/picture.rs
+++ b/crates/gaparch-lab/src/fleet/picture.rs
@@ -1,6 +1,7 @@
 //! Draws who thought what of whom over a day.
 
-use super::sentence::{Life, Look, Report};
+use super::observations::{Life, Look};
+use super::report::Report;
 use crate::site::Site;
 use gaparch_protocol::fleet::MemberState;
 use plotters::prelude::*;
--- a/crates/gaparch-lab/src/fleet/rig.rs
+++ b/crates/gaparch-lab/src/fleet/rig.rs
@@ -6,10 +6,12 @@
 
 use super::day::{Day, Deed, DeedKind, Listed, Wanted};
 use super::faults::{End, Faults, Way};
+use super::invariants;
 use super::liar::Liar;
+use super::observations::{Given, Heard, Life, ListedNow, Look, Seen, Stale};
 use super::process::Process;
 use super::relay::Relays;
-use super::sentence::{self, Given, Heard, Life, ListedNow, Look, Report, Seen, Stale};
+use super::report::Report;
 use super::streams::{Streams, Witness};
 use crate::badday;
 use crate::checker;
@@ -529,7 +531,7 @@
         self.find_stale();
         let verdict = checker::check_entries(&self.site.record.entries(), &badday::figures(self.site.plan()));
         let seen = std::mem::take(&mut *self.seen.lock().unwrap_or_else(PoisonError::into_inner));
-        Ok(sentence::judge(&self.day, seen, verdict, answered))
+        Ok(invariants::judge(&self.day, seen, verdict, answered))
     }
 }
 
