Leaving as writers come back, and ten processes that restart at once, have tests

Change: 200 clients wait for a writer and leave as writers are listed again, in both orders, judged from the workers' log; ten processes are killed under load and start again together while the catalogue is silent, closed or talks nonsense. Neither fails on a program before: they hold terms, they prove no mend.

--- a/crates/gaparch-cli/tests/node.rs
+++ b/crates/gaparch-cli/tests/node.rs
@@ -7,7 +7,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::Deref;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -506,6 +506,51 @@
     assert_eq!(floor.asked().len(), 2);
 }
 
+/// A router that has a list as last held, and finds this catalogue.
+fn with_known_list(discovery: SocketAddr) -> Site {
+    let floor = Floor::default();
+    let (reader, writer) = (Worker::reader("r-1", &floor), Worker::writer("w-1", &floor));
+    let entries = [instance(&reader, "prefill", "ready"), instance(&writer, "decode", "ready")];
+    Site::with(|config| {
+        config["discovery"] = json!(discovery.to_string());
+        config["known"] = json!({"generation": 7, "reset": true, "instances": entries});
+    })
+}
+
+/// Ten processes are killed under load and start again at once, while the catalogue is silent, refuses or talks nonsense.
+#[test]
+fn nine_of_ten_processes_that_restart_together_are_ready_in_time_whatever_the_catalogue_does() {
+    const READY_WITHIN: Duration = Duration::from_secs(10);
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let closed = TcpListener::bind("127.0.0.1:0").expect("a free port").local_addr().expect("its address");
+    let nonsense = Catalogue::start(Vec::new());
+    nonsense.nonsense(Some("{\"generation\": \"many\"}"));
+    for discovery in [silent.local_addr().expect("its address"), closed, nonsense.address] {
+        let starting: Vec<_> =
+            (0..10).map(|_| std::thread::spawn(move || with_known_list(discovery))).collect();
+        let mut sites: Vec<Site> =
+            starting.into_iter().map(|site| site.join().expect("it is ready")).collect();
+        for site in &mut sites {
+            let mut client = TcpStream::connect(site.listen).expect("it listens");
+            client.write_all(&head_and_body("in-flight", "{}")).expect("written");
+            site.router.kill().expect("it runs");
+            site.router.wait().expect("it was started");
+        }
+        let from = Instant::now();
+        sites.iter_mut().for_each(|site| site.router = start(&site.platform.file));
+        let late = sites.iter().filter(|site| {
+            while site.health() != 200 && from.elapsed() < READY_WITHIN {
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            from.elapsed() >= READY_WITHIN
+        });
+        assert!(late.count() <= 1, "{discovery}");
+        println!("{discovery}: all but one ready after {:?}", from.elapsed());
+        // A request of the same id is another process's now.
+        assert_eq!(ask(sites[0].listen, "in-flight").status, 200);
+    }
+}
+
 #[test]
 fn a_configuration_that_cant_be_used_is_one_line_with_file_and_field_and_code_two() {
     let sound =
--- a/crates/gaparch-node/tests/crossings.rs
+++ b/crates/gaparch-node/tests/crossings.rs
@@ -5,7 +5,8 @@
 
 use common::{put, Site};
 use gaparch_lab::platform::{
-    ask, head_and_body, instance, read, stream, until, Catalogue, Got, Platform, Seen, Step, Stuck, LONG,
+    ask, head_and_body, instance, judge, read, stream, until, Catalogue, Facts, Got, Platform, Seen, Step,
+    Stuck, LONG,
 };
 use gaparch_node::Order;
 use serde_json::{json, Value};
@@ -130,6 +131,47 @@
     assert_eq!(read(&mut client, LONG).status, 200);
 }
 
+/// Two hundred clients wait for a writer. They leave as writers are listed again, in both orders: the owner has all of
+/// their requests, their leaving and the list to take at once.
+#[test]
+fn clients_that_leave_as_writers_come_back_are_not_sent_on() {
+    for leave_first in [true, false] {
+        let site = Site::with(|config| config["limits"]["sockets"] = json!(1024));
+        let list = Platform::list(&site.readers, &site.writers);
+        site.tell(Platform::without_writers(&list));
+        let waiting: Vec<(String, TcpStream)> = (0..200)
+            .map(|number| {
+                let txn = format!("left-{number}");
+                let mut client = TcpStream::connect(site.listen).expect("it listens");
+                client.write_all(&head_and_body(&txn, "{}")).expect("written");
+                (txn, client)
+            })
+            .collect();
+        assert_eq!(site.health(), 200);
+        if !leave_first {
+            site.catalogue.set(list.clone());
+            until("the first is sent on", || !site.floor.asked().is_empty());
+        }
+        let mut facts = Facts::default();
+        for (txn, client) in waiting {
+            drop(client);
+            facts.left.insert(txn, Instant::now() + SLACK);
+        }
+        if leave_first {
+            site.catalogue.set(list);
+        }
+        until("others are served", || ask(site.listen, "next").status == 200);
+        let log = site.floor.log();
+        assert_eq!(judge(&log, &facts), Vec::<String>::new(), "they leave first: {leave_first}");
+        let lag = |(at, seen): &(Instant, Seen)| match seen {
+            Seen::Asked { txn, .. } => Some(at.saturating_duration_since(*facts.left.get(txn)? - SLACK)),
+            _ => None,
+        };
+        let worst = log.iter().filter_map(lag).max();
+        println!("from a close to the last send, they leave first: {leave_first}: {worst:?}");
+    }
+}
+
 /// Generations are one agent's. The address changes while nothing is asked: between two tries.
 #[test]
 fn a_catalogue_that_moves_between_two_tries_is_asked_for_its_whole_list() {
