A long list is read as it comes, bounded by memory, and refused with back-off

Cause: seen on a real process with a catalogue stand-in, ready at once at 1,700 workers (255 KB of list), never at 2,500: discovery.rs gave the protocol's 256 KiB (MOST_BODY) as the bound of a list too, copied it whole before it was parsed, and asked again every 100 ms. The core also dropped all past 10,000 engines, old ones of a replaced list included (roster.rs, MOST_ENGINES).

Change: MembersReader parses each entry at its last byte; ListLimits follow from limits.memory_mb (half of it, 2 KiB a worker, 512 bytes of text an entry, never under 2,000 entries); an answer that can't be taken is asked for again after 0.1 s doubling to 0.8 s with jitter, which is less than a watch's wait and so within the 6 s; faults are logged once in 10 s, with what follows from them; other tasks get a turn every 64 KiB. 65,536 engines may be known at once.

--- a/crates/gaparch-node/src/discovery.rs
+++ b/crates/gaparch-node/src/discovery/mod.rs
@@ -1,10 +1,16 @@
 //! The catalogue: the whole list, then one watch after the other on one connection. This task waits for nobody, so
 //! that a watch never lapses.
 
-use crate::link::{Link, NoAnswer, NoBody};
-use crate::shared::{Message, Shared};
-use gaparch_platform::body::MOST_BODY;
-use gaparch_platform::catalogue::{list_call, watch_call, CatalogueError, Members};
+mod backoff;
+
+use crate::link::{Link, NoAnswer};
+use crate::shared::{Message, Phase, Shared};
+use backoff::Backoff;
+use gaparch_platform::body::{Body, BodyError, Part};
+use gaparch_platform::catalogue::{
+    list_call, watch_call, CatalogueError, ListLimits, Members, MembersReader,
+};
+use gaparch_platform::head::AnswerHead;
 use gaparch_protocol::list::Scope;
 use gaparch_router::core::ListUpdate;
 use std::io;
@@ -40,6 +46,11 @@
 const STARVED: Duration = Duration::from_secs(1);
 const _: () = assert!(MISSED.as_millis() + STARVED.as_millis() < TOLD.as_millis());
 
+/// Between two log lines on a catalogue that stays out of reach or refuses.
+const LOG_EVERY: Duration = Duration::from_secs(10);
+/// Bytes of a list that are parsed before other tasks get a turn.
+const YIELD_AFTER: usize = 64 * 1024;
+
 /// What the module wants of the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Wanted {
@@ -61,8 +72,10 @@
     Broken(io::Error),
     #[error(transparent)]
     Answer(#[from] NoAnswer),
-    #[error("its body: {0}")]
-    Body(#[from] NoBody),
+    #[error("its body can't be read: {0}")]
+    Body(#[from] BodyError),
+    #[error("the connection ended within the list")]
+    ListCutOff,
     #[error("it answers {0}")]
     Status(u16),
     #[error(transparent)]
@@ -76,6 +89,11 @@
     fn loses_generation(&self) -> bool {
         !matches!(self, Fault::Connect(_) | Fault::ConnectTimeout | Fault::Silent)
     }
+
+    /// Whether the agent has answered with what can't be taken: it would do so again at once.
+    fn refuses_list(&self) -> bool {
+        matches!(self, Fault::Body(_) | Fault::Status(_) | Fault::List(_) | Fault::NotWhole)
+    }
 }
 
 /// How far the list is known, across connections.
@@ -86,6 +104,8 @@
     generation: Option<u64>,
     fetched: u64,
     down: bool,
+    /// When a fault was last logged.
+    logged: Option<Instant>,
 }
 
 impl Progress {
@@ -95,6 +115,16 @@
             self.generation = None;
         }
     }
+
+    /// Whether a fault is to be logged now, which is so at the first one and then once in [`LOG_EVERY`].
+    fn may_log(&mut self) -> bool {
+        let now = Instant::now();
+        let may = self.logged.is_none_or(|at| now >= at + LOG_EVERY);
+        if may {
+            self.logged = Some(now);
+        }
+        may
+    }
 }
 
 /// Follows the list for as long as the router runs.
@@ -104,6 +134,7 @@
     shared: Arc<Shared>,
 ) {
     let mut progress = Progress::default();
+    let mut backoff = Backoff::new(shared.config.site.settings.seed);
     loop {
         if wanted.wait_for(|w| w.watch || w.fetches > progress.fetched).await.is_err() {
             return;
@@ -127,13 +158,24 @@
         if fault.loses_generation() {
             progress.generation = None;
         }
-        if !std::mem::replace(&mut progress.down, true) {
-            tracing::warn!(%fault, "the catalogue does not answer");
+        let first = !std::mem::replace(&mut progress.down, true);
+        if progress.may_log() {
+            let waiting = shared.phase() == Phase::Starting;
+            let consequence =
+                if waiting { "waiting for a first list" } else { "the last list stays in force" };
+            tracing::warn!(%agent, %fault, "the catalogue's list is not to be had: {consequence}");
+        }
+        if first {
             shared.tell(Message::ListDown);
             // At the start the list as last held serves, once the catalogue is known not to answer.
             shared.serve_known_list();
         }
-        sleep(AGAIN).await;
+        if fault.refuses_list() {
+            sleep(backoff.wait()).await;
+        } else {
+            backoff.reset();
+            sleep(AGAIN).await;
+        }
     }
 }
 
@@ -160,7 +202,8 @@
         };
         let within = if after.is_some() { wait + ANSWER } else { ANSWER };
         let asked = Instant::now();
-        let members = timeout(within, ask(&mut link, &call)).await.map_err(|_| Fault::Silent)??;
+        let limits = shared.config.list_limits;
+        let members = timeout(within, ask(&mut link, &call, limits)).await.map_err(|_| Fault::Silent)??;
         if after.is_none() {
             progress.fetched = fetches;
             if members.scope != Scope::Full {
@@ -196,12 +239,37 @@
     }));
 }
 
-async fn ask(link: &mut Link, call: &str) -> Result<Members, Fault> {
+async fn ask(link: &mut Link, call: &str, limits: ListLimits) -> Result<Members, Fault> {
     link.stream.write_all(call.as_bytes()).await.map_err(Fault::Broken)?;
     let head = link.answer().await?;
-    let body = link.body(head.framing, MOST_BODY).await?;
     if head.status != 200 {
         return Err(Fault::Status(head.status));
     }
-    Ok(Members::read(&body)?)
+    read_members(link, head, limits).await
+}
+
+/// Reads a list as it comes: no copy of it is kept.
+async fn read_members(link: &mut Link, head: AnswerHead, limits: ListLimits) -> Result<Members, Fault> {
+    let mut body = Body::within(head.framing, limits.bytes);
+    let mut members = MembersReader::new(limits);
+    let mut unyielded = 0;
+    loop {
+        match body.next(&mut link.buf)? {
+            Part::Data(data) => {
+                members.push(&data)?;
+                unyielded += data.len();
+            }
+            Part::End => break,
+            Part::Wait if link.more().await => {}
+            Part::Wait if body.ends_with_connection() => break,
+            Part::Wait => return Err(Fault::ListCutOff),
+        }
+        if unyielded >= YIELD_AFTER {
+            // Streams must not wait for a long list.
+            unyielded = 0;
+            tokio::task::yield_now().await;
+        }
+    }
+    link.trim();
+    Ok(members.finish()?)
 }
--- a/crates/gaparch-node/tests/common/mod.rs
+++ b/crates/gaparch-node/tests/common/mod.rs
@@ -1,4 +1,5 @@
-//! A router's shell on a thread of its own, on the scripted platform.
+//! A router's shell on a thread of its own, on the scripted platform. Each test file uses a part of it.
+#![allow(dead_code)]
 
 use gaparch_lab::platform::{until, Platform, Step};
 use gaparch_node::{serve, NodeError, Order};
--- a/crates/gaparch-platform/src/body.rs
+++ b/crates/gaparch-platform/src/body.rs
@@ -56,17 +56,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Body {
     state: State,
+    /// Bytes of one chunk at most.
+    most_chunk: u64,
 }
 
 impl Body {
+    /// A body of the protocol's length.
     pub fn new(framing: Framing) -> Body {
+        Body::within(framing, MOST_BODY)
+    }
+
+    /// A body whose chunks have at most so many bytes.
+    pub fn within(framing: Framing, most_chunk: usize) -> Body {
         let state = match framing {
             Framing::Length(0) => State::Done,
             Framing::Length(length) => State::Left(length),
             Framing::Chunked => State::Size,
             Framing::UntilClose => State::UntilClose,
         };
-        Body { state }
+        Body { state, most_chunk: most_chunk as u64 }
     }
 
     pub fn is_whole(&self) -> bool {
@@ -112,7 +120,7 @@
                     let Some(line) = line(bytes).map_err(|()| BodyError::Size)? else {
                         return Ok(Part::Wait);
                     };
-                    self.state = match size(&line)? {
+                    self.state = match size(&line, self.most_chunk)? {
                         0 => State::Trailer(0),
                         size => State::Chunk(size),
                     };
@@ -152,7 +160,7 @@
 }
 
 /// A chunk's size; extensions are skipped.
-fn size(line: &[u8]) -> Result<u64, BodyError> {
+fn size(line: &[u8], most: u64) -> Result<u64, BodyError> {
     let digits = line.split(|b| *b == b';').next().unwrap_or_default();
     let digits = std::str::from_utf8(digits).map_err(|_| BodyError::Size)?.trim_end();
     if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
@@ -160,7 +168,7 @@
     }
     // So many digits that they overflow are a size, but none that any body has.
     let size = u64::from_str_radix(digits, 16).map_err(|_| BodyError::TooLarge)?;
-    if size > MOST_BODY as u64 {
+    if size > most {
         return Err(BodyError::TooLarge);
     }
     Ok(size)
--- a/crates/gaparch-platform/src/config.rs
+++ b/crates/gaparch-platform/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration that the platform gives a router at its start, and again at each SIGHUP.
 
-use crate::catalogue::Members;
+use crate::catalogue::{ListLimits, Members};
 use gaparch_site::Site;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -10,6 +10,9 @@
 const LEAST_SOCKETS: u64 = 32;
 /// Where no limit is told.
 const SOCKETS: u64 = 256;
+/// Mebibytes of memory where no limit is told.
+const MEMORY_MB: f64 = 64.0;
+const MEBIBYTE: f64 = 1_048_576.0;
 
 /// What is wrong with a configuration, by field.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -29,6 +32,8 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub sockets: usize,
+    /// What a list may hold, by the memory limit.
+    pub list_limits: ListLimits,
     pub peers: Option<Peers>,
     /// The list as this router last held it.
     pub known: Option<Members>,
@@ -84,11 +89,19 @@
                 .filter(|n| *n >= LEAST_SOCKETS)
                 .ok_or(ConfigError::Wrong { field: "limits.sockets", wanted: "a whole number from 32" })?,
         };
+        let memory_mb = match &all["limits"]["memory_mb"] {
+            Value::Null => MEMORY_MB,
+            value => value
+                .as_f64()
+                .filter(|mb| *mb > 0.0)
+                .ok_or(ConfigError::Wrong { field: "limits.memory_mb", wanted: "a number above 0" })?,
+        };
         Ok(NodeConfig {
             name: text("name")?,
             listen: address("listen")?,
             discovery: address("discovery")?,
             sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
+            list_limits: ListLimits::within_memory((memory_mb * MEBIBYTE) as usize),
             peers: peers(&all)?,
             // An old list that can't be read is none: the catalogue tells.
             known: Members::from_value(&all["known"]).ok(),
--- a/crates/gaparch-router/src/core/roster.rs
+++ b/crates/gaparch-router/src/core/roster.rs
@@ -22,8 +22,9 @@
     pub entries: Vec<ListEntry>,
 }
 
-/// Engines a list may have; more are dropped and counted.
-const MOST_ENGINES: usize = 10_000;
+/// Engines that are known at once; more are dropped and counted. Those of a list that replaces another count beside
+/// those of the old one until these are forgotten. The shells bound a list itself, by the memory that they may use.
+const MOST_ENGINES: usize = 1 << 16;
 /// A start further in the future than this is no start.
 const CLOCKS_APART: Nanos = 3_600_000_000_000;
 
