A decision deals with the servers near its key, however many there are

Lines at fault: open_to, homes_of, room_for, least_loaded walk all servers for each request; Averages::news, fill_cold_budgets, probe in each tick; learn_pace sorts all paces at each answer; get_or_insert moves the table for each new server of a list.

Change: where a role has more than NEAR servers, a request chooses among those of whole cells that follow its key's point on a ring of hashes (src/state/ring.rs), and goes further along it where they have no room; a reader is home the less the further it is, so that a cell at the edge may come and go. Walks over all servers are as much seldomer as there are more than WALKED; new servers of a list are sorted in at once; Held's queue is looked at LOOKS requests an event.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,12 +49,15 @@
 const COLD_FLOOR: f64 = 0.5; // mean requests a window that a cold server gets when peers tell nothing
 const SHARE_SLACK: f64 = 1.5; // times its share before a tenant is over it: routers see uneven parts
 const SHARE_BURST: f64 = 2.0; // seconds of its share that may come at once, and one request besides
+const NEAR: usize = 64; // servers of a role that a request chooses among, near its key; of fewer all
+const LOOKS: usize = 8; // at held requests for each event, where each has servers of its own to be looked at
+const WALKED: usize = 256; // servers gone through in a tick at most: of more, all are seldomer
 const TICK_TIMER: TimerToken = TimerToken(0);
 const ASK_TIMER: TimerToken = TimerToken(1);
 
 #[derive(Default)]
 pub struct Policy {
-    set: Settings,
+    pub(crate) set: Settings,
     pub(crate) now: Nanos,
     out: Vec<Action>,
     pub(crate) servers: Servers,
@@ -77,13 +80,7 @@
     purses: [f64; 2], // what may be spent on messages and on probes, in points of service a request
     averages: Averages,
     ticking: bool,
-}
-
-/// A part of the traffic of which some may go: the next in turn, and what there was no room for.
-struct Open {
-    part: Option<Part>,
-    first: Option<(Turn, Wants)>,
-    too_much: f64,
+    looked: Option<Turn>, // at held requests, up to this one
 }
 
 impl Policy {
@@ -108,7 +105,8 @@
             self.told.hear(now, from, held_from_bytes(&data));
             return Vec::new();
         }
-        self.averages.news(now, TICK, NEWS_FOR, &mut self.servers, &mut self.told);
+        let every = self.servers.walk_every(TICK, WALKED);
+        self.averages.news(now, every, NEWS_FOR, &mut self.servers, &mut self.told);
         self.note_untold();
         match event {
             Event::Members { kind, entries } => self.on_members(kind, &entries),
@@ -147,7 +145,7 @@
         let answer = if request.max_out > 0.0 { answer.min(request.max_out) } else { answer };
         let over_share = self.over_share(request.tenant);
         self.purses = self.purses.map(|purse| (purse + NEWS_WORTH).min(NEWS_WORTH * 100.0));
-        let homes = self.homes(request.prefix);
+        let home = self.home(&request);
         self.prompts[request.class.0].add(prompt, GAIN);
         self.answers[request.class.0].add(answer, GAIN);
         self.note_untold();
@@ -155,7 +153,7 @@
         let aim = class.aim.saturating_add((class.aim_per_token * prompt) as Nanos);
         let aim_at = if class.aim > 0 { self.now.saturating_add(aim) } else { give_up_at };
         let request = Request { prompt_len: prompt, ..request };
-        self.works.insert(id, Work::new(request, self.now, self.set.seed, homes, over_share, aim_at, answer));
+        self.works.insert(id, Work::new(request, self.now, self.set.seed, home, over_share, aim_at, answer));
         if give_up_at <= self.last_call() {
             return self.give_up(id, Reason::Deadline);
         }
@@ -179,11 +177,12 @@
 
     /// Readers that a shared beginning is at home at: more where it surely is more than a reader's part of
     /// all requests, by what this router saw. Else it swamps one home and its cell. Coarse: sessions stay.
-    fn homes(&mut self, prefix: Option<Key>) -> usize {
-        let readers = self.averages.readers.len();
-        let (same, all) = self.seen.add(self.now, prefix, SEEN_SPAN);
+    /// Where there are many servers they are those near its point, of a hot one near one of several.
+    fn home(&mut self, request: &Request) -> Home {
+        let readers = self.averages.places.readers.len();
+        let (same, all) = self.seen.add(self.now, request.prefix, SEEN_SPAN);
         let sure = (same - same.sqrt()).max(0.0) / all.max(1.0);
-        power_of_four((sure * HOMES * readers as f64) as usize)
+        Home::of(request, power_of_four((sure * HOMES * readers as f64) as usize), NEAR)
     }
 
     /// Whether this request is beyond its tenant's share, of which each router takes an even part.
@@ -204,33 +203,39 @@
         }
         let mut open: Vec<Open> = Vec::new();
         let mut fresh = false;
-        let mut last = None;
+        let many = self.averages.has_many(NEAR);
+        let (mut last, mut looks) = (self.looked.take(), if many { LOOKS } else { usize::MAX });
         loop {
             if !std::mem::replace(&mut fresh, true) {
                 open.clear();
                 for (part, group) in self.waiting.groups() {
-                    if group.is_single() || self.may_open(*part, group.easiest()) {
+                    if many || group.is_single() || self.may_open(*part, group.easiest()) {
                         open.push(Open { part: *part, first: group.after(last), too_much: f64::INFINITY });
                     }
                 }
             }
             let turn = |o: &Open| o.first.map(|(turn, _)| turn);
             let next = open.iter_mut().filter(|o| o.first.is_some()).min_by_key(|o| turn(o));
-            let Some(Open { part, first: Some((turn, wants)), too_much }) = next else { return };
+            let Some(Open { part, first: Some((turn, wants)), too_much }) = next.filter(|_| looks > 0) else {
+                return self.looked = last.filter(|_| looks == 0);
+            };
             let (part, turn, wants, id) = (*part, *turn, *wants, turn.2);
             // What needs no less than one that has just found no room finds none either.
             let fits = |w| self.mixed_room(wants.need) || self.writers_have_room(w);
             let room = wants.need < *too_much && self.works.get(&id).is_some_and(fits);
-            if !room && part.is_some() {
+            if !room && part.is_some() && !many {
                 *too_much = too_much.min(wants.need);
             }
-            if room && self.reader_may_have_room(wants) && self.start(id) {
+            if room && (many || self.reader_may_have_room(wants)) && self.start(id) {
                 self.waiting.remove(&id);
                 if !self.throttle.allows(self.now, READS_GROW) {
                     return;
                 }
                 // It has changed what there is room for.
                 fresh = false;
+            } else if many {
+                looks -= 1;
+                self.look_further(id);
             }
             last = Some(turn);
             if let Some(entry) = open.iter_mut().find(|o| o.part == part) {
@@ -239,6 +244,12 @@
         }
     }
 
+    /// None of the servers near its point has room for it: next time it is those behind them, and so round.
+    fn look_further(&mut self, id: RequestId) {
+        let Some(work) = self.works.get_mut(&id).filter(|w| !w.awaits_probes(self.now)) else { return };
+        work.point = self.averages.beyond(work.point, NEAR);
+    }
+
     /// Whether one that wants so little of a part of the traffic may go; those that some servers must not be
     /// asked for are looked at one by one.
     fn may_open(&self, part: Option<Part>, easiest: Wants) -> bool {
@@ -249,23 +260,24 @@
     /// False only if no reader can have room for what has so little to read and so long an aim: `start`
     /// would find the same, one reader after the other.
     fn reader_may_have_room(&self, wants: Wants) -> bool {
-        let any = self.averages.readers.is_empty() || self.set.self_prefill;
+        let any = self.averages.places.readers.is_empty() || self.set.self_prefill;
         let room = |s: &Server| !s.full_within(self.now, RECENTLY) && !self.long(s, wants.aim);
-        any || self.servers.at(&self.averages.readers).any(room)
+        any || self.servers.at(&self.averages.places.readers).any(room)
     }
 
     /// Room for a request besides what is being read for writers already.
-    fn writers_have_room(&self, work: &Work) -> bool {
+    pub(crate) fn writers_have_room(&self, work: &Work) -> bool {
         self.room_for(self.candidates(false, work), work.need())
     }
 
     /// Beside writers, mixed servers take requests whole: they have room of their own.
     fn mixed_room(&self, need: f64) -> bool {
-        self.servers.at(&self.averages.mixed).any(|s| self.has_room(s, need))
+        self.servers.at(&self.averages.places.mixed).any(|s| self.has_room(s, need))
     }
 
     fn room_for(&self, writers: Vec<&Server>, need: f64) -> bool {
         let (mut free, mut some, mut unknown) = (0.0, false, false);
+        let part = self.averages.part_of_writers(writers.len(), NEAR);
         for s in writers {
             let share = self.memory_share(s);
             if self.fits(s, need, share) {
@@ -273,7 +285,7 @@
                 (some, unknown) = (true, unknown || s.memory <= 0.0);
             }
         }
-        some && (unknown || free >= self.works.pledged() + need)
+        some && (unknown || free >= self.works.pledged() * part + need)
     }
 
     /// What a reader has to read, with so many tokens more, in tokens at the pace of an even one.
@@ -293,7 +305,7 @@
         if readers.is_empty() {
             return self.start_at_writer(id);
         }
-        let writers = self.averages.mixed.is_empty() || self.writers_have_room(work);
+        let writers = self.averages.places.mixed.is_empty() || self.writers_have_room(work);
         readers.retain(|s| if s.role == Role::Both { self.has_room(s, work.need()) } else { writers });
         let homes = self.homes_of(work, &readers);
         let Some(home) = homes.first().copied() else { return false };
@@ -302,15 +314,11 @@
         let unread = |s: &Server| READ_BASE + (work.request.prompt_len - kept(s)).max(0.0);
         let cost = |s: &Server| self.read_cost(s, unread(s));
         let room = |s: &&Server| !s.full_within(self.now, RECENTLY) && !self.long(s, work.aim());
-        let lot = |s: &Server| work.lot.rank(s.id);
         let costs = readers.iter().filter(|s| room(s)).map(|s| (cost(s), *s));
-        let order = |a: &(f64, &Server), b: &(f64, &Server)| {
-            a.0.total_cmp(&b.0).then_with(|| lot(a.1).cmp(&lot(b.1)))
-        };
-        let Some((_, least)) = costs.min_by(order) else { return false };
+        let Some((_, least)) = least_by_lot(costs, work.lot) else { return false };
         // A cold one that may be asked is likely idle: no router sends it much.
         let others = readers.iter().filter(|s| s.id != home.id);
-        let other = others.max_by_key(|s| (self.cold(s), at_home(s), lot(s)));
+        let other = others.max_by_key(|s| (self.cold(s), at_home(s), work.lot.rank(s.id)));
         let look_at: Vec<ServerId> = [home].iter().chain(other).map(|s| s.id).collect();
         let home = Some(home).filter(room).unwrap_or(least);
         let margin = self.reads.size.value.max(unread(home)) / self.speed(home);
@@ -324,9 +332,7 @@
             return false;
         }
         let Some(work) = self.works.get(&id) else { return true };
-        let near = |s: &&Server| s.cell.is_some() && s.cell == cell;
-        let unheard = self.servers.at(&self.averages.writers).filter(near).any(|s| self.unheard(s));
-        let mut near = if !unheard { Vec::new() } else { self.candidates(false, work) };
+        let mut near = self.candidates(false, work);
         near.retain(|s| s.cell.is_some() && s.cell == cell);
         near.sort_by_key(|s| work.lot.rank(s.id));
         let near: Vec<ServerId> = near.iter().take(LOOK_WRITERS).map(|s| s.id).collect();
@@ -340,7 +346,8 @@
     /// all routers. Homes are spread as writers that take states without a move, the last as who has room.
     fn homes_of<'s>(&self, work: &Work, readers: &[&'s Server]) -> Vec<&'s Server> {
         let session = work.request.session.unwrap_or(Key(work.request.id.0));
-        let by = |key: Key| move |s: &&Server| -key.draw(s.id).ln() / s.home;
+        let fade = &self.averages.fade(&self.servers, work.point, NEAR);
+        let by = |key: Key| move |s: &&Server| -key.draw(s.id).ln() / (s.home * fade.of(s.id));
         let first = work.request.prefix.unwrap_or(session);
         let homes = least_by(readers.to_vec(), work.homes, by(first));
         let others = readers.iter().copied().filter(|s| homes.iter().all(|h| h.id != s.id)).collect();
@@ -441,8 +448,7 @@
 
     /// The part of that which is the same for all servers; it changes with each event's news and requests.
     fn note_untold(&mut self) {
-        let all = &self.averages;
-        let heard = self.told.routers();
+        let (all, heard) = (&self.averages, self.told.routers());
         let unheard = (f64::from(self.set.routers) - 1.0 - heard).max(0.0);
         let streams = all.known / (mean(&self.prompts) + mean(&self.answers)).max(1.0);
         let sure = 1.0 - streams.max(1.0).sqrt().recip();
@@ -472,19 +478,24 @@
             self.send(id, Sent::to(server, Stage::Write));
         } else if must {
             self.give_up(id, Reason::ReleaseTime);
+        } else {
+            self.look_further(id);
         }
     }
 
     /// Servers of one stage that may be sent to now, leaving out ill ones while enough others are left.
-    fn candidates(&self, reads: bool, work: &Work) -> Vec<&Server> {
+    pub(crate) fn candidates(&self, reads: bool, work: &Work) -> Vec<&Server> {
         self.open_to(reads, Some(work), Some(work.part()))
     }
 
     /// The same for any request of a part of the traffic. With no writer left mixed servers take states too.
     fn open_to(&self, reads: bool, work: Option<&Work>, part: Option<Part>) -> Vec<&Server> {
-        let all = &self.averages;
+        // A repeat may be bound to servers anywhere.
+        let near = work.filter(|w| w.may_have_run.is_none());
+        let cell = near.and_then(|w| self.servers.get(&w.state?.0)?.cell);
+        let all = self.averages.near(near.map(|w| w.point), cell, NEAR);
         let may = |s: &&Server| self.cold_budget_allows(s) && work.is_none_or(|w| self.may_go_to(w, s));
-        let of = |pool| self.servers.at(pool).filter(may).collect::<Vec<&Server>>();
+        let of = |pool: &[usize]| self.servers.at(pool).filter(may).collect::<Vec<&Server>>();
         let open = of(if reads { &all.readers } else { &all.writers });
         let open =
             if open.iter().all(|s| s.unreachable) && !reads { [open, of(&all.mixed)].concat() } else { open };
@@ -578,7 +589,7 @@
         // Of one measure for each role: mixed servers by what they take whole, writers by what they fetch.
         let pace = if stage == Stage::Write { latency as f64 } else { per_token };
         if (stage == Stage::Write) != (s.role == Role::Both) {
-            learn_pace(&mut self.servers, server, pace, PACE_GAIN, SAMPLES);
+            learn_pace(&mut self.servers, server, pace, PACE_GAIN, SAMPLES, WALKED);
         }
         self.works.note(&id);
     }
@@ -596,7 +607,7 @@
         if sent.stage == Stage::Read && o.status == Status::Read {
             let read = READ_BASE + (prompt - o.note as f64).max(0.0);
             let per_token = self.reads.done(&sent, o.latency, read, GAIN, BEST_GAIN);
-            learn_pace(&mut self.servers, o.server, per_token, PACE_GAIN, SAMPLES);
+            learn_pace(&mut self.servers, o.server, per_token, PACE_GAIN, SAMPLES, WALKED);
         }
         let reads = sent.stage != Stage::Write && o.status == Status::Read;
         if reads && o.latency as f64 > READ_LATE * aim {
@@ -649,19 +660,6 @@
         }
     }
 
-    /// What has kept a request that has no attempt out, as far as it can be told now.
-    fn held_by(&self, work: &Work, reason: Reason) -> Option<Holdup> {
-        let none = |reads| self.candidates(reads, work).is_empty();
-        Some(match work {
-            w if w.sent.is_some() || !reason.waited() => return None,
-            _ if none(false) => Holdup::NoWriter,
-            w if w.state.is_none() && !self.set.self_prefill && none(true) => Holdup::NoReader,
-            w if w.over_share => Holdup::OverShare,
-            w if !self.writers_have_room(w) => Holdup::WritersFull,
-            _ => Holdup::ReadersFull,
-        })
-    }
-
     /// A refusal where trying again is harmless, else a failure; nothing stays pinned.
     fn give_up(&mut self, id: RequestId, reason: Reason) {
         let Some(work) = self.works.get(&id) else { return };
@@ -708,9 +706,8 @@
     /// while it serves the rest. One failure has to tell where a router seldom meets a server.
     fn rest(&mut self, server: ServerId, part: Option<Part>) {
         let visits = REST_VISITS * self.seen.gap(self.now, SEEN_SPAN) * self.servers.len() as f64;
-        let least = (visits as Nanos).clamp(RECENTLY, REST_MOST);
-        let s = self.servers.get_mut(&server);
-        s.into_iter().for_each(|s| s.rest(self.now, part, least, REST_MOST));
+        let (now, least) = (self.now, (visits as Nanos).clamp(RECENTLY, REST_MOST));
+        self.servers.get_mut(&server).into_iter().for_each(|s| s.rest(now, part, least, REST_MOST));
     }
 
     fn note_health(&mut self, o: &Outcome) {
@@ -746,9 +743,8 @@
         if matches!(status, Status::Ok | Status::Timeout) {
             s.others_unread = Some((waits - s.unread).max(0.0));
             s.news_at = now;
-            if s.role != Role::Read && latency >= LOOK_LATE {
-                s.full_at = Some(now);
-            }
+            let late = s.role != Role::Read && latency >= LOOK_LATE;
+            s.full_at = if late { Some(now) } else { s.full_at };
         }
         if status == Status::ConnectFailed {
             (s.unreachable, s.lost, s.probe_at) = (true, true, now + PROBE_EVERY);
@@ -777,20 +773,18 @@
         let floor = COLD_FLOOR / (self.set.fall as f64 / 1e9).max(0.1) / f64::from(self.set.routers);
         let part = (self.set.fall_multiple * self.set.cold_from).min(1.0);
         // Servers of a kind are of one size, and where weights differ they tell of smaller ones.
-        let kinds = (0..self.set.roles.len()).map(|kind| Some(KindId(kind))).chain([None]);
-        let mut all = std::mem::take(&mut self.usual);
-        for (kind, (usual, weight)) in kinds.zip(&mut all) {
-            let warm = || self.servers.values().filter(|p| p.ready && p.kind == kind && !self.cold(p));
-            let sent = average(warm().map(|p| p.sent.get(now, PEER_SPAN) / span_s));
-            *weight = average(warm().map(|p| p.weight)).unwrap_or(*weight);
-            let peers = sent.unwrap_or(usual.value);
+        let rate = |s: &Server| s.sent.get(now, PEER_SPAN) / span_s;
+        let warm = warm_by_kind(&self.servers, self.usual.len(), |s| !self.cold(s), rate);
+        for ((usual, weight), warm) in self.usual.iter_mut().zip(warm) {
+            *weight = warm.weight.unwrap_or(*weight);
+            let peers = warm.rate.unwrap_or(usual.value);
             usual.follow(now, peers, PEER_SPAN);
             let rate = peers.max(usual.value) * part;
-            for s in self.servers.values_mut().filter(|s| s.kind == kind) {
+            for s in self.servers.at_mut(&warm.cold) {
                 s.budget.fill(now, (rate * (s.weight / *weight).min(1.0)).max(floor), 0.0);
             }
         }
-        self.usual = all;
+        compare_all_paces(&mut self.servers, SAMPLES, WALKED);
     }
 
     fn on_members(&mut self, kind: ListKind, entries: &[Entry]) {
@@ -801,17 +795,18 @@
         if kind != ListKind::Delta {
             self.servers.values_mut().for_each(|s| (s.ready, s.gone) = (false, true));
         }
+        let new = |e: &Entry| self.set.kind(e.kind).map(|(role, memory)| new_server(e.server, role, memory));
+        self.servers.insert_missing(entries.iter().filter_map(new));
         for e in entries {
-            let Some((role, memory)) = self.set.kind(e.kind) else {
-                self.servers.get_mut(&e.server).into_iter().for_each(|s| s.ready = false);
-                continue;
-            };
-            let s = self.servers.get_or_insert(e.server, || new_server(e.server, role, memory));
+            let Some(s) = self.servers.get_mut(&e.server) else { continue };
+            let kind = self.set.kind(e.kind);
+            s.ready &= kind.is_some();
+            let Some((role, memory)) = kind else { continue };
             (s.role, s.memory) = (role, memory);
             // Nothing new goes to a draining or gone server from now on: rule 3 with its grace unused.
             s.listed(self.now, e, Key(self.set.seed).draw(e.server));
         }
-        self.averages.list(&mut self.servers);
+        self.averages.list(&mut self.servers, NEAR);
         // Homes are spread as the writers are that can take the states without a move out of the cell. What a
         // mixed server reads it writes itself.
         let writes = self.averages.writes as usize;
@@ -828,13 +823,18 @@
 
     fn on_tick(&mut self) {
         self.ticking = false;
-        self.fill_cold_budgets();
+        let walks = self.servers.walk_is_due(self.now, TICK, WALKED);
+        if walks {
+            self.fill_cold_budgets();
+        }
         // Of those held, none but the ones whose time or aim runs out.
         let aim = self.now.saturating_add(self.to_first.value as Nanos);
         let due = self.waiting.due(self.last_call(), aim);
         let ids: std::collections::BTreeSet<_> = due.chain(self.works.active().iter().copied()).collect();
         ids.into_iter().for_each(|id| self.look_after(id));
-        self.probe();
+        if walks {
+            self.probe();
+        }
         self.tell();
     }
 
@@ -864,9 +864,8 @@
         let Some(s) = self.servers.get_mut(&sent.server) else { return };
         // What crosses cells may wait for a slow link: another far writer is no better then.
         let (silent, near) = (s.heard_at < sent.at, s.cell == cell);
-        if heard && sent.stage == Stage::Write && age >= STALLED {
-            s.full_at = Some(self.now);
-        }
+        let stalled = heard && sent.stage == Stage::Write && age >= STALLED;
+        s.full_at = if stalled { Some(self.now) } else { s.full_at };
         if !heard || age < patience || sent.cancelled {
             return;
         }
@@ -900,8 +899,8 @@
 
     /// Tells the other routers what we hold, where no server does and as often as that is worth its price.
     fn tell(&mut self) {
-        let silent = self.servers.values().all(|s| s.others.is_none());
-        if !self.set.peers || self.set.routers < 2 || !silent || self.now < self.told_at + TELL_EVERY {
+        let silent = || self.servers.values().all(|s| s.others.is_none());
+        if !self.set.peers || self.set.routers < 2 || self.now < self.told_at + TELL_EVERY || !silent() {
             return;
         }
         // A message has no room for all where there are many.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,13 +4,16 @@
     AttemptNo, CellId, ClassId, Entry, Key, KindId, Nanos, Report, Request, Role, ServerId, ServerState,
     TenantId, ZoneId,
 };
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 
+mod ring;
 mod servers;
 mod works;
 
+pub use ring::{Enough, Near, Places, Ring};
 pub use servers::Servers;
-pub use works::{Held, Turn, Wants, Works};
+pub use works::{Held, Open, Turn, Wants, Works};
 
 /// A mean that forgets: each sample counts `gain` of the whole.
 #[derive(Clone, Copy, Debug, Default)]
@@ -418,14 +421,38 @@
     }
 }
 
-/// Takes a latency, and compares those of its role, of servers with enough samples, with their median.
-pub fn learn_pace(all: &mut Servers, id: ServerId, sample: f64, gain: f64, enough: u32) {
+/// Takes a latency, and compares those of its role, of servers with enough samples, with their median. Of more servers
+/// than `walked` at once only the one is compared, with the median of [`compare_all_paces`].
+pub fn learn_pace(all: &mut Servers, id: ServerId, sample: f64, gain: f64, enough: u32, walked: usize) {
+    let many = all.len() > walked;
     let Some(s) = all.get_mut(&id) else { return };
     s.pace.add(sample, gain);
     let role = s.role;
+    if !many {
+        return compare_paces(all, role, enough);
+    }
+    let median = all.medians[role as usize];
+    if let Some(s) = all.get_mut(&id).filter(|s| median > 0.0 && s.pace.samples >= enough) {
+        s.pace_ratio = s.pace.value / median.max(1.0);
+    }
+}
+
+/// Compares the latencies of each role with their median, of more servers than `walked`: of fewer that is done with each
+/// latency.
+pub fn compare_all_paces(all: &mut Servers, enough: u32, walked: usize) {
+    if all.len() <= walked {
+        return;
+    }
+    for role in [Role::Read, Role::Write, Role::Both] {
+        compare_paces(all, role, enough);
+    }
+}
+
+fn compare_paces(all: &mut Servers, role: Role, enough: u32) {
     let known = |s: &&mut Server| s.role == role && s.pace.samples >= enough;
     let median = median(all.values_mut().filter(known).map(|s| s.pace.value));
     all.values_mut().filter(known).for_each(|s| s.pace_ratio = s.pace.value / median.max(1.0));
+    all.medians[role as usize] = median;
 }
 
 /// The attempt of a request that is out.
@@ -479,6 +506,26 @@
     pub at: Nanos,
 }
 
+/// Where a request's servers are to be looked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Home {
+    /// Readers that its shared beginning is at home at.
+    pub readers: usize,
+    /// Its point on the ring.
+    pub point: u64,
+}
+
+impl Home {
+    /// One that is at home at so many readers. Of more than `near` there is a point for each `near` of them, and sessions
+    /// are spread over the points.
+    pub fn of(request: &Request, readers: usize, near: usize) -> Home {
+        let session = request.session.unwrap_or(Key(request.id.0));
+        let points = readers.div_ceil(near).max(1) as u64;
+        let number = ServerId((session.rank(ServerId(0)) % points) as u32);
+        Home { readers, point: request.prefix.unwrap_or(session).rank(number) }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Work {
     pub request: Request,
@@ -488,6 +535,8 @@
     pub asked_at: Nanos,
     /// Readers that its shared beginning is at home at.
     pub homes: usize,
+    /// Where on the ring its servers are looked for, if there are many.
+    pub point: u64,
     pub aim_at: Nanos,
     /// Guessed tokens of the answer.
     pub answer: f64,
@@ -515,14 +564,15 @@
         request: Request,
         now: Nanos,
         seed: u64,
-        homes: usize,
+        home: Home,
         over_share: bool,
         aim_at: Nanos,
         answer: f64,
     ) -> Work {
         Work {
             lot: Key(request.id.0 ^ seed),
-            homes,
+            homes: home.readers,
+            point: home.point,
             asked_at: now,
             request,
             over_share,
@@ -548,6 +598,11 @@
         (self.request.class, self.request.tenant)
     }
 
+    /// Answers of probes are still waited for.
+    pub fn awaits_probes(&self, now: Nanos) -> bool {
+        self.look_until.is_some_and(|until| now < until)
+    }
+
     /// Unanswered, with no stream begun.
     pub fn unbegun(&self) -> bool {
         !self.ended && !self.sent.is_some_and(|s| s.begun)
@@ -598,6 +653,61 @@
     }
 }
 
+/// The warm servers of a kind, and the places of the cold ones.
+#[derive(Clone, Debug, Default)]
+pub struct WarmKind {
+    /// Means of the warm ones that are ready; `None` without one.
+    pub rate: Option<f64>,
+    pub weight: Option<f64>,
+    pub cold: Vec<usize>,
+}
+
+/// Goes through all servers once. The last of so many kinds is that of servers of which none is told.
+pub fn warm_by_kind(
+    servers: &Servers,
+    kinds: usize,
+    is_warm: impl Fn(&Server) -> bool,
+    rate: impl Fn(&Server) -> f64,
+) -> Vec<WarmKind> {
+    let mut sums = vec![(0.0, 0.0, 0.0); kinds];
+    let mut all = vec![WarmKind::default(); kinds];
+    for (place, server) in servers.values().enumerate() {
+        let known = server.kind.filter(|kind| kind.0 + 1 < kinds);
+        let kind = match (server.kind, known) {
+            (None, _) => kinds - 1,
+            (_, Some(kind)) => kind.0,
+            (Some(_), None) => continue,
+        };
+        if !is_warm(server) {
+            all[kind].cold.push(place);
+        } else if server.ready {
+            let (rates, weights, count) = &mut sums[kind];
+            *rates += rate(server);
+            *weights += server.weight;
+            *count += 1.0;
+        }
+    }
+    for (kind, (rates, weights, count)) in all.iter_mut().zip(sums) {
+        let mean = |sum: f64| (count > 0.0).then(|| sum / count);
+        (kind.rate, kind.weight) = (mean(rates), mean(weights));
+    }
+    all
+}
+
+/// How much less than others a reader is home, by its distance on the ring.
+#[derive(Clone, Debug, Default)]
+pub struct Fade {
+    /// In the order of the ids.
+    of: Vec<(ServerId, f64)>,
+}
+
+impl Fade {
+    /// 1 of one that is not near, and of all where there are not many.
+    pub fn of(&self, server: ServerId) -> f64 {
+        self.of.binary_search_by_key(&server, |(id, _)| *id).map_or(1.0, |at| self.of[at].1)
+    }
+}
+
 /// What the servers of a role have in common.
 #[derive(Clone, Debug, Default)]
 pub struct Averages {
@@ -606,13 +716,12 @@
     pub weight: [f64; 3],
     /// Each cell's share of all weight, by role.
     pub cells: BTreeMap<CellId, [f64; 3]>,
-    /// Places of ready servers that read, and that are asked to write.
-    pub readers: Vec<usize>,
-    pub writers: Vec<usize>,
-    /// The role of those.
+    /// Places of ready servers.
+    pub places: Places,
+    /// The role of those that are asked to write.
     pub writes: Role,
-    /// Places of ready mixed servers beside writers.
-    pub mixed: Vec<usize>,
+    /// Where there are many of a role, their cells by hash.
+    ring: Ring,
     /// By role, of those with fresh news: what others hold, as a share of memory; what others have to read.
     pub others: [Option<f64>; 3],
     pub others_unread: [Option<f64>; 3],
@@ -623,16 +732,23 @@
 
 impl Averages {
     /// Of what the list says. A server that is gone leaves the books with the last of our work there: new ones come
-    /// under new ids all day.
-    pub fn list(&mut self, servers: &mut Servers) {
+    /// under new ids all day. `many`: of a role, from which on those near a key are told apart.
+    pub fn list(&mut self, servers: &mut Servers, many: usize) {
         servers.retain(|s| !s.gone || s.unbegun > 0 || s.held >= 1.0);
         self.cells.clear();
         // Mixed servers get states from readers only where there are no writers.
         let split = servers.values().any(|s| s.ready && s.role == Role::Write);
-        self.readers = servers.places(|s| s.ready && s.role != Role::Write);
         self.writes = if split { Role::Write } else { Role::Both };
-        self.writers = servers.places(|s| s.ready && s.role == self.writes);
-        self.mixed = servers.places(|s| s.ready && split && s.role == Role::Both);
+        self.places = Places {
+            readers: servers.places(|s| s.ready && s.role != Role::Write),
+            writers: servers.places(|s| s.ready && s.role == self.writes),
+            mixed: servers.places(|s| s.ready && split && s.role == Role::Both),
+        };
+        if self.has_many(many) {
+            self.ring.list(servers, self.writes, split);
+        } else {
+            self.ring = Ring::default();
+        }
         for role in [Role::Read, Role::Write, Role::Both] {
             let ready = || servers.values().filter(|s| s.ready && s.role == role);
             self.weight[role as usize] = average(ready().map(|s| s.weight)).unwrap_or(1.0);
@@ -643,6 +759,65 @@
         }
     }
 
+    /// There are more than so many of a role.
+    pub fn has_many(&self, many: usize) -> bool {
+        self.places.readers.len() > many || self.places.writers.len() > many
+    }
+
+    fn enough(&self, many: usize) -> Enough {
+        let enough = |all: &[usize]| if all.len() > many { many } else { 0 };
+        Enough { readers: enough(&self.places.readers), writers: enough(&self.places.writers) }
+    }
+
+    /// All servers, or, of a role that has more than so many, those near a point and the writers of one cell besides.
+    pub fn near(&self, point: Option<u64>, cell: Option<CellId>, many: usize) -> Cow<'_, Places> {
+        let Some(point) = point.filter(|_| self.has_many(many)) else { return Cow::Borrowed(&self.places) };
+        let enough = self.enough(many);
+        let mut near = self.ring.near(point, enough).places;
+        if enough.readers == 0 {
+            near.readers.clone_from(&self.places.readers);
+        }
+        if enough.writers == 0 {
+            near.writers.clone_from(&self.places.writers);
+        } else if let Some(of_cell) = cell.and_then(|cell| self.ring.cell(cell)) {
+            let missing = |place: &&usize| !near.writers.contains(*place);
+            let missing: Vec<usize> = of_cell.writers.iter().filter(missing).copied().collect();
+            near.writers.extend(missing);
+        }
+        Cow::Owned(near)
+    }
+
+    /// How much less than others each reader near a point is home there.
+    pub fn fade(&self, servers: &Servers, point: u64, many: usize) -> Fade {
+        if self.places.readers.len() <= many {
+            return Fade::default();
+        }
+        let near = self.ring.near(point, self.enough(many));
+        let ids = servers.at(&near.places.readers).map(|s| s.id);
+        let mut of = ids.zip(near.fades).collect::<Vec<_>>();
+        of.sort_unstable_by_key(|(id, _)| *id);
+        Fade { of }
+    }
+
+    /// The point from which on the servers follow that are not near this one; the same where there are not many.
+    pub fn beyond(&self, point: u64, many: usize) -> u64 {
+        if self.has_many(many) {
+            self.ring.near(point, self.enough(many)).next
+        } else {
+            point
+        }
+    }
+
+    /// Of all writers the part that so many are, where only those near a point are looked at.
+    pub fn part_of_writers(&self, count: usize, many: usize) -> f64 {
+        let all = self.places.writers.len();
+        if all > many {
+            count as f64 / all as f64
+        } else {
+            1.0
+        }
+    }
+
     /// Of the news of the last `span`; older news is forgotten. Done once in `every`.
     pub fn news(&mut self, now: Nanos, every: Nanos, span: Nanos, servers: &mut Servers, told: &mut Told) {
         if now < self.at + every {
@@ -709,6 +884,11 @@
     all.into_iter().take(most).map(|(_, t)| t).collect()
 }
 
+/// The least value, and of equals the first by lot.
+pub fn least_by_lot<'s>(all: impl Iterator<Item = (f64, &'s Server)>, lot: Key) -> Option<(f64, &'s Server)> {
+    all.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| lot.rank(a.1.id).cmp(&lot.rank(b.1.id))))
+}
+
 /// The least power of four above `n`.
 pub fn power_of_four(n: usize) -> usize {
     let power = (n + 1).next_power_of_two();
--- a/src/state/works.rs
+++ b/src/state/works.rs
@@ -80,6 +80,13 @@
     pub aim: f64,
 }
 
+/// A part of the traffic of which some may go: the next in turn, and what there was no room for.
+pub struct Open {
+    pub part: Option<Part>,
+    pub first: Option<(Turn, Wants)>,
+    pub too_much: f64,
+}
+
 /// Requests held before their read.
 #[derive(Clone, Debug, Default)]
 pub struct Held {
--- a/src/view.rs
+++ b/src/view.rs
@@ -1,8 +1,9 @@
-//! What the module thinks of each server, to be looked at: nothing here changes or decides anything.
+//! What the module thinks of each server, and what kept a request waiting, to be looked at: nothing here changes or
+//! decides anything.
 
-use crate::api::{ClassId, Nanos, Role, ServerId, TenantId};
+use crate::api::{ClassId, Holdup, Nanos, Reason, Role, ServerId, TenantId};
 use crate::policy::Policy;
-use crate::state::Server;
+use crate::state::{Server, Work};
 
 /// Why a server gets nothing new, or less than its peers, the strongest reason first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +55,19 @@
 }
 
 impl Policy {
+    /// What has kept a request that has no attempt out, as far as it can be told now.
+    pub(crate) fn held_by(&self, work: &Work, reason: Reason) -> Option<Holdup> {
+        let none = |reads| self.candidates(reads, work).is_empty();
+        Some(match work {
+            w if w.sent.is_some() || !reason.waited() => return None,
+            _ if none(false) => Holdup::NoWriter,
+            w if w.state.is_none() && !self.set.self_prefill && none(true) => Holdup::NoReader,
+            w if w.over_share => Holdup::OverShare,
+            w if !self.writers_have_room(w) => Holdup::WritersFull,
+            _ => Holdup::ReadersFull,
+        })
+    }
+
     /// All servers that it was ever told of, in the order of their ids.
     pub fn views(&self) -> impl Iterator<Item = ServerView> + '_ {
         self.servers.values().map(|s| self.view(s))
--- /dev/null
+++ b/tests/many_servers.rs
@@ -0,0 +1,281 @@
+//! Fleets of many servers: a request deals with those near its key, whatever the number of all.
+
+mod common;
+
+use common::{class, settings, Router, MS, S};
+use gaparch::api::*;
+use gaparch::state::{new_server, Averages, Server, Servers};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// As in the module.
+const NEAR: usize = 64;
+const READER: usize = 0;
+const WRITER: usize = 1;
+
+/// A fleet of cells of this many servers, one of three a reader.
+fn fleet(servers: u32, cell: u32) -> Vec<Entry> {
+    (0..servers)
+        .map(|number| server(number, if number % 3 == 0 { READER } else { WRITER }, number / cell))
+        .collect()
+}
+
+fn server(number: u32, kind: usize, cell: u32) -> Entry {
+    Entry {
+        server: ServerId((number + 1).wrapping_mul(2_654_435_761)),
+        zone: Some(ZoneId((cell % 3) as usize)),
+        kind: Some(KindId(kind)),
+        cell: Some(CellId(u64::from(cell))),
+        state: ServerState::Ready,
+        weight: None,
+        ready_at: None,
+    }
+}
+
+/// The module's tables of a list, told in so many pieces.
+struct Listed {
+    servers: Servers,
+    averages: Averages,
+}
+
+impl Listed {
+    fn of(entries: &[Entry]) -> Listed {
+        let mut listed = Listed { servers: Servers::default(), averages: Averages::default() };
+        listed.tell(entries);
+        listed
+    }
+
+    fn tell(&mut self, entries: &[Entry]) {
+        let role = |e: &Entry| if e.kind == Some(KindId(READER)) { Role::Read } else { Role::Write };
+        self.servers.insert_missing(entries.iter().map(|e| new_server(e.server, role(e), 1e5)));
+        for entry in entries {
+            self.servers.get_mut(&entry.server).expect("made").listed(0, entry, 0.0);
+        }
+        self.averages.list(&mut self.servers, NEAR);
+    }
+
+    fn ids(&self, places: &[usize]) -> BTreeSet<ServerId> {
+        self.servers.at(places).map(|s| s.id).collect()
+    }
+
+    /// The readers and writers near a key.
+    fn near(&self, key: u64) -> [BTreeSet<ServerId>; 2] {
+        let near = self.averages.near(Some(point(key)), None, NEAR);
+        [self.ids(&near.readers), self.ids(&near.writers)]
+    }
+
+    /// The home of a key, as the module hashes it.
+    fn home(&self, key: u64) -> ServerId {
+        let near = self.averages.near(Some(point(key)), None, NEAR);
+        let fade = self.averages.fade(&self.servers, point(key), NEAR);
+        let distance = |s: &&Server| -Key(key).draw(s.id).ln() / (s.home * fade.of(s.id));
+        let home = self.servers.at(&near.readers).min_by(|a, b| distance(a).total_cmp(&distance(b)));
+        home.expect("there are readers").id
+    }
+}
+
+fn point(key: u64) -> u64 {
+    Key(key).rank(ServerId(0))
+}
+
+/// Homes of many keys that differ between two lists, as a share.
+fn moved(a: &Listed, b: &Listed) -> f64 {
+    const KEYS: u64 = 10_000;
+    (0..KEYS).filter(|key| a.home(*key) != b.home(*key)).count() as f64 / KEYS as f64
+}
+
+#[test]
+fn a_request_chooses_among_as_many_servers_at_any_size() {
+    for servers in [400, 1_000, 4_000, 10_000] {
+        let listed = Listed::of(&fleet(servers, 12));
+        for key in 0..500 {
+            let [readers, writers] = listed.near(key);
+            assert!((NEAR..2 * NEAR).contains(&readers.len()), "{servers}: {} readers", readers.len());
+            assert!((NEAR..4 * NEAR).contains(&writers.len()), "{servers}: {} writers", writers.len());
+        }
+    }
+}
+
+#[test]
+fn of_few_servers_all_are_chosen_among() {
+    let listed = Listed::of(&fleet(96, 12));
+    assert!(!listed.averages.has_many(NEAR));
+    let [readers, writers] = listed.near(7);
+    assert_eq!((readers.len(), writers.len()), (32, 64));
+}
+
+/// Cells of any size, one role far scarcer than the other, servers without a cell: all are borne.
+#[test]
+fn uneven_fleets_are_borne() {
+    let scarce = |servers: u32| -> Vec<Entry> {
+        (0..servers).map(|n| server(n, if n % 50 == 0 { READER } else { WRITER }, n / 10)).collect()
+    };
+    let listed = Listed::of(&scarce(5_000));
+    for key in 0..200 {
+        let [readers, writers] = listed.near(key);
+        assert!(readers.len() >= NEAR && writers.len() <= 5 * NEAR, "{} {}", readers.len(), writers.len());
+    }
+    let listed = Listed::of(&scarce(1_000));
+    assert_eq!(listed.near(3)[0].len(), 20, "of so few readers all are chosen among");
+    let alone: Vec<Entry> = fleet(2_000, 12).into_iter().map(|e| Entry { cell: None, ..e }).collect();
+    let listed = Listed::of(&alone);
+    for key in 0..200 {
+        assert!(listed.near(key).iter().all(|role| (NEAR..4 * NEAR).contains(&role.len())));
+    }
+    let one_cell: Vec<Entry> = fleet(2_000, 2_000);
+    assert_eq!(Listed::of(&one_cell).near(1)[0].len(), 667);
+}
+
+#[test]
+fn no_cell_is_torn_apart() {
+    let entries = fleet(2_000, 12);
+    let listed = Listed::of(&entries);
+    let mut cells: BTreeMap<CellId, [BTreeSet<ServerId>; 2]> = BTreeMap::new();
+    for entry in &entries {
+        let kind = entry.kind.expect("it has one").0;
+        cells.entry(entry.cell.expect("it has one")).or_default()[kind].insert(entry.server);
+    }
+    for key in 0..300 {
+        let [readers, writers] = listed.near(key);
+        for of_cell in cells.values().filter(|of_cell| !of_cell[READER].is_disjoint(&readers)) {
+            assert!(of_cell[READER].is_subset(&readers) && of_cell[WRITER].is_subset(&writers));
+        }
+    }
+}
+
+/// No reader is home to more than its even share, by more than chance gives and the ring's own spread.
+#[test]
+fn homes_are_spread_evenly() {
+    for servers in [600u32, 3_000] {
+        let listed = Listed::of(&fleet(servers, 12));
+        let keys = u64::from(servers) * 100;
+        let mut homes: BTreeMap<ServerId, u64> = BTreeMap::new();
+        (0..keys).for_each(|key| *homes.entry(listed.home(key)).or_default() += 1);
+        let mean = keys as f64 / (servers as f64 / 3.0);
+        assert_eq!(homes.len(), servers as usize / 3, "every reader is home to some");
+        let most = *homes.values().max().expect("some") as f64;
+        // Five deviations of chance, and a fifth for the uneven gaps of the ring.
+        let bound = mean * 1.2 + 5.0 * mean.sqrt();
+        assert!(most < bound, "{servers}: {most} of {mean} on average");
+    }
+}
+
+proptest! {
+    // Fixed draws: the verdict is the same each time.
+    #![proptest_config(ProptestConfig {
+        cases: 12,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    /// However a list was told, the same servers are near a key: they follow from the list alone.
+    #[test]
+    fn what_is_near_follows_from_the_list_alone(
+        servers in 300u32..1_500, cell in 2u32..40, pieces in 1usize..6, gone in prop::collection::vec(any::<u32>(), 0..60)
+    ) {
+        let mut entries = fleet(servers, cell);
+        let whole = Listed::of(&entries);
+        let mut in_pieces = Listed { servers: Servers::default(), averages: Averages::default() };
+        let reversed: Vec<Entry> = entries.iter().rev().cloned().collect();
+        reversed.chunks(reversed.len().div_ceil(pieces)).for_each(|piece| in_pieces.tell(piece));
+        for key in 0..50 {
+            prop_assert_eq!(whole.near(key), in_pieces.near(key));
+        }
+        for number in gone {
+            let at = (number % servers) as usize;
+            entries[at].state = if number % 2 == 0 { ServerState::Gone } else { ServerState::Draining };
+        }
+        in_pieces.tell(&entries);
+        let ready: Vec<Entry> = entries.into_iter().filter(|e| e.state == ServerState::Ready).collect();
+        let whole = Listed::of(&ready);
+        for key in 0..50 {
+            prop_assert_eq!(whole.near(key), in_pieces.near(key));
+        }
+    }
+
+    /// A part of the servers changes: not many more homes than that part move.
+    #[test]
+    fn few_homes_move_as_the_list_changes(servers in 1_000u32..4_000, percent in 1u32..8, salt in any::<u32>()) {
+        let entries = fleet(servers, 12);
+        let old = Listed::of(&entries);
+        let changes = |e: &&Entry| (e.server.0 ^ salt).wrapping_mul(0x9e37_79b9) % 100 < percent;
+        let kept: Vec<Entry> = entries.iter().filter(|e| !changes(e)).cloned().collect();
+        let changed = 1.0 - kept.len() as f64 / entries.len() as f64;
+        let new = Listed::of(&kept);
+        // Homes of those that are gone move; and where others come near, some to these.
+        let moved = moved(&old, &new);
+        prop_assert!(moved < 2.5 * changed + 0.01, "{moved} moved, {changed} changed");
+    }
+}
+
+fn site() -> Settings {
+    Settings { classes: vec![class(Effect::Safe, Group::All)], memory: vec![100_000.0; 3], ..settings() }
+}
+
+/// Sends of a request, and of the writes after its read.
+fn sent(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
+/// All servers near a key fail, drain or are cold: its requests go to others, and none is refused.
+#[test]
+fn what_has_no_room_near_its_key_goes_further() {
+    let entries = fleet(1_200, 12);
+    let near = Listed::of(&entries).near(5);
+    let without = |state: ServerState, ready_at: Option<Nanos>| -> Vec<Entry> {
+        let is_near = |e: &Entry| near.iter().any(|role| role.contains(&e.server));
+        let changed = |e: &Entry| Entry { state, ready_at, ..e.clone() };
+        entries.iter().map(|e| if is_near(e) { changed(e) } else { e.clone() }).collect()
+    };
+    let cold = Some(100 * S - MS);
+    for list in [
+        without(ServerState::Draining, None),
+        without(ServerState::Gone, None),
+        without(ServerState::Ready, cold),
+    ] {
+        let mut router = Router::new(site(), list);
+        let request = Request { prefix: Some(Key(5)), ..router.request(1) };
+        let mut actions = router.event(Event::Request(request));
+        actions.extend(router.pass(300 * MS));
+        let server = sent(&actions).expect("it is sent");
+        assert!(!near[READER].contains(&server), "{server:?} is near");
+        assert!(!actions.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })));
+    }
+}
+
+/// Of a whole fleet only one cell's servers have room: wherever that is, a request finds it before its time is up.
+#[test]
+fn the_last_room_of_a_fleet_is_found() {
+    let entries = fleet(1_200, 12);
+    // So many that a cold server's part comes to nothing.
+    let site = Settings { routers: 1_000_000, ..site() };
+    let left = CellId(57);
+    let list: Vec<Entry> = entries
+        .iter()
+        .map(
+            |e| if e.cell == Some(left) { e.clone() } else { Entry { ready_at: Some(100 * S), ..e.clone() } },
+        )
+        .collect();
+    for id in 1..=20 {
+        let mut router = Router::new(site.clone(), list.clone());
+        let request = Request { prefix: Some(Key(id * 977)), ..router.request(id) };
+        let mut actions = router.event(Event::Request(request));
+        actions.extend(router.pass(S));
+        let server = sent(&actions).expect("it is sent");
+        let cell = entries.iter().find(|e| e.server == server).and_then(|e| e.cell);
+        assert_eq!(cell, Some(left), "{id}");
+    }
+}
+
+/// Two routers whose lists differ by some changes agree on nearly all homes.
+#[test]
+fn routers_whose_lists_differ_a_little_agree_on_homes() {
+    let entries = fleet(3_000, 12);
+    let fewer: Vec<Entry> = entries.iter().skip(24).cloned().collect();
+    let part = moved(&Listed::of(&entries), &Listed::of(&fewer));
+    assert!(part < 0.03, "{part} of the homes differ, 0.008 of the list");
+}
