gaparch lab scale: costs by size, their slopes and what they come to at the target

Need: what 1,300 routers before 10,000 workers cost has to be measured from slopes, not from one point.

Change: gaparch_lab::scale, two ways of running. hollow: many decision modules with their full state before modelled workers in virtual time, beside a chooser that sees all and one by chance. real: processes of the program (gaparch lab node, which ends with its parent), a catalogue that tells lists and changes by the platform's protocol, hollow workers with an address each and tokens by schedule, clients at a router's part of the peak, and watches. Rows decision, router (with list, messages and connections), list, knowledge; growth fitted to four sizes or more; sizes that are absurd or don't fit half of the memory are refused by name first. indicatif for the bar.

--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -5,11 +5,14 @@
 use gaparch_lab::fleet::day::Day;
 use gaparch_lab::fleet::lying::{Lie, LyingDisk};
 use gaparch_lab::fleet::{days, picture, process, rig};
+use gaparch_lab::scale::{self, Row};
 use gaparch_net::Clock;
 use gaparch_router::shell::{Disks, FleetDisks};
 use gaparch_store::Folder;
+use indicatif::{ProgressBar, ProgressStyle};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 use tokio::task::JoinSet;
 
 /// Their processes are idle most of the time.
@@ -21,10 +24,25 @@
     command: Command,
 }
 
+impl Options {
+    /// Whether it is one router in service, which runs on one thread.
+    pub fn is_node(&self) -> bool {
+        matches!(self.command, Command::Node { .. })
+    }
+}
+
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Break a fleet of routers and judge what they do: a group, a day by name, or a file
     Fleet(Fleet),
+    /// Measure what a fleet of many routers before many workers costs, and where its budgets break
+    Scale(Scale),
+    /// Run a router as `gaparch node` does, until this command's parent ends
+    #[command(hide = true)]
+    Node {
+        /// The configuration file
+        file: PathBuf,
+    },
     /// Run a router as `gaparch serve` does, on a disk that lies or by a clock that is off, until this command's parent ends
     Serve(Serve),
 }
@@ -41,6 +59,70 @@
     file: PathBuf,
 }
 
+#[derive(Debug, Args)]
+struct Scale {
+    /// Routers that watch the catalogue, at most; 1,300 if not told
+    #[arg(long)]
+    routers: Option<usize>,
+    /// Workers, at most: 10,000 in lists, 800 in hollow fleets (200 with --quick) if not told
+    #[arg(long)]
+    workers: Option<usize>,
+    /// Zones; 15 if not told
+    #[arg(long)]
+    zones: Option<usize>,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Rows to measure: decision, router, list, knowledge; all if not told
+    #[arg(long, value_delimiter = ',')]
+    rows: Vec<Row>,
+    /// Ends within a minute: shorter days, smaller hollow fleets, one seed
+    #[arg(long)]
+    quick: bool,
+    /// JSON instead of a table
+    #[arg(long)]
+    json: bool,
+}
+
+async fn measure_scale(command: Scale) -> Outcome {
+    let rows = if command.rows.is_empty() { Row::ALL.to_vec() } else { command.rows };
+    let options = scale::Options {
+        routers: command.routers,
+        workers: command.workers,
+        zones: command.zones,
+        seed: command.seed,
+        rows,
+        quick: command.quick,
+        program: std::env::current_exe()?,
+    };
+    let bar = ProgressBar::new(0);
+    bar.set_style(ProgressStyle::with_template("{bar:30} {pos}/{len} {msg} {elapsed}")?);
+    let of_steps = bar.clone();
+    let progress = Arc::new(move |row: Row, all: u64| {
+        of_steps.set_length(all);
+        of_steps.set_message(row.to_string());
+        of_steps.inc(1);
+    });
+    let stop = super::asked_to_stop();
+    let report = tokio::select! {
+        report = scale::run(&options, progress) => report?,
+        // What was started ends as its handles are dropped.
+        why = stop => return Err(why?.into()),
+    };
+    bar.finish_and_clear();
+    match command.json {
+        true => println!("{}", report.to_json()?),
+        false => println!("{report}"),
+    }
+    Ok(if report.short.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// A router in service that ends with the one who started it.
+async fn node(file: PathBuf) -> Outcome {
+    process::end_with_parent()?;
+    gaparch_node::run(file).await?;
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn serve(options: &Serve) -> Outcome {
     process::end_with_parent()?;
     let config = super::settings(&options.file)?;
@@ -109,6 +191,8 @@
     match options.command {
         Command::Fleet(options) => fleet(options).await,
         Command::Serve(options) => serve(&options).await,
+        Command::Scale(options) => measure_scale(options).await,
+        Command::Node { file } => node(file).await,
     }
 }
 
--- a/crates/gaparch-cli/src/main.rs
+++ b/crates/gaparch-cli/src/main.rs
@@ -50,6 +50,17 @@
     Lab(commands::lab::Options),
 }
 
+impl Command {
+    /// Whether it is one router in service.
+    fn is_node(&self) -> bool {
+        match self {
+            Command::Node(_) => true,
+            Command::Lab(options) => options.is_node(),
+            _ => false,
+        }
+    }
+}
+
 /// What goes wrong ends up here: one line on standard error, exit code 1.
 type Outcome = Result<ExitCode, Box<dyn std::error::Error + Send + Sync>>;
 
@@ -58,11 +69,19 @@
     logging::start(&cli.logging);
     let runtime = match &cli.command {
         // In service it has a part of one core.
-        Command::Node(_) => tokio::runtime::Builder::new_current_thread().enable_all().build(),
+        command if command.is_node() => tokio::runtime::Builder::new_current_thread().enable_all().build(),
         _ => tokio::runtime::Builder::new_multi_thread().enable_all().build(),
     };
+    let measures = matches!(cli.command, Command::Lab(_));
     let outcome = match runtime {
-        Ok(runtime) => runtime.block_on(run(cli.command)),
+        Ok(runtime) => {
+            let outcome = runtime.block_on(run(cli.command));
+            if measures {
+                // A measurement that was stopped is not waited for.
+                runtime.shutdown_background();
+            }
+            outcome
+        }
         Err(error) => Err(error.into()),
     };
     outcome.unwrap_or_else(|error| {
--- a/crates/gaparch-lab/src/lib.rs
+++ b/crates/gaparch-lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod platform;
 pub mod ports;
 pub mod record;
+pub mod scale;
 pub mod scripted;
 pub mod site;
 pub mod terminal;
--- /dev/null
+++ b/crates/gaparch-lab/src/scale/real/workers.rs
@@ -0,0 +1,151 @@
+//! Hollow workers: an address each, no model. Reads take a while, writes are tokens by schedule.
+
+use super::super::target;
+use super::wire::Connection;
+use super::ListedWorker;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::{interval, sleep};
+
+/// Workers that share a cell, as in the hollow fleet.
+const CELL: usize = 12;
+/// For a read.
+const READ: Duration = Duration::from_millis(30);
+/// Tokens of one event.
+const TOKENS_PER_EVENT: usize = 4;
+const PORT: u16 = 8_443;
+
+/// What the workers were asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WorkerCounts {
+    pub connections: u64,
+    pub reads: u64,
+    pub writes: u64,
+    pub releases: u64,
+    pub probes: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    connections: AtomicU64,
+    reads: AtomicU64,
+    writes: AtomicU64,
+    releases: AtomicU64,
+    probes: AtomicU64,
+}
+
+/// The workers of a site. Dropped, they stop.
+#[derive(Debug)]
+pub struct HollowWorkers {
+    pub listed: Vec<ListedWorker>,
+    counters: Arc<Counters>,
+    _serving: JoinSet<()>,
+}
+
+fn address(site: u8, number: usize) -> SocketAddr {
+    let [high, low] = ((number + 1) as u16).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(127, site, high, low), PORT))
+}
+
+impl HollowWorkers {
+    /// Starts so many in so many zones, on addresses of a block of their own.
+    ///
+    /// # Errors
+    /// When an address is taken, or there are no descriptors left.
+    pub async fn start(workers: usize, zones: usize, site: u8) -> io::Result<HollowWorkers> {
+        let counters = Arc::new(Counters::default());
+        let mut serving = JoinSet::new();
+        let mut listed = Vec::with_capacity(workers);
+        for number in 0..workers {
+            let reads = number.is_multiple_of(3);
+            let listener = TcpListener::bind(address(site, number)).await?;
+            listed.push(ListedWorker {
+                id: format!("s-{:08x}", (number as u32).wrapping_mul(2_654_435_761)),
+                address: listener.local_addr()?,
+                zone: format!("z{}", number / CELL % zones),
+                kind: if reads { "prefill" } else { "decode" },
+                cell: number / CELL,
+                lifecycle: "ready",
+            });
+            serving.spawn(accept(listener, reads, Arc::clone(&counters)));
+        }
+        Ok(HollowWorkers { listed, counters, _serving: serving })
+    }
+
+    pub fn counts(&self) -> WorkerCounts {
+        let of = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        WorkerCounts {
+            connections: of(&self.counters.connections),
+            reads: of(&self.counters.reads),
+            writes: of(&self.counters.writes),
+            releases: of(&self.counters.releases),
+            probes: of(&self.counters.probes),
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, reads: bool, counters: Arc<Counters>) {
+    let mut serving = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        counters.connections.fetch_add(1, Ordering::Relaxed);
+        serving.spawn(serve(stream, reads, Arc::clone(&counters)));
+        while serving.try_join_next().is_some() {}
+    }
+}
+
+async fn serve(stream: TcpStream, reads: bool, counters: Arc<Counters>) {
+    let mut connection = Connection::new(stream);
+    while let Some(head) = connection.head().await {
+        if connection.body(head.length).await.is_none() {
+            return;
+        }
+        let count = |counter: &AtomicU64| counter.fetch_add(1, Ordering::Relaxed);
+        let mut words = head.first_line.split_whitespace();
+        let answered = match (words.next().unwrap_or_default(), words.next().unwrap_or_default()) {
+            ("GET", _) => {
+                count(&counters.probes);
+                connection.answer("200 OK", "").await
+            }
+            ("DELETE", _) => {
+                count(&counters.releases);
+                connection.answer("204 No Content", "").await
+            }
+            (_, target) if target.starts_with("/internal/") => connection.answer("200 OK", "").await,
+            _ if reads => {
+                count(&counters.reads);
+                sleep(READ).await;
+                connection.answer("202 Accepted", "{\"cached_tokens\":0}").await
+            }
+            _ => {
+                count(&counters.writes);
+                stream_tokens(&mut connection).await
+            }
+        };
+        if answered.is_none() {
+            return;
+        }
+    }
+}
+
+/// An answer of the target's length at the target's pace.
+async fn stream_tokens(connection: &mut Connection) -> Option<()> {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let content = "word ".repeat(TOKENS_PER_EVENT);
+    let event = format!(
+        "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{content}\"}},\"finish_reason\":null}}]}}\n\n"
+    );
+    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    let events = target::answer_tokens() as usize / TOKENS_PER_EVENT;
+    let mut pace = interval(Duration::from_secs_f64(target::TOKEN_GAP_MS / 1e3 * TOKENS_PER_EVENT as f64));
+    connection.write(head.as_bytes()).await?;
+    for _ in 0..events {
+        pace.tick().await;
+        connection.write(chunk.as_bytes()).await?;
+    }
+    connection.write(b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n").await
+}
