--- a/crates/gaparch-lab/src/scale/mod.rs
+++ b/crates/gaparch-lab/src/scale/mod.rs
@@ -16,6 +16,7 @@
 
 use hollow::Shape;
 use knowledge::Span;
+use real::AnswerPace;
 use report::{Figure, ScaleReport};
 use router::Phases;
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
@@ -193,7 +194,10 @@
 }
 
 /// Listeners of thousands of workers need as many descriptors.
-fn raise_descriptors(workers: usize) -> Result<(), ScaleError> {
+///
+/// # Errors
+/// When the system allows fewer.
+pub fn raise_descriptors(workers: usize) -> Result<(), ScaleError> {
     let needed = workers as u64 + DESCRIPTORS;
     let limit = getrlimit(Resource::Nofile);
     if limit.current.is_none_or(|current| current >= needed) {
@@ -263,10 +267,12 @@
 fn phases(quick: bool) -> Phases {
     let seconds = Duration::from_secs;
     if quick {
-        Phases { idle: seconds(1), load: seconds(1), measured: seconds(1) }
+        // The target's answers at twelve times its pace.
+        let answers = AnswerPace { gap: AnswerPace::of_target().gap / 12, ..AnswerPace::of_target() };
+        Phases { idle: seconds(1), load: seconds(1), measured: seconds(1), answers }
     } else {
         // Answers take twelve seconds: before that not all of a peak's are open.
-        Phases { idle: seconds(3), load: seconds(13), measured: seconds(4) }
+        Phases { idle: seconds(3), load: seconds(13), measured: seconds(4), answers: AnswerPace::of_target() }
     }
 }
 
--- a/crates/gaparch-lab/src/scale/real/mod.rs
+++ b/crates/gaparch-lab/src/scale/real/mod.rs
@@ -10,4 +10,4 @@
 pub use catalogue::{watch_once, ListedWorker, ScaleCatalogue};
 pub use clients::{load, Loaded};
 pub use node::{NodeProcess, NodeUsage};
-pub use workers::{HollowWorkers, WorkerCounts};
+pub use workers::{AnswerPace, HollowWorkers, WorkerCounts};
--- a/crates/gaparch-lab/src/scale/router.rs
+++ b/crates/gaparch-lab/src/scale/router.rs
@@ -1,7 +1,7 @@
 //! What a real router takes: at rest, at its part of the peak and in a storm of list changes; how long a change takes
 //! to be in force; and how many of its requests find a kept connection.
 
-use super::real::{load, HollowWorkers, ListedWorker, NodeProcess, NodeUsage, ScaleCatalogue};
+use super::real::{load, AnswerPace, HollowWorkers, ListedWorker, NodeProcess, NodeUsage, ScaleCatalogue};
 use super::report::{Axis, Figure, Point, Way};
 use super::target;
 use std::io;
@@ -24,6 +24,7 @@
     /// Load before and while it is measured.
     pub load: Duration,
     pub measured: Duration,
+    pub answers: AnswerPace,
 }
 
 /// What one size gave.
@@ -115,13 +116,13 @@
 }
 
 /// A block of addresses that other runs at the same time are unlikely to use.
-fn address_block() -> u8 {
+pub fn address_block() -> u8 {
     64 + (std::process::id() % 128) as u8
 }
 
 async fn measure(size: usize, zones: usize, phases: Phases, program: &Path) -> io::Result<Measured> {
     let folder = tempfile::tempdir()?;
-    let workers = HollowWorkers::start(size, zones, address_block()).await?;
+    let workers = HollowWorkers::start(size, zones, address_block(), phases.answers).await?;
     let catalogue = ScaleCatalogue::start(workers.listed.clone()).await?;
     let start = |number| NodeProcess::start(program, folder.path(), number, catalogue.address, zones);
     let mut first = start(0)?;
--- a/crates/gaparch-router/src/core/following.rs
+++ b/crates/gaparch-router/src/core/following.rs
@@ -6,6 +6,7 @@
 use super::{Core, Output};
 use gaparch::api::{Event, ListKind, RequestId, ServerId, Status};
 use gaparch_config::Links;
+use std::collections::BTreeSet;
 
 impl Core {
     pub(super) fn on_list_up(&mut self, out: &mut Vec<Output>) {
@@ -27,38 +28,32 @@
             // A change was missed: the whole list tells.
             return out.push(Output::Fetch);
         };
+        let changed = (kind == ListKind::Delta).then(|| entries.iter().map(|entry| entry.server).collect());
         self.events.push_back(Event::Members { kind, entries: entries.into() });
-        self.follow_roster(out);
+        match changed {
+            Some(changed) => self.follow_engines(changed, out),
+            None => self.follow_roster(out),
+        }
     }
 
     /// Connects to what is listed anew, and lets go of what is gone.
     pub(super) fn follow_roster(&mut self, out: &mut Vec<Output>) {
-        for engine in self.roster.engines() {
-            let link = match self.config.links {
-                Links::Connections => EngineLink::default,
-                Links::Exchanges => EngineLink::listed,
-            };
-            self.engines.entry(engine).or_insert_with(link);
-        }
-        let all: Vec<ServerId> = self.engines.keys().copied().collect();
-        for engine in all {
-            if !self.roster.ready(engine) {
-                // Sends that wait for a connection are not to go out after the drain.
-                let waits = |l: &Live| l.attempt.filter(|a| a.server == engine && a.waits);
-                let waiting: Vec<(RequestId, Attempt)> =
-                    self.live.iter().filter_map(|(id, l)| Some((*id, waits(l)?))).collect();
-                for (id, attempt) in waiting {
-                    self.close(id, attempt, Status::ConnectFailed, 0, None);
-                }
-            }
-            let Some(link) = self.engines.get(&engine) else { continue };
+        let mut all: BTreeSet<ServerId> = self.engines.keys().copied().collect();
+        all.extend(self.roster.engines());
+        self.follow_engines(all, out);
+    }
+
+    /// The same for those that a change of the list names: of a long list few change at once.
+    fn follow_engines(&mut self, engines: BTreeSet<ServerId>, out: &mut Vec<Output>) {
+        for engine in engines {
             if self.roster.wanted(engine) {
-                if link.is_new() {
-                    self.connect(engine, out);
-                }
-            } else {
-                self.let_go(engine, out);
+                let link = match self.config.links {
+                    Links::Connections => EngineLink::default,
+                    Links::Exchanges => EngineLink::listed,
+                };
+                self.engines.entry(engine).or_insert_with(link);
             }
+            self.follow_engine(engine, out);
         }
         if self.config.links == Links::Exchanges {
             // New engines come under new names all day: what is gone must not stay in the books.
@@ -67,6 +62,26 @@
         }
     }
 
+    fn follow_engine(&mut self, engine: ServerId, out: &mut Vec<Output>) {
+        if !self.roster.ready(engine) {
+            // Sends that wait for a connection are not to go out after the drain.
+            let waits = |l: &Live| l.attempt.filter(|a| a.server == engine && a.waits);
+            let waiting: Vec<(RequestId, Attempt)> =
+                self.live.iter().filter_map(|(id, l)| Some((*id, waits(l)?))).collect();
+            for (id, attempt) in waiting {
+                self.close(id, attempt, Status::ConnectFailed, 0, None);
+            }
+        }
+        let Some(link) = self.engines.get(&engine) else { return };
+        if self.roster.wanted(engine) {
+            if link.is_new() {
+                self.connect(engine, out);
+            }
+        } else {
+            self.let_go(engine, out);
+        }
+    }
+
     /// Something of ours has ended at an engine: if it is not wanted any more, that may have been the last.
     pub(super) fn may_leave(&mut self, engine: ServerId) {
         if !self.roster.wanted(engine) && !self.leaving.contains(&engine) {
