--- a/crates/gaparch-lab/src/scale/real/wire.rs
+++ b/crates/gaparch-lab/src/scale/real/wire.rs
@@ -17,6 +17,8 @@
 /// The head of a message.
 pub(super) struct Head {
     pub first_line: String,
+    /// Bytes of the head itself.
+    pub bytes: usize,
     pub length: usize,
     pub chunked: bool,
 }
@@ -46,6 +48,7 @@
                     found.next().map(|(_, value)| value.trim().to_owned())
                 };
                 return Some(Head {
+                    bytes: at + 4,
                     first_line: text.lines().next().unwrap_or_default().to_owned(),
                     length: field("content-length").and_then(|l| l.parse().ok()).unwrap_or(0),
                     chunked: field("transfer-encoding").is_some(),
@@ -92,10 +95,11 @@
         self.stream.write_all(bytes).await.ok()
     }
 
-    /// A whole answer.
-    pub async fn answer(&mut self, status: &str, body: &str) -> Option<()> {
+    /// A whole answer; how many bytes it had.
+    pub async fn answer(&mut self, status: &str, body: &str) -> Option<usize> {
         let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        self.write(text.as_bytes()).await
+        self.write(text.as_bytes()).await?;
+        Some(text.len())
     }
 }
 
--- a/crates/gaparch-lab/src/scale/real/workers.rs
+++ b/crates/gaparch-lab/src/scale/real/workers.rs
@@ -1,7 +1,7 @@
 //! Hollow workers: an address each, no model. Reads take a while, writes are tokens by schedule.
 
 use super::super::target;
-use super::wire::Connection;
+use super::wire::{Connection, Head};
 use super::ListedWorker;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -47,6 +47,8 @@
     pub writes: u64,
     pub releases: u64,
     pub probes: u64,
+    /// Bytes of probes and releases, with their answers.
+    pub control_bytes: u64,
 }
 
 #[derive(Debug, Default)]
@@ -56,10 +58,20 @@
     writes: AtomicU64,
     releases: AtomicU64,
     probes: AtomicU64,
+    control_bytes: AtomicU64,
     /// Reads and writes by worker.
     asked: Vec<AtomicU64>,
 }
 
+impl Counters {
+    /// Answers a call that is no part of a request, and counts its bytes.
+    async fn answer_control(&self, connection: &mut Connection, head: &Head, status: &str) -> Option<()> {
+        let answered = connection.answer(status, "").await?;
+        self.control_bytes.fetch_add((head.bytes + answered) as u64, Ordering::Relaxed);
+        Some(())
+    }
+}
+
 /// What a worker does.
 #[derive(Clone, Copy, Debug)]
 struct Job {
@@ -132,6 +144,7 @@
             writes: of(&self.counters.writes),
             releases: of(&self.counters.releases),
             probes: of(&self.counters.probes),
+            control_bytes: of(&self.counters.control_bytes),
         }
     }
 }
@@ -156,18 +169,20 @@
         let answered = match (words.next().unwrap_or_default(), words.next().unwrap_or_default()) {
             ("GET", _) => {
                 count(&counters.probes);
-                connection.answer("200 OK", "").await
+                counters.answer_control(&mut connection, &head, "200 OK").await
             }
             ("DELETE", _) => {
                 count(&counters.releases);
-                connection.answer("204 No Content", "").await
+                counters.answer_control(&mut connection, &head, "204 No Content").await
+            }
+            (_, target) if target.starts_with("/internal/") => {
+                connection.answer("200 OK", "").await.map(drop)
             }
-            (_, target) if target.starts_with("/internal/") => connection.answer("200 OK", "").await,
             _ if job.reads => {
                 count(&counters.reads);
                 count(&counters.asked[job.number]);
                 sleep(READ).await;
-                connection.answer("202 Accepted", "{\"cached_tokens\":0}").await
+                connection.answer("202 Accepted", "{\"cached_tokens\":0}").await.map(drop)
             }
             _ => {
                 count(&counters.writes);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,6 +50,7 @@
 const SHARE_SLACK: f64 = 1.5; // times its share before a tenant is over it: routers see uneven parts
 const SHARE_BURST: f64 = 2.0; // seconds of its share that may come at once, and one request besides
 const NEAR: usize = 64; // servers of a role that a request chooses among, near its key; of fewer all
+const PROBES: f64 = 16.0; // a second before a choice, where there are many servers: some 2 KB with all else
 const LOOKS: usize = 8; // at held requests for each event, where each has servers of its own to be looked at
 const WALKED: usize = 256; // servers gone through in a tick at most: of more, all are seldomer
 const TICK_TIMER: TimerToken = TimerToken(0);
@@ -176,8 +177,7 @@
     }
 
     /// Readers that a shared beginning is at home at: more where it surely is more than a reader's part of
-    /// all requests, by what this router saw. Else it swamps one home and its cell. Coarse: sessions stay.
-    /// Where there are many servers they are those near its point, of a hot one near one of several.
+    /// all requests, by what this router saw: it would swamp one. Coarse: sessions stay. Many: near its point.
     fn home(&mut self, request: &Request) -> Home {
         let readers = self.averages.places.readers.len();
         let (same, all) = self.seen.add(self.now, request.prefix, SEEN_SPAN);
@@ -238,9 +238,8 @@
                 self.look_further(id);
             }
             last = Some(turn);
-            if let Some(entry) = open.iter_mut().find(|o| o.part == part) {
-                entry.first = self.waiting.group(&part).and_then(|group| group.after(last));
-            }
+            let next = self.waiting.group(&part).and_then(|group| group.after(last));
+            open.iter_mut().filter(|o| o.part == part).for_each(|o| o.first = next);
         }
     }
 
@@ -362,7 +361,9 @@
 
     /// Probes those not heard from lately, as many routers hear too seldom; whether an answer is awaited.
     fn look(&mut self, at: &[ServerId]) -> bool {
-        let price = self.set.probe_price;
+        let rate = 1e9 / self.seen.gap(self.now, SEEN_SPAN).max(1.0);
+        let least = if self.averages.has_many(NEAR) { NEWS_WORTH * rate / PROBES } else { 0.0 };
+        let price = self.set.probe_price.max(least);
         for id in at {
             let unheard = self.servers.get(id).is_some_and(|s| self.unheard(s));
             if let Some(s) = self.servers.get_mut(id).filter(|_| unheard && self.purses[1] >= price) {
@@ -609,8 +610,7 @@
             let per_token = self.reads.done(&sent, o.latency, read, GAIN, BEST_GAIN);
             learn_pace(&mut self.servers, o.server, per_token, PACE_GAIN, SAMPLES, WALKED);
         }
-        let reads = sent.stage != Stage::Write && o.status == Status::Read;
-        if reads && o.latency as f64 > READ_LATE * aim {
+        if o.status == Status::Read && sent.stage != Stage::Write && o.latency as f64 > READ_LATE * aim {
             self.throttle.cut(self.now, READS_CUT, PEER_SPAN, RECENTLY);
         }
         self.settle(o, sent);
