--- a/src/policy.rs
+++ b/src/policy.rs
@@ -177,7 +177,7 @@
     }
 
     /// Readers that a shared beginning is at home at: more where it surely is more than a reader's part of
-    /// all requests, by what this router saw: it would swamp one. Coarse: sessions stay. Many: near its point.
+    /// all requests, by what this router saw: it would swamp one. Coarse: sessions stay. Near a point.
     fn home(&mut self, request: &Request) -> Home {
         let readers = self.averages.places.readers.len();
         let (same, all) = self.seen.add(self.now, request.prefix, SEEN_SPAN);
