--- /dev/null
+++ b/src/state/averages.rs
@@ -0,0 +1,203 @@
+//! What the servers of a role have in common, and which of them are near a key.
+
+use super::{average, Enough, Places, Ring, Server, Servers, Told};
+use crate::api::{CellId, Nanos, Role, ServerId};
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+
+/// The warm servers of a kind, and the places of the cold ones.
+#[derive(Clone, Debug, Default)]
+pub struct WarmKind {
+    /// Means of the warm ones that are ready; `None` without one.
+    pub rate: Option<f64>,
+    pub weight: Option<f64>,
+    pub cold: Vec<usize>,
+}
+
+/// Goes through all servers once. The last of so many kinds is that of servers of which none is told.
+pub fn warm_by_kind(
+    servers: &Servers,
+    kinds: usize,
+    is_warm: impl Fn(&Server) -> bool,
+    rate: impl Fn(&Server) -> f64,
+) -> Vec<WarmKind> {
+    let mut sums = vec![(0.0, 0.0, 0.0); kinds];
+    let mut all = vec![WarmKind::default(); kinds];
+    for (place, server) in servers.values().enumerate() {
+        let known = server.kind.filter(|kind| kind.0 + 1 < kinds);
+        let kind = match (server.kind, known) {
+            (None, _) => kinds - 1,
+            (_, Some(kind)) => kind.0,
+            (Some(_), None) => continue,
+        };
+        if !is_warm(server) {
+            all[kind].cold.push(place);
+        } else if server.ready {
+            let (rates, weights, count) = &mut sums[kind];
+            *rates += rate(server);
+            *weights += server.weight;
+            *count += 1.0;
+        }
+    }
+    for (kind, (rates, weights, count)) in all.iter_mut().zip(sums) {
+        let mean = |sum: f64| (count > 0.0).then(|| sum / count);
+        (kind.rate, kind.weight) = (mean(rates), mean(weights));
+    }
+    all
+}
+
+/// How much less than others a reader is home, by its distance on the ring.
+#[derive(Clone, Debug, Default)]
+pub struct Fade {
+    /// In the order of the ids.
+    of: Vec<(ServerId, f64)>,
+}
+
+impl Fade {
+    /// 1 of one that is not near, and of all where there are not many.
+    pub fn of(&self, server: ServerId) -> f64 {
+        self.of.binary_search_by_key(&server, |(id, _)| *id).map_or(1.0, |at| self.of[at].1)
+    }
+}
+
+/// What the servers of a role have in common.
+#[derive(Clone, Debug, Default)]
+pub struct Averages {
+    at: Nanos,
+    /// Mean weight by role.
+    pub weight: [f64; 3],
+    /// Each cell's share of all weight, by role.
+    pub cells: BTreeMap<CellId, [f64; 3]>,
+    /// Places of ready servers.
+    pub places: Places,
+    /// The role of those that are asked to write.
+    pub writes: Role,
+    /// Where there are many of a role, their cells by hash.
+    ring: Ring,
+    /// By role, of those with fresh news: what others hold, as a share of memory; what others have to read.
+    pub others: [Option<f64>; 3],
+    pub others_unread: [Option<f64>; 3],
+    /// What we and other routers hold at writers, and a writer's mean of it.
+    pub known: f64,
+    pub known_mean: f64,
+}
+
+impl Averages {
+    /// Of what the list says. A server that is gone leaves the books with the last of our work there: new ones come
+    /// under new ids all day. `many`: of a role, from which on those near a key are told apart.
+    pub fn list(&mut self, servers: &mut Servers, many: usize) {
+        servers.retain(|s| !s.gone || s.unbegun > 0 || s.held >= 1.0);
+        self.cells.clear();
+        // Mixed servers get states from readers only where there are no writers.
+        let split = servers.values().any(|s| s.ready && s.role == Role::Write);
+        self.writes = if split { Role::Write } else { Role::Both };
+        self.places = Places {
+            readers: servers.places(|s| s.ready && s.role != Role::Write),
+            writers: servers.places(|s| s.ready && s.role == self.writes),
+            mixed: servers.places(|s| s.ready && split && s.role == Role::Both),
+        };
+        if self.has_many(many) {
+            self.ring.list(servers, self.writes, split);
+        } else {
+            self.ring = Ring::default();
+        }
+        for role in [Role::Read, Role::Write, Role::Both] {
+            let ready = || servers.values().filter(|s| s.ready && s.role == role);
+            self.weight[role as usize] = average(ready().map(|s| s.weight)).unwrap_or(1.0);
+            let whole = ready().map(|s| s.weight).sum::<f64>();
+            for (s, cell) in ready().filter_map(|s| Some((s, s.cell?))) {
+                self.cells.entry(cell).or_default()[role as usize] += s.weight / whole;
+            }
+        }
+    }
+
+    /// There are more than so many of a role.
+    pub fn has_many(&self, many: usize) -> bool {
+        self.places.readers.len() > many || self.places.writers.len() > many
+    }
+
+    fn enough(&self, many: usize) -> Enough {
+        let enough = |all: &[usize]| if all.len() > many { many } else { 0 };
+        Enough { readers: enough(&self.places.readers), writers: enough(&self.places.writers) }
+    }
+
+    /// All servers, or, of a role that has more than so many, those near a point and the writers of one cell besides.
+    pub fn near(&self, point: Option<u64>, cell: Option<CellId>, many: usize) -> Cow<'_, Places> {
+        let Some(point) = point.filter(|_| self.has_many(many)) else { return Cow::Borrowed(&self.places) };
+        let enough = self.enough(many);
+        let mut near = self.ring.near(point, enough).places;
+        if enough.readers == 0 {
+            near.readers.clone_from(&self.places.readers);
+        }
+        if enough.writers == 0 {
+            near.writers.clone_from(&self.places.writers);
+        } else if let Some(of_cell) = cell.and_then(|cell| self.ring.cell(cell)) {
+            let missing = |place: &&usize| !near.writers.contains(*place);
+            let missing: Vec<usize> = of_cell.writers.iter().filter(missing).copied().collect();
+            near.writers.extend(missing);
+        }
+        Cow::Owned(near)
+    }
+
+    /// How much less than others each reader near a point is home there.
+    pub fn fade(&self, servers: &Servers, point: u64, many: usize) -> Fade {
+        if self.places.readers.len() <= many {
+            return Fade::default();
+        }
+        let near = self.ring.near(point, self.enough(many));
+        let ids = servers.at(&near.places.readers).map(|s| s.id);
+        let mut of = ids.zip(near.fades).collect::<Vec<_>>();
+        of.sort_unstable_by_key(|(id, _)| *id);
+        Fade { of }
+    }
+
+    /// The point from which on the servers follow that are not near this one; the same where there are not many.
+    pub fn beyond(&self, point: u64, many: usize) -> u64 {
+        if self.has_many(many) {
+            self.ring.near(point, self.enough(many)).next
+        } else {
+            point
+        }
+    }
+
+    /// Of all writers the part that so many are, where only those near a point are looked at.
+    pub fn part_of_writers(&self, count: usize, many: usize) -> f64 {
+        let all = self.places.writers.len();
+        if all > many {
+            count as f64 / all as f64
+        } else {
+            1.0
+        }
+    }
+
+    /// Of the news of the last `span`; older news is forgotten. Done once in `every`.
+    pub fn news(&mut self, now: Nanos, every: Nanos, span: Nanos, servers: &mut Servers, told: &mut Told) {
+        if now < self.at + every {
+            return;
+        }
+        self.at = now;
+        let from = now.saturating_sub(span);
+        told.forget(from);
+        let (mut others, mut unread) = ([(0.0, 0.0); 3], [(0.0, 0.0); 3]);
+        let (mut writers, mut held) = (0.0_f64, 0.0);
+        for s in servers.values_mut() {
+            if s.news_at < from {
+                (s.others, s.others_unread, s.share) = (None, None, None);
+            }
+            // A probe whose answer was lost must not be waited for for ever.
+            s.asked_at = s.asked_at.filter(|at| *at >= from);
+            if s.ready {
+                let add = |sum: &mut (f64, f64), value: f64| *sum = (sum.0 + value, sum.1 + 1.0);
+                s.others.into_iter().for_each(|v| add(&mut others[s.role as usize], v / s.memory.max(1.0)));
+                s.others_unread.into_iter().for_each(|v| add(&mut unread[s.role as usize], v));
+                if s.role != Role::Read {
+                    (writers, held) = (writers + 1.0, held + s.held);
+                }
+            }
+        }
+        let mean = |sum: (f64, f64)| (sum.1 > 0.0).then(|| sum.0 / sum.1);
+        (self.others, self.others_unread) = (others.map(mean), unread.map(mean));
+        self.known = held + told.all.values().sum::<f64>();
+        self.known_mean = self.known / writers.max(1.0);
+    }
+}
