A fleet of up to 256 servers is looked at as a whole, however its roles are shared

Change: the bound is on all ready servers, WALKED, the same 256 up to which each walk goes through all; beyond it NEAR of each role are chosen among, as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,10 +49,10 @@
 const COLD_FLOOR: f64 = 0.5; // mean requests a window that a cold server gets when peers tell nothing
 const SHARE_SLACK: f64 = 1.5; // times its share before a tenant is over it: routers see uneven parts
 const SHARE_BURST: f64 = 2.0; // seconds of its share that may come at once, and one request besides
-const NEAR: usize = 64; // servers of a role that a request chooses among, near its key; of fewer all
+const WALKED: usize = 256; // servers gone through at once at most: of more all of them are seldomer, and for
+const NEAR: usize = 64; // a request so many of each role near its key; of a role with fewer all
 const PROBES: f64 = 16.0; // a second before a choice, where there are many servers: some 2 KB with all else
 const LOOKS: usize = 8; // at held requests for each event, where each has servers of its own to be looked at
-const WALKED: usize = 256; // servers gone through in a tick at most: of more, all are seldomer
 const TICK_TIMER: TimerToken = TimerToken(0);
 const ASK_TIMER: TimerToken = TimerToken(1);
 
@@ -203,7 +203,7 @@
         }
         let mut open: Vec<Open> = Vec::new();
         let mut fresh = false;
-        let many = self.averages.has_many(NEAR);
+        let many = self.averages.has_many();
         let (mut last, mut looks) = (self.looked.take(), if many { LOOKS } else { usize::MAX });
         loop {
             if !std::mem::replace(&mut fresh, true) {
@@ -276,7 +276,7 @@
 
     fn room_for(&self, writers: Vec<&Server>, need: f64) -> bool {
         let (mut free, mut some, mut unknown) = (0.0, false, false);
-        let part = self.averages.part_of_writers(writers.len(), NEAR);
+        let part = self.averages.part_of_writers(writers.len());
         for s in writers {
             let share = self.memory_share(s);
             if self.fits(s, need, share) {
@@ -362,7 +362,7 @@
     /// Probes those not heard from lately, as many routers hear too seldom; whether an answer is awaited.
     fn look(&mut self, at: &[ServerId]) -> bool {
         let rate = 1e9 / self.seen.gap(self.now, SEEN_SPAN).max(1.0);
-        let least = if self.averages.has_many(NEAR) { NEWS_WORTH * rate / PROBES } else { 0.0 };
+        let least = if self.averages.has_many() { NEWS_WORTH * rate / PROBES } else { 0.0 };
         let price = self.set.probe_price.max(least);
         for id in at {
             let unheard = self.servers.get(id).is_some_and(|s| self.unheard(s));
@@ -806,7 +806,7 @@
             // Nothing new goes to a draining or gone server from now on: rule 3 with its grace unused.
             s.listed(self.now, e, Key(self.set.seed).draw(e.server));
         }
-        self.averages.list(&mut self.servers, NEAR);
+        self.averages.list(&mut self.servers, WALKED);
         // Homes are spread as the writers are that can take the states without a move out of the cell. What a
         // mixed server reads it writes itself.
         let writes = self.averages.writes as usize;
--- a/src/state/averages.rs
+++ b/src/state/averages.rs
@@ -72,7 +72,9 @@
     pub places: Places,
     /// The role of those that are asked to write.
     pub writes: Role,
-    /// Where there are many of a role, their cells by hash.
+    /// There are so many that only those near a key are looked at for a request.
+    many: bool,
+    /// If so, their cells by hash.
     ring: Ring,
     /// By role, of those with fresh news: what others hold, as a share of memory; what others have to read.
     pub others: [Option<f64>; 3],
@@ -84,8 +86,8 @@
 
 impl Averages {
     /// Of what the list says. A server that is gone leaves the books with the last of our work there: new ones come
-    /// under new ids all day. `many`: of a role, from which on those near a key are told apart.
-    pub fn list(&mut self, servers: &mut Servers, many: usize) {
+    /// under new ids all day. Of more than `most` ready servers those near a key are told apart.
+    pub fn list(&mut self, servers: &mut Servers, most: usize) {
         servers.retain(|s| !s.gone || s.unbegun > 0 || s.held >= 1.0);
         self.cells.clear();
         // Mixed servers get states from readers only where there are no writers.
@@ -96,7 +98,8 @@
             writers: servers.places(|s| s.ready && s.role == self.writes),
             mixed: servers.places(|s| s.ready && split && s.role == Role::Both),
         };
-        if self.has_many(many) {
+        self.many = self.places.readers.len() + self.places.writers.len() > most;
+        if self.many {
             self.ring.list(servers, self.writes, split);
         } else {
             self.ring = Ring::default();
@@ -111,20 +114,21 @@
         }
     }
 
-    /// There are more than so many of a role.
-    pub fn has_many(&self, many: usize) -> bool {
-        self.places.readers.len() > many || self.places.writers.len() > many
+    /// Only those near a key are looked at for a request.
+    pub fn has_many(&self) -> bool {
+        self.many
     }
 
-    fn enough(&self, many: usize) -> Enough {
-        let enough = |all: &[usize]| if all.len() > many { many } else { 0 };
+    /// Of a role with no more than `near` all are looked at.
+    fn enough(&self, near: usize) -> Enough {
+        let enough = |all: &[usize]| if all.len() > near { near } else { 0 };
         Enough { readers: enough(&self.places.readers), writers: enough(&self.places.writers) }
     }
 
-    /// All servers, or, of a role that has more than so many, those near a point and the writers of one cell besides.
-    pub fn near(&self, point: Option<u64>, cell: Option<CellId>, many: usize) -> Cow<'_, Places> {
-        let Some(point) = point.filter(|_| self.has_many(many)) else { return Cow::Borrowed(&self.places) };
-        let enough = self.enough(many);
+    /// All servers; or, where there are many, so many of each role near a point, and the writers of one cell besides.
+    pub fn near(&self, point: Option<u64>, cell: Option<CellId>, near: usize) -> Cow<'_, Places> {
+        let Some(point) = point.filter(|_| self.many) else { return Cow::Borrowed(&self.places) };
+        let enough = self.enough(near);
         let mut near = self.ring.near(point, enough).places;
         if enough.readers == 0 {
             near.readers.clone_from(&self.places.readers);
@@ -140,11 +144,11 @@
     }
 
     /// How much less than others each reader near a point is home there.
-    pub fn fade(&self, servers: &Servers, point: u64, many: usize) -> Fade {
-        if self.places.readers.len() <= many {
+    pub fn fade(&self, servers: &Servers, point: u64, near: usize) -> Fade {
+        if !self.many || self.places.readers.len() <= near {
             return Fade::default();
         }
-        let near = self.ring.near(point, self.enough(many));
+        let near = self.ring.near(point, self.enough(near));
         let ids = servers.at(&near.places.readers).map(|s| s.id);
         let mut of = ids.zip(near.fades).collect::<Vec<_>>();
         of.sort_unstable_by_key(|(id, _)| *id);
@@ -152,19 +156,18 @@
     }
 
     /// The point from which on the servers follow that are not near this one; the same where there are not many.
-    pub fn beyond(&self, point: u64, many: usize) -> u64 {
-        if self.has_many(many) {
-            self.ring.near(point, self.enough(many)).next
+    pub fn beyond(&self, point: u64, near: usize) -> u64 {
+        if self.many {
+            self.ring.near(point, self.enough(near)).next
         } else {
             point
         }
     }
 
     /// Of all writers the part that so many are, where only those near a point are looked at.
-    pub fn part_of_writers(&self, count: usize, many: usize) -> f64 {
-        let all = self.places.writers.len();
-        if all > many {
-            count as f64 / all as f64
+    pub fn part_of_writers(&self, count: usize) -> f64 {
+        if self.many {
+            count as f64 / self.places.writers.len().max(1) as f64
         } else {
             1.0
         }
--- a/tests/many_servers.rs
+++ b/tests/many_servers.rs
@@ -10,6 +10,7 @@
 
 /// As in the module.
 const NEAR: usize = 64;
+const WALKED: usize = 256;
 const READER: usize = 0;
 const WRITER: usize = 1;
 
@@ -51,7 +52,7 @@
         for entry in entries {
             self.servers.get_mut(&entry.server).expect("made").listed(0, entry, 0.0);
         }
-        self.averages.list(&mut self.servers, NEAR);
+        self.averages.list(&mut self.servers, WALKED);
     }
 
     fn ids(&self, places: &[usize]) -> BTreeSet<ServerId> {
@@ -98,10 +99,11 @@
 
 #[test]
 fn of_few_servers_all_are_chosen_among() {
-    let listed = Listed::of(&fleet(96, 12));
-    assert!(!listed.averages.has_many(NEAR));
+    let listed = Listed::of(&fleet(256, 12));
+    assert!(!listed.averages.has_many());
     let [readers, writers] = listed.near(7);
-    assert_eq!((readers.len(), writers.len()), (32, 64));
+    assert_eq!((readers.len(), writers.len()), (86, 170));
+    assert!(Listed::of(&fleet(257, 12)).averages.has_many());
 }
 
 /// Cells of any size, one role far scarcer than the other, servers without a cell: all are borne.
