--- a/crates/gaparch-lab/src/scale/real/node.rs
+++ b/crates/gaparch-lab/src/scale/real/node.rs
@@ -35,7 +35,7 @@
     pub descriptors: usize,
 }
 
-/// The settings that a router in service gets here: the letter's tenants, and what the platform allows.
+/// The settings that a router in service gets here: the target's tenants, and what the platform allows.
 fn settings(zones: usize) -> serde_json::Value {
     let zones: Vec<String> = (0..zones).map(|zone| format!("z{zone}")).collect();
     let tenant = |n: usize| json!({"name": format!("t{n}"), "fraction": 1.0 / target::TENANTS as f64, "quotaPerS": 0.0});
