Where nothing near a key has room, the way on goes past every cell once

Cause: found on reading the change once more. look_further went on along the ring of sixteen points a cell, so that one round past all cells took sixteen times as many looks: by counting points, some 94 at 1,200 servers and 780 at 10,000, ten milliseconds apart, where a client may wait 1.6 s. A request could be refused while there was room elsewhere. Also found: the values of the ring stood in the tables, not in the module; the ring was walked again for the fades and, also in small fleets, for the writers to probe, where all had been heard from; all mixed servers were gone through for a held request in a large fleet; the price of probes was worked out where it has no use; fill_cold_budgets compared latencies.

Result: test the_way_on_goes_past_every_server_once, bounded by the looks that one round takes, and one of the writers of a state's cell; all others of the module pass, same_actions among them.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,8 +49,8 @@
 const COLD_FLOOR: f64 = 0.5; // mean requests a window that a cold server gets when peers tell nothing
 const SHARE_SLACK: f64 = 1.5; // times its share before a tenant is over it: routers see uneven parts
 const SHARE_BURST: f64 = 2.0; // seconds of its share that may come at once, and one request besides
-const WALKED: usize = 256; // servers gone through at once at most: of more all of them are seldomer, and for
-const NEAR: usize = 64; // a request so many of each role near its key; of a role with fewer all
+const WALKED: usize = 256; // servers up to which a request chooses among all, and a tick goes through all
+const NEAR: Nearness = Nearness { enough: 64, most: 256, points: 16, edge: 1e-3 }; // of more: near its key
 const PROBES: f64 = 16.0; // a second before a choice, where there are many servers: some 2 KB with all else
 const LOOKS: usize = 8; // at held requests for each event, where each has servers of its own to be looked at
 const TICK_TIMER: TimerToken = TimerToken(0);
@@ -182,7 +182,7 @@
         let readers = self.averages.places.readers.len();
         let (same, all) = self.seen.add(self.now, request.prefix, SEEN_SPAN);
         let sure = (same - same.sqrt()).max(0.0) / all.max(1.0);
-        Home::of(request, power_of_four((sure * HOMES * readers as f64) as usize), NEAR)
+        Home::of(request, power_of_four((sure * HOMES * readers as f64) as usize), NEAR.enough)
     }
 
     /// Whether this request is beyond its tenant's share, of which each router takes an even part.
@@ -202,8 +202,7 @@
             return;
         }
         let mut open: Vec<Open> = Vec::new();
-        let mut fresh = false;
-        let many = self.averages.has_many();
+        let (mut fresh, many) = (false, self.averages.has_many());
         let (mut last, mut looks) = (self.looked.take(), if many { LOOKS } else { usize::MAX });
         loop {
             if !std::mem::replace(&mut fresh, true) {
@@ -221,7 +220,7 @@
             };
             let (part, turn, wants, id) = (*part, *turn, *wants, turn.2);
             // What needs no less than one that has just found no room finds none either.
-            let fits = |w| self.mixed_room(wants.need) || self.writers_have_room(w);
+            let fits = |w| self.mixed_room(&self.near(w).places, wants.need) || self.writers_have_room(w);
             let room = wants.need < *too_much && self.works.get(&id).is_some_and(fits);
             if !room && part.is_some() && !many {
                 *too_much = too_much.min(wants.need);
@@ -246,14 +245,15 @@
     /// None of the servers near its point has room for it: next time it is those behind them, and so round.
     fn look_further(&mut self, id: RequestId) {
         let Some(work) = self.works.get_mut(&id).filter(|w| !w.awaits_probes(self.now)) else { return };
-        work.point = self.averages.beyond(work.point, NEAR);
+        work.position = self.averages.near(Some(work.position), None, NEAR).next.unwrap_or(work.position);
     }
 
     /// Whether one that wants so little of a part of the traffic may go; those that some servers must not be
     /// asked for are looked at one by one.
     fn may_open(&self, part: Option<Part>, easiest: Wants) -> bool {
-        let writers = || self.room_for(self.open_to(false, None, part), easiest.need);
-        part.is_none() || self.reader_may_have_room(easiest) && (self.mixed_room(easiest.need) || writers())
+        let (all, need) = (&self.averages.places, easiest.need);
+        let room = || self.mixed_room(all, need) || self.room_for(self.open_to(all, false, None, part), need);
+        part.is_none() || self.reader_may_have_room(easiest) && room()
     }
 
     /// False only if no reader can have room for what has so little to read and so long an aim: `start`
@@ -270,8 +270,8 @@
     }
 
     /// Beside writers, mixed servers take requests whole: they have room of their own.
-    fn mixed_room(&self, need: f64) -> bool {
-        self.servers.at(&self.averages.places.mixed).any(|s| self.has_room(s, need))
+    fn mixed_room(&self, among: &Places, need: f64) -> bool {
+        self.servers.at(&among.mixed).any(|s| self.has_room(s, need))
     }
 
     fn room_for(&self, writers: Vec<&Server>, need: f64) -> bool {
@@ -300,13 +300,14 @@
     /// Sends a request to its home reader, or to the least loaded one where home is clearly busier.
     fn start(&mut self, id: RequestId) -> bool {
         let Some(work) = self.works.get(&id) else { return true };
-        let mut readers = self.candidates(true, work);
+        let near = self.near(work);
+        let mut readers = self.open_to(&near.places, true, Some(work), Some(work.part()));
         if readers.is_empty() {
             return self.start_at_writer(id);
         }
-        let writers = self.averages.places.mixed.is_empty() || self.writers_have_room(work);
+        let writers = near.places.mixed.is_empty() || self.writers_have_room(work);
         readers.retain(|s| if s.role == Role::Both { self.has_room(s, work.need()) } else { writers });
-        let homes = self.homes_of(work, &readers);
+        let homes = self.homes_of(work, &readers, &near.fade(&self.servers));
         let Some(home) = homes.first().copied() else { return false };
         let at_home = |s: &Server| homes.iter().any(|h| h.id == s.id);
         let kept = |s: &Server| if at_home(s) { work.request.prefix_len } else { 0.0 };
@@ -331,21 +332,21 @@
             return false;
         }
         let Some(work) = self.works.get(&id) else { return true };
-        let mut near = self.candidates(false, work);
-        near.retain(|s| s.cell.is_some() && s.cell == cell);
-        near.sort_by_key(|s| work.lot.rank(s.id));
-        let near: Vec<ServerId> = near.iter().take(LOOK_WRITERS).map(|s| s.id).collect();
+        let near = |s: &&Server| s.cell.is_some() && s.cell == cell;
+        let unheard = self.servers.at(&self.near(work).places.writers).filter(near).any(|s| self.unheard(s));
+        let mut writers = if !unheard { Vec::new() } else { self.candidates(false, work) };
+        writers.retain(near);
+        let writers = first_by_lot(writers, LOOK_WRITERS, work.lot);
         self.throttle.take(self.now, PEER_SPAN);
         self.send(id, Sent { unread, queued, behind, ..Sent::to(chosen, stage) });
-        self.look(&near);
+        self.look(&writers);
         true
     }
 
     /// Its beginning's homes by rendezvous hashing, its session's first, last whom they yield to; the same on
     /// all routers. Homes are spread as writers that take states without a move, the last as who has room.
-    fn homes_of<'s>(&self, work: &Work, readers: &[&'s Server]) -> Vec<&'s Server> {
+    fn homes_of<'s>(&self, work: &Work, readers: &[&'s Server], fade: &Fade) -> Vec<&'s Server> {
         let session = work.request.session.unwrap_or(Key(work.request.id.0));
-        let fade = &self.averages.fade(&self.servers, work.point, NEAR);
         let by = |key: Key| move |s: &&Server| -key.draw(s.id).ln() / (s.home * fade.of(s.id));
         let first = work.request.prefix.unwrap_or(session);
         let homes = least_by(readers.to_vec(), work.homes, by(first));
@@ -361,8 +362,8 @@
 
     /// Probes those not heard from lately, as many routers hear too seldom; whether an answer is awaited.
     fn look(&mut self, at: &[ServerId]) -> bool {
-        let rate = 1e9 / self.seen.gap(self.now, SEEN_SPAN).max(1.0);
-        let least = if self.averages.has_many() { NEWS_WORTH * rate / PROBES } else { 0.0 };
+        let gap = || self.seen.gap(self.now, SEEN_SPAN).max(1.0);
+        let least = if self.averages.has_many() { NEWS_WORTH * 1e9 / (gap() * PROBES) } else { 0.0 };
         let price = self.set.probe_price.max(least);
         for id in at {
             let unheard = self.servers.get(id).is_some_and(|s| self.unheard(s));
@@ -486,15 +487,17 @@
 
     /// Servers of one stage that may be sent to now, leaving out ill ones while enough others are left.
     pub(crate) fn candidates(&self, reads: bool, work: &Work) -> Vec<&Server> {
-        self.open_to(reads, Some(work), Some(work.part()))
+        self.open_to(&self.near(work).places, reads, Some(work), Some(work.part()))
+    }
+
+    /// Those that a request chooses among. A repeat may be bound to servers anywhere.
+    fn near(&self, work: &Work) -> Near<'_> {
+        let cell = work.state.and_then(|(reader, _)| self.servers.get(&reader)?.cell);
+        self.averages.near(work.may_have_run.is_none().then_some(work.position), cell, NEAR)
     }
 
     /// The same for any request of a part of the traffic. With no writer left mixed servers take states too.
-    fn open_to(&self, reads: bool, work: Option<&Work>, part: Option<Part>) -> Vec<&Server> {
-        // A repeat may be bound to servers anywhere.
-        let near = work.filter(|w| w.may_have_run.is_none());
-        let cell = near.and_then(|w| self.servers.get(&w.state?.0)?.cell);
-        let all = self.averages.near(near.map(|w| w.point), cell, NEAR);
+    fn open_to(&self, all: &Places, reads: bool, work: Option<&Work>, part: Option<Part>) -> Vec<&Server> {
         let may = |s: &&Server| self.cold_budget_allows(s) && work.is_none_or(|w| self.may_go_to(w, s));
         let of = |pool: &[usize]| self.servers.at(pool).filter(may).collect::<Vec<&Server>>();
         let open = of(if reads { &all.readers } else { &all.writers });
@@ -711,8 +714,7 @@
     }
 
     fn note_health(&mut self, o: &Outcome) {
-        let now = self.now;
-        let part = self.works.get(&o.id).map(Work::part);
+        let (now, part) = (self.now, self.works.get(&o.id).map(Work::part));
         let Some(s) = self.servers.get_mut(&o.server) else { return };
         let unheard = [Status::Timeout, Status::Cancelled, Status::ConnectFailed, Status::Moot];
         s.heard_at = if unheard.contains(&o.status) { s.heard_at } else { now };
@@ -780,11 +782,9 @@
             let peers = warm.rate.unwrap_or(usual.value);
             usual.follow(now, peers, PEER_SPAN);
             let rate = peers.max(usual.value) * part;
-            for s in self.servers.at_mut(&warm.cold) {
-                s.budget.fill(now, (rate * (s.weight / *weight).min(1.0)).max(floor), 0.0);
-            }
+            let size = |s: &Server| (s.weight / *weight).min(1.0);
+            self.servers.change_at(&warm.cold, |s| s.budget.fill(now, (rate * size(s)).max(floor), 0.0));
         }
-        compare_all_paces(&mut self.servers, SAMPLES, WALKED);
     }
 
     fn on_members(&mut self, kind: ListKind, entries: &[Entry]) {
@@ -806,7 +806,7 @@
             // Nothing new goes to a draining or gone server from now on: rule 3 with its grace unused.
             s.listed(self.now, e, Key(self.set.seed).draw(e.server));
         }
-        self.averages.list(&mut self.servers, WALKED);
+        self.averages.list(&mut self.servers, WALKED, NEAR);
         // Homes are spread as the writers are that can take the states without a move out of the cell. What a
         // mixed server reads it writes itself.
         let writes = self.averages.writes as usize;
@@ -826,6 +826,7 @@
         let walks = self.servers.walk_is_due(self.now, TICK, WALKED);
         if walks {
             self.fill_cold_budgets();
+            compare_all_paces(&mut self.servers, SAMPLES, WALKED);
         }
         // Of those held, none but the ones whose time or aim runs out.
         let aim = self.now.saturating_add(self.to_first.value as Nanos);
--- a/src/state/averages.rs
+++ b/src/state/averages.rs
@@ -1,8 +1,8 @@
 //! What the servers of a role have in common, and which of them are near a key.
 
-use super::{average, Enough, Places, Ring, Server, Servers, Told};
-use crate::api::{CellId, Nanos, Role, ServerId};
-use std::borrow::Cow;
+use super::ring::Ring;
+use super::{average, Near, Nearness, Places, Position, Server, Servers, Told};
+use crate::api::{CellId, Nanos, Role};
 use std::collections::BTreeMap;
 
 /// The warm servers of a kind, and the places of the cold ones.
@@ -46,20 +46,6 @@
     all
 }
 
-/// How much less than others a reader is home, by its distance on the ring.
-#[derive(Clone, Debug, Default)]
-pub struct Fade {
-    /// In the order of the ids.
-    of: Vec<(ServerId, f64)>,
-}
-
-impl Fade {
-    /// 1 of one that is not near, and of all where there are not many.
-    pub fn of(&self, server: ServerId) -> f64 {
-        self.of.binary_search_by_key(&server, |(id, _)| *id).map_or(1.0, |at| self.of[at].1)
-    }
-}
-
 /// What the servers of a role have in common.
 #[derive(Clone, Debug, Default)]
 pub struct Averages {
@@ -87,7 +73,7 @@
 impl Averages {
     /// Of what the list says. A server that is gone leaves the books with the last of our work there: new ones come
     /// under new ids all day. Of more than `most` ready servers those near a key are told apart.
-    pub fn list(&mut self, servers: &mut Servers, most: usize) {
+    pub fn list(&mut self, servers: &mut Servers, most: usize, near: Nearness) {
         servers.retain(|s| !s.gone || s.unbegun > 0 || s.held >= 1.0);
         self.cells.clear();
         // Mixed servers get states from readers only where there are no writers.
@@ -100,7 +86,7 @@
         };
         self.many = self.places.readers.len() + self.places.writers.len() > most;
         if self.many {
-            self.ring.list(servers, self.writes, split);
+            self.ring.list(servers, self.writes, split, near);
         } else {
             self.ring = Ring::default();
         }
@@ -119,49 +105,17 @@
         self.many
     }
 
-    /// Of a role with no more than `near` all are looked at.
-    fn enough(&self, near: usize) -> Enough {
-        let enough = |all: &[usize]| if all.len() > near { near } else { 0 };
-        Enough { readers: enough(&self.places.readers), writers: enough(&self.places.writers) }
-    }
-
-    /// All servers; or, where there are many, so many of each role near a point, and the writers of one cell besides.
-    pub fn near(&self, point: Option<u64>, cell: Option<CellId>, near: usize) -> Cow<'_, Places> {
-        let Some(point) = point.filter(|_| self.many) else { return Cow::Borrowed(&self.places) };
-        let enough = self.enough(near);
-        let mut near = self.ring.near(point, enough).places;
-        if enough.readers == 0 {
-            near.readers.clone_from(&self.places.readers);
-        }
-        if enough.writers == 0 {
-            near.writers.clone_from(&self.places.writers);
-        } else if let Some(of_cell) = cell.and_then(|cell| self.ring.cell(cell)) {
-            let missing = |place: &&usize| !near.writers.contains(*place);
+    /// All servers; or, where there are many, those near a position, and the writers of one cell besides.
+    pub fn near(&self, position: Option<Position>, cell: Option<CellId>, near: Nearness) -> Near<'_> {
+        let Some(position) = position.filter(|_| self.many) else { return Near::all(&self.places) };
+        let mut found = self.ring.near(&self.places, position, near);
+        if let Some(of_cell) = cell.and_then(|cell| self.ring.cell(cell)) {
+            let writers = &mut found.places.to_mut().writers;
+            let missing = |place: &&usize| !writers.contains(*place);
             let missing: Vec<usize> = of_cell.writers.iter().filter(missing).copied().collect();
-            near.writers.extend(missing);
-        }
-        Cow::Owned(near)
-    }
-
-    /// How much less than others each reader near a point is home there.
-    pub fn fade(&self, servers: &Servers, point: u64, near: usize) -> Fade {
-        if !self.many || self.places.readers.len() <= near {
-            return Fade::default();
-        }
-        let near = self.ring.near(point, self.enough(near));
-        let ids = servers.at(&near.places.readers).map(|s| s.id);
-        let mut of = ids.zip(near.fades).collect::<Vec<_>>();
-        of.sort_unstable_by_key(|(id, _)| *id);
-        Fade { of }
-    }
-
-    /// The point from which on the servers follow that are not near this one; the same where there are not many.
-    pub fn beyond(&self, point: u64, near: usize) -> u64 {
-        if self.many {
-            self.ring.near(point, self.enough(near)).next
-        } else {
-            point
+            writers.extend(missing);
         }
+        found
     }
 
     /// Of all writers the part that so many are, where only those near a point are looked at.
--- a/src/state/choice.rs
+++ b/src/state/choice.rs
@@ -1,7 +1,7 @@
 //! The least of some, and rounding.
 
 use super::Server;
-use crate::api::Key;
+use crate::api::{Key, ServerId};
 
 /// Those with the least values, least first; among equals the order stays.
 pub fn least_by<T>(all: Vec<T>, most: usize, value: impl Fn(&T) -> f64) -> Vec<T> {
@@ -19,6 +19,12 @@
     all.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| lot.rank(a.1.id).cmp(&lot.rank(b.1.id))))
 }
 
+/// So many of them, by lot.
+pub fn first_by_lot(mut all: Vec<&Server>, most: usize, lot: Key) -> Vec<ServerId> {
+    all.sort_by_key(|s| lot.rank(s.id));
+    all.into_iter().take(most).map(|s| s.id).collect()
+}
+
 /// The least power of four above `n`.
 pub fn power_of_four(n: usize) -> usize {
     let power = (n + 1).next_power_of_two();
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -14,13 +14,13 @@
 mod work;
 mod works;
 
-pub use averages::{warm_by_kind, Averages, Fade, WarmKind};
-pub use choice::{least_by, least_by_lot, power_of_four};
+pub use averages::{warm_by_kind, Averages, WarmKind};
+pub use choice::{first_by_lot, least_by, least_by_lot, power_of_four};
 pub use limits::{Bucket, Throttle};
 pub use means::{average, mean, median, Lagged, Mean, Recent};
 pub use pace::{compare_all_paces, learn_pace};
 pub use reads::Reads;
-pub use ring::{Enough, Near, Places, Ring};
+pub use ring::{Fade, Near, Nearness, Places, Position};
 pub use seen::Seen;
 pub use server::{new_server, Part, Rest, Server};
 pub use servers::Servers;
--- a/src/state/servers.rs
+++ b/src/state/servers.rs
@@ -48,17 +48,18 @@
 
     /// Those at these places, in their order.
     pub fn at<'s: 'p, 'p>(&'s self, places: &'p [usize]) -> impl Iterator<Item = &'s Server> + 'p {
-        places.iter().filter_map(|at| self.all.get(*at))
+        places.iter().filter_map(|place| self.by_place(*place))
     }
 
-    /// The same to be changed, one after the other. The places are in their order.
-    pub fn at_mut<'s: 'p, 'p>(
-        &'s mut self,
-        places: &'p [usize],
-    ) -> impl Iterator<Item = &'s mut Server> + 'p {
-        let mut places = places.iter().copied().peekable();
-        let wanted = move |(place, server)| places.next_if_eq(&place).map(|_| server);
-        self.all.iter_mut().enumerate().filter_map(wanted)
+    pub fn by_place(&self, place: usize) -> Option<&Server> {
+        self.all.get(place)
+    }
+
+    /// Changes those at these places.
+    pub fn change_at(&mut self, places: &[usize], mut change: impl FnMut(&mut Server)) {
+        for place in places {
+            self.all.get_mut(*place).into_iter().for_each(&mut change);
+        }
     }
 
     /// Places of those for which something holds.
--- a/src/state/work.rs
+++ b/src/state/work.rs
@@ -1,6 +1,6 @@
 //! One request in progress, and its attempt that is out.
 
-use super::Part;
+use super::{Part, Position};
 use crate::api::{AttemptNo, CellId, Key, Nanos, Request, ServerId, ZoneId};
 
 /// The attempt of a request that is out.
@@ -59,8 +59,7 @@
 pub struct Home {
     /// Readers that its shared beginning is at home at.
     pub readers: usize,
-    /// Its point on the ring.
-    pub point: u64,
+    pub position: Position,
 }
 
 impl Home {
@@ -70,7 +69,7 @@
         let session = request.session.unwrap_or(Key(request.id.0));
         let points = readers.div_ceil(near).max(1) as u64;
         let number = ServerId((session.rank(ServerId(0)) % points) as u32);
-        Home { readers, point: request.prefix.unwrap_or(session).rank(number) }
+        Home { readers, position: Position::Key(request.prefix.unwrap_or(session).rank(number)) }
     }
 }
 
@@ -83,8 +82,8 @@
     pub asked_at: Nanos,
     /// Readers that its shared beginning is at home at.
     pub homes: usize,
-    /// Where on the ring its servers are looked for, if there are many.
-    pub point: u64,
+    /// Where its servers are looked for, if there are many.
+    pub position: Position,
     pub aim_at: Nanos,
     /// Guessed tokens of the answer.
     pub answer: f64,
@@ -120,7 +119,7 @@
         Work {
             lot: Key(request.id.0 ^ seed),
             homes: home.readers,
-            point: home.point,
+            position: home.position,
             asked_at: now,
             request,
             over_share,
--- a/tests/many_servers.rs
+++ b/tests/many_servers.rs
@@ -4,11 +4,12 @@
 
 use common::{class, settings, Router, MS, S};
 use gaparch::api::*;
-use gaparch::state::{new_server, Averages, Server, Servers};
+use gaparch::state::{new_server, Averages, Nearness, Position, Server, Servers};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// As in the module.
+const NEARNESS: Nearness = Nearness { enough: NEAR, most: 256, points: 16, edge: 1e-3 };
 const NEAR: usize = 64;
 const WALKED: usize = 256;
 const READER: usize = 0;
@@ -52,7 +53,7 @@
         for entry in entries {
             self.servers.get_mut(&entry.server).expect("made").listed(0, entry, 0.0);
         }
-        self.averages.list(&mut self.servers, WALKED);
+        self.averages.list(&mut self.servers, WALKED, NEARNESS);
     }
 
     fn ids(&self, places: &[usize]) -> BTreeSet<ServerId> {
@@ -61,22 +62,26 @@
 
     /// The readers and writers near a key.
     fn near(&self, key: u64) -> [BTreeSet<ServerId>; 2] {
-        let near = self.averages.near(Some(point(key)), None, NEAR);
-        [self.ids(&near.readers), self.ids(&near.writers)]
+        self.near_position(position(key))
+    }
+
+    fn near_position(&self, position: Position) -> [BTreeSet<ServerId>; 2] {
+        let near = self.averages.near(Some(position), None, NEARNESS);
+        [self.ids(&near.places.readers), self.ids(&near.places.writers)]
     }
 
     /// The home of a key, as the module hashes it.
     fn home(&self, key: u64) -> ServerId {
-        let near = self.averages.near(Some(point(key)), None, NEAR);
-        let fade = self.averages.fade(&self.servers, point(key), NEAR);
+        let near = self.averages.near(Some(position(key)), None, NEARNESS);
+        let fade = near.fade(&self.servers);
         let distance = |s: &&Server| -Key(key).draw(s.id).ln() / (s.home * fade.of(s.id));
-        let home = self.servers.at(&near.readers).min_by(|a, b| distance(a).total_cmp(&distance(b)));
+        let home = self.servers.at(&near.places.readers).min_by(|a, b| distance(a).total_cmp(&distance(b)));
         home.expect("there are readers").id
     }
 }
 
-fn point(key: u64) -> u64 {
-    Key(key).rank(ServerId(0))
+fn position(key: u64) -> Position {
+    Position::Key(Key(key).rank(ServerId(0)))
 }
 
 /// Homes of many keys that differ between two lists, as a share.
@@ -249,6 +254,39 @@
     }
 }
 
+/// Where nothing near a key has room, the way on goes past every server, and in no more looks than that takes.
+#[test]
+fn the_way_on_goes_past_every_server_once() {
+    for (servers, cell) in [(600, 12), (3_000, 12), (2_000, 7)] {
+        let listed = Listed::of(&fleet(servers, cell));
+        let all = servers as usize;
+        let most_looks = 2 + all.div_ceil(NEAR * 3 - 3 * cell as usize);
+        for key in [0, 7, 99] {
+            let (mut seen, mut at, mut looks) = (BTreeSet::new(), position(key), 0);
+            while seen.len() < all {
+                looks += 1;
+                assert!(looks <= most_looks, "{servers}: {} seen in {looks} looks", seen.len());
+                seen.extend(listed.near_position(at).into_iter().flatten());
+                at = listed.averages.near(Some(at), None, NEARNESS).next.expect("there are more");
+            }
+        }
+    }
+}
+
+/// The writers of the cell in which a state waits can be asked, wherever it was read.
+#[test]
+fn writers_of_a_states_cell_are_always_among_those_near() {
+    let entries = fleet(2_000, 12);
+    let listed = Listed::of(&entries);
+    for cell in (0..160).map(CellId) {
+        let near = listed.averages.near(Some(position(3)), Some(cell), NEARNESS);
+        let writers = listed.ids(&near.places.writers);
+        let of_cell = entries.iter().filter(|e| e.cell == Some(cell) && e.kind == Some(KindId(WRITER)));
+        assert!(of_cell.clone().count() > 0);
+        of_cell.for_each(|e| assert!(writers.contains(&e.server), "{cell:?}"));
+    }
+}
+
 /// Of a whole fleet only one cell's servers have room: wherever that is, a request finds it before its time is up.
 #[test]
 fn the_last_room_of_a_fleet_is_found() {
