--- a/crates/gaparch-lab/src/scale/knowledge.rs
+++ b/crates/gaparch-lab/src/scale/knowledge.rs
@@ -118,7 +118,7 @@
 }
 
 /// Calls that the slow reader and writer got, as a share of what the mean of their role did.
-fn slow_share(played: &Played) -> f64 {
+pub fn slow_share(played: &Played) -> f64 {
     let mean = |all: &[u64]| all.iter().sum::<u64>() as f64 / all.len().max(1) as f64;
     let of = |reads: bool| played.struck.iter().filter(|attempt| attempt.reads == reads).count() as f64;
     (of(true) / mean(&played.reads).max(1e-9) + of(false) / mean(&played.writes).max(1e-9)) / 2.0
--- a/tests/many_servers.rs
+++ b/tests/many_servers.rs
@@ -319,3 +319,74 @@
     let part = moved(&Listed::of(&entries), &Listed::of(&fewer));
     assert!(part < 0.03, "{part} of the homes differ, 0.008 of the list");
 }
+
+/// Sends among these actions.
+fn sends(actions: &[Action]) -> Vec<ServerId> {
+    let server = |action: &Action| match action {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    };
+    actions.iter().filter_map(server).collect()
+}
+
+/// A beginning that makes up all traffic is at home at many points, each session at one.
+#[test]
+fn a_beginning_that_is_hot_is_read_at_more_servers_than_are_near_one_point() {
+    let mut router = Router::new(site(), fleet(1_200, 12));
+    let mut readers = BTreeSet::new();
+    for id in 1..=2_000 {
+        let request = Request { prefix: Some(Key(5)), ..router.request(id) };
+        readers.extend(sends(&router.event(Event::Request(request))));
+    }
+    assert!(readers.len() > 3 * NEAR, "{} readers", readers.len());
+}
+
+/// What is being read is for writers everywhere: those near one key are not to have room for all of it.
+#[test]
+fn what_is_being_read_is_set_against_the_room_of_all_writers() {
+    let mut router = Router::new(site(), fleet(300, 12));
+    // 200 writers of 92,000 tokens each; 1,100 tokens a request.
+    const REQUESTS: u64 = 14_000;
+    let mut sent = 0;
+    for id in 1..=REQUESTS {
+        let request = Request { prefix: Some(Key(id * 977)), ..router.request(id) };
+        sent += sends(&router.event(Event::Request(request))).len() as u64;
+    }
+    assert_eq!(sent, REQUESTS, "none is held while all writers together have room");
+}
+
+/// Requests for which there is no room anywhere don't keep those behind them from being looked at.
+#[test]
+fn held_requests_that_find_no_room_do_not_starve_others() {
+    let writers = (0..5).map(|number| server(10_000 + number, WRITER, 900 + number));
+    let readers = (0..300).map(|number| server(number, READER, number / 12));
+    let mut router = Router::new(site(), readers.chain(writers).collect());
+    // A stream at each writer: one that holds nothing would take any request.
+    let mut written = BTreeSet::new();
+    let mut ids = 1..=50;
+    while written.len() < 5 {
+        let id = ids.next().expect("each writer gets one");
+        let read = sends(&router.event(Event::Request(router.request(id))))[0];
+        let outcome = |status, attempt, server| Outcome {
+            id: RequestId(id),
+            attempt: AttemptNo(attempt),
+            server,
+            status,
+            latency: MS,
+            closed: false,
+            note: 0,
+            report: None,
+        };
+        let write = sends(&router.event(Event::Outcome(outcome(Status::Read, 0, read))))[0];
+        written.insert(write);
+        let (id, attempt) = (RequestId(id), AttemptNo(1));
+        router.event(Event::First { id, attempt, server: write, latency: MS });
+    }
+    for id in 100..130 {
+        let large = Request { prompt_len: 95_000.0, ..router.request(id) };
+        assert!(sends(&router.event(Event::Request(large))).is_empty(), "there is no room for it");
+    }
+    let mut actions = router.event(Event::Request(router.request(500)));
+    actions.extend(router.pass(200 * MS));
+    assert_eq!(sends(&actions).len(), 1, "the small one is sent");
+}
