What stood twice in lab scale stands once; lab serve ends as it did

Cause: on reading once more. main.rs left a runtime's blocking work behind for every gaparch lab command, also for lab serve, whose writes to disk are such work: only a measurement may. The lab wrote again what was there: a process with its log and its end (fleet::process), the platform's settings, a header's value; and twice within itself the layout of cells and zones, the settings of a hollow and of a real router, a figure's fields. Checks of a run were found by a figure's name. Rows messages and connections could not be asked for. A catalogue that was dropped left its connections. The core went through all requests for each engine that a change names.

--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -25,6 +25,11 @@
 }
 
 impl Options {
+    /// Whether it is a measurement, which may be left where it stands.
+    pub fn is_measurement(&self) -> bool {
+        matches!(self.command, Command::Scale(_))
+    }
+
     /// Whether it is one router in service, which runs on one thread.
     pub fn is_node(&self) -> bool {
         matches!(self.command, Command::Node { .. })
@@ -72,7 +77,7 @@
     zones: Option<usize>,
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Rows to measure: decision, router, list, knowledge; all if not told
+    /// Rows to measure: decision, router, list, messages, connections, knowledge; all if not told
     #[arg(long, value_delimiter = ',')]
     rows: Vec<Row>,
     /// Ends within a minute: shorter days, smaller hollow fleets, one seed
--- a/crates/gaparch-cli/src/main.rs
+++ b/crates/gaparch-cli/src/main.rs
@@ -72,7 +72,7 @@
         command if command.is_node() => tokio::runtime::Builder::new_current_thread().enable_all().build(),
         _ => tokio::runtime::Builder::new_multi_thread().enable_all().build(),
     };
-    let measures = matches!(cli.command, Command::Lab(_));
+    let measures = matches!(&cli.command, Command::Lab(options) if options.is_measurement());
     let outcome = match runtime {
         Ok(runtime) => {
             let outcome = runtime.block_on(run(cli.command));
--- a/crates/gaparch-lab/src/fleet/process.rs
+++ b/crates/gaparch-lab/src/fleet/process.rs
@@ -18,9 +18,19 @@
     Ok(set_parent_process_death_signal(Some(Signal::KILL))?)
 }
 
+/// What a router is run as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// `gaparch serve`, by settings of its own.
+    Serve,
+    /// `gaparch node`, in service on the platform.
+    Node,
+}
+
 /// A router of its own process. Dropped, it is killed: the rig leaves nothing behind.
 #[derive(Debug)]
 pub struct Process {
+    kind: Kind,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -38,8 +48,21 @@
     /// # Errors
     /// When the file can't be written.
     pub fn new(program: &Path, settings: PathBuf, text: &str, log: PathBuf) -> io::Result<Process> {
+        Process::of(Kind::Serve, program, settings, text, log)
+    }
+
+    /// The same of a router in service, by the platform's configuration.
+    ///
+    /// # Errors
+    /// When the file can't be written.
+    pub fn node(program: &Path, config: PathBuf, text: &str, log: PathBuf) -> io::Result<Process> {
+        Process::of(Kind::Node, program, config, text, log)
+    }
+
+    fn of(kind: Kind, program: &Path, settings: PathBuf, text: &str, log: PathBuf) -> io::Result<Process> {
         std::fs::write(&settings, text)?;
         Ok(Process {
+            kind,
             program: program.to_owned(),
             settings,
             log,
@@ -58,9 +81,14 @@
         self.kill()?;
         let log = File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(&self.program);
-        // As `gaparch serve`, but it ends with this process even where that is killed and can end nothing any more.
-        command.args(["lab", "serve", &format!("--ahead={}", self.ahead)]);
-        command.args(self.disk.iter().map(|lie| format!("--disk={lie}")));
+        // As `gaparch serve` or `node`, but it ends with this process even where that is killed and can end nothing.
+        match self.kind {
+            Kind::Serve => {
+                command.args(["lab", "serve", &format!("--ahead={}", self.ahead)]);
+                command.args(self.disk.iter().map(|lie| format!("--disk={lie}")));
+            }
+            Kind::Node => drop(command.args(["lab", "node"])),
+        }
         let child =
             command.arg(&self.settings).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()?;
         self.child = Some(child);
@@ -130,6 +158,11 @@
         self.signal(Signal::CONT)
     }
 
+    /// Its number with the system, while it is started.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// It was started and neither killed nor stopped.
     pub fn lives(&self) -> bool {
         self.child.is_some() && !self.stopped
--- a/crates/gaparch-lab/src/platform/mod.rs
+++ b/crates/gaparch-lab/src/platform/mod.rs
@@ -42,7 +42,7 @@
 }
 
 /// The value of a header.
-fn header<'h>(head: &'h str, name: &str) -> Option<&'h str> {
+pub(crate) fn header<'h>(head: &'h str, name: &str) -> Option<&'h str> {
     let mut lines = head.lines().filter_map(|line| line.split_once(':'));
     lines.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
 }
--- a/crates/gaparch-lab/src/scale/decision.rs
+++ b/crates/gaparch-lab/src/scale/decision.rs
@@ -1,8 +1,8 @@
 //! What the module's decisions take, by the number of workers: one router with its part of the peak.
 
 use super::hollow::{list, play, settings, Day, Shape};
-use super::report::{Axis, Figure, Point, Way};
-use super::target;
+use super::report::{Figure, Point, Way};
+use super::{target, Row};
 use gaparch::api::{Entry, Event, ListKind, Nanos, ServerState, ZoneId};
 use gaparch::policy::Policy;
 use std::time::Instant;
@@ -16,15 +16,7 @@
 
 /// The figures of this row.
 pub fn figures(sizes: &[usize], zones: usize, seed: u64, mut step: impl FnMut()) -> Vec<Figure> {
-    let figure = |name, unit, budget| Figure {
-        row: "decision",
-        name,
-        unit,
-        way: Way::HollowRouters,
-        axis: Axis::Workers,
-        points: Vec::new(),
-        budget,
-    };
+    let figure = |name, unit, budget| Figure::new(Row::Decision, name, unit, Way::HollowRouters, budget);
     let gap = Some(target::TOKEN_GAP_MS);
     let mut request = figure("all events of a request", "ms", None);
     let mut core =
--- a/crates/gaparch-lab/src/scale/hollow/fleet.rs
+++ b/crates/gaparch-lab/src/scale/hollow/fleet.rs
@@ -1,7 +1,8 @@
 //! The hollow fleet: its modules, its modelled workers, and what passes between them in virtual time.
 
+use super::super::layout::is_reader;
 use super::super::target;
-use super::entries::{is_reader, list, server_of, settings, Shape};
+use super::entries::{list, server_of, settings, Shape};
 use super::traffic::{Asked, Traffic};
 use super::workers::{same_cell, Reader, Writer};
 use gaparch::api::*;
@@ -148,12 +149,12 @@
 }
 
 /// A request that is open.
-struct Open {
+pub(super) struct Open {
     router: usize,
     asked_at: Nanos,
-    prompt: f64,
-    shared: f64,
-    beginning: Option<Key>,
+    pub(super) prompt: f64,
+    pub(super) shared: f64,
+    pub(super) beginning: Option<Key>,
     answer: f64,
     attempts: u32,
     /// The attempt whose answers are still wanted.
@@ -162,19 +163,19 @@
     counted: bool,
 }
 
-struct Fleet {
-    day: Day,
-    now: Nanos,
+pub(super) struct Fleet {
+    pub(super) day: Day,
+    pub(super) now: Nanos,
     modules: Vec<Policy>,
     traffic: Traffic,
-    readers: Vec<Reader>,
-    writers: Vec<Writer>,
+    pub(super) readers: Vec<Reader>,
+    pub(super) writers: Vec<Writer>,
     numbers: HashMap<ServerId, usize>,
     queue: BinaryHeap<Reverse<(Nanos, u64)>>,
     due: HashMap<u64, Due>,
     next: u64,
-    open: HashMap<u64, Open>,
-    lots: u64,
+    pub(super) open: HashMap<u64, Open>,
+    pub(super) lots: u64,
     played: Played,
 }
 
@@ -251,11 +252,11 @@
         self.day.fault != Fault::None && self.is_counted() && self.day.struck().contains(&worker)
     }
 
-    fn is_dead(&self, worker: usize) -> bool {
+    pub(super) fn is_dead(&self, worker: usize) -> bool {
         self.day.fault == Fault::Dies && self.is_struck(worker)
     }
 
-    fn slower(&self, worker: usize) -> f64 {
+    pub(super) fn slower(&self, worker: usize) -> f64 {
         if self.day.fault == Fault::Slows && self.is_struck(worker) {
             SLOWER
         } else {
@@ -349,7 +350,7 @@
         }
     }
 
-    fn give_up(&mut self, id: RequestId, refused: bool) {
+    pub(super) fn give_up(&mut self, id: RequestId, refused: bool) {
         let Some(open) = self.open.get(&id.0) else { return };
         if open.counted {
             self.played.refused += u64::from(refused);
@@ -382,7 +383,7 @@
         self.at(self.now + latency, Due::Tell(router, probed));
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId) {
+    pub(super) fn send(&mut self, id: RequestId, server: ServerId) {
         let worker = self.numbers[&server];
         let (now, slower, dead) = (self.now, self.slower(worker), self.is_dead(worker));
         if self.is_struck(worker) {
@@ -424,7 +425,7 @@
 
 impl Fleet {
     /// Books a first token; whether the event is one of an attempt that is still wanted.
-    fn wanted(&mut self, event: &Event) -> bool {
+    pub(super) fn wanted(&mut self, event: &Event) -> bool {
         let (id, attempt) = match event {
             Event::First { id, attempt, .. } => (id, attempt),
             Event::Outcome(o) if o.status != Status::Cancelled => (&o.id, &o.attempt),
@@ -449,61 +450,3 @@
 fn outcome(id: RequestId, attempt: AttemptNo, server: ServerId, status: Status, latency: Nanos) -> Outcome {
     Outcome { id, attempt, server, status, latency, closed: false, note: 0, report: None }
 }
-
-/// The two choosers that are no module: what a choice could reach, and what chance gives.
-impl Fleet {
-    fn lot(&mut self, below: usize) -> usize {
-        self.lots = self.lots.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        ((self.lots >> 33) % below.max(1) as u64) as usize
-    }
-
-    fn workers_of(&self, reads: bool) -> impl Iterator<Item = usize> + '_ {
-        (0..self.day.shape.workers).filter(move |worker| is_reader(*worker) == reads)
-    }
-
-    fn choose_reader(&mut self, id: RequestId) {
-        let Some(open) = self.open.get(&id.0) else { return };
-        let (beginning, shared, prompt) = (open.beginning, open.shared, open.prompt);
-        let chosen = match self.day.chooser {
-            Chooser::Random => self.lot(self.day.shape.workers.div_ceil(3)) * 3,
-            _ => {
-                let end = |worker: &usize| {
-                    let reader = &self.readers[*worker];
-                    let unread = prompt - reader.keeps(beginning, shared);
-                    reader.would_end(self.now, unread, self.slower(*worker))
-                };
-                self.workers_of(true).filter(|w| !self.is_dead(*w)).min_by_key(end).unwrap_or(0)
-            }
-        };
-        self.send(id, server_of(chosen));
-    }
-
-    fn choose_writer(&mut self, id: RequestId) {
-        let chosen = match self.day.chooser {
-            Chooser::Random => {
-                let lot = self.lot(self.day.shape.workers - self.day.shape.workers.div_ceil(3));
-                // Two of three are writers.
-                lot / 2 * 3 + 1 + lot % 2
-            }
-            _ => {
-                let held = |a: &usize, b: &usize| self.writers[*a].held.total_cmp(&self.writers[*b].held);
-                self.workers_of(false).filter(|w| !self.is_dead(*w)).min_by(held).unwrap_or(1)
-            }
-        };
-        self.send(id, server_of(chosen.min(self.day.shape.workers - 1)));
-    }
-
-    /// What a chooser that is no module does with an event.
-    fn settle(&mut self, event: Event) {
-        if !self.wanted(&event) {
-            return;
-        }
-        let Event::Outcome(outcome) = event else { return };
-        match outcome.status {
-            Status::Read => self.choose_writer(outcome.id),
-            Status::Ok => drop(self.open.remove(&outcome.id.0)),
-            // Neither tries again.
-            _ => self.give_up(outcome.id, true),
-        }
-    }
-}
--- a/crates/gaparch-lab/src/scale/hollow/workers.rs
+++ b/crates/gaparch-lab/src/scale/hollow/workers.rs
@@ -1,7 +1,8 @@
 //! Modelled workers: readers with one queue and a bounded memory of beginnings, writers with a bounded memory of
 //! streams.
 
-use super::entries::{cell_of, WRITER_MEMORY};
+use super::super::layout::cell_of;
+use super::super::settings::MEMORY;
 use gaparch::api::{Key, Nanos};
 use std::collections::HashMap;
 
@@ -96,12 +97,12 @@
 impl Writer {
     /// Takes a stream of so many tokens of memory; `None`: it is full.
     pub fn write(&mut self, need: f64, answer: f64, near: bool, slower: f64) -> Option<Write> {
-        if self.held + need > WRITER_MEMORY {
+        if self.held + need > MEMORY {
             return None;
         }
         self.held += need;
         let first = if near { NEAR_MS } else { FAR_MS } * slower;
-        let token = (TOKEN_MS + TOKEN_FULL_MS * self.held / WRITER_MEMORY) * slower;
+        let token = (TOKEN_MS + TOKEN_FULL_MS * self.held / MEMORY) * slower;
         let first_after = (first * MS) as Nanos;
         Some(Write { first_after, done_after: first_after + (token * answer * MS) as Nanos })
     }
--- a/crates/gaparch-lab/src/scale/knowledge.rs
+++ b/crates/gaparch-lab/src/scale/knowledge.rs
@@ -2,8 +2,8 @@
 //! busiest home, and what a dead, a slow and a cold worker cost.
 
 use super::hollow::{play, settings, shape, Chooser, Day, Fault, Played, StruckAttempt};
-use super::report::{Axis, Figure, Point, Way};
-use super::target;
+use super::report::{Bound, Figure, Point, Way};
+use super::{target, Row};
 
 /// How long days are, in virtual seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -28,15 +28,8 @@
 
 impl Figures {
     fn new() -> Figures {
-        let figure = |name, unit, budget| Figure {
-            row: "knowledge",
-            name,
-            unit,
-            way: Way::HollowRouters,
-            axis: Axis::Workers,
-            points: Vec::new(),
-            budget,
-        };
+        let figure = |name, unit, budget| Figure::new(Row::Knowledge, name, unit, Way::HollowRouters, budget);
+        let cold = figure("calls to a cold worker, of what it may get", "", Some(1.0));
         Figures {
             worth: figure("share of the worth that is served", "", None),
             sees_all: figure("the same by a choice that sees all", "", None),
@@ -47,7 +40,7 @@
             dead_lost: figure("attempts lost to a dead reader and writer", "", None),
             dead_until: figure("until 95 in 100 of those were made", "s", None),
             slow_share: figure("calls to a slow reader and writer, of the mean", "", None),
-            cold: figure("calls to a cold worker, of what it may get", "", Some(1.0)),
+            cold: Figure { bound: Some(Bound::AtMost(1.0)), ..cold },
         }
     }
 
@@ -102,7 +95,7 @@
     figures.into_all()
 }
 
-/// Plays days on threads of their own, as many at once as there is memory for by the caller's bound.
+/// Plays days at once, on threads of their own.
 fn play_at_once<const N: usize>(days: [Day; N]) -> [Played; N] {
     std::thread::scope(|all| {
         let playing = days.map(|day| all.spawn(move || play(day)));
--- a/crates/gaparch-lab/src/scale/mod.rs
+++ b/crates/gaparch-lab/src/scale/mod.rs
@@ -8,9 +8,11 @@
 pub mod fit;
 pub mod hollow;
 pub mod knowledge;
+mod layout;
 pub mod real;
 pub mod report;
 pub mod router;
+mod settings;
 pub mod target;
 mod watches;
 
@@ -20,6 +22,7 @@
 use report::{Figure, ScaleReport};
 use router::Phases;
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+use serde::Serialize;
 use std::fmt;
 use std::io;
 use std::path::PathBuf;
@@ -45,25 +48,36 @@
 const DESCRIPTORS: u64 = 6_000;
 
 /// A row of the report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Row {
     Decision,
     Router,
     List,
+    Messages,
+    Connections,
     Knowledge,
 }
 
 impl Row {
-    pub const ALL: [Row; 4] = [Row::Decision, Row::Router, Row::List, Row::Knowledge];
+    pub const ALL: [Row; 6] =
+        [Row::Decision, Row::Router, Row::List, Row::Messages, Row::Connections, Row::Knowledge];
 
     fn name(self) -> &'static str {
         match self {
             Row::Decision => "decision",
             Row::Router => "router",
             Row::List => "list",
+            Row::Messages => "messages",
+            Row::Connections => "connections",
             Row::Knowledge => "knowledge",
         }
     }
+
+    /// Whether processes are run for it; one run gives all such rows.
+    fn is_of_processes(self) -> bool {
+        matches!(self, Row::Router | Row::List | Row::Messages | Row::Connections)
+    }
 }
 
 impl fmt::Display for Row {
@@ -74,7 +88,7 @@
 
 /// There is no such row.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("there is no row '{0}': there are decision, router, list and knowledge")]
+#[error("there is no row '{0}': there are decision, router, list, messages, connections and knowledge")]
 pub struct UnknownRow(String);
 
 impl FromStr for Row {
@@ -122,7 +136,40 @@
     zones: usize,
 }
 
+/// A part of a run that gives one or more rows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Decision,
+    Processes,
+    Watches,
+    Knowledge,
+}
+
+impl Stage {
+    /// The row that it is told as.
+    fn row(self) -> Row {
+        match self {
+            Stage::Decision => Row::Decision,
+            Stage::Processes => Row::Router,
+            Stage::Watches => Row::List,
+            Stage::Knowledge => Row::Knowledge,
+        }
+    }
+}
+
 impl Options {
+    /// What the rows need, in its order.
+    fn stages(&self) -> Vec<Stage> {
+        let wants = |row: Row| self.rows.contains(&row);
+        let all = [
+            (wants(Row::Decision), Stage::Decision),
+            (self.rows.iter().any(|row| row.is_of_processes()), Stage::Processes),
+            (wants(Row::List), Stage::Watches),
+            (wants(Row::Knowledge), Stage::Knowledge),
+        ];
+        all.into_iter().filter(|(wanted, _)| *wanted).map(|(_, stage)| stage).collect()
+    }
+
     fn sizes(&self) -> Result<Sizes, ScaleError> {
         let check = |option, value: Option<usize>, least, most| match value {
             Some(value) if !(least..=most).contains(&value) => {
@@ -180,12 +227,12 @@
 
 /// So many steps does a run take; each is told as it is done.
 fn steps(options: &Options, sizes: &Sizes) -> u64 {
-    let of = |row: &Row| match row {
-        Row::Decision | Row::Router => sizes.lists.len(),
-        Row::List => sizes.watches.len(),
-        Row::Knowledge => sizes.hollow.len() * seeds(options).len(),
+    let of = |stage: &Stage| match stage {
+        Stage::Decision | Stage::Processes => sizes.lists.len(),
+        Stage::Watches => sizes.watches.len(),
+        Stage::Knowledge => sizes.hollow.len() * seeds(options).len(),
     };
-    options.rows.iter().map(of).sum::<usize>() as u64
+    options.stages().iter().map(of).sum::<usize>() as u64
 }
 
 fn seeds(options: &Options) -> Vec<u64> {
@@ -225,24 +272,26 @@
     let all = steps(options, &sizes);
     let began = Instant::now();
     let mut figures: Vec<Figure> = Vec::new();
-    for row in &options.rows {
-        let (row, progress) = (*row, Arc::clone(&progress));
-        let step = move || progress(row, all);
-        match row {
-            Row::Decision => {
-                let (lists, zones, seed) = (sizes.lists.clone(), sizes.zones, options.seed);
+    for stage in options.stages() {
+        let progress = Arc::clone(&progress);
+        let step = move || progress(stage.row(), all);
+        let lists = sizes.lists.clone();
+        match stage {
+            Stage::Decision => {
+                let (zones, seed) = (sizes.zones, options.seed);
                 let measured = spawn_blocking(move || decision::figures(&lists, zones, seed, step));
                 figures.extend(measured.await.map_err(io::Error::from)?);
             }
-            Row::Router => {
-                let (lists, phases) = (&sizes.lists, phases(options.quick));
-                figures.extend(router::figures(lists, sizes.zones, phases, &options.program, step).await?);
+            Stage::Processes => {
+                let phases = phases(options.quick);
+                let measured = router::figures(&lists, sizes.zones, phases, &options.program, step).await?;
+                figures.extend(measured.into_iter().filter(|figure| options.rows.contains(&figure.row)));
             }
-            Row::List => {
-                let workers = sizes.lists[sizes.lists.len() - 1];
+            Stage::Watches => {
+                let workers = lists[lists.len() - 1];
                 figures.extend(watches::figures(&sizes.watches, workers, step).await?);
             }
-            Row::Knowledge => {
+            Stage::Knowledge => {
                 let span = if options.quick { QUICK_SPAN } else { SPAN };
                 let (hollow, seeds) = (sizes.hollow.clone(), seeds(options));
                 let measured = spawn_blocking(move || knowledge::figures(&hollow, &seeds, span, step));
@@ -250,7 +299,7 @@
             }
         }
     }
-    let short = figures.iter().filter_map(falls_short).collect();
+    let short = figures.iter().filter_map(Figure::short).collect();
     Ok(ScaleReport {
         seed: options.seed,
         quick: options.quick,
@@ -276,21 +325,6 @@
     }
 }
 
-/// What must hold at every size that was run, whatever the slope says.
-fn falls_short(figure: &Figure) -> Option<String> {
-    let worst = figure.points.iter().max_by(|a, b| a.value.total_cmp(&b.value))?;
-    let least = figure.points.iter().min_by(|a, b| a.value.total_cmp(&b.value))?;
-    match (figure.row, figure.name) {
-        ("knowledge", "calls to a cold worker, of what it may get") if worst.value > 1.0 => {
-            Some(format!("a cold worker got {:.2} of what it may, {} workers", worst.value, worst.size))
-        }
-        ("router", "share of the requests that is served") if least.value < 1.0 => {
-            Some(format!("{:.3} of a router's requests were served, {} workers", least.value, least.size))
-        }
-        _ => None,
-    }
-}
-
 #[cfg(test)]
 #[path = "tests.rs"]
 mod tests;
--- a/crates/gaparch-lab/src/scale/real/catalogue.rs
+++ b/crates/gaparch-lab/src/scale/real/catalogue.rs
@@ -1,5 +1,6 @@
 //! A catalogue that tells whole lists and changes, as the platform's protocol has it, and counts what that costs.
 
+use super::super::layout;
 use super::wire::{query, Connection};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -9,7 +10,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::timeout;
 
 /// A worker as the list names it.
@@ -24,6 +25,22 @@
 }
 
 impl ListedWorker {
+    /// The worker of that number, ready.
+    pub fn new(number: usize, zones: usize, address: SocketAddr) -> ListedWorker {
+        ListedWorker {
+            id: ListedWorker::id_of(number),
+            address,
+            zone: layout::zone_name(layout::zone_of(number, zones)),
+            kind: layout::KINDS[layout::kind_of(number)],
+            cell: layout::cell_of(number),
+            lifecycle: "ready",
+        }
+    }
+
+    pub fn id_of(number: usize) -> String {
+        format!("s-{:08x}", layout::digest(number))
+    }
+
     fn json(&self) -> String {
         format!(
             "{{\"instanceId\":\"{}\",\"hostPort\":\"{}\",\"zone\":\"{}\",\"machineType\":\"{}\",\"cell\":{},\
@@ -58,7 +75,7 @@
     pub whole_lists: u64,
 }
 
-/// The catalogue. Dropped, it stops.
+/// The catalogue. Dropped, it stops with all its connections.
 #[derive(Debug)]
 pub struct ScaleCatalogue {
     pub address: SocketAddr,
@@ -88,9 +105,10 @@
         let changed = watch::Sender::new(1);
         let (of_task, signal) = (Arc::clone(&table), changed.clone());
         let serving = tokio::spawn(async move {
+            let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                let (table, changed) = (Arc::clone(&of_task), signal.subscribe());
-                tokio::spawn(serve(stream, table, changed));
+                connections.spawn(serve(stream, Arc::clone(&of_task), signal.subscribe()));
+                while connections.try_join_next().is_some() {}
             }
         });
         Ok(ScaleCatalogue { address, table, changed, serving })
--- a/crates/gaparch-lab/src/scale/real/clients.rs
+++ b/crates/gaparch-lab/src/scale/real/clients.rs
@@ -1,5 +1,7 @@
 //! Clients of a real router: requests at an even rate, each on a kept connection where one is free.
 
+use super::super::settings::tenant_name;
+use super::super::target;
 use super::wire::Connection;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -63,10 +65,10 @@
     let mixed = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let body = "{\"stream\":true}";
     let request = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nX-Txn: {mixed:016x}\r\nX-Lane: chat\r\nX-Org: t{}\r\n\
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nX-Txn: {mixed:016x}\r\nX-Lane: chat\r\nX-Org: {}\r\n\
          X-Entity: {mixed:016x}\r\nX-Remaining-Ms: {DEADLINE_MS}\r\n\
          X-Labels: prefix={:016x},prompt_len=4000,prefix_len=2000,max_out=800\r\nContent-Length: {}\r\n\r\n{body}",
-        number % super::super::target::TENANTS as u64,
+        tenant_name((number % target::TENANTS as u64) as usize),
         mixed % 4_000,
         body.len()
     );
--- a/crates/gaparch-lab/src/scale/real/node.rs
+++ b/crates/gaparch-lab/src/scale/real/node.rs
@@ -1,17 +1,16 @@
 //! A router in service as a process of its own, and what it takes of the machine.
 
+use super::super::{settings, target};
+use super::wire::Connection;
+use crate::fleet::process::Process;
 use serde_json::json;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
-use super::super::target;
-use super::wire::Connection;
-
 /// An open answer takes two, and a router's part of the peak is some 540 open answers.
 const SOCKETS: usize = 4_096;
 /// Between two questions whether it is ready.
@@ -19,11 +18,11 @@
 /// Clock ticks of the kernel's accounting in a second.
 const TICKS_PER_S: f64 = 100.0;
 
-/// A process of `gaparch node`. Dropped, it is killed; it ends with this process also where that is killed.
+/// A router in service. Dropped, it is killed; it ends with this process also where that is killed.
 #[derive(Debug)]
 pub struct NodeProcess {
     pub listen: SocketAddr,
-    child: Child,
+    process: Process,
     started: Instant,
 }
 
@@ -35,29 +34,6 @@
     pub descriptors: usize,
 }
 
-/// The settings that a router in service gets here: the target's tenants, and what the platform allows.
-fn settings(zones: usize) -> serde_json::Value {
-    let zones: Vec<String> = (0..zones).map(|zone| format!("z{zone}")).collect();
-    let tenant = |n: usize| json!({"name": format!("t{n}"), "fraction": 1.0 / target::TENANTS as f64, "quotaPerS": 0.0});
-    let tenants: Vec<serde_json::Value> = (0..target::TENANTS).map(tenant).collect();
-    json!({
-        "me": 0, "replicasOfMe": target::ROUTERS, "stepNs": 2_000_000, "zone": "z0", "zones": zones,
-        "flavors": ["prefill", "decode"], "discovery": "push",
-        "services": [{"name": "chat", "idempotency": "free", "aimNs": 1_600_000_000u64, "streamed": true,
-            "deadlineNs": 5_000_000_000u64, "worth": 1.0, "lateShare": 0.1}],
-        "tenants": tenants,
-        "caps": {"cancel": true, "connectTimeoutNs": 250_000_000, "idleCloseNs": 30_000_000_000u64,
-            "maxAttempts": 4, "mayDuplicate": false, "peers": false, "probes": true, "retryAfter": true,
-            "maxRetryAfterNs": 1_500_000_000},
-        "rules": {"answerSlackNs": 8_000_000, "coldFrom": 0.3, "rampTimeNs": 10_000_000_000u64,
-            "overloadFactor": 2.5, "overloadForNs": 2_000_000_000u64, "stopSendingWithinNs": 500_000_000},
-        "familyInfo": {"ahead": false, "resume": false, "selfPrefill": false, "releaseWithinNs": 2_000_000_000u64,
-            "roleByKind": ["read", "write"], "tokensByKind": [700_000, 700_000],
-            "tokenAimNs": [33_000_000], "aimUsPer1000PromptTokens": [0.0]},
-        "fees": {"probe": 0.003, "peer": 0.003}
-    })
-}
-
 impl NodeProcess {
     /// Starts `program lab node` with a configuration in `folder`.
     ///
@@ -74,13 +50,11 @@
         let config = json!({"name": format!("n{number}"), "listen": listen.to_string(), "seed": format!("{:016x}", number + 1),
             "discovery": discovery.to_string(),
             "limits": {"cores": 1.0, "memory_mb": target::ROUTER_MEMORY_MB, "sockets": SOCKETS},
-            "settings": settings(zones)});
-        let file: PathBuf = folder.join(format!("node-{number}.json"));
-        fs::write(&file, config.to_string())?;
-        let log = fs::File::create(folder.join(format!("node-{number}.log")))?;
-        let mut command = Command::new(program);
-        command.args(["lab", "node"]).arg(&file).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
-        Ok(NodeProcess { listen, child: command.spawn()?, started: Instant::now() })
+            "settings": settings::of_router(number, target::ROUTERS, zones)});
+        let file = |kind: &str| folder.join(format!("node-{number}.{kind}"));
+        let mut process = Process::node(program, file("json"), &config.to_string(), file("log"))?;
+        process.start()?;
+        Ok(NodeProcess { listen, process, started: Instant::now() })
     }
 
     /// Waits until it says that it is ready; how long that took from its start.
@@ -89,8 +63,8 @@
     /// When it has ended, or is not ready in time.
     pub async fn ready(&mut self, within: Duration) -> io::Result<Duration> {
         while self.started.elapsed() < within {
-            if let Some(status) = self.child.try_wait()? {
-                return Err(io::Error::other(format!("the router has ended: {status}")));
+            if self.process.has_ended() {
+                return Err(io::Error::other(format!("the router has ended: {}", self.process.last_lines())));
             }
             if is_ready(self.listen).await {
                 return Ok(self.started.elapsed());
@@ -103,7 +77,8 @@
     /// # Errors
     /// When the system does not tell.
     pub fn usage(&self) -> io::Result<NodeUsage> {
-        let process = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let id = self.process.id().ok_or_else(|| io::Error::other("the router is not started"))?;
+        let process = PathBuf::from(format!("/proc/{id}"));
         let stat = fs::read_to_string(process.join("stat"))?;
         // Behind the name, which may hold anything: user and system time are the 12th and 13th field.
         let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
@@ -128,11 +103,3 @@
     }
     connection.head().await.is_some_and(|head| head.first_line.contains(" 200 "))
 }
-
-impl Drop for NodeProcess {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
--- a/crates/gaparch-lab/src/scale/real/wire.rs
+++ b/crates/gaparch-lab/src/scale/real/wire.rs
@@ -1,5 +1,6 @@
 //! The little of HTTP/1.1 that the stand-ins need: messages with a head, and a body of a stated length or in chunks.
 
+use crate::platform::header;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -42,16 +43,11 @@
             if let Some(at) = self.buffer.windows(4).position(|w| w == b"\r\n\r\n") {
                 let text = String::from_utf8_lossy(&self.buffer[..at]).into_owned();
                 self.buffer.drain(..at + 4);
-                let field = |name: &str| {
-                    let fields = text.lines().filter_map(|line| line.split_once(':'));
-                    let mut found = fields.filter(|(n, _)| n.eq_ignore_ascii_case(name));
-                    found.next().map(|(_, value)| value.trim().to_owned())
-                };
                 return Some(Head {
                     bytes: at + 4,
                     first_line: text.lines().next().unwrap_or_default().to_owned(),
-                    length: field("content-length").and_then(|l| l.parse().ok()).unwrap_or(0),
-                    chunked: field("transfer-encoding").is_some(),
+                    length: header(&text, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0),
+                    chunked: header(&text, "transfer-encoding").is_some(),
                 });
             }
             if self.buffer.len() > MOST_HEAD {
--- a/crates/gaparch-lab/src/scale/real/workers.rs
+++ b/crates/gaparch-lab/src/scale/real/workers.rs
@@ -1,5 +1,6 @@
 //! Hollow workers: an address each, no model. Reads take a while, writes are tokens by schedule.
 
+use super::super::layout::is_reader;
 use super::super::target;
 use super::wire::{Connection, Head};
 use super::ListedWorker;
@@ -12,8 +13,6 @@
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep};
 
-/// Workers that share a cell, as in the hollow fleet.
-const CELL: usize = 12;
 /// For a read.
 const READ: Duration = Duration::from_millis(30);
 /// Tokens of one event.
@@ -115,16 +114,9 @@
         let mut serving = JoinSet::new();
         let mut listed = Vec::with_capacity(workers);
         for number in 0..workers {
-            let reads = number.is_multiple_of(3);
+            let reads = is_reader(number);
             let listener = TcpListener::bind(address(block, number, port)).await?;
-            listed.push(ListedWorker {
-                id: format!("s-{:08x}", (number as u32).wrapping_mul(2_654_435_761)),
-                address: listener.local_addr()?,
-                zone: format!("z{}", number / CELL % zones),
-                kind: if reads { "prefill" } else { "decode" },
-                cell: number / CELL,
-                lifecycle: "ready",
-            });
+            listed.push(ListedWorker::new(number, zones, listener.local_addr()?));
             serving.spawn(accept(listener, Job { number, reads, pace }, Arc::clone(&counters)));
         }
         Ok(HollowWorkers { listed, counters, _serving: serving })
--- a/crates/gaparch-lab/src/scale/report.rs
+++ b/crates/gaparch-lab/src/scale/report.rs
@@ -1,6 +1,7 @@
 //! What a run of `gaparch lab scale` found: figures by size, their slopes and their worth at the target.
 
 use super::fit::Fit;
+use super::Row;
 use serde::Serialize;
 use std::fmt;
 
@@ -41,10 +42,27 @@
     pub value: f64,
 }
 
+/// What every point of a figure has to keep, whatever its slope says.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Bound {
+    AtMost(f64),
+    AtLeast(f64),
+}
+
+impl Bound {
+    fn holds(self, value: f64) -> bool {
+        match self {
+            Bound::AtMost(most) => value <= most,
+            Bound::AtLeast(least) => value >= least,
+        }
+    }
+}
+
 /// One figure at several sizes.
 #[derive(Clone, Debug, Serialize)]
 pub struct Figure {
-    pub row: &'static str,
+    pub row: Row,
     pub name: &'static str,
     pub unit: &'static str,
     pub way: Way,
@@ -52,6 +70,7 @@
     pub points: Vec<Point>,
     /// What the target allows, where it says so.
     pub budget: Option<f64>,
+    pub bound: Option<Bound>,
 }
 
 /// A figure with what follows from it.
@@ -69,6 +88,21 @@
 }
 
 impl Figure {
+    /// One by workers, without points yet.
+    pub fn new(row: Row, name: &'static str, unit: &'static str, way: Way, budget: Option<f64>) -> Figure {
+        let points = Vec::new();
+        Figure { row, name, unit, way, axis: Axis::Workers, points, budget, bound: None }
+    }
+
+    /// The point that is furthest beyond the bound, in words.
+    pub fn short(&self) -> Option<String> {
+        let bound = self.bound?;
+        let broken = self.points.iter().filter(|point| !bound.holds(point.value));
+        let worst = broken.max_by(|a, b| a.value.abs().total_cmp(&b.value.abs()))?;
+        let Point { size, value, .. } = worst;
+        Some(format!("{}: {}: {value:.3} at {size}, wanted {bound:?}", self.row, self.name))
+    }
+
     pub fn found(self) -> Found {
         let points: Vec<(f64, f64)> = self.points.iter().map(|p| (p.size as f64, p.value)).collect();
         let fit = Fit::of(&points);
@@ -120,7 +154,7 @@
 impl fmt::Display for ScaleReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for Found { figure, fit, at_target, factor, .. } in &self.found {
-            write!(f, "{:<10} {:<44}", figure.row, figure.name)?;
+            write!(f, "{:<11} {:<44}", figure.row.to_string(), figure.name)?;
             for (size, value) in by_size(&figure.points) {
                 write!(f, "  {size}: {value:.4}")?;
             }
--- a/crates/gaparch-lab/src/scale/router.rs
+++ b/crates/gaparch-lab/src/scale/router.rs
@@ -2,8 +2,8 @@
 //! to be in force; and how many of its requests find a kept connection.
 
 use super::real::{load, AnswerPace, HollowWorkers, ListedWorker, NodeProcess, NodeUsage, ScaleCatalogue};
-use super::report::{Axis, Figure, Point, Way};
-use super::target;
+use super::report::{Bound, Figure, Point, Way};
+use super::{target, Row};
 use std::io;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -67,7 +67,7 @@
     }
 }
 
-/// The figures of the rows "router", "list" and "connections".
+/// The figures of the rows that processes give.
 ///
 /// # Errors
 /// When a router does not start, or an address or a file is not to be had.
@@ -83,43 +83,43 @@
         measured.push((*size, measure(*size, zones, phases, program).await?));
         step();
     }
-    let figure = |row, name, unit, budget, of: fn(&Measured) -> f64| Figure {
-        row,
-        name,
-        unit,
-        way: Way::RealProcesses,
-        axis: Axis::Workers,
-        points: measured.iter().map(|(size, m)| Point { size: *size, seed: 0, value: of(m) }).collect(),
-        budget,
+    let figure = |row, name, unit, budget, of: fn(&Measured) -> f64| {
+        let point = |(size, m): &(usize, Measured)| Point { size: *size, seed: 0, value: of(m) };
+        let points = measured.iter().map(point).collect();
+        Figure { points, ..Figure::new(row, name, unit, Way::RealProcesses, budget) }
     };
+    let served = figure(Row::Router, "share of the requests that is served", "", None, |m| m.served);
+    let served = Figure { bound: Some(Bound::AtLeast(1.0)), ..served };
     let core = Some(target::ROUTER_CORE_SHARE);
     let memory = Some(target::ROUTER_MEMORY_MB);
     let in_force = Some(target::IN_FORCE_WITHIN_S * 1e3);
     Ok(vec![
-        figure("router", "start to ready", "s", None, |m| m.ready_s),
-        figure("router", "core at rest", "", core, |m| m.idle.core),
-        figure("router", "memory at rest", "MB", memory, |m| m.idle.resident_mb),
-        figure("router", "core at its part of the peak", "", None, |m| m.peak.core),
-        figure("router", "memory at its part of the peak", "MB", memory, |m| m.peak.resident_mb),
-        figure("router", "core in a storm of 100 changes a second", "", None, |m| m.storm.core),
-        figure("router", "memory after the storm", "MB", memory, |m| m.storm.resident_mb),
-        figure("router", "first token, 95 in 100", "s", Some(target::FIRST_TOKEN_S), |m| m.first_token_s),
-        figure("router", "share of the requests that is served", "", None, |m| m.served),
-        figure("list", "bytes of the whole list", "B", None, |m| m.whole_bytes),
-        figure("list", "bytes of one change", "B", None, |m| m.change_bytes),
-        figure("list", "one change, written to in force", "ms", in_force, |m| m.change_ms),
-        figure("list", "100 changes in a second, last in force after", "ms", in_force, |m| m.storm_ms),
-        figure("list", "a zone returns, in force after", "ms", in_force, |m| m.zone_ms),
-        figure("list", "whole lists after an outage, in force after", "ms", in_force, |m| m.outage_ms),
-        figure("messages", "calls of one router to the catalogue at rest", "/s", None, |m| m.calls_per_s),
-        figure("messages", "probes of a router at its part of the peak", "/s", None, |m| m.probes_per_s),
-        figure("messages", "releases of a router at its part of the peak", "/s", None, |m| m.releases_per_s),
-        figure("messages", "bytes of both with answers", "B/s", Some(target::ROUTER_BYTES_PER_S), |m| {
+        figure(Row::Router, "start to ready", "s", None, |m| m.ready_s),
+        figure(Row::Router, "core at rest", "", core, |m| m.idle.core),
+        figure(Row::Router, "memory at rest", "MB", memory, |m| m.idle.resident_mb),
+        figure(Row::Router, "core at its part of the peak", "", None, |m| m.peak.core),
+        figure(Row::Router, "memory at its part of the peak", "MB", memory, |m| m.peak.resident_mb),
+        figure(Row::Router, "core in a storm of 100 changes a second", "", None, |m| m.storm.core),
+        figure(Row::Router, "memory after the storm", "MB", memory, |m| m.storm.resident_mb),
+        figure(Row::Router, "first token, 95 in 100", "s", Some(target::FIRST_TOKEN_S), |m| m.first_token_s),
+        served,
+        figure(Row::List, "bytes of the whole list", "B", None, |m| m.whole_bytes),
+        figure(Row::List, "bytes of one change", "B", None, |m| m.change_bytes),
+        figure(Row::List, "one change, written to in force", "ms", in_force, |m| m.change_ms),
+        figure(Row::List, "100 changes in a second, last in force after", "ms", in_force, |m| m.storm_ms),
+        figure(Row::List, "a zone returns, in force after", "ms", in_force, |m| m.zone_ms),
+        figure(Row::List, "whole lists after an outage, in force after", "ms", in_force, |m| m.outage_ms),
+        figure(Row::Messages, "calls of one router to the catalogue at rest", "/s", None, |m| m.calls_per_s),
+        figure(Row::Messages, "probes of a router at its part of the peak", "/s", None, |m| m.probes_per_s),
+        figure(Row::Messages, "releases of a router at its part of the peak", "/s", None, |m| {
+            m.releases_per_s
+        }),
+        figure(Row::Messages, "bytes of both with answers", "B/s", Some(target::ROUTER_BYTES_PER_S), |m| {
             m.control_bytes_per_s
         }),
-        figure("connections", "calls that found a kept connection", "", None, |m| m.kept),
-        figure("connections", "handshakes of a router", "/s", None, |m| m.handshakes_per_s),
-        figure("connections", "descriptors at its part of the peak", "", None, |m| m.peak.descriptors),
+        figure(Row::Connections, "calls that found a kept connection", "", None, |m| m.kept),
+        figure(Row::Connections, "handshakes of a router", "/s", None, |m| m.handshakes_per_s),
+        figure(Row::Connections, "descriptors at its part of the peak", "", None, |m| m.peak.descriptors),
     ])
 }
 
--- a/crates/gaparch-lab/src/scale/tests.rs
+++ b/crates/gaparch-lab/src/scale/tests.rs
@@ -1,6 +1,6 @@
 //! Bounds of a run's sizes, and what a run itself checks.
 
-use super::report::{Axis, Point, Way};
+use super::report::{Bound, Point, Way};
 use super::*;
 
 fn options(workers: Option<usize>, rows: &[Row]) -> Options {
@@ -42,22 +42,25 @@
     assert!("nonsense".parse::<Row>().expect_err("none").to_string().contains("'nonsense'"));
 }
 
-/// A planted fault for each check.
+/// A planted fault for each kind of check.
 #[test]
-fn a_cold_worker_pushed_over_and_a_request_not_served_fall_short() {
-    let figure = |row, name, value| Figure {
-        row,
-        name,
-        unit: "",
-        way: Way::HollowRouters,
-        axis: Axis::Workers,
-        points: vec![Point { size: 100, seed: 1, value }],
-        budget: None,
+fn a_point_beyond_its_bound_falls_short() {
+    let with = |bound, value| {
+        let figure = Figure::new(Row::Knowledge, "calls", "", Way::HollowRouters, None);
+        let points = vec![Point { size: 100, seed: 1, value: 0.5 }, Point { size: 200, seed: 1, value }];
+        Figure { points, bound: Some(bound), ..figure }.short()
     };
-    let cold = |value| figure("knowledge", "calls to a cold worker, of what it may get", value);
-    assert_eq!(falls_short(&cold(1.0)), None);
-    assert!(falls_short(&cold(1.01)).is_some());
-    let served = |value| figure("router", "share of the requests that is served", value);
-    assert_eq!(falls_short(&served(1.0)), None);
-    assert!(falls_short(&served(0.999)).is_some());
+    assert_eq!(with(Bound::AtMost(1.0), 1.0), None);
+    assert!(with(Bound::AtMost(1.0), 1.01).expect("it is beyond").contains("knowledge: calls: 1.010 at 200"));
+    assert_eq!(with(Bound::AtLeast(0.5), 1.0), None);
+    assert!(with(Bound::AtLeast(0.5), 0.499).is_some());
+}
+
+/// Rows that one run of processes gives are measured once, and only those asked for are told.
+#[test]
+fn rows_of_processes_share_one_stage() {
+    let stages = |rows: &[Row]| options(None, rows).stages();
+    assert_eq!(stages(&[Row::Messages, Row::Connections, Row::Router]), [Stage::Processes]);
+    assert_eq!(stages(&[Row::List]), [Stage::Processes, Stage::Watches]);
+    assert_eq!(stages(&Row::ALL), [Stage::Decision, Stage::Processes, Stage::Watches, Stage::Knowledge]);
 }
--- a/crates/gaparch-lab/src/scale/watches.rs
+++ b/crates/gaparch-lab/src/scale/watches.rs
@@ -2,7 +2,7 @@
 
 use super::real::{watch_once, ListedWorker, ScaleCatalogue};
 use super::report::{Axis, Figure, Point, Way};
-use super::target;
+use super::{target, Row};
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -10,16 +10,10 @@
 
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Nobody calls them.
 fn listed(workers: usize) -> Vec<ListedWorker> {
-    let worker = |number: usize| ListedWorker {
-        id: format!("s-{:08x}", (number as u32).wrapping_mul(2_654_435_761)),
-        address: SocketAddr::from(([127, 0, (number >> 8) as u8, number as u8], 8_443)),
-        zone: format!("z{}", number % target::ZONES),
-        kind: if number.is_multiple_of(3) { "prefill" } else { "decode" },
-        cell: number / 12,
-        lifecycle: "ready",
-    };
-    (0..workers).map(worker).collect()
+    let address = |number: usize| SocketAddr::from(([127, 0, (number >> 8) as u8, number as u8], 8_443));
+    (0..workers).map(|number| ListedWorker::new(number, target::ZONES, address(number))).collect()
 }
 
 /// The figures of the row "list" that count watches, on a list of so many workers.
@@ -27,14 +21,9 @@
 /// # Errors
 /// When an address is not to be had, or a watch does not hear of a change.
 pub async fn figures(sizes: &[usize], workers: usize, mut step: impl FnMut()) -> io::Result<Vec<Figure>> {
-    let figure = |name, unit, budget| Figure {
-        row: "list",
-        name,
-        unit,
-        way: Way::HollowWatchers,
-        axis: Axis::Watches,
-        points: Vec::new(),
-        budget,
+    let figure = |name, unit, budget| {
+        let of_watches = Figure::new(Row::List, name, unit, Way::HollowWatchers, budget);
+        Figure { axis: Axis::Watches, ..of_watches }
     };
     let in_force = Some(target::IN_FORCE_WITHIN_S * 1e3);
     let mut change_ms = figure("one change to the last watch", "ms", in_force);
@@ -48,7 +37,7 @@
         let known = catalogue.known_by(1, *size, PATIENCE).await;
         known.ok_or_else(|| io::Error::new(io::ErrorKind::TimedOut, "the watches have not begun"))?;
         let point = |value| Point { size: *size, seed: 0, value };
-        let (ms, bytes) = told(&catalogue, *size, |c| c.set(&["s-00000000".to_owned()], "draining")).await?;
+        let (ms, bytes) = told(&catalogue, *size, |c| c.set(&[ListedWorker::id_of(0)], "draining")).await?;
         change_ms.points.push(point(ms));
         change_bytes.points.push(point(bytes));
         let (ms, bytes) = told(&catalogue, *size, ScaleCatalogue::forget_changes).await?;
--- a/crates/gaparch-router/src/core/following.rs
+++ b/crates/gaparch-router/src/core/following.rs
@@ -45,6 +45,7 @@
 
     /// The same for those that a change of the list names: of a long list few change at once.
     fn follow_engines(&mut self, engines: BTreeSet<ServerId>, out: &mut Vec<Output>) {
+        self.close_sends_that_wait();
         for engine in engines {
             if self.roster.wanted(engine) {
                 let link = match self.config.links {
@@ -62,16 +63,18 @@
         }
     }
 
-    fn follow_engine(&mut self, engine: ServerId, out: &mut Vec<Output>) {
-        if !self.roster.ready(engine) {
-            // Sends that wait for a connection are not to go out after the drain.
-            let waits = |l: &Live| l.attempt.filter(|a| a.server == engine && a.waits);
-            let waiting: Vec<(RequestId, Attempt)> =
-                self.live.iter().filter_map(|(id, l)| Some((*id, waits(l)?))).collect();
-            for (id, attempt) in waiting {
-                self.close(id, attempt, Status::ConnectFailed, 0, None);
-            }
+    /// Sends that wait for a connection are not to go out after the drain.
+    fn close_sends_that_wait(&mut self) {
+        let roster = &self.roster;
+        let waits = |l: &Live| l.attempt.filter(|a| a.waits && !roster.ready(a.server));
+        let waiting: Vec<(RequestId, Attempt)> =
+            self.live.iter().filter_map(|(id, l)| Some((*id, waits(l)?))).collect();
+        for (id, attempt) in waiting {
+            self.close(id, attempt, Status::ConnectFailed, 0, None);
         }
+    }
+
+    fn follow_engine(&mut self, engine: ServerId, out: &mut Vec<Output>) {
         let Some(link) = self.engines.get(&engine) else { return };
         if self.roster.wanted(engine) {
             if link.is_new() {
