No ring is walked for mixed servers where there are none; three more guards have tests

Cause: taking guards out one by one, two survived: the comparison of latencies among many servers and the walk that fills cold budgets there; and the look at all servers for what may have run in one cell. Besides, a held request in a large fleet without mixed servers walked the ring for them all the same.

Change: tests of a slow reader among 300 servers and of a repeat that is bound to its cell among 10,000, which fails without its guard; cold workers have to get some at 400 workers, too, where the check allowed none. mixed_room and near take the request and begin with whether there is any.

--- a/crates/gaparch-lab/tests/scale.rs
+++ b/crates/gaparch-lab/tests/scale.rs
@@ -72,7 +72,7 @@
 fn a_cold_worker_is_not_pushed_over_by_all_routers_together() {
     for workers in [50, 100, 400] {
         let (day, played) = fleet(workers, Fault::StartsCold);
-        assert!(!played.struck.is_empty() || workers > 100, "{workers}: it gets some");
+        assert!(!played.struck.is_empty(), "{workers}: it gets some");
         let share = cold_share(&played, &day);
         assert!(share < 1.0, "{workers}: {share} of what it may get");
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -220,7 +220,7 @@
             };
             let (part, turn, wants, id) = (*part, *turn, *wants, turn.2);
             // What needs no less than one that has just found no room finds none either.
-            let fits = |w| self.mixed_room(&self.near(w).places, wants.need) || self.writers_have_room(w);
+            let fits = |w| self.mixed_room(Some(w), wants.need) || self.writers_have_room(w);
             let room = wants.need < *too_much && self.works.get(&id).is_some_and(fits);
             if !room && part.is_some() && !many {
                 *too_much = too_much.min(wants.need);
@@ -250,10 +250,9 @@
 
     /// Whether one that wants so little of a part of the traffic may go; those that some servers must not be
     /// asked for are looked at one by one.
-    fn may_open(&self, part: Option<Part>, easiest: Wants) -> bool {
-        let (all, need) = (&self.averages.places, easiest.need);
-        let room = || self.mixed_room(all, need) || self.room_for(self.open_to(all, false, None, part), need);
-        part.is_none() || self.reader_may_have_room(easiest) && room()
+    fn may_open(&self, part: Option<Part>, least: Wants) -> bool {
+        let writers = || self.room_for(self.open_to(&self.averages.places, false, None, part), least.need);
+        part.is_none() || self.reader_may_have_room(least) && (self.mixed_room(None, least.need) || writers())
     }
 
     /// False only if no reader can have room for what has so little to read and so long an aim: `start`
@@ -270,8 +269,9 @@
     }
 
     /// Beside writers, mixed servers take requests whole: they have room of their own.
-    fn mixed_room(&self, among: &Places, need: f64) -> bool {
-        self.servers.at(&among.mixed).any(|s| self.has_room(s, need))
+    fn mixed_room(&self, work: Option<&Work>, need: f64) -> bool {
+        let any = !self.averages.places.mixed.is_empty();
+        any && self.servers.at(&self.near(work).places.mixed).any(|s| self.has_room(s, need))
     }
 
     fn room_for(&self, writers: Vec<&Server>, need: f64) -> bool {
@@ -300,7 +300,7 @@
     /// Sends a request to its home reader, or to the least loaded one where home is clearly busier.
     fn start(&mut self, id: RequestId) -> bool {
         let Some(work) = self.works.get(&id) else { return true };
-        let near = self.near(work);
+        let near = self.near(Some(work));
         let mut readers = self.open_to(&near.places, true, Some(work), Some(work.part()));
         if readers.is_empty() {
             return self.start_at_writer(id);
@@ -333,10 +333,10 @@
         }
         let Some(work) = self.works.get(&id) else { return true };
         let near = |s: &&Server| s.cell.is_some() && s.cell == cell;
-        let unheard = self.servers.at(&self.near(work).places.writers).filter(near).any(|s| self.unheard(s));
-        let mut writers = if !unheard { Vec::new() } else { self.candidates(false, work) };
-        writers.retain(near);
-        let writers = first_by_lot(writers, LOOK_WRITERS, work.lot);
+        let unheard =
+            self.servers.at(&self.near(Some(work)).places.writers).filter(near).any(|s| self.unheard(s));
+        let writers = if !unheard { Vec::new() } else { self.candidates(false, work) };
+        let writers = first_by_lot(writers.into_iter().filter(near), LOOK_WRITERS, work.lot);
         self.throttle.take(self.now, PEER_SPAN);
         self.send(id, Sent { unread, queued, behind, ..Sent::to(chosen, stage) });
         self.look(&writers);
@@ -487,13 +487,13 @@
 
     /// Servers of one stage that may be sent to now, leaving out ill ones while enough others are left.
     pub(crate) fn candidates(&self, reads: bool, work: &Work) -> Vec<&Server> {
-        self.open_to(&self.near(work).places, reads, Some(work), Some(work.part()))
+        self.open_to(&self.near(Some(work)).places, reads, Some(work), Some(work.part()))
     }
 
-    /// Those that a request chooses among. A repeat may be bound to servers anywhere.
-    fn near(&self, work: &Work) -> Near<'_> {
-        let cell = work.state.and_then(|(reader, _)| self.servers.get(&reader)?.cell);
-        self.averages.near(work.may_have_run.is_none().then_some(work.position), cell, NEAR)
+    /// Those that a request chooses among; without one all. A repeat may be bound to servers anywhere.
+    fn near(&self, work: Option<&Work>) -> Near<'_> {
+        let cell = work.and_then(|w| self.servers.get(&w.state?.0)?.cell);
+        self.averages.near(work.filter(|w| w.may_have_run.is_none()).map(|w| w.position), cell, NEAR)
     }
 
     /// The same for any request of a part of the traffic. With no writer left mixed servers take states too.
--- a/src/state/choice.rs
+++ b/src/state/choice.rs
@@ -20,9 +20,11 @@
 }
 
 /// So many of them, by lot.
-pub fn first_by_lot(mut all: Vec<&Server>, most: usize, lot: Key) -> Vec<ServerId> {
-    all.sort_by_key(|s| lot.rank(s.id));
-    all.into_iter().take(most).map(|s| s.id).collect()
+pub fn first_by_lot<'s>(all: impl Iterator<Item = &'s Server>, most: usize, lot: Key) -> Vec<ServerId> {
+    let mut ids: Vec<ServerId> = all.map(|s| s.id).collect();
+    ids.sort_by_key(|id| lot.rank(*id));
+    ids.truncate(most);
+    ids
 }
 
 /// The least power of four above `n`.
--- a/tests/many_servers.rs
+++ b/tests/many_servers.rs
@@ -320,6 +320,11 @@
     assert!(part < 0.03, "{part} of the homes differ, 0.008 of the list");
 }
 
+fn outcome(id: u64, attempt: u32, server: ServerId, status: Status) -> Outcome {
+    let (id, attempt) = (RequestId(id), AttemptNo(attempt));
+    Outcome { id, attempt, server, status, latency: MS, closed: false, note: 0, report: None }
+}
+
 /// Sends among these actions.
 fn sends(actions: &[Action]) -> Vec<ServerId> {
     let server = |action: &Action| match action {
@@ -367,17 +372,7 @@
     while written.len() < 5 {
         let id = ids.next().expect("each writer gets one");
         let read = sends(&router.event(Event::Request(router.request(id))))[0];
-        let outcome = |status, attempt, server| Outcome {
-            id: RequestId(id),
-            attempt: AttemptNo(attempt),
-            server,
-            status,
-            latency: MS,
-            closed: false,
-            note: 0,
-            report: None,
-        };
-        let write = sends(&router.event(Event::Outcome(outcome(Status::Read, 0, read))))[0];
+        let write = sends(&router.event(Event::Outcome(outcome(id, 0, read, Status::Read))))[0];
         written.insert(write);
         let (id, attempt) = (RequestId(id), AttemptNo(1));
         router.event(Event::First { id, attempt, server: write, latency: MS });
@@ -390,3 +385,47 @@
     actions.extend(router.pass(200 * MS));
     assert_eq!(sends(&actions).len(), 1, "the small one is sent");
 }
+
+/// What may have run in one cell may be repeated there alone: it does not wait until the way on comes past that cell.
+#[test]
+fn a_repeat_that_is_bound_to_a_cell_goes_there_as_soon_as_that_has_room() {
+    let class = Class { effect: Effect::Keyed, window: 4 * S, ..class(Effect::Keyed, Group::Cell) };
+    let site = Settings { classes: vec![class], release_within: 3 * S, ..site() };
+    // A reader and two writers a cell.
+    let mut router = Router::new(site, fleet(10_000, 3));
+    let read = sends(&router.event(Event::Request(router.request(1))))[0];
+    let cell = |of: ServerId| (0..10_000).find(|n| server(*n, 0, 0).server == of).expect("it is one") / 3;
+    let own = (0..3).map(|n| 3 * cell(read) + n).filter(|n| n % 3 != 0);
+    let drained = |n| Entry { state: ServerState::Draining, ..server(n, WRITER, cell(read)) };
+    router.members(ListKind::Delta, own.map(drained).collect());
+    let mut at = sends(&router.event(Event::Outcome(outcome(1, 0, read, Status::Read))))[0];
+    let ran = cell(at);
+    for (attempt, status) in [(1, Status::Error), (2, Status::Full), (3, Status::Full)] {
+        let actions = router.event(Event::Outcome(outcome(1, attempt, at, status)));
+        if attempt < 3 {
+            at = sends(&actions)[0];
+            assert_eq!(cell(at), ran, "attempt {attempt}");
+        }
+    }
+    assert!(sends(&router.pass(900 * MS)).is_empty(), "a server that was full is left alone for a second");
+    let again = sends(&router.pass(150 * MS));
+    assert_eq!(again.iter().map(|at| cell(*at)).collect::<Vec<_>>(), [ran]);
+}
+
+/// Latencies are compared within their role among many servers, too.
+#[test]
+fn a_reader_that_is_slower_than_its_peers_is_told_among_many() {
+    let mut router = Router::new(site(), fleet(300, 12));
+    let slow = server(0, READER, 0).server;
+    for id in 1..=1_500 {
+        let read = sends(&router.event(Event::Request(router.request(id))))[0];
+        let latency = if read == slow { 100 * MS } else { 10 * MS };
+        let done = Outcome { latency, ..outcome(id, 0, read, Status::Read) };
+        let write = sends(&router.event(Event::Outcome(done)))[0];
+        router.event(Event::Outcome(Outcome { closed: true, ..outcome(id, 1, write, Status::Ok) }));
+        router.pass(MS);
+    }
+    let pace = |of: ServerId| router.policy.views().find(|view| view.server == of).expect("it is known").pace;
+    let peer = pace(server(3, READER, 0).server);
+    assert!(pace(slow) > 2.0 && (0.5..1.5).contains(&peer), "{} beside {peer}", pace(slow));
+}
