--- a/crates/gaparch-router/tests/core.rs
+++ b/crates/gaparch-router/tests/core.rs
@@ -25,12 +25,17 @@
 impl Bench {
     /// The example's site, with all its engines connected.
     fn new() -> Bench {
+        let mut bench = Bench::connecting();
+        for engine in Config::parse(EXAMPLE).expect("sound").engines {
+            let role = if engine.kind == "reader" { Role::Read } else { Role::Write };
+            bench.up(&engine.name, role, 1);
+        }
+        bench
+    }
+
+    /// The same with none of its connections up yet.
+    fn connecting() -> Bench {
         let config = Config::parse(EXAMPLE).expect("sound");
-        let names: Vec<(String, Role)> = config
-            .engines
-            .iter()
-            .map(|e| (e.name.clone(), if e.kind == "reader" { Role::Read } else { Role::Write }))
-            .collect();
         let mut out = Vec::new();
         let core = Core::new(config, Book::default(), RouterRun(1), 1000 * S, &mut out);
         let mut bench = Bench { core, now: 1000 * S, conns: BTreeMap::new(), seen: Vec::new() };
@@ -39,9 +44,6 @@
                 bench.conns.insert(engine, conn);
             }
         }
-        for (name, role) in names {
-            bench.up(&name, role, 1);
-        }
         bench
     }
 
@@ -275,6 +277,34 @@
     assert_eq!(bench.core.counts().overdue, 0);
 }
 
+/// A read waits for its connection, and its reader drains by a change of the list: it is not sent once that is up.
+#[test]
+fn what_waits_for_a_connection_is_not_sent_after_a_change_that_drains_its_engine() {
+    let mut bench = Bench::connecting();
+    let entry = |name: &str, kind: &str, state| ListEntry {
+        engine: name.to_owned(),
+        address: "127.0.0.1:7101".to_owned(),
+        kind: kind.to_owned(),
+        zone: "north".to_owned(),
+        rack: "n1".to_owned(),
+        state,
+        weight: None,
+        started_at: None,
+    };
+    let readers = |state| vec![entry("read-1", "reader", state), entry("read-2", "reader", state)];
+    let entries =
+        [readers(ServerState::Ready), vec![entry("write-1", "writer", ServerState::Ready)]].concat();
+    bench.input(Input::List(ListUpdate { scope: Scope::Full, version: 3, after: 0, entries }));
+    bench.input(Input::Ask { id: RequestId(1), ask: question() });
+    bench.pass(100 * MS);
+    assert_eq!(sent(&bench.seen), None, "no connection is up");
+    let entries = readers(ServerState::Draining);
+    bench.input(Input::List(ListUpdate { scope: Scope::Delta, version: 4, after: 3, entries }));
+    bench.up("read-1", Role::Read, 1);
+    bench.up("read-2", Role::Read, 1);
+    assert_eq!(sent(&bench.seen), None, "sent to a drained reader");
+}
+
 #[test]
 fn a_silent_stream_ends_with_a_failure_and_its_writer_is_told() {
     let mut bench = Bench::new();
--- a/crates/gaparch-router/tests/exchanges.rs
+++ b/crates/gaparch-router/tests/exchanges.rs
@@ -102,6 +102,21 @@
     out.iter().filter(of).count()
 }
 
+/// A change of the list alone makes one engine usable and another one not.
+#[test]
+fn an_engine_that_a_change_names_is_asked_from_then_on() {
+    let mut bench = Bench::new();
+    let gone = |name: &str| entry(name, ServerState::Gone);
+    let entries = vec![gone("r-1"), gone("r-2"), entry("r-3", ServerState::Ready)];
+    bench.input(Input::List(ListUpdate { scope: Scope::Delta, version: 6, after: 5, entries }));
+    for id in 1..=20 {
+        let (reader, key) = bench.ask(id);
+        assert_eq!(reader, server_id("r-3"));
+        let read = EngineFrame::ReadDone { key, kept: 0, prompt_len: 0, report: None };
+        assert!(sent(&bench.frame(reader, read)).is_some(), "its answer is heard");
+    }
+}
+
 #[test]
 fn ten_thousand_requests_and_a_thousand_engines_leave_nothing_behind() {
     let mut bench = Bench::new();
