--- a/tests/all.sh
+++ b/tests/all.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Everything that must hold before a change lands: format, lints, release build, tests.
-# The tests include the size and line-length limits of the decision module.
+# The tests include the size and line-length limits of the decision modules.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo fmt --all --check
