Slow start goes by when a process was first listed, not by the router's wall clock

Cause: Roster::take took listed.started_at, a time by the machines' wall clock, for one of the router's own clock, which is its wall clock at its start; a router 5 s ahead ended each slow start 5 s early, one an hour ahead had none, one behind prolonged it; starts more than an hour ahead counted as none at all; and of two starts the later held, so that a process on a machine whose clock was set back was no new one. Change: src/policy/start_times.rs. What a change of the list names begins with it; in a whole list the newest not told before does, the others by what sets them apart or by the own clock, the younger of both; the older one for what would make most of a kind new. What an engine itself says of its start makes one that joins no older than its listing.

--- a/crates/gaparch-router/src/core/roster.rs
+++ b/crates/gaparch-router/src/core/roster.rs
@@ -3,6 +3,7 @@
 use super::{figures, state_at, Counts};
 use crate::core::operate::{listed_state, server_state};
 use gaparch::api::{Entry, ListKind, Nanos, Role, ServerId, ServerState, Settings};
+use gaparch::policy::start_times::{self, ListedStart};
 use gaparch_config::{server_id, Config, Links};
 use gaparch_ops::book::Book;
 use gaparch_ops::combine::combine;
@@ -25,7 +26,7 @@
 /// Engines that are known at once; more are dropped and counted. Those of a list that replaces another count beside
 /// those of the old one until these are forgotten. The shells bound a list itself, by the memory that they may use.
 const MOST_ENGINES: usize = 1 << 16;
-/// A start further in the future than this is no start.
+/// A process that says that it began further in the future than this has a clock that is off.
 const CLOCKS_APART: Nanos = 3_600_000_000_000;
 
 #[derive(Clone, Debug)]
@@ -36,10 +37,19 @@
     pub entry: Entry,
     /// What its process says of its start, by its own clock.
     said: Option<u64>,
-    /// When it was last not there, or could not be reached, by the clock here.
+    /// When it was last not there, or could not be reached, by the clock here: where a change of the list first named it,
+    /// until then.
     away_at: Nanos,
 }
 
+/// An entry of a list with when its process began, by the clock here; `None`: long ago, or not told.
+struct Timed {
+    listed: ListEntry,
+    began: Option<Nanos>,
+    /// A change of the list names it.
+    joins: bool,
+}
+
 /// What the list and the operators say together.
 fn state_of(listed: &ListEntry, book: &Book) -> ServerState {
     let hold = book.hold(&listed.engine).map(|(hold, _)| hold);
@@ -66,7 +76,7 @@
                 weight: engine.weight,
                 started_at: None,
             };
-            self.take(listed, config, book, now, &mut counts);
+            self.take(Timed { listed, began: None, joins: false }, config, book, now, &mut counts);
         }
         self.known.values().map(|k| k.entry.clone()).collect()
     }
@@ -94,8 +104,8 @@
             }
         }
         let mut entries = Vec::new();
-        for listed in update.entries {
-            entries.extend(self.take(listed, config, book, now, counts));
+        for timed in self.timed(update.entries, !delta, config, now) {
+            entries.extend(self.take(timed, config, book, now, counts));
         }
         Some((if delta { ListKind::Delta } else { ListKind::Full }, entries))
     }
@@ -115,9 +125,41 @@
         self.known.get(&server).map_or("", |k| k.listed.engine.as_str())
     }
 
+    /// Places the told starts on the clock here. One that was told before stays where it was placed then; another one
+    /// is another process, which began after the last.
+    fn timed(&self, entries: Vec<ListEntry>, whole: bool, config: &Config, now: Nanos) -> Vec<Timed> {
+        let before = |listed: &ListEntry| {
+            self.known.get(&server_id(&listed.engine)).filter(|known| known.listed.engine == listed.engine)
+        };
+        let start = |listed: &ListEntry| ListedStart {
+            kind: config.names.kind(&listed.kind),
+            told: listed.started_at,
+            known: before(listed)
+                .filter(|known| known.listed.started_at == listed.started_at)
+                .and_then(|known| known.entry.ready_at),
+        };
+        let starts: Vec<ListedStart> = entries.iter().map(start).collect();
+        let began = match whole {
+            true => start_times::of_whole_list(now, config.module.cold, &starts),
+            false => start_times::of_change(now, &starts),
+        };
+        let after_the_last = |listed: &ListEntry, start: &ListedStart, began: Option<Nanos>| {
+            let last =
+                before(listed).filter(|_| start.known.is_none()).and_then(|known| known.entry.ready_at);
+            began.map(|began| last.map_or(began, |last| began.max(last + 1))).or(last)
+        };
+        let entries = entries.into_iter().zip(starts).zip(began);
+        entries
+            .map(|((listed, start), began)| {
+                let began = after_the_last(&listed, &start, began);
+                Timed { listed, began, joins: !whole }
+            })
+            .collect()
+    }
+
     fn take(
         &mut self,
-        listed: ListEntry,
+        Timed { listed, began, joins }: Timed,
         config: &Config,
         book: &Book,
         now: Nanos,
@@ -136,12 +178,9 @@
         };
         let weight = listed.weight.filter(|w| figures::sound(*w) && *w > 0.0);
         counts.dropped_figures += u64::from(weight.is_none() && listed.weight.is_some());
-        // A start that is yet to come would make it cold for ever.
-        let started = listed.started_at.filter(|at| *at <= now.saturating_add(CLOCKS_APART));
-        counts.dropped_figures += u64::from(started != listed.started_at);
-        // What the engine itself said of its start holds until the list knows of a later one.
-        let ready_at = known.and_then(|k| k.entry.ready_at);
-        let (said, away_at) = known.map_or((None, 0), |k| (k.said, k.away_at));
+        counts.dropped_figures +=
+            u64::from(listed.started_at.is_some_and(|at| at > now.saturating_add(CLOCKS_APART)));
+        let (said, away_at) = known.map_or((None, if joins { now } else { 0 }), |k| (k.said, k.away_at));
         let entry = Entry {
             server,
             zone: config.names.zone(&listed.zone),
@@ -149,7 +188,7 @@
             cell: config.names.cell(&listed.zone, &listed.rack),
             state: state_of(&listed, book),
             weight,
-            ready_at: started.max(ready_at),
+            ready_at: began,
         };
         self.known.insert(server, Known { listed, address, entry: entry.clone(), said, away_at });
         Some(entry)
@@ -168,11 +207,10 @@
     pub fn started(&mut self, server: ServerId, at: u64, now: Nanos, counts: &mut Counts) -> Option<Entry> {
         let known = self.known.get_mut(&server)?;
         counts.dropped_figures += u64::from(at > now.saturating_add(CLOCKS_APART));
-        let began = match known.said.replace(at) {
-            Some(before) if before == at => return None,
-            Some(_) => at.min(now).max(known.away_at),
-            None => at.min(now),
-        };
+        if known.said.replace(at) == Some(at) {
+            return None;
+        }
+        let began = at.min(now).max(known.away_at);
         if known.entry.ready_at.is_some_and(|ready| ready >= began) {
             return None;
         }
--- a/crates/gaparch-router/tests/core.rs
+++ b/crates/gaparch-router/tests/core.rs
@@ -305,6 +305,34 @@
     assert_eq!(sent(&bench.seen), None, "sent to a drained reader");
 }
 
+/// The router's wall clock may be ahead: what an engine says of its start makes one that a change of the list names no
+/// older than that change.
+#[test]
+fn an_engine_that_joins_is_new_whatever_it_says_of_its_start() {
+    let mut bench = Bench::new();
+    let entry = |name: &str| ListEntry {
+        engine: name.to_owned(),
+        address: "127.0.0.1:7101".to_owned(),
+        kind: "reader".to_owned(),
+        zone: "north".to_owned(),
+        rack: "n1".to_owned(),
+        state: ServerState::Ready,
+        weight: None,
+        started_at: None,
+    };
+    let entries =
+        vec![entry("read-1"), entry("read-2"), ListEntry { kind: "writer".to_owned(), ..entry("write-1") }];
+    bench.input(Input::List(ListUpdate { scope: Scope::Full, version: 3, after: 0, entries }));
+    bench.pass(1000 * MS);
+    let joined = bench.now;
+    let entries = vec![entry("read-9")];
+    bench.input(Input::List(ListUpdate { scope: Scope::Delta, version: 4, after: 3, entries }));
+    bench.pass(10 * MS);
+    bench.up("read-9", Role::Read, 1);
+    let began = bench.core.process(server_id("read-9")).map(|(_, began)| began);
+    assert_eq!(began, Some(joined));
+}
+
 #[test]
 fn a_silent_stream_ends_with_a_failure_and_its_writer_is_told() {
     let mut bench = Bench::new();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 //! | `endings` | the end of a request: refused where trying again is harmless, else failed |
 //! | `health` | health of servers, by symptom and against their peers |
 //! | `slow_start` | slow start: what a server that has just started may be sent |
+//! | `start_times` | when a listed process began, by the router's own clock |
 //! | `members` | the list of servers |
 //! | `deadlines` | the clock: deadlines, and attempts that take too long |
 //! | `peers` | messages between routers |
@@ -28,6 +29,7 @@
 mod peers;
 mod reading;
 mod slow_start;
+pub mod start_times;
 mod writing;
 
 use crate::api::*;
