Red tests: a late request at the end, a moment without descriptors, a log nobody reads

Seen, on real sockets and processes: a request whose last byte comes 0.9 s after SIGTERM is taken and streamed (what is under way at SIGKILL is lost); with no descriptor to be had for 0.1 s a request is answered 503; once the reader of standard error has gone, the summary's line panics in the owner's task, and from then on the router answers 500 to everything while /_health says 200. Checked: finish() in run.rs sends Stop only after nothing is open; Pool::fresh makes EMFILE and a missing place the same NoConnection as a refusal by the worker, on which note_health marks it lost and cold; tracing-subscriber prints its own failure with eprintln, which panics.

--- /dev/null
+++ b/crates/gaparch-cli/tests/system_calls.rs
@@ -0,0 +1,81 @@
+//! A router in service as a process whose system calls fail for a while.
+
+use gaparch_lab::platform::{head_and_body, raw, read, until, Platform, LONG};
+use rustix::process::{getrlimit, prlimit, Pid, Resource, Rlimit};
+use std::io::Write;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// A router as a process of its own, on its platform.
+struct Site {
+    platform: Platform,
+    router: Child,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = self.router.kill();
+        let _ = self.router.wait();
+    }
+}
+
+fn start(file: &PathBuf) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gaparch"));
+    command.args(["--log", "info", "node"]).env("ROUTER_CONFIG", file);
+    command.stdout(Stdio::null()).stderr(Stdio::piped());
+    command.spawn().expect("it starts")
+}
+
+impl Site {
+    fn new() -> Site {
+        let platform = Platform::new(|_| {});
+        let router = start(&platform.file);
+        let site = Site { platform, router };
+        until("the router is ready", || site.platform.health() == 200);
+        site
+    }
+
+    fn descriptors(&self) -> u64 {
+        let folder = format!("/proc/{}/fd", self.router.id());
+        std::fs::read_dir(folder).expect("it runs").count() as u64
+    }
+
+    fn limit_descriptors(&self, most: Option<u64>) {
+        let pid = Pid::from_raw(self.router.id() as i32);
+        let maximum = getrlimit(Resource::Nofile).maximum;
+        let limit = Rlimit { current: most.or(maximum), maximum };
+        prlimit(pid, Resource::Nofile, limit).expect("its limit is set");
+    }
+}
+
+/// No socket is to be had for a moment. That says nothing of the workers, and the request is served once there are some.
+#[test]
+fn a_moment_without_descriptors_costs_no_request_and_makes_no_worker_look_dead() {
+    let site = Site::new();
+    let mut client = TcpStream::connect(site.platform.listen).expect("it listens");
+    client.write_all(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").expect("written");
+    assert_eq!(read(&mut client, LONG).status, 200);
+    site.limit_descriptors(Some(site.descriptors()));
+    client.write_all(&head_and_body("txn-1", "{\"stream\":true}")).expect("written");
+    std::thread::sleep(Duration::from_millis(100));
+    site.limit_descriptors(None);
+    assert_eq!(read(&mut client, LONG).status, 200);
+    // Nobody was probed: nobody looked dead.
+    let seen = site.platform.floor.seen();
+    let probes = seen.iter().filter(|s| matches!(s, gaparch_lab::platform::Seen::Probed { .. })).count();
+    assert!(probes <= 4, "{seen:?}");
+}
+
+/// Whoever reads the log ends: the router goes on, and serves.
+#[test]
+fn a_log_that_nobody_reads_any_more_ends_no_router() {
+    let mut site = Site::new();
+    drop(site.router.stderr.take());
+    // The line on the drain that begins is the first that can't be written; the summary follows within 10 s.
+    let request = head_and_body("txn-1", "{\"stream\":true}");
+    std::thread::sleep(Duration::from_millis(10_500));
+    assert_eq!(raw(site.platform.listen, &request, LONG).status, 200);
+    assert!(site.router.try_wait().expect("it was started").is_none(), "it has ended");
+}
--- a/crates/gaparch-node/tests/crossings.rs
+++ b/crates/gaparch-node/tests/crossings.rs
@@ -313,3 +313,31 @@
     flood.into_iter().for_each(|thread| thread.join().expect("no panic"));
     assert!(took < ms(4000) + SLACK, "{took:?}");
 }
+
+/// A client was in the middle of its request as the router was told to end. What would be taken so late could still be
+/// under way when the process is killed: it is refused, and nothing is sent for it.
+#[test]
+fn a_request_whose_last_byte_comes_long_after_the_end_was_ordered_is_refused() {
+    let site = Site::with(|_| {});
+    // A stream that outlasts the late request keeps the router from its end.
+    let event = &gaparch_lab::platform::events()[0];
+    let first =
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n", event.len());
+    site.next_write(&[put(&first), Step::Wait(ms(2500)), put("e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")]);
+    let mut streaming = TcpStream::connect(site.listen).expect("it listens");
+    streaming.write_all(&head_and_body("streaming", "{}")).expect("written");
+    until("it is being written", || site.writes("streaming") == 1);
+    site.order(Order::End);
+    std::thread::sleep(ms(300));
+    let mut late = TcpStream::connect(site.listen).expect("connections still arrive");
+    let whole = head_and_body("late", "{}");
+    late.write_all(&whole[..60]).expect("it is open");
+    std::thread::sleep(ms(600));
+    late.write_all(&whole[60..]).expect("it is open");
+    let got = read(&mut late, LONG);
+    assert_eq!(got.status, 503, "taken 0.9 s after the end was ordered: {got:?}");
+    assert!(site.floor.asked().iter().all(|(_, txn)| txn != "late"), "something was sent for it");
+    let got = read(&mut streaming, LONG);
+    assert!(got.status == 200 && got.whole, "the stream that was open is passed on to its end: {got:?}");
+    site.ended();
+}
