Late requests are refused at the end; local failures blame no worker; logs end no router

(1) finish() asked what is open, and only then had new requests refused: beside a stream of a minute they were taken for a minute. (2) EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH and a missing place in the own budget were told as a worker that could not be reached: five attempts in a row within a millisecond, each marking its worker lost and, when probed, cold. (3) tracing-subscriber answers a failed write with eprintln, which panics; that ended the owner, and the process lived on and answered 500. EINTR on a socket counted as a broken connection. Change: what is read after 0.65 s is refused (0.7 s is the platform's line); policy/connecting.rs says which failures are local, tried again within the connect time and told as NoSocket, which changes nothing about the server; reads and writes go on after EINTR, ENOBUFS and ENOMEM; the log has a thread and a bounded queue; a router whose deciding task ends, ends with an error; errors of the peers' socket are paused over.

--- a/crates/gaparch-cli/src/commands/node.rs
+++ b/crates/gaparch-cli/src/commands/node.rs
@@ -20,7 +20,7 @@
     match gaparch_node::run(options.config).await {
         Ok(()) => Ok(ExitCode::SUCCESS),
         Err(error @ (NodeError::Read { .. } | NodeError::Config { .. })) => {
-            eprintln!("gaparch: {error}");
+            crate::complain(format_args!("{error}"));
             Ok(ExitCode::from(UNUSABLE))
         }
         Err(error) => Err(error.into()),
--- a/crates/gaparch-cli/src/logging.rs
+++ b/crates/gaparch-cli/src/logging.rs
@@ -1,9 +1,14 @@
-//! Structured logs on standard error.
+//! Structured logs on standard error, written by a thread of their own: a reader that stalls or has gone, or a full disk
+//! behind it, costs lines and nothing else.
 
 use clap::{Args, ValueEnum};
 use std::io::IsTerminal;
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
+/// Lines that wait to be written; more are dropped.
+const WAITING_LINES: usize = 4096;
+
 #[derive(Debug, Args)]
 pub struct Options {
     /// What to log: a level, or `target=level` pairs with commas between them
@@ -20,16 +25,24 @@
     Json,
 }
 
-pub fn start(options: &Options) {
+/// Starts the log. What waits when the guard is dropped is still written, unless nobody takes it.
+pub fn start(options: &Options) -> WorkerGuard {
     let filter = EnvFilter::try_new(&options.log).unwrap_or_else(|error| {
-        eprintln!("gaparch: --log: {error}; logging warnings");
+        super::complain(format_args!("--log: {error}; logging warnings"));
         EnvFilter::new("warn")
     });
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(WAITING_LINES)
+        .lossy(true)
+        .thread_name("log")
+        .finish(std::io::stderr());
     let colours = std::io::stderr().is_terminal() && std::env::var_os("NO_COLOR").is_none();
-    let logs =
-        tracing_subscriber::fmt().with_env_filter(filter).with_ansi(colours).with_writer(std::io::stderr);
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_ansi(colours).with_writer(writer);
+    // Its own failures would go to the same place, and panic where that fails.
+    let logs = logs.log_internal_errors(false);
     match options.log_format {
         Format::Text => logs.init(),
         Format::Json => logs.json().init(),
     }
+    guard
 }
--- a/crates/gaparch-cli/src/main.rs
+++ b/crates/gaparch-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod logging;
 
 use clap::{Parser, Subcommand};
+use std::io::Write;
 use std::process::ExitCode;
 
 /// Routes language-model requests over engines that read prompts and engines that write answers.
@@ -66,7 +67,7 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    logging::start(&cli.logging);
+    let _log = logging::start(&cli.logging);
     let runtime = match &cli.command {
         // In service it has a part of one core.
         command if command.is_node() => tokio::runtime::Builder::new_current_thread().enable_all().build(),
@@ -85,11 +86,16 @@
         Err(error) => Err(error.into()),
     };
     outcome.unwrap_or_else(|error| {
-        eprintln!("gaparch: {error}");
+        complain(format_args!("{error}"));
         ExitCode::FAILURE
     })
 }
 
+/// A line on standard error, if anybody is there to read it.
+fn complain(what: std::fmt::Arguments<'_>) {
+    let _ = writeln!(std::io::stderr(), "gaparch: {what}");
+}
+
 async fn run(command: Command) -> Outcome {
     match command {
         Command::Serve(options) => commands::serve::run(options).await,
--- a/crates/gaparch-node/src/client/connection.rs
+++ b/crates/gaparch-node/src/client/connection.rs
@@ -4,6 +4,7 @@
 use super::{Piece, AHEAD};
 use crate::link::{Link, NoBody};
 use crate::shared::{Answer, Forward, Message, Phase, Shared};
+use crate::transient::write_all;
 use bytes::BytesMut;
 use gaparch::api::{Nanos, RequestId};
 use gaparch_platform::ask::{Ask, AskError, READY_PATH};
@@ -282,7 +283,7 @@
     }
 
     async fn put(&mut self, answer: &[u8], close: bool) -> Result<bool, Nothing> {
-        match timeout(STALLED, self.link.stream.write_all(answer)).await {
+        match timeout(STALLED, write_all(&mut self.link.stream, &mut &answer[..])).await {
             Ok(Ok(())) => Ok(!close),
             _ => Err(Nothing::Gone),
         }
--- a/crates/gaparch-node/src/discovery/mod.rs
+++ b/crates/gaparch-node/src/discovery/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::link::{Link, NoAnswer};
 use crate::shared::{Message, Phase, Shared};
+use crate::transient::write_all;
 use backoff::Backoff;
 use gaparch_platform::body::{Body, BodyError, Part};
 use gaparch_platform::catalogue::{
@@ -18,7 +19,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
@@ -240,7 +240,7 @@
 }
 
 async fn ask(link: &mut Link, call: &str, limits: ListLimits) -> Result<Members, Fault> {
-    link.stream.write_all(call.as_bytes()).await.map_err(Fault::Broken)?;
+    write_all(&mut link.stream, &mut call.as_bytes()).await.map_err(Fault::Broken)?;
     let head = link.answer().await?;
     if head.status != 200 {
         return Err(Fault::Status(head.status));
--- a/crates/gaparch-node/src/lib.rs
+++ b/crates/gaparch-node/src/lib.rs
@@ -26,6 +26,7 @@
 mod shared;
 #[cfg(test)]
 mod test_support;
+mod transient;
 mod worker;
 
 pub use run::{run, serve, NodeError, Order};
--- a/crates/gaparch-node/src/link.rs
+++ b/crates/gaparch-node/src/link.rs
@@ -1,5 +1,6 @@
 //! A socket with what has been read from it and not yet understood.
 
+use crate::transient::{is_interrupted, lacks_memory, PAUSE};
 use bytes::{Bytes, BytesMut};
 use gaparch_platform::body::{Body, BodyError, Framing, Part};
 use gaparch_platform::head::{take_answer, AnswerHead, HeadError};
@@ -8,6 +9,7 @@
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 /// Read at once.
 const READ: usize = 8 * 1024;
@@ -51,9 +53,18 @@
     }
 
     /// Reads more; 0 at the end. Nothing is lost where this is dropped.
+    ///
+    /// # Errors
+    /// When the connection is broken: a call that was interrupted, or short of memory, is made again.
     pub async fn read(&mut self) -> io::Result<usize> {
-        self.buf.reserve(READ);
-        self.stream.read_buf(&mut self.buf).await
+        loop {
+            self.buf.reserve(READ);
+            match self.stream.read_buf(&mut self.buf).await {
+                Err(error) if is_interrupted(&error) => {}
+                Err(error) if lacks_memory(&error) => sleep(PAUSE).await,
+                done => return done,
+            }
+        }
     }
 
     /// Reads more; whether there was any.
--- a/crates/gaparch-node/src/peers.rs
+++ b/crates/gaparch-node/src/peers.rs
@@ -1,11 +1,13 @@
 //! Datagrams between routers.
 
+use crate::transient::PAUSE;
 use gaparch_platform::config::Peers;
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 /// A longer one must not be sent.
 const MOST: usize = 256;
@@ -42,8 +44,9 @@
         let mut data = [0; MOST + 1];
         loop {
             let Ok((length, from)) = self.socket.recv_from(&mut data).await else {
-                // An earlier message was not wanted somewhere: nothing is wrong here.
-                tokio::task::yield_now().await;
+                // An earlier message was not wanted somewhere, or the system is short of something: nothing is wrong
+                // here, and asking again without a pause would take all of the core for as long.
+                sleep(PAUSE).await;
                 continue;
             };
             let number = self.peers.each.iter().position(|peer| *peer == from).filter(|_| length <= MOST);
--- a/crates/gaparch-node/src/run.rs
+++ b/crates/gaparch-node/src/run.rs
@@ -19,10 +19,14 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 /// After SIGTERM new connections keep arriving for up to 0.4 s: until then and a little longer all goes on.
 const ARRIVALS: Duration = Duration::from_millis(550);
+/// After SIGTERM what is read later than this is refused: what is taken later could still be under way when the process
+/// is killed, and would be lost. The platform counts from 0.7 s.
+const TAKEN: Duration = Duration::from_millis(650);
 /// For what runs after that. Whoever ends the process does so when he will; a stream may take a minute.
 const FINISH: Duration = Duration::from_secs(90);
 /// For clients' connections to end after the last answer was given, however late that was.
@@ -42,6 +46,8 @@
     Listen { address: SocketAddr, source: io::Error },
     #[error("signals: {0}")]
     Signals(io::Error),
+    #[error("the task that decides has ended{}", .0.as_ref().map(|why| format!(": {why}")).unwrap_or_default())]
+    NoOwner(Option<String>),
 }
 
 fn load(file: &Path) -> Result<NodeConfig, NodeError> {
@@ -121,11 +127,11 @@
     let wanted = watch::Sender::new(Wanted::default());
     tokio::spawn(discovery::follow(discovery.subscribe(), wanted.subscribe(), Arc::clone(&shared)));
     let owner = Owner::new(core, Arc::clone(&shared), pool, peer_socket, wanted);
-    tokio::spawn(owner.run(messages, heard));
+    let mut deciding = tokio::spawn(owner.run(messages, heard));
     let clients = Arc::clone(&budget.clients);
     let most_clients = budget.most_clients;
     let accepting = tokio::spawn(client::accept(listener, budget, Arc::clone(&shared)));
-    while let Some(Order::Reload) = orders.recv().await {
+    while next_order(&mut orders, &mut deciding).await? == Order::Reload {
         match load(&file) {
             Ok(new) => {
                 tracing::info!(discovery = %new.discovery, "a new configuration");
@@ -138,22 +144,38 @@
             Err(error) => tracing::error!(%error, "the configuration stays as it was"),
         }
     }
+    let told_to_end = Instant::now();
     shared.phase.send_replace(Phase::Leaving);
     tracing::info!("ending: what is open is finished");
-    sleep(ARRIVALS).await;
+    sleep_until(told_to_end + ARRIVALS).await;
     shared.phase.send_replace(Phase::Closing);
     let _ = accepting.await;
+    sleep_until(told_to_end + TAKEN).await;
     finish(&shared, &clients, most_clients).await;
     tracing::info!("ended");
     Ok(())
 }
 
+/// The next order; the end where nobody is left who could give one.
+///
+/// # Errors
+/// When the task that decides has ended: without it no request can be answered, and whoever watches the process has to
+/// hear of it.
+async fn next_order(
+    orders: &mut mpsc::Receiver<Order>,
+    deciding: &mut JoinHandle<()>,
+) -> Result<Order, NodeError> {
+    tokio::select! {
+        order = orders.recv() => Ok(order.unwrap_or(Order::End)),
+        ended = deciding => Err(NodeError::NoOwner(ended.err().map(|error| error.to_string()))),
+    }
+}
+
 /// Waits for all that is open, within bounds: requests, what is held for them, and the answers on their way to clients.
 async fn finish(shared: &Shared, clients: &Semaphore, most_clients: usize) {
-    let until = Instant::now() + FINISH;
-    let _ = timeout_at(until, nothing_open(shared)).await;
-    // A request may have been read since: what comes from now on is refused, and what came before is waited for.
+    // What comes from now on is refused, and what came before is waited for.
     shared.tell(Message::Stop);
+    let until = Instant::now() + FINISH;
     if timeout_at(until, nothing_open(shared)).await.is_err() {
         shared.tell(Message::StopNow);
     }
--- a/crates/gaparch-node/src/worker/calls.rs
+++ b/crates/gaparch-node/src/worker/calls.rs
@@ -1,7 +1,8 @@
 //! Calls without a body: probes, and what is held.
 
-use super::pool::{Conn, LastExchange, NoConnection, Pool, Target};
+use super::pool::{Conn, LastExchange, Pool, Target};
 use crate::shared::{Message, Seen, Shared};
+use crate::transient::write_all;
 use bytes::Bytes;
 use gaparch::api::{AttemptNo, RequestId, Status};
 use gaparch_platform::ask::Txn;
@@ -9,7 +10,6 @@
 use gaparch_platform::worker::{probe_head, probe_meaning, release_head, reserve_head, reserved};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -20,7 +20,7 @@
 
 /// The status of a call's answer, once that is whole; the connection goes back if it can be used again.
 async fn call(mut conn: Conn, head: &Bytes, pool: &Pool) -> Option<u16> {
-    conn.link.stream.write_all(head).await.ok()?;
+    write_all(&mut conn.link.stream, &mut &head[..]).await.ok()?;
     let answer = conn.link.answer().await.ok()?;
     pool.heard(conn.target);
     if conn.link.body(answer.framing, MOST_BODY).await.is_ok() {
@@ -47,7 +47,7 @@
             }
         }
         match pool.fresh(target).await {
-            Err(NoConnection) => Status::ConnectFailed,
+            Err(failure) => failure.status(),
             // One that closes on a probe could as well not have been reached.
             Ok(conn) => call(conn, &head, &pool).await.map_or(Status::ConnectFailed, probe_meaning),
         }
--- a/crates/gaparch-node/src/worker/exchange.rs
+++ b/crates/gaparch-node/src/worker/exchange.rs
@@ -1,10 +1,11 @@
 //! One attempt at a worker: its request is written, and what comes back is told to the owner. Nothing is ever sent
 //! again from here.
 
-use super::pool::{Conn, LastExchange, NoConnection, Pool, Target};
+use super::pool::{Conn, LastExchange, Pool, Target};
 use crate::client::Piece;
 use crate::link::NoAnswer;
 use crate::shared::{Forward, Message, Seen, Shared};
+use crate::transient::write_all;
 use bytes::{Buf, Bytes, BytesMut};
 use gaparch::api::{AttemptNo, Nanos, RequestId, Status};
 use gaparch_platform::body::{Body, Part};
@@ -13,7 +14,6 @@
 use gaparch_platform::worker::{job_head, kept, meaning, Meaning};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -113,7 +113,7 @@
     let left = Duration::from_nanos(job.write_by.saturating_sub(shared.clock.now()));
     let mut conn = match timeout(left, pool.get(job.target)).await {
         Ok(Ok(conn)) => conn,
-        Ok(Err(NoConnection)) => return End::broken(Status::ConnectFailed),
+        Ok(Err(failure)) => return End::broken(failure.status()),
         Err(_) => return End::broken(Status::Moot),
     };
     // Until the poller has been asked once more, a close or a change of the list that has arrived is not known of.
@@ -176,7 +176,7 @@
     let head = job_head(target, txn, &job.target.address.to_string(), wait_ms, body.len());
     let mut request = head.chain(&body[..]);
     let within = job.write_within.min(Duration::from_nanos(job.write_by.saturating_sub(now)));
-    match timeout(within, conn.link.stream.write_all_buf(&mut request)).await {
+    match timeout(within, write_all(&mut conn.link.stream, &mut request)).await {
         Ok(Ok(())) => Ok(()),
         _ if shared.clock.now() >= job.write_by => Err(Status::Moot),
         _ => Err(Status::ConnectFailed),
--- a/crates/gaparch-node/src/worker/pool.rs
+++ b/crates/gaparch-node/src/worker/pool.rs
@@ -2,7 +2,9 @@
 
 use crate::link::Link;
 use crate::shared::lock;
+use crate::transient::connect_failure;
 use gaparch::api::{Nanos, ServerId};
+use gaparch::policy::connecting::{ConnectFailure, TRY_AGAIN};
 use gaparch_platform::head::AnswerHead;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,7 +12,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Idle connections to one worker.
 const MOST_IDLE: usize = 32;
@@ -70,10 +72,6 @@
     Call,
 }
 
-/// Why there is no connection. Nothing was sent.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct NoConnection;
-
 /// Connections to workers, and the places for them.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -91,7 +89,7 @@
     }
 
     /// A connection to that process: an idle one that is still good, else a new one.
-    pub async fn get(&self, target: Target) -> Result<Conn, NoConnection> {
+    pub async fn get(&self, target: Target) -> Result<Conn, ConnectFailure> {
         if let Some(conn) = self.idle(target) {
             // Until the poller has been asked once more, a close or bytes that have arrived are not known of.
             tokio::task::yield_now().await;
@@ -102,13 +100,27 @@
         self.fresh(target).await
     }
 
-    /// A new connection.
-    pub async fn fresh(&self, target: Target) -> Result<Conn, NoConnection> {
-        let place = self.place().ok_or(NoConnection)?;
-        match timeout(self.connect_within, TcpStream::connect(target.address)).await {
-            Ok(Ok(stream)) => Ok(Conn { link: Link::new(stream), target, idle: None, _place: place }),
-            _ => Err(NoConnection),
-        }
+    /// A new connection. Where this machine has none to give it is waited for, as long as a connection may take.
+    pub async fn fresh(&self, target: Target) -> Result<Conn, ConnectFailure> {
+        let mut last = ConnectFailure::Remote;
+        let tries = async {
+            loop {
+                last = match self.connect(target).await {
+                    Err(failure) if failure.is_tried_again() => failure,
+                    done => return done,
+                };
+                sleep(Duration::from_nanos(TRY_AGAIN)).await;
+            }
+        };
+        let done = timeout(self.connect_within, tries).await;
+        done.unwrap_or(Err(last))
+    }
+
+    /// One try of a new connection.
+    async fn connect(&self, target: Target) -> Result<Conn, ConnectFailure> {
+        let place = self.place().ok_or(ConnectFailure::Local)?;
+        let stream = TcpStream::connect(target.address).await.map_err(|error| connect_failure(&error))?;
+        Ok(Conn { link: Link::new(stream), target, idle: None, _place: place })
     }
 
     /// An idle connection that is still good; none while they break elsewhere.
--- a/crates/gaparch-protocol/src/engine/codec.rs
+++ b/crates/gaparch-protocol/src/engine/codec.rs
@@ -246,6 +246,8 @@
         Status::Reset => 6,
         Status::Cancelled => 7,
         Status::Moot => 8,
+        // Never said by an engine: to one it is what it cannot tell apart.
+        Status::NoSocket => 5,
         Status::Unknown => 255,
     }
 }
--- a/crates/gaparch-router/src/core/attempts.rs
+++ b/crates/gaparch-router/src/core/attempts.rs
@@ -37,7 +37,7 @@
         if let Some(link) = self.engines.get_mut(&attempt.server) {
             link.attempts.remove(&id);
             match status {
-                Status::Ok | Status::Read | Status::Moot => {}
+                Status::Ok | Status::Read | Status::Moot | Status::NoSocket => {}
                 Status::Cancelled => link.tally.called_off += 1,
                 _ => link.tally.failed += 1,
             }
--- a/crates/gaparch-router/src/core/request.rs
+++ b/crates/gaparch-router/src/core/request.rs
@@ -186,7 +186,7 @@
                 Status::Error | Status::Unknown | Status::Moot => StepEnd::Error,
                 Status::Full => StepEnd::Full,
                 Status::Timeout => StepEnd::Timeout,
-                Status::ConnectFailed => StepEnd::ConnectFailed,
+                Status::ConnectFailed | Status::NoSocket => StepEnd::ConnectFailed,
                 Status::Reset => StepEnd::Reset,
                 Status::Cancelled => StepEnd::CalledOff,
             };
--- a/src/api.rs
+++ b/src/api.rs
@@ -299,6 +299,8 @@
     Full,
     Timeout,
     ConnectFailed,
+    /// This machine had no socket or no way out for it: it never ran, and nothing is known of the server.
+    NoSocket,
     Reset,
     Cancelled,
     Moot,
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -94,9 +94,10 @@
         let now = self.now;
         let Some(work) = self.works.get_mut(&o.id) else { return };
         let read = sent.stage == Stage::Read;
+        let never_left = matches!(o.status, Status::ConnectFailed | Status::NoSocket);
         match work.state.as_mut() {
             // The release time starts again with each outcome, unless no worker was reached.
-            Some((_, since)) if !read && o.status != Status::ConnectFailed => *since = now,
+            Some((_, since)) if !read && !never_left => *since = now,
             _ if o.status == Status::Read => work.state = Some((o.server, now)),
             _ => {}
         }
@@ -106,7 +107,7 @@
             return;
         }
         let effect = self.set.classes[work.request.class.0].effect;
-        let not_run = matches!(o.status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Read);
+        let not_run = never_left || matches!(o.status, Status::Full | Status::Moot | Status::Read);
         if !read && !not_run && effect != Effect::Safe && work.may_have_run.is_none() {
             let (zone, cell) = self.servers.get(&o.server).map_or((None, None), |s| (s.zone, s.cell));
             work.may_have_run = Some(MayHaveRun { zone, cell, at: sent.at });
@@ -116,7 +117,7 @@
             // Out of the writer's reach is not gone: a cut-off reader holds it still, and it must be let go.
             work.state = None;
             self.out.push(Action::Release(o.id));
-        } else if o.status != Status::Read && !work.avoid.contains(&o.server) {
+        } else if !matches!(o.status, Status::Read | Status::NoSocket) && !work.avoid.contains(&o.server) {
             work.avoid.push(o.server);
         }
         // A way on needs one send with a state, two without.
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -22,7 +22,8 @@
     pub(super) fn note_health(&mut self, o: &Outcome) {
         let (now, part) = (self.now, self.works.get(&o.id).map(Work::part));
         let Some(s) = self.servers.get_mut(&o.server) else { return };
-        let unheard = [Status::Timeout, Status::Cancelled, Status::ConnectFailed, Status::Moot];
+        let unheard =
+            [Status::Timeout, Status::Cancelled, Status::ConnectFailed, Status::NoSocket, Status::Moot];
         s.heard_at = if unheard.contains(&o.status) { s.heard_at } else { now };
         match o.status {
             Status::Ok | Status::Read => {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,11 +15,13 @@
 //! | `slow_start` | slow start: what a server that has just started may be sent |
 //! | `start_times` | when a listed process began, by the router's own clock |
 //! | `members` | the list of servers |
+//! | `connecting` | what a connection that did not come up says, and whether it is tried again |
 //! | `deadlines` | the clock: deadlines, and attempts that take too long |
 //! | `peers` | messages between routers |
 
 mod admission;
 mod attempts;
+pub mod connecting;
 mod constants;
 mod deadlines;
 mod eligibility;
