Red test: a write on a connection that fell silent pins what was read

Seen, on real sockets with a relay whose open connections fall silent: the read ends, its write goes out on the writer's kept connection, whose bytes nobody gets; the state stays at the reader for 4.98 s (0.5 s and 0.3 s of slack are allowed), until the client's deadline. Checked: the write's last byte is taken by the own kernel, so write_by (the release time) is kept, and from then on the module counts the attempt as out; a further attempt comes after 0.9 s, if another writer has room, else never. Ruled out: releases (each answered within milliseconds once it was made). Change: the test and its relay.

--- a/crates/gaparch-lab/src/platform/mod.rs
+++ b/crates/gaparch-lab/src/platform/mod.rs
@@ -4,6 +4,7 @@
 mod catalogue;
 mod client;
 mod judge;
+mod silent;
 mod site;
 mod stuck;
 mod worker;
@@ -11,6 +12,7 @@
 pub use catalogue::{instance, Catalogue};
 pub use client::{ask, head_and_body, raw, read, Got};
 pub use judge::{judge, Facts, LEFT};
+pub use silent::SilentRelay;
 pub use site::{folder, own_address, settings, until, Platform, LONG};
 pub use stuck::Stuck;
 pub use worker::{events, stream, Floor, Reply, Seen, Step, Worker};
--- /dev/null
+++ b/crates/gaparch-node/tests/silent_connections.rs
@@ -0,0 +1,49 @@
+//! Open connections that fall silent with no error: what is sent on them never arrives, and nobody says so.
+
+mod common;
+
+use common::Site;
+use gaparch_lab::platform::{ask, instance, until, Platform, Seen, SilentRelay};
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// The settings' release time and what the platform adds to it.
+const RELEASE_WITHIN: Duration = Duration::from_millis(500 + 300);
+
+/// When a worker first saw something of a request that fits.
+fn first(site: &Site, fits: impl Fn(&Seen) -> bool) -> Option<Instant> {
+    site.floor.log().into_iter().find(|(_, seen)| fits(seen)).map(|(at, _)| at)
+}
+
+/// The only writer's kept connections fall silent between two requests. A write that has not arrived is not out: what the
+/// reader holds is fetched or let go of in its time all the same.
+#[test]
+fn what_was_read_is_not_pinned_by_a_write_on_a_connection_that_fell_silent() {
+    let site = Site::with(|_| {});
+    let relay = SilentRelay::start(site.writers[0].address);
+    let mut entry = instance(&site.writers[0], "decode", "ready");
+    entry["hostPort"] = json!(relay.address.to_string());
+    site.tell(
+        [Platform::without_writers(&Platform::list(&site.readers, &site.writers)), vec![entry]].concat(),
+    );
+    assert_eq!(ask(site.listen, "before").status, 200);
+    // Past the time in which a late second answer could still come on it.
+    std::thread::sleep(Duration::from_millis(100));
+    relay.silence_open_connections();
+    let asked = std::thread::spawn({
+        let listen = site.listen;
+        move || ask(listen, "after")
+    });
+    let read = |seen: &Seen| matches!(seen, Seen::Asked { worker, txn, .. } if txn == "after" && worker.starts_with('r'));
+    until("it is read", || first(&site, read).is_some());
+    let done = |seen: &Seen| match seen {
+        Seen::Asked { worker, txn, .. } => txn == "after" && worker.starts_with('w'),
+        Seen::Released { txn, .. } => txn == "after",
+        _ => false,
+    };
+    until("its state is fetched or let go of", || first(&site, done).is_some());
+    let held = first(&site, done).expect("done") - first(&site, read).expect("read");
+    assert!(held < RELEASE_WITHIN, "held for {held:?}");
+    assert_eq!(asked.join().expect("no panic").status, 200);
+    site.no_second_copies();
+}
