A write that fetches what is held goes out on a connection that has just come up

Cause: exchange.rs took a kept connection for every send (Pool::get), and a kept connection may carry nothing any more; the last byte taken by the own kernel counts as out, so neither write_by nor the module's release time runs for what the reader holds. Change: policy/connecting.rs: a send for which something is held needs a connection that has just come up (what does not come up leaves the time running already); to servers that get such sends two kept connections suffice for probes and releases. A connection that is slow to come up has a second one tried beside it after four tenths of its time, since a lost one would now cost more. Reads and calls use kept ones as before.

--- a/crates/gaparch-lab/src/platform/stuck.rs
+++ b/crates/gaparch-lab/src/platform/stuck.rs
@@ -27,6 +27,11 @@
         Stuck { address, listener, _only: only }
     }
 
+    /// Takes what waits, so that the next connection comes up at once.
+    pub fn make_room(&self) {
+        while self.listener.set_nonblocking(true).is_ok() && self.listener.accept().is_ok() {}
+    }
+
     /// Accepts for so long, and takes the beginning of what comes on each connection.
     pub fn heard_within(&self, span: Duration) -> String {
         self.listener.set_nonblocking(true).expect("set");
--- a/crates/gaparch-node/src/owner.rs
+++ b/crates/gaparch-node/src/owner.rs
@@ -7,6 +7,7 @@
 use crate::shared::{Answer, Forward, Message, Seen, Shared};
 use crate::worker::{self, Job, Pool, Release, Target};
 use gaparch::api::{AttemptNo, Nanos, RequestId, ServerId, Status};
+use gaparch::policy::connecting::Carries;
 use gaparch_config::Config;
 use gaparch_ops::book::Book;
 use gaparch_platform::ask::Ask;
@@ -276,8 +277,11 @@
 
     fn ask_worker(&mut self, server: ServerId, frame: EngineFrame) {
         match frame {
-            EngineFrame::Read(job) => self.send(server, &job, true),
-            EngineFrame::Write { job, .. } => self.send(server, &job, false),
+            EngineFrame::Read(job) => self.send(server, &job, true, Carries::NothingHeld),
+            EngineFrame::Write { job, state } => {
+                let carries = if state.is_some() { Carries::HeldState } else { Carries::NothingHeld };
+                self.send(server, &job, false, carries);
+            }
             EngineFrame::Cancel(key) => {
                 // Nobody may be told anything more of it: its client has left, and its attempt's time is up.
                 self.touched.push(RequestId(key.request));
@@ -315,7 +319,7 @@
         }
     }
 
-    fn send(&mut self, server: ServerId, ask: &EngineJob, reads: bool) {
+    fn send(&mut self, server: ServerId, ask: &EngineJob, reads: bool, carries: Carries) {
         let (id, no) = (RequestId(ask.key.request), AttemptNo(ask.key.attempt));
         let target = self.target(server);
         let waited = self.shared.clock.now().saturating_sub(self.core.asked_at(id));
@@ -351,6 +355,7 @@
             no,
             target,
             reads,
+            carries,
             give_up_at: self.core.give_up_at(id),
             forward,
             prior,
--- a/crates/gaparch-node/src/worker/exchange.rs
+++ b/crates/gaparch-node/src/worker/exchange.rs
@@ -8,6 +8,7 @@
 use crate::transient::write_all;
 use bytes::{Buf, Bytes, BytesMut};
 use gaparch::api::{AttemptNo, Nanos, RequestId, Status};
+use gaparch::policy::connecting::Carries;
 use gaparch_platform::body::{Body, Part};
 use gaparch_platform::events::Events;
 use gaparch_platform::head::AnswerHead;
@@ -29,6 +30,8 @@
     pub no: AttemptNo,
     pub target: Target,
     pub reads: bool,
+    /// Whether something is held for its request that it is to fetch.
+    pub carries: Carries,
     /// When the client stops waiting for its first token.
     pub give_up_at: Nanos,
     pub forward: Arc<Forward>,
@@ -102,7 +105,7 @@
         "exchange"
     );
     if let Some((conn, head)) = end.conn {
-        pool.put(conn, &head, LastExchange::Attempt);
+        pool.put(conn, &head, LastExchange::Attempt(job.carries));
     }
     if let Some(seen) = end.seen {
         shared.tell(Message::Worker { server: job.target.server, id: job.id, no: job.no, at, seen });
@@ -111,7 +114,7 @@
 
 async fn attempt(job: &Job, pool: &Pool, shared: &Shared, trace: &mut Trace) -> End {
     let left = Duration::from_nanos(job.write_by.saturating_sub(shared.clock.now()));
-    let mut conn = match timeout(left, pool.get(job.target)).await {
+    let mut conn = match timeout(left, pool.get_for(job.target, job.carries)).await {
         Ok(Ok(conn)) => conn,
         Ok(Err(failure)) => return End::broken(failure.status()),
         Err(_) => return End::broken(Status::Moot),
--- a/crates/gaparch-node/src/worker/pool.rs
+++ b/crates/gaparch-node/src/worker/pool.rs
@@ -4,7 +4,7 @@
 use crate::shared::lock;
 use crate::transient::connect_failure;
 use gaparch::api::{Nanos, ServerId};
-use gaparch::policy::connecting::{ConnectFailure, TRY_AGAIN};
+use gaparch::policy::connecting::{second_try_after, Carries, ConnectFailure, TRY_AGAIN};
 use gaparch_platform::head::AnswerHead;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -67,7 +67,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LastExchange {
     /// An attempt of a request, whose answer may be followed by another some milliseconds late.
-    Attempt,
+    Attempt(Carries),
     /// A call without a body, as a probe or a release.
     Call,
 }
@@ -88,7 +88,16 @@
         Pool { workers: Mutex::default(), places, connect_within, idle_for, broke: Mutex::default() }
     }
 
-    /// A connection to that process: an idle one that is still good, else a new one.
+    /// A connection to that process: an idle one that is still good, if one may be used, else a new one.
+    pub async fn get_for(&self, target: Target, carries: Carries) -> Result<Conn, ConnectFailure> {
+        if carries.may_reuse() {
+            self.get(target).await
+        } else {
+            self.fresh(target).await
+        }
+    }
+
+    /// The same for what any connection will do.
     pub async fn get(&self, target: Target) -> Result<Conn, ConnectFailure> {
         if let Some(conn) = self.idle(target) {
             // Until the poller has been asked once more, a close or bytes that have arrived are not known of.
@@ -116,8 +125,32 @@
         done.unwrap_or(Err(last))
     }
 
-    /// One try of a new connection.
+    /// One try of a new connection, with a second one beside it if the first is slow to come up.
     async fn connect(&self, target: Target) -> Result<Conn, ConnectFailure> {
+        let first = self.connect_once(target);
+        tokio::pin!(first);
+        let patience = second_try_after(self.connect_within.as_nanos() as Nanos);
+        tokio::select! {
+            biased;
+            done = &mut first => return done,
+            () = sleep(Duration::from_nanos(patience)) => {}
+        }
+        let second = self.connect_once(target);
+        tokio::pin!(second);
+        tokio::select! {
+            biased;
+            done = &mut first => match done {
+                Ok(conn) => Ok(conn),
+                Err(failure) => second.await.map_err(|_| failure),
+            },
+            done = &mut second => match done {
+                Ok(conn) => Ok(conn),
+                Err(_) => first.await,
+            },
+        }
+    }
+
+    async fn connect_once(&self, target: Target) -> Result<Conn, ConnectFailure> {
         let place = self.place().ok_or(ConnectFailure::Local)?;
         let stream = TcpStream::connect(target.address).await.map_err(|error| connect_failure(&error))?;
         Ok(Conn { link: Link::new(stream), target, idle: None, _place: place })
@@ -190,11 +223,14 @@
         let Some(worker) = workers.get_mut(&conn.target.server).filter(|w| w.target == conn.target) else {
             return;
         };
-        if worker.idle.len() >= MOST_IDLE {
-            worker.idle.remove(0);
-        }
+        let (most, settle) = match exchange {
+            LastExchange::Attempt(carries) => (carries.kept(MOST_IDLE), SETTLE),
+            LastExchange::Call => (MOST_IDLE, Duration::ZERO),
+        };
+        let over = (worker.idle.len() + 1).saturating_sub(most);
+        worker.idle.drain(..over);
         let since = Instant::now();
-        let settled_at = if exchange == LastExchange::Attempt { since + SETTLE } else { since };
+        let settled_at = since + settle;
         worker.idle.push(Kept { conn, since, settled_at });
     }
 
--- a/crates/gaparch-node/src/worker/pool_tests.rs
+++ b/crates/gaparch-node/src/worker/pool_tests.rs
@@ -3,6 +3,8 @@
 use super::{AnswerHead, LastExchange, Pool, Target, SETTLE};
 use bytes::BytesMut;
 use gaparch::api::ServerId;
+use gaparch::policy::connecting::{Carries, ConnectFailure};
+use gaparch_lab::platform::Stuck;
 use gaparch_platform::head::take_answer;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
@@ -24,7 +26,7 @@
     let conn = pool.fresh(target).await.expect("it listens");
     let (socket, _) = listener.accept().expect("accepted");
     pool.heard(target);
-    pool.put(conn, &answer_head(), LastExchange::Attempt);
+    pool.put(conn, &answer_head(), LastExchange::Attempt(Carries::NothingHeld));
     tokio::time::sleep(SETTLE * 2).await;
     (pool, target, listener, socket)
 }
@@ -34,7 +36,7 @@
     let (pool, target, _listener, _socket) = kept().await;
     let conn = pool.get(target).await.expect("it is kept");
     assert!(conn.idle.is_some());
-    pool.put(conn, &answer_head(), LastExchange::Attempt);
+    pool.put(conn, &answer_head(), LastExchange::Attempt(Carries::NothingHeld));
     // Bytes that belong to nobody may still be on their way.
     assert!(pool.idle(target).is_none());
     // Behind a probe none are, and the read that was probed for follows at once.
@@ -56,3 +58,34 @@
         assert!(conn.idle.is_none(), "used again, close: {close}");
     }
 }
+
+/// A connection that is lost on its way costs no attempt: a second one is tried beside it.
+#[tokio::test]
+async fn a_connection_that_does_not_come_up_has_a_second_one_tried_beside_it() {
+    let stuck = Stuck::start();
+    // The first one's next try of its own comes a second after its first.
+    let pool = Pool::new(Arc::new(Semaphore::new(8)), Duration::from_millis(900), None);
+    let target = Target { server: ServerId(1), address: stuck.address, started: 0 };
+    let (conn, _) = tokio::join!(pool.fresh(target), async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        stuck.make_room();
+    });
+    assert!(conn.is_ok(), "one lost packet counts as a worker that can't be reached");
+}
+
+/// Without a place in the own budget nothing is known of the worker; with one in time it is reached.
+#[tokio::test]
+async fn a_place_of_the_own_budget_is_waited_for_and_its_lack_blames_no_worker() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let target =
+        Target { server: ServerId(1), address: listener.local_addr().expect("its address"), started: 0 };
+    let places = Arc::new(Semaphore::new(1));
+    let pool = Pool::new(Arc::clone(&places), Duration::from_millis(200), None);
+    let taken = places.acquire_owned().await.expect("it is open");
+    assert_eq!(pool.fresh(target).await.err(), Some(ConnectFailure::Local));
+    let (conn, ()) = tokio::join!(pool.fresh(target), async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        drop(taken);
+    });
+    assert!(conn.is_ok());
+}
