Red tests: acknowledged records lost, a reload missed, a release that reaches nobody

(2) a configuration half written at SIGHUP is never read again, the old catalogue closes, and the router hears of nothing any more. (3) all kept connections fall silent as a client leaves: the release of its read is given up after a second, and the state stays for good. Change: three tests, listed; FaultyDisk knows a rename that fails late.

--- a/crates/gaparch-node/tests/crossings.rs
+++ b/crates/gaparch-node/tests/crossings.rs
@@ -341,3 +341,19 @@
     assert!(got.status == 200 && got.whole, "the stream that was open is passed on to its end: {got:?}");
     site.ended();
 }
+
+/// The file is still being written as the router is told to read it, or can't be opened for a moment. The old catalogue
+/// will close: without the new one the router would hear of nothing any more.
+#[test]
+fn a_configuration_that_is_half_written_as_it_is_read_is_read_again() {
+    let site = Site::with(|_| {});
+    let moved = Catalogue::start(Platform::list(&site.readers, &site.writers));
+    std::fs::write(&site.file, "{\"name\":\"n0\",").expect("written");
+    site.order(Order::Reload);
+    std::thread::sleep(ms(200));
+    let mut config = site.config.clone();
+    config["discovery"] = json!(moved.address.to_string());
+    std::fs::write(&site.file, config.to_string()).expect("written");
+    until("the new catalogue is asked", || moved.calls() > 0);
+    assert_eq!(ask(site.listen, "next").status, 200);
+}
--- a/crates/gaparch-node/tests/silent_connections.rs
+++ b/crates/gaparch-node/tests/silent_connections.rs
@@ -3,8 +3,10 @@
 mod common;
 
 use common::Site;
-use gaparch_lab::platform::{ask, instance, until, Platform, Seen, SilentRelay};
+use gaparch_lab::platform::{ask, head_and_body, instance, until, Platform, Seen, SilentRelay, Step};
 use serde_json::json;
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// The settings' release time and what the platform adds to it.
@@ -47,3 +49,36 @@
     assert_eq!(asked.join().expect("no panic").status, 200);
     site.no_second_copies();
 }
+
+/// All kept connections fall silent at once, two to each worker, and a client leaves while its prompt is being read. What
+/// its read leaves is let go of in its time: by then some worker has to have heard of it.
+#[test]
+fn a_release_reaches_a_worker_though_all_kept_connections_fell_silent() {
+    let site = Site::with(|_| {});
+    let workers = site.readers.iter().chain(&site.writers);
+    let relays: Vec<SilentRelay> = workers.map(|worker| SilentRelay::start(worker.address)).collect();
+    let mut list = Platform::list(&site.readers, &site.writers);
+    for (entry, relay) in list.iter_mut().zip(&relays) {
+        entry["hostPort"] = json!(relay.address.to_string());
+    }
+    site.tell(list);
+    site.floor.slow_releases(Duration::from_millis(5));
+    std::thread::scope(|all| {
+        for number in 0..24 {
+            let listen = site.listen;
+            all.spawn(move || assert_eq!(ask(listen, &format!("before-{number}")).status, 200));
+        }
+    });
+    std::thread::sleep(Duration::from_millis(100));
+    site.readers[0].then(vec![Step::Wait(Duration::from_millis(300)), Step::Hang]);
+    let mut client = TcpStream::connect(site.listen).expect("it listens");
+    client.write_all(&head_and_body("leaves", "{}")).expect("written");
+    until("it is being read", || site.floor.asked().iter().any(|(_, txn)| txn == "leaves"));
+    relays.iter().for_each(SilentRelay::silence_open_connections);
+    drop(client);
+    let left = Instant::now();
+    let released = |seen: &Seen| matches!(seen, Seen::Released { txn, .. } if txn == "leaves");
+    until("what was read is let go of", || first(&site, released).is_some());
+    let held = first(&site, released).expect("done") - left;
+    assert!(held < RELEASE_WITHIN, "held for {held:?}");
+}
--- a/crates/gaparch-store/src/faulty.rs
+++ b/crates/gaparch-store/src/faulty.rs
@@ -23,6 +23,8 @@
     pub read_only: bool,
     /// Each sync fails, and leaves what it should have kept in doubt.
     pub sync_fails: bool,
+    /// A rename takes effect, and fails all the same: what comes after it, as the folder's sync, went wrong.
+    pub rename_fails_late: bool,
     /// Each write and sync takes so long.
     pub slow: Duration,
 }
@@ -174,6 +176,9 @@
         }
         let file = inner.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
         inner.files.insert(to.to_owned(), file);
+        if inner.faults.rename_fails_late {
+            return Err(io::Error::other("an error of the device"));
+        }
         Ok(())
     }
 
--- a/crates/gaparch-store/tests/crashes.rs
+++ b/crates/gaparch-store/tests/crashes.rs
@@ -187,3 +187,38 @@
         prop_assert_eq!(after.last(), Some(&b"more".to_vec()));
     }
 }
+
+/// The disk fails for a while, in any of its ways and in any order, and the power goes in the end: what was acknowledged
+/// is there, whatever failed before and after it.
+#[test]
+fn what_is_acknowledged_while_the_disk_fails_now_and_then_is_there_after_a_crash() {
+    let faults = [
+        Faults::default(),
+        Faults { read_only: true, ..Faults::default() },
+        Faults { room: Some(0), ..Faults::default() },
+        Faults { sync_fails: true, ..Faults::default() },
+        Faults { rename_fails_late: true, ..Faults::default() },
+    ];
+    for seed in 0..5_u64.pow(6) {
+        let disk = FaultyDisk::default();
+        let mut journal = fresh(&disk);
+        let mut kept: Vec<Vec<u8>> = Vec::new();
+        for step in 0..6_u32 {
+            disk.set(faults[(seed / 5_u64.pow(step) % 5) as usize]);
+            let record = vec![step as u8; 4];
+            // As whoever keeps records does: what can't be appended is kept by writing all anew, or is not kept.
+            let mut all = kept.clone();
+            all.push(record.clone());
+            let done = match journal.is_broken() || step == 2 {
+                true => journal.rewrite(&all),
+                false => journal.append(&[record]),
+            };
+            if done.is_ok() {
+                kept = all;
+            }
+        }
+        let (_, found) = open(&disk.after_crash(Unsynced::Lost));
+        let missing = kept.iter().filter(|record| !found.contains(record)).count();
+        assert_eq!(missing, 0, "faults {seed}: {kept:?} were acknowledged, {found:?} are there");
+    }
+}
