--- a/crates/gaparch-node/src/owner.rs
+++ b/crates/gaparch-node/src/owner.rs
@@ -378,9 +378,9 @@
         let release = Release { txn: open.forward.txn.clone(), targets, within };
         let (over, released) = oneshot::channel();
         open.releasing = Some(released);
-        let pool = Arc::clone(&self.pool);
+        let (pool, clock) = (Arc::clone(&self.pool), self.shared.clock);
         self.releases.spawn(async move {
-            worker::release(release, pool).await;
+            worker::release(release, pool, clock).await;
             drop(over);
         });
     }
--- a/crates/gaparch-node/src/run.rs
+++ b/crates/gaparch-node/src/run.rs
@@ -7,7 +7,9 @@
 use crate::peers::{self, PeerSocket};
 use crate::settings::{connect_within, core_config};
 use crate::shared::{Message, Phase, Shared};
+use crate::transient::connect_failure;
 use crate::worker::Pool;
+use gaparch::policy::connecting::ConnectFailure;
 use gaparch_net::Clock;
 use gaparch_platform::config::{ConfigError, NodeConfig};
 use std::io;
@@ -32,6 +34,12 @@
 /// For clients' connections to end after the last answer was given, however late that was.
 const LAST_WORDS: Duration = Duration::from_millis(500);
 
+/// How long a configuration that can't be read is tried, and how often. The old catalogue closes 1.5 s after the order.
+const RELOAD_FOR: Duration = Duration::from_secs(3);
+const RELOAD_AGAIN: Duration = Duration::from_millis(100);
+/// How long an address that can't be listened at is tried as a router starts, and how often.
+const LISTEN_FOR: Duration = Duration::from_secs(5);
+const LISTEN_AGAIN: Duration = Duration::from_millis(50);
 /// Between two questions whether anything is open yet.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
@@ -95,12 +103,12 @@
 /// When the file can't be used or an address can't be listened at.
 pub async fn serve(file: PathBuf, mut orders: mpsc::Receiver<Order>) -> Result<(), NodeError> {
     let config = load(&file)?;
-    let listen = |address| move |source| NodeError::Listen { address, source };
-    let listener = TcpListener::bind(config.listen).await.map_err(listen(config.listen))?;
+    let no_listener = |address| move |source| NodeError::Listen { address, source };
+    let listener = listen(config.listen).await.map_err(no_listener(config.listen))?;
     let peer_socket = match config.peers.clone().filter(|_| config.site.settings.peers) {
         Some(peers) => {
             let address = peers.listen;
-            Some(PeerSocket::bind(peers).await.map_err(listen(address))?)
+            Some(PeerSocket::bind(peers).await.map_err(no_listener(address))?)
         }
         None => None,
     };
@@ -131,17 +139,18 @@
     let clients = Arc::clone(&budget.clients);
     let most_clients = budget.most_clients;
     let accepting = tokio::spawn(client::accept(listener, budget, Arc::clone(&shared)));
-    while next_order(&mut orders, &mut deciding).await? == Order::Reload {
-        match load(&file) {
-            Ok(new) => {
-                tracing::info!(discovery = %new.discovery, "a new configuration");
-                if new.site.settings != shared.config.site.settings {
-                    tracing::warn!("the settings have changed: they are taken at the next start");
-                    new.odd.iter().for_each(|line| tracing::warn!("{line}"));
-                }
-                discovery.send_replace(new.discovery);
+    let mut reload = Reload { file, shared: Arc::clone(&shared), discovery, until: None };
+    loop {
+        let order = tokio::select! {
+            order = next_order(&mut orders, &mut deciding) => order?,
+            () = reload.due() => {
+                reload.read();
+                continue;
             }
-            Err(error) => tracing::error!(%error, "the configuration stays as it was"),
+        };
+        match order {
+            Order::Reload => reload.order(),
+            Order::End => break,
         }
     }
     let told_to_end = Instant::now();
@@ -156,6 +165,69 @@
     Ok(())
 }
 
+/// The configuration that is to be read again.
+struct Reload {
+    file: PathBuf,
+    shared: Arc<Shared>,
+    discovery: watch::Sender<SocketAddr>,
+    /// Until when it is tried, while it is ordered and could not be read.
+    until: Option<Instant>,
+}
+
+impl Reload {
+    /// It is ordered: whatever an earlier order has left is this one's.
+    fn order(&mut self) {
+        self.until = Some(Instant::now() + RELOAD_FOR);
+        self.read();
+    }
+
+    /// Waits for the next try, if there is to be one.
+    async fn due(&self) {
+        match self.until {
+            Some(_) => sleep(RELOAD_AGAIN).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Reads it. One that can't be read now, or is still being written, may be sound in a moment: where it is not, the
+    /// last one stays in force.
+    fn read(&mut self) {
+        match load(&self.file) {
+            Ok(new) => {
+                self.until = None;
+                self.take(new);
+            }
+            Err(error) if self.until.is_none_or(|until| Instant::now() >= until) => {
+                self.until = None;
+                tracing::error!(%error, "the configuration stays as it was");
+            }
+            Err(error) => tracing::debug!(%error, "the configuration is read again"),
+        }
+    }
+
+    fn take(&self, new: NodeConfig) {
+        tracing::info!(discovery = %new.discovery, "a new configuration");
+        if new.site.settings != self.shared.config.site.settings {
+            tracing::warn!("the settings have changed: they are taken at the next start");
+            new.odd.iter().for_each(|line| tracing::warn!("{line}"));
+        }
+        self.discovery.send_replace(new.discovery);
+    }
+}
+
+/// Listens at an address, which may be taken, or not be there, for a moment as a router starts.
+async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let until = Instant::now() + LISTEN_FOR;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error) if connect_failure(&error) == ConnectFailure::Local && Instant::now() < until => {
+                sleep(LISTEN_AGAIN).await;
+            }
+            done => return done,
+        }
+    }
+}
+
 /// The next order; the end where nobody is left who could give one.
 ///
 /// # Errors
--- a/crates/gaparch-node/src/worker/calls.rs
+++ b/crates/gaparch-node/src/worker/calls.rs
@@ -5,16 +5,18 @@
 use crate::transient::write_all;
 use bytes::Bytes;
 use gaparch::api::{AttemptNo, RequestId, Status};
+use gaparch::policy::connecting::Carries;
+use gaparch::policy::releasing::Rounds;
+use gaparch_net::Clock;
 use gaparch_platform::ask::Txn;
 use gaparch_platform::body::MOST_BODY;
 use gaparch_platform::worker::{probe_head, probe_meaning, release_head, reserve_head, reserved};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
 
-/// Tries of a release, each at another worker while there are any.
-const RELEASE_TRIES: usize = 8;
 /// A reservation is answered within 0.3 s; its read may take longer to be written.
 const RESERVE_WITHIN: Duration = Duration::from_secs(1);
 
@@ -91,21 +93,37 @@
 }
 
 /// Lets go of all that is held for a request. It is owed until some running worker has it: a worker that does not
-/// answer may never have got it, and the next is told.
-pub(crate) async fn release(release: Release, pool: Arc<Pool>) {
-    let mut targets = release.targets;
+/// answer may never have got it, and others are told.
+pub(crate) async fn release(release: Release, pool: Arc<Pool>, clock: Clock) {
+    let Release { txn, mut targets, within } = release;
     // Who answered last is most likely to run. Where a read was left unanswered that is another than its reader.
     targets.sort_by_key(|target| std::cmp::Reverse(pool.heard_at(*target)));
-    for target in targets.iter().cycle().take(RELEASE_TRIES.min(targets.len() * 2)) {
-        let head = release_head(&release.txn, &target.address.to_string());
-        let tried = async {
-            let conn = pool.get(*target).await.ok()?;
-            call(conn, &head, &pool).await
-        };
-        if let Ok(Some(status)) = timeout(release.within, tried).await {
-            tracing::debug!(target: "gaparch_node::wire", txn = release.txn.as_str(), worker = target.server.0, status, "released");
-            return;
+    let mut rounds = Rounds::new(targets.len(), clock.now());
+    while let Some(round) = rounds.next(clock.now()) {
+        sleep(Duration::from_nanos(round.pause)).await;
+        let mut tries = JoinSet::new();
+        for target in round.servers.iter().filter_map(|place| targets.get(*place)) {
+            let carries = if round.fresh { Carries::HeldState } else { Carries::NothingHeld };
+            tries.spawn(tell_release(txn.clone(), *target, carries, within, Arc::clone(&pool)));
+        }
+        while let Some(told) = tries.join_next().await {
+            if told.is_ok_and(|told| told) {
+                // One that has it is enough: the others are not waited for.
+                return;
+            }
         }
     }
-    tracing::warn!(txn = release.txn.as_str(), "what is held could not be let go of: no worker answers");
+    tracing::warn!(txn = txn.as_str(), "what is held could not be let go of: no worker answers");
+}
+
+/// One try of a release; whether that worker has answered.
+async fn tell_release(txn: Txn, target: Target, carries: Carries, within: Duration, pool: Arc<Pool>) -> bool {
+    let head = release_head(&txn, &target.address.to_string());
+    let tried = async {
+        let conn = pool.get_for(target, carries).await.ok()?;
+        call(conn, &head, &pool).await
+    };
+    let status = timeout(within, tried).await.ok().flatten();
+    tracing::debug!(target: "gaparch_node::wire", txn = txn.as_str(), worker = target.server.0, ?status, "released");
+    status.is_some()
 }
--- a/crates/gaparch-store/src/journal.rs
+++ b/crates/gaparch-store/src/journal.rs
@@ -161,7 +161,8 @@
     /// Begins a new generation with these records alone.
     ///
     /// # Errors
-    /// When it can't be written; the old one stays in force.
+    /// When it can't be written; the old one stays in force. Where its rename has failed nobody knows which of the two the
+    /// next start finds: the journal is [broken](StoreError::Broken) then until all is written anew.
     pub fn rewrite<B: AsRef<[u8]>>(
         &mut self,
         records: impl IntoIterator<Item = B>,
@@ -182,7 +183,12 @@
         self.disk.sync(&new).map_err(wrong)?;
         let (old, next) = (self.file(self.generation), self.generation + 1);
         let file = self.file(next);
-        self.disk.rename(&new, &file).map_err(wrong)?;
+        if let Err(error) = self.disk.rename(&new, &file) {
+            self.broken = true;
+            // It may have taken effect: the next one must stand above it.
+            self.generation = next;
+            return Err(wrong(error));
+        }
         // If this fails the older one is only passed over at the next start.
         let _ = self.disk.remove(&old);
         self.generation = next;
