A told start within the last 2 s by the own clock is taken as it is told

The list is 0.6 to 1.9 s late as a rule, and each slow start lasted longer by that. Change: where a told start was at most 2 s ago by the own clock it holds; a clock off by 5 s or more falls outside that at either sign, one off by less shortens a slow start by less than 2 s.

--- a/src/policy/start_times.rs
+++ b/src/policy/start_times.rs
@@ -3,9 +3,10 @@
 //! The list tells starts by the wall clock of the machines, and a wall clock may be off by an hour, this router's or the
 //! machine's. So a told start only names the process; no time is taken from it alone:
 //!
-//! - A process that a change of the list names first, or under another start than before, begins now. It is taken for
-//!   younger than it is by the delay of the list, never for older.
-//! - In a whole list the newest of the processes not told before begins now, the others as much earlier as their told
+//! - A process that a change of the list names first, or under another start than before, begins now, or at its told
+//!   start where that was [a moment](BELIEVED) ago by the own clock, as it is where both clocks are right and the list
+//!   was not late. It is taken for younger than it is by the delay of the list, for older by that moment at most.
+//! - In a whole list the newest of the processes not told before begins likewise, the others as much earlier as their told
 //!   starts are apart, or as the own wall clock says, whichever makes them younger.
 //! - If most servers of a kind would be new by that, and are long there by one of the two measures, the older measure
 //!   holds for these: a router that starts would otherwise send next to nothing for the length of a slow start, since
@@ -14,6 +15,18 @@
 use crate::api::{KindId, Nanos};
 use std::collections::BTreeMap;
 
+/// A told start so long ago by the own clock is taken as it is told. A clock that is off by less shortens or prolongs a
+/// slow start by as much; one that is off by more is not believed at all.
+const BELIEVED: Nanos = 2_000_000_000;
+
+/// The age of a process that has just joined.
+fn age_of_newcomer(now: Nanos, told: Nanos) -> Nanos {
+    match now.checked_sub(told) {
+        Some(age) if age <= BELIEVED => age,
+        _ => 0,
+    }
+}
+
 /// A process of a list, as far as its start matters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListedStart {
@@ -33,13 +46,19 @@
 
 /// When each process of a change of the list began; `None`: long ago.
 pub fn of_change(now: Nanos, starts: &[ListedStart]) -> Vec<Option<Nanos>> {
-    starts.iter().map(|start| start.known.or(start.told.map(|_| now))).collect()
+    let began = |told: Nanos| now - age_of_newcomer(now, told);
+    starts.iter().map(|start| start.known.or(start.told.map(began))).collect()
 }
 
 /// When each process of a whole list began; `None`: long ago.
 pub fn of_whole_list(now: Nanos, slow_start: Nanos, starts: &[ListedStart]) -> Vec<Option<Nanos>> {
     let newest = starts.iter().filter_map(ListedStart::new_start).max().unwrap_or(0);
-    let measured = |told: Nanos| (now.saturating_sub(told), newest.saturating_sub(told));
+    let age_of_newest = age_of_newcomer(now, newest);
+    let measured = |told: Nanos| {
+        let by_own_clock = now.saturating_sub(told);
+        let by_the_newest = age_of_newest.saturating_add(newest.saturating_sub(told));
+        (by_own_clock, by_the_newest)
+    };
     let youngest = |told: Nanos| {
         let (by_own_clock, by_the_newest) = measured(told);
         by_own_clock.min(by_the_newest)
