--- a/crates/gaparch-node/src/shared.rs
+++ b/crates/gaparch-node/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::client::Piece;
 use crate::ready_workers::ReadyWorkers;
 use gaparch::api::{AttemptNo, Nanos, RequestId, ServerId, Status};
+use gaparch::policy::permits::{Denial, Denials};
 use gaparch_net::Clock;
 use gaparch_platform::ask::{Ask, Txn};
 use gaparch_platform::config::NodeConfig;
@@ -121,6 +122,8 @@
     pub asks: Arc<Semaphore>,
     next_id: AtomicU64,
     open: Mutex<HashSet<Txn>>,
+    /// Attempts that were stopped just before their first byte.
+    denials: Mutex<Denials>,
 }
 
 impl Shared {
@@ -141,6 +144,7 @@
             asks: Arc::new(Semaphore::new(asks)),
             next_id: AtomicU64::new(1),
             open: Mutex::default(),
+            denials: Mutex::default(),
         }
     }
 
@@ -173,6 +177,17 @@
         let _ = self.owner.send(message);
     }
 
+    /// An attempt was stopped just before its first byte.
+    pub fn denied(&self, id: RequestId, denial: Denial) {
+        tracing::debug!(target: "gaparch_node::wire", request = id.0, why = denial.name(), "not sent");
+        lock(&self.denials).count(denial);
+    }
+
+    /// How many attempts were stopped just before their first byte, by reason.
+    pub fn denials(&self) -> Denials {
+        *lock(&self.denials)
+    }
+
     /// Takes an id until the owner gives it back, when nothing of its request is out any more; `false` if it is taken.
     pub fn take(&self, txn: &Txn) -> bool {
         lock(&self.open).insert(txn.clone())
--- a/crates/gaparch-node/src/worker/exchange.rs
+++ b/crates/gaparch-node/src/worker/exchange.rs
@@ -9,6 +9,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use gaparch::api::{AttemptNo, Nanos, RequestId, Status};
 use gaparch::policy::connecting::Carries;
+use gaparch::policy::permits::{self, Denial, SendFacts};
 use gaparch_platform::body::{Body, Part};
 use gaparch_platform::events::Events;
 use gaparch_platform::head::AnswerHead;
@@ -121,8 +122,9 @@
     };
     // Until the poller has been asked once more, a close or a change of the list that has arrived is not known of.
     tokio::task::yield_now().await;
-    if let Some(reason) = not_sent(job, shared) {
-        return End::broken(reason);
+    if let Err(denial) = may_send(job, shared) {
+        shared.denied(job.id, denial);
+        return End::broken(denial.status());
     }
     trace.idle = conn.idle;
     trace.connected = shared.clock.now();
@@ -157,15 +159,21 @@
     }
 }
 
-/// Why an attempt whose connection is up must not be sent any more, as it is told to the module; nothing has run.
-fn not_sent(job: &Job, shared: &Shared) -> Option<Status> {
-    let now = shared.clock.now();
-    if job.forward.is_left() || now >= job.write_by || now >= job.give_up_at {
-        return Some(Status::Moot);
-    }
-    // Drained or gone since it was decided on, perhaps told in a list that the owner has not come to yet.
-    let ready = shared.ready_workers.may_be_sent_to(job.target.server);
-    (!ready).then_some(Status::ConnectFailed)
+/// Whether an attempt whose connection is up may still be sent: its client may have left since it was decided on, its time
+/// may be over, or its worker may be drained or gone, perhaps by a list that the owner has not come to yet.
+fn may_send(job: &Job, shared: &Shared) -> Result<(), Denial> {
+    permits::may_send(&SendFacts {
+        now: shared.clock.now(),
+        give_up_at: job.give_up_at,
+        write_by: job.write_by,
+        // The attempt before it was waited for, and an answer cancels what is out.
+        answered: false,
+        another_out: false,
+        attempts_used: false,
+        repeat: None,
+        client_left: job.forward.is_left(),
+        server_ready: shared.ready_workers.may_be_sent_to(job.target.server),
+    })
 }
 
 /// Writes the request up to its last byte, before which it has not run. A worker that takes none of it must not get the
--- a/crates/gaparch-router/src/core/actions.rs
+++ b/crates/gaparch-router/src/core/actions.rs
@@ -4,7 +4,10 @@
 use super::request::{Attempt, Stage};
 use super::timers::Timer;
 use super::{Core, Output, ToClient};
-use gaparch::api::{Action, AttemptNo, Event, Nanos, Outcome, Report, RequestId, Role, ServerId, Status};
+use gaparch::api::{
+    Action, AttemptNo, Event, Nanos, Outcome, Report, RequestId, Role, ServerId, Status, Why,
+};
+use gaparch::policy::permits::{self, Denial, Repeat, SendFacts};
 use gaparch_config::Links;
 use gaparch_protocol::engine::{AttemptKey, EngineFrame};
 
@@ -13,11 +16,7 @@
         match action {
             Action::Send { id, server, timeout, by } => self.send(id, server, timeout, by),
             Action::Cancel { id, attempt } => self.cancel(id, attempt),
-            Action::Refuse { id, retry_after, why } => {
-                let (cause, waited_for) = (why.reason.into(), why.held_by.map(Into::into));
-                self.answer(id, ToClient::Refused { retry_after, cause, waited_for }, out);
-                self.forget_if_done(id);
-            }
+            Action::Refuse { id, retry_after, why } => self.refuse(id, retry_after, why, out),
             Action::Fail { id, why } => {
                 let cause = why.reason.into();
                 let why = "it may have been tried, and could not be ended";
@@ -46,17 +45,17 @@
 
     pub(super) fn send(&mut self, id: RequestId, server: ServerId, timeout: Nanos, by: Nanos) {
         let now = self.now;
-        let most = self.config.module.max_attempts;
+        let denied = self.may_send(id, server, by);
         let Some(live) = self.live.get_mut(&id) else { return self.moot(id, AttemptNo(0), server, true) };
         let no = AttemptNo(live.next_attempt);
         live.next_attempt += 1;
         live.write_by = by;
-        let second = live.attempt.is_some() && !self.config.module.second_copies;
-        if live.ended || second || no.0 >= most || now >= live.give_up_at {
+        let role = self.roster.role(server, &self.config.module);
+        if let Err(denial) = denied {
             let ended = live.ended;
-            return self.moot(id, no, server, ended);
+            self.counts.denials.count(denial);
+            return self.not_sent(id, no, server, denial.status(), ended);
         }
-        let role = self.roster.role(server, &self.config.module);
         let until =
             if timeout == 0 { live.give_up_at } else { live.give_up_at.min(now.saturating_add(timeout)) };
         let stage = if role == Some(Role::Read) { Stage::Read } else { Stage::Write };
@@ -80,13 +79,69 @@
         }
     }
 
+    /// Whether the rules allow a send that the module wants.
+    fn may_send(&self, id: RequestId, server: ServerId, by: Nanos) -> Result<(), Denial> {
+        let Some(live) = self.live.get(&id) else { return Err(Denial::Answered) };
+        let settings = &self.config.module;
+        let reads = self.roster.role(server, settings) == Some(Role::Read);
+        let class = settings.classes.get(live.ask.class.0);
+        let (zone, cell) = self.roster.place(server);
+        // A read has no effect.
+        let ran = live.ran.filter(|_| !reads).zip(class);
+        permits::may_send(&SendFacts {
+            now: self.now,
+            give_up_at: live.give_up_at,
+            write_by: by,
+            answered: live.ended,
+            client_left: false,
+            another_out: live.attempt.is_some() && !settings.second_copies,
+            attempts_used: live.next_attempt >= settings.max_attempts,
+            server_ready: self.roster.ready(server),
+            repeat: ran.map(|(ran, class)| Repeat { class, ran, zone, cell }),
+        })
+    }
+
+    /// Whether the rules allow a refusal that the module wants.
+    fn may_refuse(&self, id: RequestId) -> Result<(), Denial> {
+        let Some(live) = self.live.get(&id) else { return Ok(()) };
+        let Some(class) = self.config.module.classes.get(live.ask.class.0) else { return Ok(()) };
+        let out = live.attempt.is_some_and(|a| a.stage == Stage::Write && !a.waits);
+        permits::may_refuse(class, out || live.ran.is_some())
+    }
+
+    /// A refusal; where one would promise too much, a failure, which promises nothing.
+    fn refuse(&mut self, id: RequestId, retry_after: Nanos, why: Why, out: &mut Vec<Output>) {
+        let (cause, waited_for) = (why.reason.into(), why.held_by.map(Into::into));
+        let answer = match self.may_refuse(id) {
+            Ok(()) => ToClient::Refused { retry_after, cause, waited_for },
+            Err(denial) => {
+                self.counts.denials.count(denial);
+                ToClient::Failed { why: "it may have been tried, and could not be ended", cause }
+            }
+        };
+        self.answer(id, answer, out);
+        self.forget_if_done(id);
+    }
+
     pub(super) fn moot(&mut self, id: RequestId, attempt: AttemptNo, server: ServerId, closed: bool) {
+        self.not_sent(id, attempt, server, Status::Moot, closed);
+    }
+
+    /// A send of the module that was not made.
+    fn not_sent(
+        &mut self,
+        id: RequestId,
+        attempt: AttemptNo,
+        server: ServerId,
+        status: Status,
+        closed: bool,
+    ) {
         self.counts.moot += 1;
         self.events.push_back(Event::Outcome(Outcome {
             id,
             attempt,
             server,
-            status: Status::Moot,
+            status,
             latency: 0,
             closed,
             note: 0,
--- a/crates/gaparch-router/src/core/attempts.rs
+++ b/crates/gaparch-router/src/core/attempts.rs
@@ -4,6 +4,7 @@
 use super::timers::Timer;
 use super::{Core, Output, ToClient};
 use gaparch::api::{AttemptNo, Event, Outcome, Report, RequestId, Status};
+use gaparch::state::MayHaveRun;
 use gaparch_protocol::engine::EngineFrame;
 use gaparch_protocol::ops::ending::Cause;
 
@@ -12,6 +13,11 @@
     matches!(status, Status::Error | Status::Reset | Status::Unknown | Status::Timeout | Status::Cancelled)
 }
 
+/// Whether a write that ended so is known not to have run.
+fn has_not_run(status: Status) -> bool {
+    matches!(status, Status::Full | Status::ConnectFailed | Status::NoSocket | Status::Moot)
+}
+
 impl Core {
     /// Ends the attempt that is out, if it is that one, with what the router itself has seen.
     pub(super) fn close_by(&mut self, id: RequestId, no: AttemptNo, status: Status) {
@@ -29,10 +35,14 @@
         note: u64,
         report: Option<Report>,
     ) {
+        let (zone, cell) = self.roster.place(attempt.server);
         let Some(live) = self.live.get_mut(&id) else { return };
         if let Some(attempt) = live.attempt.take() {
             self.timers.cancel(attempt.timer);
         }
+        if attempt.stage == Stage::Write && !attempt.waits && !has_not_run(status) && live.ran.is_none() {
+            live.ran = Some(MayHaveRun { zone, cell, at: attempt.sent_at });
+        }
         live.step_ends(status, self.now);
         if let Some(link) = self.engines.get_mut(&attempt.server) {
             link.attempts.remove(&id);
--- a/crates/gaparch-router/src/core/clients.rs
+++ b/crates/gaparch-router/src/core/clients.rs
@@ -61,7 +61,9 @@
 
     /// The one final answer. Whatever comes second is dropped.
     pub(super) fn answer(&mut self, id: RequestId, event: ToClient, out: &mut Vec<Output>) {
-        let Some(live) = self.live.get_mut(&id).filter(|l| !l.ended) else { return };
+        let Some(live) = self.live.get_mut(&id).filter(|l| !l.ended) else {
+            return self.counts.second_answers += 1;
+        };
         live.ended = true;
         self.owed -= 1;
         match event {
--- a/crates/gaparch-router/src/core/mod.rs
+++ b/crates/gaparch-router/src/core/mod.rs
@@ -20,6 +20,7 @@
 
 use engines::EngineLink;
 use gaparch::api::{Event, ListKind, Nanos, RequestId, ServerId, Status};
+use gaparch::policy::permits::Denials;
 use gaparch::policy::Policy;
 use gaparch_config::Config;
 use gaparch_ops::book::Book;
@@ -182,6 +183,10 @@
     pub dropped_entries: u64,
     /// Actions of the module that came too late to be carried out.
     pub moot: u64,
+    /// Sends and refusals of the module that a rule forbade as they were to be carried out.
+    pub denials: Denials,
+    /// Final answers beside the one that was given; dropped. Should stay 0.
+    pub second_answers: u64,
 }
 
 /// One router.
--- a/crates/gaparch-router/src/core/request.rs
+++ b/crates/gaparch-router/src/core/request.rs
@@ -4,6 +4,7 @@
 use gaparch::api::{
     AttemptNo, ClassId, Key, Nanos, Request, RequestId, ServerId, Settings, Status, TenantId,
 };
+use gaparch::state::MayHaveRun;
 use gaparch_config::ClassTimes;
 use gaparch_protocol::client::Usage;
 use gaparch_protocol::engine::{AttemptKey, Job};
@@ -123,6 +124,8 @@
     /// Falls due where the module has not answered in the client's time.
     pub overdue: Option<TimerKey>,
     pub attempt: Option<Attempt>,
+    /// Its first write that may have run.
+    pub ran: Option<MayHaveRun>,
     /// The reader whose state a writer is to fetch.
     pub state_at: Option<ServerId>,
     /// Engines that hold something for it.
@@ -158,6 +161,7 @@
             write_by: Nanos::MAX,
             overdue: None,
             attempt: None,
+            ran: None,
             state_at: None,
             held_at: Vec::new(),
             ended: false,
--- a/crates/gaparch-router/src/core/roster.rs
+++ b/crates/gaparch-router/src/core/roster.rs
@@ -2,7 +2,7 @@
 
 use super::{figures, state_at, Counts};
 use crate::core::operate::{listed_state, server_state};
-use gaparch::api::{Entry, ListKind, Nanos, Role, ServerId, ServerState, Settings};
+use gaparch::api::{CellId, Entry, ListKind, Nanos, Role, ServerId, ServerState, Settings, ZoneId};
 use gaparch::policy::start_times::{self, ListedStart};
 use gaparch_config::{server_id, Config, Links};
 use gaparch_ops::book::Book;
@@ -252,6 +252,11 @@
         self.known.get(&server).and_then(|k| Some(settings.kind(k.entry.kind)?.0))
     }
 
+    /// The zone and the cell that an engine is listed in.
+    pub fn place(&self, server: ServerId) -> (Option<ZoneId>, Option<CellId>) {
+        self.known.get(&server).map_or((None, None), |k| (k.entry.zone, k.entry.cell))
+    }
+
     pub fn contact(&self, server: ServerId) -> Option<(String, String)> {
         let known = self.known.get(&server).filter(|k| k.entry.state != ServerState::Gone)?;
         Some((known.listed.engine.clone(), known.listed.address.clone()))
--- a/src/policy/connecting.rs
+++ b/src/policy/connecting.rs
@@ -1,21 +1,23 @@
 //! What a connection that did not come up says, and whether it is tried again at once.
 //!
 //! A router may have no descriptor, no port or no buffer for a moment. That says nothing of the server that
-//! was to be reached: told as a server that could not be reached, it would make all of them look dead, and cold when
-//! they are found to be there. The same connection is tried again within its time; only then the attempt has ended.
+//! was to be reached: told as a server that could not be reached, it would make all of them look dead, and
+//! cold when they are found to be there. The same connection is tried again within its time; only then the
+//! attempt has ended.
 
 //!
-//! An open connection may fall silent with no error: what is written on it never arrives, and nobody says so. A request
-//! for which a server holds something must not wait on that, since only a send that arrives stops the time in which it
-//! has to be let go of. Its send goes out on a connection that has just come up; all others may use a kept one.
+//! An open connection may fall silent with no error: what is written on it never arrives, and nobody says
+//! so. A request for which a server holds something must not wait on that, since only a send that arrives
+//! stops the time in which it has to be let go of. Its send goes out on a connection that has just come up;
+//! all others may use a kept one.
 
 use crate::api::{Nanos, Status};
 
 /// Between two tries where this machine had nothing to connect with.
 pub const TRY_AGAIN: Nanos = 5_000_000;
 
-/// Part of a connection's time after which a second one is tried beside it: one that was lost on its way, or is never
-/// answered, would else count as a server that can't be reached.
+/// Part of a connection's time after which a second one is tried beside it: one that was lost on its way,
+/// or is never answered, would else count as a server that can't be reached.
 const SECOND_TRY_SHARE: f64 = 0.4;
 /// Kept connections to a server on which nothing but probes and releases goes out.
 const KEPT_FOR_CALLS: usize = 2;
--- a/src/policy/eligibility.rs
+++ b/src/policy/eligibility.rs
@@ -1,6 +1,7 @@
 //! Which servers a request may be sent to now: cold, ill, or outside the group that drops its repeats.
 
 use super::constants::*;
+use super::permits::{may_repeat, Repeat};
 use super::Policy;
 use crate::api::*;
 use crate::state::*;
@@ -44,8 +45,9 @@
     /// Rule 2 for keyed requests that may have run: same group, within the window.
     fn may_go_to(&self, work: &Work, s: &Server) -> bool {
         let Some(ran) = work.may_have_run else { return true };
-        let same = |class: &Class| class.group.of(ran.zone, ran.cell) == class.group.of(s.zone, s.cell);
-        !self.spent(work) && self.set.classes.get(work.request.class.0).is_some_and(same)
+        let (zone, cell) = (s.zone, s.cell);
+        let dropped = |class: &Class| may_repeat(self.now, &Repeat { class, ran, zone, cell });
+        !self.spent(work) && self.set.classes.get(work.request.class.0).is_some_and(dropped)
     }
 
     /// It may have run and may never be sent again: waiting would only keep its client.
--- a/src/policy/endings.rs
+++ b/src/policy/endings.rs
@@ -1,5 +1,6 @@
 //! The end of a request: refused where trying again is harmless, else failed; nothing stays held.
 
+use super::permits::may_refuse;
 use super::Policy;
 use crate::api::*;
 use crate::state::*;
@@ -12,11 +13,7 @@
         // A read has no effect, but one that is out and can't be cancelled may not have ended yet.
         let runs = |s: Sent| s.stage != Stage::Read || !self.set.cancel;
         let ran = work.may_have_run.is_some() || work.sent.is_some_and(runs);
-        let harmless = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => !ran || class.group == Group::All,
-            Effect::Unsafe => !ran,
-        };
+        let harmless = may_refuse(class, ran).is_ok();
         let retry_after = self.set.come_back_after();
         let why = Why { reason, held_by: self.held_by(work, reason) };
         let last = if harmless { Action::Refuse { id, retry_after, why } } else { Action::Fail { id, why } };
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 //! | `endings` | the end of a request: refused where trying again is harmless, else failed |
 //! | `health` | health of servers, by symptom and against their peers |
 //! | `slow_start` | slow start: what a server that has just started may be sent |
+//! | `permits` | whether something may be sent, sent again or refused now: the rules, asked before each |
 //! | `releasing` | how what is held for a request is let go of until some server has heard of it |
 //! | `start_times` | when a listed process began, by the router's own clock |
 //! | `members` | the list of servers |
@@ -30,6 +31,7 @@
 mod health;
 mod members;
 mod peers;
+pub mod permits;
 mod reading;
 pub mod releasing;
 mod slow_start;
--- a/src/policy/releasing.rs
+++ b/src/policy/releasing.rs
@@ -1,10 +1,11 @@
-//! How what a server holds for a request is let go of. Any running server takes a release, and a release does no harm
-//! twice, so it goes to more and more of them until one has answered.
+//! How what a server holds for a request is let go of. Any running server takes a release, and a release
+//! does no harm twice, so it goes to more and more of them until one has answered.
 //!
-//! A server may be down, cut off or hang, and a kept connection may carry nothing any more. The first try goes to the
-//! server that is most likely to run, on whatever connection there is; each further round to twice as many, on
-//! connections that have just come up. The state may wait for some tenths of a second only: rounds of one, two and four
-//! servers fit into that. What nobody takes then is still owed, for as long as it may matter to anybody.
+//! A server may be down, cut off or hang, and a kept connection may carry nothing any more. The first try
+//! goes to the server that is most likely to run, on whatever connection there is; each further round to
+//! twice as many, on connections that have just come up. The state may wait for some tenths of a second
+//! only: rounds of one, two and four servers fit into that. What nobody takes then is still owed, for as
+//! long as it may matter to anybody.
 
 use crate::api::Nanos;
 
--- a/src/policy/start_times.rs
+++ b/src/policy/start_times.rs
@@ -1,22 +1,23 @@
 //! When a listed process began, by this router's own clock, on which slow start goes.
 //!
-//! The list tells starts by the wall clock of the machines, and a wall clock may be off by an hour, this router's or the
-//! machine's. So a told start only names the process; no time is taken from it alone:
+//! The list tells starts by the wall clock of the machines, and a wall clock may be off by an hour, this
+//! router's or the machine's. So a told start only names the process; no time is taken from it alone:
 //!
-//! - A process that a change of the list names first, or under another start than before, begins now, or at its told
-//!   start where that was [a moment](BELIEVED) ago by the own clock, as it is where both clocks are right and the list
-//!   was not late. It is taken for younger than it is by the delay of the list, for older by that moment at most.
-//! - In a whole list the newest of the processes not told before begins likewise, the others as much earlier as their told
-//!   starts are apart, or as the own wall clock says, whichever makes them younger.
-//! - If most servers of a kind would be new by that, and are long there by one of the two measures, the older measure
-//!   holds for these: a router that starts would otherwise send next to nothing for the length of a slow start, since
-//!   most of a fleet may well have begun together long ago.
+//! - A process that a change of the list names first, or under another start than before, begins now, or at
+//!   its told start where that was [a moment](BELIEVED) ago by the own clock, as it is where both clocks are
+//!   right and the list was not late. It is taken for younger than it is by the delay of the list, for older
+//!   by that moment at most.
+//! - In a whole list the newest of the processes not told before begins likewise, the others as much earlier
+//!   as their told starts are apart, or as the own wall clock says, whichever makes them younger.
+//! - If most servers of a kind would be new by that, and are long there by one of the two measures, the older
+//!   measure holds for these: a router that starts would otherwise send next to nothing for the length of a
+//!   slow start, since most of a fleet may well have begun together long ago.
 
 use crate::api::{KindId, Nanos};
 use std::collections::BTreeMap;
 
-/// A told start so long ago by the own clock is taken as it is told. A clock that is off by less shortens or prolongs a
-/// slow start by as much; one that is off by more is not believed at all.
+/// A told start so long ago by the own clock is taken as it is told. A clock that is off by less shortens
+/// or prolongs a slow start by as much; one that is off by more is not believed at all.
 const BELIEVED: Nanos = 2_000_000_000;
 
 /// The age of a process that has just joined.
--- a/src/state/work.rs
+++ b/src/state/work.rs
@@ -47,7 +47,7 @@
 }
 
 /// An attempt that may have run, of a request that is not safe to repeat.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MayHaveRun {
     pub zone: Option<ZoneId>,
     pub cell: Option<CellId>,
--- /dev/null
+++ b/tests/permits.rs
@@ -0,0 +1,103 @@
+//! The rules as one place decides them, one after the other.
+
+use gaparch::api::{CellId, Class, Effect, Group, Nanos, Status, ZoneId};
+use gaparch::policy::permits::{may_refuse, may_send, Denial, Denials, Repeat, SendFacts};
+use gaparch::state::MayHaveRun;
+
+const NOW: Nanos = 1_000_000;
+
+fn class(effect: Effect, group: Group) -> Class {
+    Class {
+        effect,
+        group,
+        window: 500,
+        aim: 0,
+        aim_per_token: 0.0,
+        deadline: 0,
+        token_aim: 0,
+        worth: 1.0,
+        late_worth: 0.0,
+        streamed: true,
+    }
+}
+
+fn allowed() -> SendFacts<'static> {
+    SendFacts {
+        now: NOW,
+        give_up_at: NOW + 1,
+        write_by: NOW + 1,
+        answered: false,
+        client_left: false,
+        another_out: false,
+        attempts_used: false,
+        server_ready: true,
+        repeat: None,
+    }
+}
+
+#[test]
+fn each_rule_denies_a_send_by_itself() {
+    assert_eq!(may_send(&allowed()), Ok(()));
+    let denied = [
+        (SendFacts { answered: true, ..allowed() }, Denial::Answered),
+        (SendFacts { client_left: true, ..allowed() }, Denial::ClientLeft),
+        (SendFacts { give_up_at: NOW, ..allowed() }, Denial::Deadline),
+        (SendFacts { another_out: true, ..allowed() }, Denial::AnotherOut),
+        (SendFacts { attempts_used: true, ..allowed() }, Denial::AttemptsUsed),
+        (SendFacts { write_by: NOW, ..allowed() }, Denial::TooLate),
+        (SendFacts { server_ready: false, ..allowed() }, Denial::NotReady),
+    ];
+    for (facts, denial) in denied {
+        assert_eq!(may_send(&facts), Err(denial));
+        // A drained worker is no reason to end the request, the others are.
+        assert_eq!(denial.status() == Status::ConnectFailed, denial == Denial::NotReady);
+    }
+}
+
+#[test]
+fn a_repeat_goes_only_where_and_while_it_is_dropped() {
+    let ran = MayHaveRun { zone: Some(ZoneId(1)), cell: Some(CellId(7)), at: NOW - 100 };
+    let goes = |effect, group, zone: usize, cell: u64, passed: Nanos| {
+        let class = class(effect, group);
+        let (zone, cell) = (Some(ZoneId(zone)), Some(CellId(cell)));
+        let ran = MayHaveRun { at: NOW - passed, ..ran };
+        let repeat = Some(Repeat { class: &class, ran, zone, cell });
+        may_send(&SendFacts { repeat, ..allowed() }).is_ok()
+    };
+    assert!(goes(Effect::Safe, Group::Cell, 2, 8, 10_000));
+    assert!(!goes(Effect::Unsafe, Group::All, 1, 7, 0));
+    assert!(goes(Effect::Keyed, Group::All, 2, 8, 499) && !goes(Effect::Keyed, Group::All, 1, 7, 500));
+    assert!(goes(Effect::Keyed, Group::Zone, 1, 8, 0) && !goes(Effect::Keyed, Group::Zone, 2, 7, 0));
+    assert!(goes(Effect::Keyed, Group::Cell, 2, 7, 0) && !goes(Effect::Keyed, Group::Cell, 1, 8, 0));
+    // Nobody knows which group it ran in.
+    let class = class(Effect::Keyed, Group::Cell);
+    let ran = MayHaveRun { cell: None, ..ran };
+    let repeat = Some(Repeat { class: &class, ran, zone: None, cell: None });
+    assert_eq!(may_send(&SendFacts { repeat, ..allowed() }), Err(Denial::MayHaveRun));
+}
+
+#[test]
+fn a_refusal_promises_only_what_holds() {
+    for (effect, group, harmless_after_a_run) in [
+        (Effect::Safe, Group::Cell, true),
+        (Effect::Keyed, Group::All, true),
+        (Effect::Keyed, Group::Zone, false),
+        (Effect::Keyed, Group::Cell, false),
+        (Effect::Unsafe, Group::All, false),
+    ] {
+        let class = class(effect, group);
+        assert!(may_refuse(&class, false).is_ok());
+        assert_eq!(may_refuse(&class, true).is_ok(), harmless_after_a_run, "{effect:?} {group:?}");
+    }
+}
+
+#[test]
+fn denials_are_counted_by_reason_and_told_by_name() {
+    let mut denials = Denials::default();
+    assert_eq!(denials.to_string(), "");
+    denials.count(Denial::NotReady);
+    denials.count(Denial::NotReady);
+    denials.count(Denial::AnotherOut);
+    assert_eq!((denials.total(), denials.of(Denial::NotReady)), (3, 2));
+    assert_eq!(denials.to_string(), "another_out=1,not_ready=2");
+}
