Closes, failures and abandoned attempts are logged with reasons, and counted

Need: the log said nothing of an attempt that was cancelled (how far had it come?), of the reason for which a client's connection ended, nor of failures; following a silent write took a trace of three files. Change: an abandoned attempt logs its exchange line with the times it reached; each close of a client's connection has a reason in the log and a count in the summary, beside denials and second answers; failures are logged with their cause. All at debug but the summary.

--- a/crates/gaparch-node/src/client/connection.rs
+++ b/crates/gaparch-node/src/client/connection.rs
@@ -1,5 +1,6 @@
 //! One client's connection: a request at a time, each with exactly one answer.
 
+use super::closes::CloseReason;
 use super::idle::{Idle, Resting};
 use super::{Piece, AHEAD};
 use crate::link::{Link, NoBody};
@@ -40,6 +41,10 @@
     since: Instant,
     /// Bytes ahead of an answer that were not kept: where the next message begins is not known any more.
     flood: usize,
+    /// What a close by the client is, as things stand.
+    left_with: CloseReason,
+    /// What a close behind the last answer is.
+    answered_with: CloseReason,
 }
 
 /// A client's message that can't be taken.
@@ -103,12 +108,21 @@
 
 impl Connection {
     pub fn new(socket: TcpStream, shared: Arc<Shared>, idle: Arc<Idle>) -> Connection {
-        Connection { link: Link::new(socket), shared, idle, since: Instant::now(), flood: 0 }
+        Connection {
+            link: Link::new(socket),
+            shared,
+            idle,
+            since: Instant::now(),
+            flood: 0,
+            left_with: CloseReason::ClientIdle,
+            answered_with: CloseReason::Answered,
+        }
     }
 
     pub async fn serve(mut self) {
         let mut first = true;
         loop {
+            self.left_with = CloseReason::ClientIdle;
             let served = match self.head(first).await {
                 Ok((head, began)) => {
                     let due = self.due(first, began);
@@ -117,11 +131,22 @@
                 Err(nothing) => Err(nothing),
             };
             first = false;
+            let shared = Arc::clone(&self.shared);
             match served {
                 Ok(true) if self.flood == 0 => self.link.trim(),
-                Ok(_) | Err(Nothing::Close) => return self.close().await,
-                Err(Nothing::Gone) => return,
-                Err(Nothing::Bad(bad)) => return self.reject(&bad).await,
+                Ok(_) => {
+                    shared.closes.count(self.answered_with);
+                    return self.close().await;
+                }
+                Err(Nothing::Close) => {
+                    shared.closes.count(CloseReason::Rested);
+                    return self.close().await;
+                }
+                Err(Nothing::Gone) => return shared.closes.count(self.left_with),
+                Err(Nothing::Bad(bad)) => {
+                    shared.closes.count(CloseReason::BadMessage);
+                    return self.reject(&bad).await;
+                }
             }
         }
     }
@@ -207,6 +232,7 @@
         let forward = Arc::new(Forward::new(head.target.clone(), ask.txn.clone(), body));
         let mut ticket =
             Ticket { id, forward: Arc::clone(&forward), shared: Arc::clone(&self.shared), over: false };
+        self.left_with = CloseReason::ClientLeft;
         let began = self.shared.clock.at(began.into_std());
         self.shared.tell(Message::Ask { id, ask: Box::new(ask), forward, began, answer, place });
         let answer = self.watched(answered).await?;
@@ -263,6 +289,7 @@
                     // It broke: the connection ends without the last chunk, which says so.
                     None => {
                         ticket.over = true;
+                        self.answered_with = CloseReason::StreamBroke;
                         return self.put(&out, true).await;
                     }
                 }
--- a/crates/gaparch-node/src/client/mod.rs
+++ b/crates/gaparch-node/src/client/mod.rs
@@ -1,11 +1,13 @@
 //! Clients: connections are accepted within their part of the descriptors, each is a task of its own.
 
+mod closes;
 mod connection;
 mod idle;
 
 use crate::budget::Budget;
 use crate::shared::{Phase, Shared};
 use bytes::Bytes;
+pub(crate) use closes::Closes;
 use connection::Connection;
 use gaparch_platform::body::MOST_BODY;
 use idle::Idle;
--- a/crates/gaparch-node/src/owner.rs
+++ b/crates/gaparch-node/src/owner.rs
@@ -265,7 +265,10 @@
                 tracing::debug!(target: "gaparch_node::wire", request = id.0, ?cause, ?waited_for, "refused");
                 Answer::Refused { over_share: waited_for == Some(WaitedFor::OverShare), retry_after }
             }
-            ToClient::Failed { .. } => Answer::Failed,
+            ToClient::Failed { why, cause } => {
+                tracing::debug!(target: "gaparch_node::wire", request = id.0, ?cause, why, "failed");
+                Answer::Failed
+            }
             // The events themselves never come by here.
             ToClient::Part { .. } | ToClient::Finished { .. } => return,
         };
@@ -424,6 +427,7 @@
             denied = %counts.denials,
             stopped = %self.shared.denials(),
             second_answers = counts.second_answers,
+            closed = %self.shared.closes,
             dropped = counts.dropped_entries,
             strange = self.peers.as_ref().map_or(0, |peers| peers.dropped()),
             workers,
--- a/crates/gaparch-node/src/shared.rs
+++ b/crates/gaparch-node/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the tasks of a router share.
 
-use crate::client::Piece;
+use crate::client::{Closes, Piece};
 use crate::ready_workers::ReadyWorkers;
 use gaparch::api::{AttemptNo, Nanos, RequestId, ServerId, Status};
 use gaparch::policy::permits::{Denial, Denials};
@@ -122,6 +122,8 @@
     pub asks: Arc<Semaphore>,
     next_id: AtomicU64,
     open: Mutex<HashSet<Txn>>,
+    /// How connections of clients have ended.
+    pub closes: Closes,
     /// Attempts that were stopped just before their first byte.
     denials: Mutex<Denials>,
 }
@@ -144,6 +146,7 @@
             asks: Arc::new(Semaphore::new(asks)),
             next_id: AtomicU64::new(1),
             open: Mutex::default(),
+            closes: Closes::default(),
             denials: Mutex::default(),
         }
     }
--- a/crates/gaparch-node/src/worker/exchange.rs
+++ b/crates/gaparch-node/src/worker/exchange.rs
@@ -10,6 +10,7 @@
 use gaparch::api::{AttemptNo, Nanos, RequestId, Status};
 use gaparch::policy::connecting::Carries;
 use gaparch::policy::permits::{self, Denial, SendFacts};
+use gaparch_net::Clock;
 use gaparch_platform::body::{Body, Part};
 use gaparch_platform::events::Events;
 use gaparch_platform::head::AnswerHead;
@@ -65,9 +66,12 @@
     }
 }
 
-/// Times on the socket, for whoever compares them with what the module believes.
-#[derive(Default)]
+/// Times on the socket, for whoever compares them with what the module believes. An attempt that is given up is logged as
+/// abandoned: a cancelled one tells by this how far it had come.
 struct Trace {
+    line: Option<TraceLine>,
+    clock: Clock,
+    asked: Nanos,
     /// How long its connection had stood idle, if it is not new.
     idle: Option<Duration>,
     connected: Nanos,
@@ -75,6 +79,54 @@
     first: Nanos,
 }
 
+/// What a trace is of.
+struct TraceLine {
+    request: u64,
+    attempt: u32,
+    target: Target,
+    reads: bool,
+    forward: Arc<Forward>,
+}
+
+impl Trace {
+    fn new(job: &Job, clock: Clock) -> Trace {
+        let line = TraceLine {
+            request: job.id.0,
+            attempt: job.no.0,
+            target: job.target,
+            reads: job.reads,
+            forward: Arc::clone(&job.forward),
+        };
+        Trace { line: Some(line), clock, asked: clock.now(), idle: None, connected: 0, written: 0, first: 0 }
+    }
+
+    fn log(&mut self, end: &dyn std::fmt::Debug) {
+        let Some(line) = self.line.take() else { return };
+        tracing::debug!(
+            target: "gaparch_node::wire",
+            request = line.request,
+            txn = line.forward.txn.as_str(),
+            attempt = line.attempt,
+            worker = line.target.server.0,
+            address = %line.target.address,
+            reads = line.reads,
+            idle_ms = self.idle.map(|idle| idle.as_millis() as u64),
+            connected_us = self.connected.saturating_sub(self.asked) / 1000,
+            written_us = self.written.saturating_sub(self.asked) / 1000,
+            first_us = self.first.saturating_sub(self.asked) / 1000,
+            ended_us = self.clock.now().saturating_sub(self.asked) / 1000,
+            ?end,
+            "exchange"
+        );
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        self.log(&"abandoned");
+    }
+}
+
 /// Carries an attempt out. Dropped, its connection closes with it.
 pub(crate) async fn exchange(mut job: Job, pool: Arc<Pool>, shared: Arc<Shared>) {
     if let Some(prior) = job.prior.take() {
@@ -85,26 +137,10 @@
         // A worker that does not take it must not hold up the attempt for long.
         let _ = timeout(job.release_within, releasing).await;
     }
-    let asked = shared.clock.now();
-    let mut trace = Trace::default();
+    let mut trace = Trace::new(&job, shared.clock);
     let end = attempt(&job, &pool, &shared, &mut trace).await;
     let at = shared.clock.now();
-    tracing::debug!(
-        target: "gaparch_node::wire",
-        request = job.id.0,
-        txn = job.forward.txn.as_str(),
-        attempt = job.no.0,
-        worker = job.target.server.0,
-        address = %job.target.address,
-        reads = job.reads,
-        idle_ms = trace.idle.map(|idle| idle.as_millis() as u64),
-        connected_us = trace.connected.saturating_sub(asked) / 1000,
-        written_us = trace.written.saturating_sub(asked) / 1000,
-        first_us = trace.first.saturating_sub(asked) / 1000,
-        ended_us = (at - asked) / 1000,
-        end = ?end.seen,
-        "exchange"
-    );
+    trace.log(&end.seen);
     if let Some((conn, head)) = end.conn {
         pool.put(conn, &head, LastExchange::Attempt(job.carries));
     }
