--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -6,13 +6,16 @@
 use gaparch_lab::fleet::lying::{Lie, LyingDisk};
 use gaparch_lab::fleet::{days, picture, process, rig};
 use gaparch_lab::scale::{self, Row};
+use gaparch_lab::soak;
 use gaparch_net::Clock;
 use gaparch_router::shell::{Disks, FleetDisks};
 use gaparch_store::Folder;
 use indicatif::{ProgressBar, ProgressStyle};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::task::JoinSet;
 
 /// Their processes are idle most of the time.
@@ -48,6 +51,20 @@
         /// The configuration file
         file: PathBuf,
     },
+    /// Break routers in service and their workers, dozens of processes, two or three troubles at a time, and judge them
+    Soak(Soak),
+    /// Run a worker of the soak test until this command's parent ends
+    #[command(hide = true)]
+    SoakWorker {
+        #[arg(long)]
+        listen: SocketAddr,
+        /// It reads prompts; else it writes answers
+        #[arg(long)]
+        reads: bool,
+        /// The file of what it sees
+        #[arg(long)]
+        record: PathBuf,
+    },
     /// Run a router as `gaparch serve` does, on a disk that lies or by a clock that is off, until this command's parent ends
     Serve(Serve),
 }
@@ -88,6 +105,65 @@
     json: bool,
 }
 
+#[derive(Debug, Args)]
+struct Soak {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Runs, each with the next seed
+    #[arg(long, default_value_t = 1)]
+    runs: u64,
+    /// Seconds of load in each run
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(5..=600))]
+    seconds: u64,
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u8).range(1..=60))]
+    routers: u8,
+    /// Workers, each other one a reader
+    #[arg(long, default_value_t = 14, value_parser = clap::value_parser!(u8).range(2..=100))]
+    workers: u8,
+    /// Requests a second to each router
+    #[arg(long, default_value_t = 6.0)]
+    rate: f64,
+    /// Another build of the program, whose routers are tried instead of this one's
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Milliseconds that a busy machine adds to every limit of the rules
+    #[arg(long, default_value_t = 150)]
+    slack_ms: u64,
+    /// Copy logs and records of the last run into this folder
+    #[arg(long)]
+    keep: Option<PathBuf>,
+}
+
+async fn soak(command: Soak) -> Outcome {
+    let mut failed = Vec::new();
+    for seed in command.seed..command.seed + command.runs {
+        let options = soak::Options {
+            program: std::env::current_exe()?,
+            routers_program: command.program.clone().map_or_else(std::env::current_exe, Ok)?,
+            seed,
+            span: Duration::from_secs(command.seconds),
+            routers: usize::from(command.routers),
+            workers: usize::from(command.workers),
+            requests_per_s: command.rate,
+            slack: Duration::from_millis(command.slack_ms),
+            keep: command.keep.clone(),
+        };
+        let stop = super::asked_to_stop();
+        let report = tokio::select! {
+            report = soak::play(&options) => report?,
+            // What was started ends with this process.
+            why = stop => return Err(why?.into()),
+        };
+        println!("{report}");
+        if !report.holds() {
+            failed.push(seed);
+        }
+    }
+    println!("soak: {} of {} runs hold", command.runs - failed.len() as u64, command.runs);
+    Ok(if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 async fn measure_scale(command: Scale) -> Outcome {
     let rows = if command.rows.is_empty() { Row::ALL.to_vec() } else { command.rows };
     let options = scale::Options {
@@ -198,6 +274,12 @@
         Command::Serve(options) => serve(&options).await,
         Command::Scale(options) => measure_scale(options).await,
         Command::Node { file } => node(file).await,
+        Command::Soak(options) => soak(options).await,
+        Command::SoakWorker { listen, reads, record } => {
+            process::end_with_parent()?;
+            soak::run_worker(listen, reads, &record).await?;
+            Ok(ExitCode::SUCCESS)
+        }
     }
 }
 
--- a/crates/gaparch-lab/src/lib.rs
+++ b/crates/gaparch-lab/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`site`] starts a whole site on loopback: engines, a list service, routers. [`load`] is its clients.
 //! [`record`] keeps what went over the sockets, and [`checker`] judges the five rules from that record
 //! alone: it shares no code with the router's core. [`badday`] puts them together. [`terminal`] is an
-//! operator's terminal, and [`demo`] a session at it. [`fleet`] breaks routers that are processes. [`platform`] is what surrounds a router in service.
+//! operator's terminal, and [`demo`] a session at it. [`fleet`] breaks routers that are processes. [`platform`] is what
+//! surrounds a router in service, and [`soak`] breaks dozens of processes of it at once.
 
 pub mod badday;
 pub mod checker;
@@ -18,4 +19,5 @@
 pub mod scale;
 pub mod scripted;
 pub mod site;
+pub mod soak;
 pub mod terminal;
--- a/crates/gaparch-lab/src/scale/real/mod.rs
+++ b/crates/gaparch-lab/src/scale/real/mod.rs
@@ -4,7 +4,7 @@
 mod catalogue;
 mod clients;
 mod node;
-mod wire;
+pub(crate) mod wire;
 mod workers;
 
 pub use catalogue::{watch_once, ListedWorker, ScaleCatalogue};
--- a/crates/gaparch-lab/src/scale/real/wire.rs
+++ b/crates/gaparch-lab/src/scale/real/wire.rs
@@ -10,18 +10,26 @@
 const READ: usize = 16 * 1024;
 
 /// A connection with what has been read of it and not yet taken.
-pub(super) struct Connection {
+pub(crate) struct Connection {
     pub stream: TcpStream,
     buffer: Vec<u8>,
 }
 
 /// The head of a message.
-pub(super) struct Head {
+pub(crate) struct Head {
     pub first_line: String,
     /// Bytes of the head itself.
     pub bytes: usize,
     pub length: usize,
     pub chunked: bool,
+    text: String,
+}
+
+impl Head {
+    /// The value of a header.
+    pub fn field(&self, name: &str) -> Option<String> {
+        header(&self.text, name).map(str::to_owned)
+    }
 }
 
 impl Connection {
@@ -48,6 +56,7 @@
                     first_line: text.lines().next().unwrap_or_default().to_owned(),
                     length: header(&text, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0),
                     chunked: header(&text, "transfer-encoding").is_some(),
+                    text,
                 });
             }
             if self.buffer.len() > MOST_HEAD {
@@ -100,7 +109,7 @@
 }
 
 /// The value of a field in a target's query.
-pub(super) fn query(target: &str, name: &str) -> Option<u64> {
+pub(crate) fn query(target: &str, name: &str) -> Option<u64> {
     let (_, query) = target.split_once('?')?;
     query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
 }
--- /dev/null
+++ b/crates/gaparch-lab/src/soak/faults.rs
@@ -0,0 +1,105 @@
+//! What goes wrong in a run: drawn from its seed, two or three troubles at a time.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+/// One trouble.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// A worker is killed, and starts again cold.
+    KillWorker { worker: usize, away: Duration },
+    /// A worker stops in the middle of what it does, and goes on.
+    StopWorker { worker: usize, span: Duration },
+    /// A worker begins to drain, and is ready again later.
+    DrainWorker { worker: usize, span: Duration },
+    /// All open connections to a worker fall silent.
+    SilenceConnections { worker: usize },
+    /// All open connections to a worker are reset.
+    ResetConnections { worker: usize },
+    /// New connections to a worker come up late.
+    LateConnections { worker: usize, span: Duration },
+    /// A router is told to end, and starts again with its wall clock off.
+    EndRouter { router: usize, clock_ahead_s: i64 },
+    /// A router is killed, and starts again with its wall clock off.
+    KillRouter { router: usize, clock_ahead_s: i64 },
+    /// A router's configuration is written in two halves; it is told to read it before the second.
+    ReloadRouter { router: usize },
+    /// A router is held up.
+    HoldRouter { router: usize, span: Duration },
+    /// System calls of a router fail.
+    FailCalls { router: usize, span: Duration },
+    /// A router's agent says nothing.
+    SilenceCatalogue { router: usize, span: Duration },
+    /// Changes are told as whole lists.
+    WholeLists { span: Duration },
+}
+
+/// A trouble and when it begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    pub at: Duration,
+    pub trouble: Trouble,
+}
+
+/// Between two groups of troubles.
+const GROUP_EVERY_MS: u64 = 3_000;
+/// Within which a group's troubles begin.
+const GROUP_SPREAD_MS: u64 = 900;
+const CLOCKS: [i64; 7] = [0, 0, 5, -5, 3_600, -3_600, 7_200];
+
+/// Draws the troubles of a run.
+pub fn draw(seed: u64, span: Duration, routers: usize, workers: usize) -> Vec<Event> {
+    let mut draws = ChaCha8Rng::seed_from_u64(seed);
+    let mut events = Vec::new();
+    let mut group = 1_500;
+    while Duration::from_millis(group + GROUP_EVERY_MS) < span {
+        for _ in 0..draws.random_range(2..=3) {
+            let at = Duration::from_millis(group + draws.random_range(0..GROUP_SPREAD_MS));
+            events.push(Event { at, trouble: draw_one(&mut draws, routers, workers) });
+        }
+        group += GROUP_EVERY_MS;
+    }
+    events.sort_by_key(|event| event.at);
+    events
+}
+
+fn draw_one(draws: &mut ChaCha8Rng, routers: usize, workers: usize) -> Trouble {
+    let worker = draws.random_range(0..workers);
+    let router = draws.random_range(0..routers);
+    let span = Duration::from_millis(draws.random_range(300..2_500));
+    let clock_ahead_s = CLOCKS[draws.random_range(0..CLOCKS.len())];
+    match draws.random_range(0..13) {
+        0 => Trouble::KillWorker { worker, away: span },
+        1 => Trouble::StopWorker { worker, span },
+        2 => Trouble::DrainWorker { worker, span },
+        3 => Trouble::SilenceConnections { worker },
+        4 => Trouble::ResetConnections { worker },
+        5 => Trouble::LateConnections { worker, span },
+        6 => Trouble::EndRouter { router, clock_ahead_s },
+        7 => Trouble::KillRouter { router, clock_ahead_s },
+        8 => Trouble::ReloadRouter { router },
+        9 => Trouble::HoldRouter { router, span: Duration::from_millis(draws.random_range(20..150)) },
+        10 => Trouble::FailCalls { router, span },
+        11 => Trouble::SilenceCatalogue { router, span: span * 2 },
+        _ => Trouble::WholeLists { span: span * 2 },
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_seed_draws_the_same_troubles_again_and_they_overlap() {
+        let span = Duration::from_secs(20);
+        let events = draw(7, span, 8, 12);
+        assert_eq!(events, draw(7, span, 8, 12));
+        assert_ne!(events, draw(8, span, 8, 12));
+        assert!(
+            events.len() >= 10
+                && events.windows(2).any(|pair| pair[1].at - pair[0].at < Duration::from_millis(500))
+        );
+        assert!(events.iter().all(|event| event.at < span));
+    }
+}
--- /dev/null
+++ b/crates/gaparch-lab/src/soak/judge_tests.rs
@@ -0,0 +1,123 @@
+//! Each rule can be broken, and is found broken then.
+
+use super::*;
+use crate::soak::clients::CLASSES;
+
+const MS: u64 = 1_000_000;
+
+fn asked(txn: &str, answer: Answer) -> Asked {
+    Asked {
+        txn: txn.to_owned(),
+        router: 0,
+        class: CLASSES[0],
+        manner: Manner::Usual,
+        sent_ns: 1_000 * MS,
+        answered_ns: 1_200 * MS,
+        answer,
+    }
+}
+
+fn entry(at_ms: u64, kind: Kind, txn: &str) -> Entry {
+    Entry { at_ns: at_ms * MS, kind, txn: txn.to_owned(), remaining_ms: 2_000 }
+}
+
+fn worker(name: &str, entries: Vec<Entry>) -> WorkerFacts {
+    WorkerFacts { name: name.to_owned(), reads: name.starts_with('r'), entries, ..WorkerFacts::default() }
+}
+
+/// One request, read and written as it should be.
+fn sound() -> Facts {
+    let read = vec![entry(1_001, Kind::Asked, "n0-1"), entry(1_050, Kind::Answered, "n0-1")];
+    let written = vec![entry(1_051, Kind::Asked, "n0-1"), entry(1_190, Kind::Answered, "n0-1")];
+    let routers = vec![RouterFacts { lives: vec![Life::default()], ..RouterFacts::default() }];
+    Facts {
+        asked: vec![asked("n0-1", Answer::Served)],
+        workers: vec![worker("r-0", read), worker("w-1", written), worker("w-3", Vec::new())],
+        routers,
+        ended_ns: 60_000 * MS,
+        ..Facts::default()
+    }
+}
+
+fn breaches(change: impl FnOnce(&mut Facts)) -> String {
+    let mut facts = sound();
+    change(&mut facts);
+    judge(&facts).join("; ")
+}
+
+#[test]
+fn what_is_sound_breaks_nothing() {
+    assert_eq!(breaches(|_| {}), "");
+}
+
+#[test]
+fn a_request_that_is_lost_late_or_half_and_served_is_found() {
+    for answer in [Answer::Nothing, Answer::ClosedUnanswered] {
+        assert!(breaches(|f| f.asked[0].answer = answer).contains("lost"));
+    }
+    assert!(breaches(|f| f.asked[0].answered_ns = 4_600 * MS).contains("answered after"));
+    assert!(breaches(|f| f.asked[0].manner = Manner::StopsHalfway).contains("half a request is served"));
+    // Of a router that was killed nothing is owed.
+    let killed = Life { until_ns: Some(1_100 * MS), killed: true, ..Life::default() };
+    assert_eq!(
+        breaches(|f| {
+            f.asked[0].answer = Answer::ClosedUnanswered;
+            f.routers[0].lives = vec![killed];
+        }),
+        ""
+    );
+}
+
+#[test]
+fn two_attempts_at_once_and_a_second_execution_are_found() {
+    let second = || vec![entry(1_060, Kind::Asked, "n0-1"), entry(1_190, Kind::Answered, "n0-1")];
+    assert!(breaches(|f| f.workers[2].entries = second()).contains("at once"));
+    let later = || vec![entry(1_400, Kind::Asked, "n0-1"), entry(1_500, Kind::Answered, "n0-1")];
+    assert_eq!(breaches(|f| f.workers[2].entries = later()), "");
+    let once = |f: &mut Facts| {
+        f.asked[0].class = CLASSES[2];
+        f.workers[2].entries = later();
+    };
+    assert!(breaches(once).contains("written 2 times"));
+    let refused = |f: &mut Facts| (f.asked[0].class, f.asked[0].answer) = (CLASSES[2], Answer::Refused);
+    assert!(breaches(refused).contains("refused, though"));
+}
+
+#[test]
+fn a_send_to_a_drained_worker_is_found() {
+    let told = |at_ms: u64, lifecycle| Told {
+        at_ns: at_ms * MS,
+        router: 0,
+        worker: "w-1".to_owned(),
+        lifecycle,
+        started_at_ms: 0,
+    };
+    assert!(breaches(|f| f.told = vec![told(100, "draining")]).contains("drain"));
+    assert_eq!(breaches(|f| f.told = vec![told(900, "draining")]), "", "within its grace");
+    assert_eq!(breaches(|f| f.told = vec![told(100, "draining"), told(900, "ready")]), "");
+}
+
+#[test]
+fn what_is_held_and_not_let_go_of_is_found() {
+    let unwritten = |f: &mut Facts| f.workers[1].entries.clear();
+    assert!(breaches(unwritten).contains("neither fetched nor let go of"));
+    let released =
+        |at_ms| move |f: &mut Facts| f.workers[1].entries = vec![entry(at_ms, Kind::Released, "n0-1")];
+    assert_eq!(breaches(released(1_700)), "");
+    assert!(breaches(released(1_900)).contains("neither fetched nor let go of"));
+}
+
+#[test]
+fn a_send_for_who_has_left_and_too_much_time_told_are_found() {
+    let left = |f: &mut Facts| (f.asked[0].answer, f.asked[0].answered_ns) = (Answer::Left, 900 * MS);
+    assert!(breaches(left).contains("after its client had left"));
+    assert!(breaches(|f| f.workers[1].entries[0].remaining_ms = 3_200).contains("is told 3200 ms"));
+}
+
+#[test]
+fn a_router_that_crashes_panics_or_answers_twice_is_found() {
+    assert!(breaches(|f| f.routers[0].lives[0].crashed = true).contains("ended by itself"));
+    assert!(breaches(|f| f.routers[0].log = "thread 'main' panicked at".to_owned()).contains("panicked"));
+    let counted = |f: &mut Facts| f.routers[0].log = "INFO summary second_answers=2 overdue=0".to_owned();
+    assert!(breaches(counted).contains("second_answers=2"));
+}
