Soak: a read whose answer was lost on a silent connection is still out

Followed through records and the wire log. Cause: the judge counted the release time from the reader's answer; while the attempt is out, it does not run. Change: connections that fall silent between a read's last byte and its answer leave that read out of this one rule; tested both ways.

--- a/crates/gaparch-lab/src/soak/judge_tests.rs
+++ b/crates/gaparch-lab/src/soak/judge_tests.rs
@@ -105,6 +105,15 @@
         |at_ms| move |f: &mut Facts| f.workers[1].entries = vec![entry(at_ms, Kind::Released, "n0-1")];
     assert_eq!(breaches(released(1_700)), "");
     assert!(breaches(released(1_900)).contains("neither fetched nor let go of"));
+    // Its answer was lost, and the attempt was out for longer: only one that came before its connection fell silent counts.
+    let silent = |at_ms| {
+        move |f: &mut Facts| {
+            released(1_900)(f);
+            f.workers[0].silences = vec![at_ms * MS];
+        }
+    };
+    assert_eq!(breaches(silent(1_020)), "");
+    assert!(breaches(silent(1_300)).contains("neither fetched nor let go of"));
 }
 
 #[test]
--- a/crates/gaparch-lab/src/soak/site.rs
+++ b/crates/gaparch-lab/src/soak/site.rs
@@ -42,6 +42,7 @@
     proxy: Proxy,
     record: PathBuf,
     kills: Vec<u64>,
+    silences: Vec<u64>,
 }
 
 /// A site in use.
@@ -178,7 +179,11 @@
                 sleep(span).await;
                 self.catalogue.set(&name, |listed| listed.lifecycle = "ready");
             }
-            Trouble::SilenceConnections { worker } => self.workers[worker].lock().await.proxy.silence(),
+            Trouble::SilenceConnections { worker } => {
+                let mut worker = self.workers[worker].lock().await;
+                worker.proxy.silence();
+                worker.silences.push(monotonic_ns());
+            }
             Trouble::ResetConnections { worker } => self.workers[worker].lock().await.proxy.reset(),
             Trouble::LateConnections { worker, span } => {
                 self.workers[worker].lock().await.proxy.late(LATE);
@@ -253,6 +258,7 @@
                 entries: Entry::read_all(&text),
                 stops: worker.process.stops.clone(),
                 kills: worker.kills.clone(),
+                silences: worker.silences.clone(),
             });
         }
         for router in &self.routers {
@@ -277,7 +283,7 @@
         let mut process = Process::new(&options.program, arguments, folder.join(format!("{name}.log")));
         process.start(&[])?;
         let proxy = Proxy::start(address).await?;
-        Ok(Worker { name, reads, process, proxy, record, kills: Vec::new() })
+        Ok(Worker { name, reads, process, proxy, record, kills: Vec::new(), silences: Vec::new() })
     }
 }
 
