Red test: a probe waits on a silent kept connection for all of its time

Checked: probe() in calls.rs gives a new connection only what a kept one that breaks has left; a silent one leaves nothing. The test fails on it.

--- a/crates/gaparch-cli/tests/system_calls.rs
+++ b/crates/gaparch-cli/tests/system_calls.rs
@@ -3,7 +3,7 @@
 use gaparch_lab::platform::{head_and_body, raw, read, until, Platform, LONG};
 use rustix::process::{getrlimit, prlimit, Pid, Resource, Rlimit};
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -68,6 +68,17 @@
     assert!(probes <= 4, "{seen:?}");
 }
 
+/// The process before it still has the address for a moment.
+#[test]
+fn an_address_that_is_taken_as_a_router_starts_is_listened_at_once_it_is_free() {
+    let platform = Platform::new(|_| {});
+    let taken = TcpListener::bind(platform.listen).expect("it is free");
+    let site = Site { router: start(&platform.file), platform };
+    std::thread::sleep(Duration::from_millis(400));
+    drop(taken);
+    until("the router is ready", || site.platform.health() == 200);
+}
+
 /// Whoever reads the log ends: the router goes on, and serves.
 #[test]
 fn a_log_that_nobody_reads_any_more_ends_no_router() {
--- a/crates/gaparch-node/tests/silent_connections.rs
+++ b/crates/gaparch-node/tests/silent_connections.rs
@@ -82,3 +82,32 @@
     let held = first(&site, released).expect("done") - left;
     assert!(held < RELEASE_WITHIN, "held for {held:?}");
 }
+
+/// A worker behind kept connections that fell silent answers probes: one on a kept connection leaves time for a new one.
+#[test]
+fn a_probe_on_a_connection_that_fell_silent_is_asked_again_on_a_new_one() {
+    let site = Site::with(|_| {});
+    let relay = SilentRelay::start(site.readers[0].address);
+    let mut list = Platform::list(&site.readers, &site.writers);
+    list.remove(1);
+    list[0]["hostPort"] = json!(relay.address.to_string());
+    site.tell(list);
+    assert_eq!(ask(site.listen, "before").status, 200);
+    let probes = || {
+        let of_reader = |seen: &Seen| matches!(seen, Seen::Probed { worker } if worker == "r-1");
+        site.floor.seen().iter().filter(|seen| of_reader(seen)).count()
+    };
+    // Long enough for the reader to be probed before the next read.
+    std::thread::sleep(Duration::from_millis(1_200));
+    relay.silence_open_connections();
+    let before = probes();
+    let asked = std::thread::spawn({
+        let listen = site.listen;
+        move || ask(listen, "after")
+    });
+    // A probe has 250 ms in all.
+    std::thread::sleep(Duration::from_millis(240));
+    assert!(probes() > before, "the reader was not probed on a new connection");
+    // The read itself may go out on a kept connection, and is then called off and made again.
+    assert_eq!(asked.join().expect("no panic").status, 200);
+}
