Probes leave half of their time to a new connection; accept errors are logged sparsely

Cause: as the red test says: of a probe's time a silent kept connection took all. Change: a kept connection has half of a probe's time, a new one the rest. Related paths read for the same class: the fleet's socket of `gaparch serve` asked again without a pause after an error (a whole core while it lasts; 5 ms now); can't-accept lines came 50 times a second.

--- a/crates/gaparch-node/src/client/mod.rs
+++ b/crates/gaparch-node/src/client/mod.rs
@@ -5,7 +5,7 @@
 mod idle;
 
 use crate::budget::Budget;
-use crate::shared::{Phase, Shared};
+use crate::shared::{lock, Phase, Shared};
 use bytes::Bytes;
 pub(crate) use closes::Closes;
 use connection::Connection;
@@ -13,8 +13,8 @@
 use idle::Idle;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit};
 use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
@@ -27,6 +27,8 @@
 const PLACE: Duration = Duration::from_millis(200);
 /// After an error of accepting that does not go away by trying again at once, as with no descriptors left.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// Between two lines in the log on that.
+const COMPLAIN_EVERY: Duration = Duration::from_secs(1);
 /// A connection without an open request may be closed from then on.
 const IDLE_AT_LEAST: Duration = Duration::from_secs(2);
 const LOOK_EVERY: Duration = Duration::from_millis(500);
@@ -42,7 +44,7 @@
 
 /// Accepts until nothing new comes any more.
 pub(crate) async fn accept(listener: TcpListener, budget: Budget, shared: Arc<Shared>) {
-    let clients = Clients { budget, shared, idle: Arc::new(Idle::default()) };
+    let clients = Clients { budget, shared, idle: Arc::new(Idle::default()), complained: Mutex::default() };
     let mut phase = clients.shared.phase.subscribe();
     let mut look = interval(LOOK_EVERY);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -68,6 +70,8 @@
     budget: Budget,
     shared: Arc<Shared>,
     idle: Arc<Idle>,
+    /// When it was last said that accepting fails.
+    complained: Mutex<Option<Instant>>,
 }
 
 impl Clients {
@@ -78,12 +82,21 @@
         }
     }
 
+    /// Says that accepting fails, not more often than somebody could read it.
+    fn complain(&self, error: &io::Error) {
+        let mut complained = lock(&self.complained);
+        if complained.is_none_or(|at| at.elapsed() >= COMPLAIN_EVERY) {
+            *complained = Some(Instant::now());
+            tracing::warn!(%error, "can't accept");
+        }
+    }
+
     /// Serves a connection on a task of its own, if there is a place for it.
     async fn take(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
         let socket = match accepted {
             Ok((socket, _)) => socket,
             Err(error) => {
-                tracing::warn!(%error, "can't accept");
+                self.complain(&error);
                 return sleep(ACCEPT_AGAIN).await;
             }
         };
--- a/crates/gaparch-node/src/worker/calls.rs
+++ b/crates/gaparch-node/src/worker/calls.rs
@@ -17,6 +17,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+/// Of a probe's time, for its answer on a kept connection.
+const KEPT_SHARE: f64 = 0.5;
 /// A reservation is answered within 0.3 s; its read may take longer to be written.
 const RESERVE_WITHIN: Duration = Duration::from_secs(1);
 
@@ -44,7 +46,8 @@
         // A kept connection that breaks says nothing of the worker: told as not reached, it would count as a new
         // process, and cold. A probe does no harm twice.
         if let Some(conn) = pool.idle(target) {
-            if let Some(status) = call(conn, &head, &pool).await {
+            // Nor does one that has fallen silent: a new one gets the rest of the time.
+            if let Ok(Some(status)) = timeout(within.mul_f64(KEPT_SHARE), call(conn, &head, &pool)).await {
                 return probe_meaning(status);
             }
         }
--- a/crates/gaparch-router/src/shell/fleet.rs
+++ b/crates/gaparch-router/src/shell/fleet.rs
@@ -30,7 +30,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// Questions that wait for an answer; whoever has more waits to ask.
 const ASKED: usize = 16;
@@ -38,6 +38,8 @@
 const TRY_AGAIN: Duration = Duration::from_secs(1);
 /// For the words of one that leaves.
 const LEAVE_WITHIN: Duration = Duration::from_millis(500);
+/// After a datagram could not be received.
+const RECEIVE_AGAIN: Duration = Duration::from_millis(5);
 /// The records' meaning: one number.
 const SCHEMA: u16 = 1;
 /// Records past the one that matters, before the journal is written anew.
@@ -356,8 +358,9 @@
                 },
                 came = self.socket.recv_from(&mut datagram) => match came {
                     Ok((length, _)) => self.on_datagram(&datagram[..length], &mut out),
-                    // An earlier datagram was not wanted somewhere: nothing is wrong here.
-                    Err(_) => tokio::task::yield_now().await,
+                    // An earlier datagram was not wanted somewhere, or the system is short of something: nothing is
+                    // wrong here, and asking again without a pause would take a whole core for as long.
+                    Err(_) => sleep(RECEIVE_AGAIN).await,
                 },
             }
         }
