--- a/crates/gaparch-node/src/worker/calls.rs
+++ b/crates/gaparch-node/src/worker/calls.rs
@@ -4,9 +4,9 @@
 use crate::shared::{Message, Seen, Shared};
 use crate::transient::write_all;
 use bytes::Bytes;
-use gaparch::api::{AttemptNo, RequestId, Status};
+use gaparch::api::{AttemptNo, Nanos, RequestId, Status};
 use gaparch::policy::connecting::Carries;
-use gaparch::policy::releasing::Rounds;
+use gaparch::policy::releasing::{next_round_after, Rounds};
 use gaparch_net::Clock;
 use gaparch_platform::ask::Txn;
 use gaparch_platform::body::MOST_BODY;
@@ -102,23 +102,35 @@
     // Who answered last is most likely to run. Where a read was left unanswered that is another than its reader.
     targets.sort_by_key(|target| std::cmp::Reverse(pool.heard_at(*target)));
     let mut rounds = Rounds::new(targets.len(), clock.now());
+    let mut tries = JoinSet::new();
     while let Some(round) = rounds.next(clock.now()) {
         sleep(Duration::from_nanos(round.pause)).await;
-        let mut tries = JoinSet::new();
         for target in round.servers.iter().filter_map(|place| targets.get(*place)) {
             let carries = if round.fresh { Carries::HeldState } else { Carries::NothingHeld };
             tries.spawn(tell_release(txn.clone(), *target, carries, within, Arc::clone(&pool)));
         }
-        while let Some(told) = tries.join_next().await {
-            if told.is_ok_and(|told| told) {
-                // One that has it is enough: the others are not waited for.
-                return;
-            }
+        // One that has it is enough: the others are not waited for.
+        let next = Duration::from_nanos(next_round_after(within.as_nanos() as Nanos));
+        if timeout(next, any_answers(&mut tries)).await == Ok(true) {
+            return;
         }
     }
+    if any_answers(&mut tries).await {
+        return;
+    }
     tracing::warn!(txn = txn.as_str(), "what is held could not be let go of: no worker answers");
 }
 
+/// Whether one of the tries is answered; `false` once none of them is left.
+async fn any_answers(tries: &mut JoinSet<bool>) -> bool {
+    while let Some(told) = tries.join_next().await {
+        if told.is_ok_and(|told| told) {
+            return true;
+        }
+    }
+    false
+}
+
 /// One try of a release; whether that worker has answered.
 async fn tell_release(txn: Txn, target: Target, carries: Carries, within: Duration, pool: Arc<Pool>) -> bool {
     let head = release_head(&txn, &target.address.to_string());
--- a/src/policy/releasing.rs
+++ b/src/policy/releasing.rs
@@ -11,11 +11,19 @@
 
 /// Servers that are told at once, at most.
 const MOST_AT_ONCE: usize = 4;
+/// Part of a try's time after which the next round begins beside it: several rounds have to fit into the
+/// release time, also where most servers are cut off.
+const NEXT_ROUND_SHARE: f64 = 0.3;
 /// Between two rounds once all servers have been tried.
 const PAUSE: Nanos = 250_000_000;
 /// A server that has held something for so long without a word will have let go of it, or be gone.
 const OWED_FOR: Nanos = 15_000_000_000;
 
+/// When the next round begins beside one that nobody has answered, of the time of one try.
+pub fn next_round_after(one_try: Nanos) -> Nanos {
+    (one_try as f64 * NEXT_ROUND_SHARE) as Nanos
+}
+
 /// The rounds of one release.
 #[derive(Clone, Debug)]
 pub struct Rounds {
