The lab starts a killed router only once its address is free, and says why one fails

Followed: the panic was of a runtime dropped in an async context, as start_router_on returned early. A killed router's runtime ends in the background, and its listener with it. Change: its address is waited for; a router that does not start shuts its runtime down in the background. No check of the test was changed.

--- a/crates/gaparch-lab/src/site.rs
+++ b/crates/gaparch-lab/src/site.rs
@@ -138,6 +138,14 @@
     runtime: Runtime,
 }
 
+/// A router that was killed here ends on threads of its own, which may take a moment to let go of its address.
+async fn address_is_free(address: SocketAddr) {
+    let until = Instant::now() + Duration::from_secs(10);
+    while std::net::TcpListener::bind(address).is_err() && Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 impl Site {
     /// Starts everything, engines warm.
     ///
@@ -290,11 +298,20 @@
     /// As for [`start_router`](Site::start_router).
     pub async fn start_router_on(&mut self, router: usize, disks: Option<Disks>) -> Result<(), SiteError> {
         let config = self.config(router)?;
+        address_is_free(self.addresses[router]).await;
         let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-        let handle = runtime.spawn(serve_on(config, disks, Clock::default())).await;
-        let handle = handle.map_err(std::io::Error::other)??;
-        self.routers[router] = Some(Router { handle, runtime });
-        Ok(())
+        let started = runtime.spawn(serve_on(config, disks, Clock::default())).await;
+        match started.map_err(std::io::Error::other) {
+            Ok(Ok(handle)) => {
+                self.routers[router] = Some(Router { handle, runtime });
+                Ok(())
+            }
+            failed => {
+                // Dropped here it would panic, and hide why the router did not start.
+                runtime.shutdown_background();
+                failed?.map(drop).map_err(SiteError::from)
+            }
+        }
     }
 
     /// Starts a killed router again once its old process has let go of the state folder: that is when its last
