--- a/crates/gaparch-lab/src/soak/judge_tests.rs
+++ b/crates/gaparch-lab/src/soak/judge_tests.rs
@@ -105,6 +105,16 @@
         |at_ms| move |f: &mut Facts| f.workers[1].entries = vec![entry(at_ms, Kind::Released, "n0-1")];
     assert_eq!(breaches(released(1_700)), "");
     assert!(breaches(released(1_900)).contains("neither fetched nor let go of"));
+    // Its router was killed while it was read: the reader may not have noticed by its answer.
+    let killed = |at_ms| {
+        move |f: &mut Facts| {
+            unwritten(f);
+            f.asked.clear();
+            f.routers[0].lives = vec![Life { until_ns: Some(at_ms * MS), killed: true, ..Life::default() }];
+        }
+    };
+    assert_eq!(breaches(killed(1_030)), "");
+    assert!(breaches(killed(990)).contains("neither fetched nor let go of"));
     // Its answer was lost, and the attempt was out for longer: only one that came before its connection fell silent counts.
     let silent = |at_ms| {
         move |f: &mut Facts| {
