The log names what is held for too long, and why attempts, retries and refusals happen

Change: reasons of refusals, failures, unsuccessful attempts and retries are counted in the summary line, with how many states are held and for how long; a state held past the release time is named with request id, reader and unanswered writer, four a second at most; debug lines of refusals, failures, sends and releases carry the ids and the status of the attempt before.

--- a/crates/gaparch-node/src/owner.rs
+++ b/crates/gaparch-node/src/owner.rs
@@ -13,7 +13,7 @@
 use gaparch_platform::ask::Ask;
 use gaparch_protocol::engine::{AttemptKey, EngineFrame, Job as EngineJob, RouterRun};
 use gaparch_protocol::ops::ending::WaitedFor;
-use gaparch_router::core::{Accepted, ConnNo, Core, Input, ListUpdate, Output, ToClient};
+use gaparch_router::core::{status_word, Accepted, ConnNo, Core, Input, ListUpdate, Output, ToClient};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +25,8 @@
 const BATCH: usize = 64;
 const TIDY_EVERY: Duration = Duration::from_secs(1);
 const SUMMARY_EVERY: Duration = Duration::from_secs(10);
+/// States held for too long that are named in the log at a time.
+const HELD_LINES: usize = 4;
 
 /// What the shell keeps of a request for as long as the core knows it.
 struct Open {
@@ -92,6 +94,8 @@
     releases: JoinSet<()>,
     calls: JoinSet<()>,
     lag: Duration,
+    /// Reads that ended up to then and hold a state for too long were logged.
+    held_logged_to: Nanos,
 }
 
 impl Owner {
@@ -129,6 +133,7 @@
             releases: JoinSet::new(),
             calls: JoinSet::new(),
             lag: Duration::ZERO,
+            held_logged_to: 0,
         };
         owner.carry_out(&mut out);
         owner
@@ -172,8 +177,42 @@
         }
     }
 
+    /// How many states are held for requests, and for how long the oldest one is, in nanoseconds.
+    fn held(&self) -> (usize, Nanos) {
+        let now = self.shared.clock.now();
+        let ages = self.core.held_states().map(|state| now.saturating_sub(state.since));
+        ages.fold((0, 0), |(count, longest), age| (count + 1, longest.max(age)))
+    }
+
+    /// Names what is held for longer than the settings allow: nobody is known to have fetched it.
+    fn log_held_too_long(&mut self) {
+        let now = self.shared.clock.now();
+        let most = self.shared.config.site.settings.release_within;
+        let (mut logged, mut oldest) = (Vec::new(), self.held_logged_to);
+        for state in self.core.held_states() {
+            let overdue = now.saturating_sub(state.since) > most && state.since > self.held_logged_to;
+            if overdue && logged.len() < HELD_LINES {
+                oldest = oldest.max(state.since);
+                logged.push(state);
+            }
+        }
+        for state in logged {
+            let txn = self.open.get(&state.request).map(|open| open.forward.txn.as_str());
+            tracing::info!(
+                request = state.request.0,
+                txn,
+                reader = state.reader.0,
+                unanswered_at = state.unanswered_at.map(|server| server.0),
+                held_ms = now.saturating_sub(state.since) / 1_000_000,
+                "no writer is known to have fetched a state"
+            );
+        }
+        self.held_logged_to = oldest;
+    }
+
     fn tidy(&mut self) {
         self.pool.tidy();
+        self.log_held_too_long();
         while self.releases.try_join_next().is_some() {}
         while self.calls.try_join_next().is_some() {}
     }
@@ -253,6 +292,7 @@
     fn answer_client(&mut self, id: RequestId, event: ToClient) {
         self.touched.push(id);
         let Some(open) = self.open.get_mut(&id) else { return };
+        let txn = open.forward.txn.as_str();
         let answer = match event {
             ToClient::Opened { .. } => {
                 let (pieces, stream) = mpsc::channel(PIECES);
@@ -262,11 +302,11 @@
                 Answer::Stream(stream)
             }
             ToClient::Refused { retry_after, waited_for, cause } => {
-                tracing::debug!(target: "gaparch_node::wire", request = id.0, ?cause, ?waited_for, "refused");
+                tracing::debug!(target: "gaparch_node::wire", request = id.0, txn, ?cause, ?waited_for, "refused");
                 Answer::Refused { over_share: waited_for == Some(WaitedFor::OverShare), retry_after }
             }
             ToClient::Failed { why, cause } => {
-                tracing::debug!(target: "gaparch_node::wire", request = id.0, ?cause, why, "failed");
+                tracing::debug!(target: "gaparch_node::wire", request = id.0, txn, ?cause, why, "failed");
                 Answer::Failed
             }
             // The events themselves never come by here.
@@ -303,6 +343,7 @@
             }
             EngineFrame::Release { request } => {
                 self.touched.push(RequestId(request));
+                tracing::debug!(target: "gaparch_node::wire", request, reader = server.0, "let go");
                 self.release(RequestId(request), server);
             }
             EngineFrame::Probe { nonce } => {
@@ -344,6 +385,7 @@
             prefix = ask.prefix,
             session = ask.session,
             waited_us = waited / 1000,
+            after = self.core.last_status(id).map(status_word),
             "sent"
         );
         let (written, seen) = watch::channel(false);
@@ -412,6 +454,8 @@
     fn summary(&mut self) {
         let counts = self.core.counts();
         let (workers, idle) = self.pool.sizes();
+        let reasons = self.core.reasons();
+        let (held, longest) = self.held();
         tracing::info!(
             open = self.core.open(),
             known = self.open.len(),
@@ -427,6 +471,12 @@
             denied = %counts.denials,
             stopped = %self.shared.denials(),
             second_answers = counts.second_answers,
+            refusals = %reasons.refused,
+            failures = %reasons.failed,
+            attempts = %reasons.attempts,
+            retries = %reasons.retries,
+            held,
+            held_longest_ms = longest / 1_000_000,
             closed = %self.shared.closes,
             dropped = counts.dropped_entries,
             strange = self.peers.as_ref().map_or(0, |peers| peers.dropped()),
--- a/crates/gaparch-router/src/core/actions.rs
+++ b/crates/gaparch-router/src/core/actions.rs
@@ -1,6 +1,7 @@
 //! What the module wants done.
 
 use super::engines::EngineLink;
+use super::reasons::status_word;
 use super::request::{Attempt, Stage};
 use super::timers::Timer;
 use super::{Core, Output, ToClient};
@@ -62,6 +63,9 @@
         let timer = self.timers.set(until, Timer::Attempt(id, no));
         live.attempt = Some(Attempt { no, server, stage, sent_at: now, begun: false, waits: false, timer });
         live.step_begins(server, stage, now);
+        if let Some(before) = live.last_status.filter(|status| *status != Status::Read) {
+            self.reasons.retries.count(status_word(before));
+        }
         let Some(link) = self.engines.get_mut(&server) else {
             return self.close_by(id, no, Status::ConnectFailed);
         };
--- a/crates/gaparch-router/src/core/attempts.rs
+++ b/crates/gaparch-router/src/core/attempts.rs
@@ -1,5 +1,6 @@
 //! How attempts end, and what falls due.
 
+use super::reasons::status_word;
 use super::request::{Attempt, Stage};
 use super::timers::Timer;
 use super::{Core, Output, ToClient};
@@ -44,6 +45,10 @@
             live.ran = Some(MayHaveRun { zone, cell, at: attempt.sent_at });
         }
         live.step_ends(status, self.now);
+        live.last_status = Some(status);
+        if !matches!(status, Status::Ok | Status::Read) {
+            self.reasons.attempts.count(status_word(status));
+        }
         if let Some(link) = self.engines.get_mut(&attempt.server) {
             link.attempts.remove(&id);
             match status {
@@ -54,6 +59,7 @@
         }
         if status == Status::Read {
             live.state_at = Some(attempt.server);
+            live.held_since = Some(self.now);
             live.hold(attempt.server);
         }
         if attempt.stage == Stage::Read && !attempt.waits && may_have_read(status) {
--- a/crates/gaparch-router/src/core/clients.rs
+++ b/crates/gaparch-router/src/core/clients.rs
@@ -68,8 +68,15 @@
         self.owed -= 1;
         match event {
             ToClient::Finished { .. } => self.counts.served += 1,
-            ToClient::Refused { .. } => self.counts.refused += 1,
-            _ => self.counts.failed += 1,
+            ToClient::Refused { cause, .. } => {
+                self.counts.refused += 1;
+                self.reasons.refused(cause);
+            }
+            ToClient::Failed { cause, .. } => {
+                self.counts.failed += 1;
+                self.reasons.failed(cause);
+            }
+            ToClient::Opened { .. } | ToClient::Part { .. } => self.counts.failed += 1,
         }
         self.counts.in_time += u64::from(self.is_in_time(id, &event));
         self.note_ending(id, Some(&event), out);
--- a/crates/gaparch-router/src/core/mod.rs
+++ b/crates/gaparch-router/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod following;
 mod links;
 mod operate;
+mod reasons;
 mod request;
 mod roster;
 mod timers;
@@ -15,6 +16,7 @@
 pub use engines::ConnNo;
 pub(crate) use operate::told_to_stay_away;
 pub use operate::Proposal;
+pub use reasons::{status_word, HeldState, ReasonCounts, Reasons};
 pub use request::{Accepted, Phase};
 pub use roster::ListUpdate;
 
@@ -201,6 +203,7 @@
     roster: Roster,
     timers: Timers,
     counts: Counts,
+    reasons: Reasons,
     stopping: bool,
     /// The operators' orders.
     book: Book,
@@ -230,6 +233,7 @@
             engines: BTreeMap::new(),
             timers: Timers::default(),
             counts: Counts::default(),
+            reasons: Reasons::default(),
             stopping: false,
             book,
             owed: 0,
--- /dev/null
+++ b/crates/gaparch-router/src/core/reasons.rs
@@ -0,0 +1,106 @@
+//! Why attempts and requests have ended, and what is held meanwhile: for the summary line, and for whoever asks which
+//! request holds something for how long.
+
+use super::Core;
+use gaparch::api::{Nanos, RequestId, ServerId, Status};
+use gaparch_protocol::ops::ending::Cause;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// How often something happened, by its reason. The reasons are a closed set of words.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReasonCounts {
+    counts: BTreeMap<&'static str, u64>,
+}
+
+impl ReasonCounts {
+    pub(super) fn count(&mut self, reason: &'static str) {
+        *self.counts.entry(reason).or_default() += 1;
+    }
+
+    /// How often that reason was counted.
+    pub fn of(&self, reason: &str) -> u64 {
+        self.counts.get(reason).copied().unwrap_or(0)
+    }
+}
+
+impl fmt::Display for ReasonCounts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (number, (reason, count)) in self.counts.iter().enumerate() {
+            write!(f, "{}{reason}={count}", if number > 0 { "," } else { "" })?;
+        }
+        Ok(())
+    }
+}
+
+/// Reasons of all that has ended since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reasons {
+    /// Requests that were refused, by their cause.
+    pub refused: ReasonCounts,
+    /// Requests that failed, by their cause.
+    pub failed: ReasonCounts,
+    /// Attempts that did not do what they were sent for, by their status.
+    pub attempts: ReasonCounts,
+    /// Attempts after another of the same request, by the status of the one before.
+    pub retries: ReasonCounts,
+}
+
+impl Reasons {
+    pub(super) fn refused(&mut self, cause: Cause) {
+        self.refused.count(cause.word());
+    }
+
+    pub(super) fn failed(&mut self, cause: Cause) {
+        self.failed.count(cause.word());
+    }
+}
+
+/// The word for a status in logs and counters.
+pub fn status_word(status: Status) -> &'static str {
+    match status {
+        Status::Ok => "ok",
+        Status::Read => "read",
+        Status::Error => "error",
+        Status::Full => "full",
+        Status::Timeout => "timeout",
+        Status::ConnectFailed => "connect_failed",
+        Status::NoSocket => "no_socket",
+        Status::Reset => "reset",
+        Status::Cancelled => "cancelled",
+        Status::Moot => "moot",
+        Status::Unknown => "unknown",
+    }
+}
+
+/// What was read for a request and that no writer is known to have fetched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldState {
+    pub request: RequestId,
+    pub reader: ServerId,
+    /// When its read ended.
+    pub since: Nanos,
+    /// Where a write for it is out that has not been answered.
+    pub unanswered_at: Option<ServerId>,
+}
+
+impl Core {
+    /// Why attempts and requests have ended since the start.
+    pub fn reasons(&self) -> &Reasons {
+        &self.reasons
+    }
+
+    /// How the last attempt of a request has ended, if one has.
+    pub fn last_status(&self, id: RequestId) -> Option<Status> {
+        self.live.get(&id)?.last_status
+    }
+
+    /// What is held for requests whose answer has not begun.
+    pub fn held_states(&self) -> impl Iterator<Item = HeldState> + '_ {
+        self.live.iter().filter_map(|(request, live)| {
+            let (reader, since) = (live.state_at?, live.held_since?);
+            let unanswered_at = live.attempt.map(|attempt| attempt.server);
+            Some(HeldState { request: *request, reader, since, unanswered_at })
+        })
+    }
+}
--- a/crates/gaparch-router/src/core/request.rs
+++ b/crates/gaparch-router/src/core/request.rs
@@ -128,6 +128,10 @@
     pub ran: Option<MayHaveRun>,
     /// The reader whose state a writer is to fetch.
     pub state_at: Option<ServerId>,
+    /// When the read of that state ended.
+    pub held_since: Option<Nanos>,
+    /// How its last attempt ended.
+    pub last_status: Option<Status>,
     /// Engines that hold something for it.
     pub held_at: Vec<ServerId>,
     /// The final answer is given: only the books are still open.
@@ -163,6 +167,8 @@
             attempt: None,
             ran: None,
             state_at: None,
+            held_since: None,
+            last_status: None,
             held_at: Vec::new(),
             ended: false,
             begun_at: 0,
