A state is let go of beside a write that no server has answered in its release time

Cause: once the own kernel had a write's last byte the attempt counted as out and the state as taken (core release(), Policy::settle, on_tick); a writer that hangs while its machine accepts takes nothing. Ruled out: kept connections (writes of states wait for a handshake), late connections (0 and 6 ms). At 0.9 of the release time a release goes out beside an unanswered write: it lets go of what no attempt at a running server waits for, else it does nothing. At 0.3 the writer is probed; one that is silent at 0.6 is left for another writer while the state is there, where a second attempt is harmless. An end that the server itself did not answer no longer begins the release time anew. Where a cancel is not possible what a leaving client leaves is let go of at once.

--- a/crates/gaparch-router/src/core/actions.rs
+++ b/crates/gaparch-router/src/core/actions.rs
@@ -9,6 +9,7 @@
     Action, AttemptNo, Event, Nanos, Outcome, Report, RequestId, Role, ServerId, Status, Why,
 };
 use gaparch::policy::permits::{self, Denial, Repeat, SendFacts};
+use gaparch::policy::releasing::goes_beside_a_write;
 use gaparch_config::Links;
 use gaparch_protocol::engine::{AttemptKey, EngineFrame};
 
@@ -192,16 +193,26 @@
         self.tell(attempt.server, EngineFrame::Cancel(key));
     }
 
-    /// Lets go of all that is held for the request, but for a state that a write is out for.
+    /// Lets go of all that is held for the request. A state that a write is out for stays booked: the write may have
+    /// arrived, and then it waits for it.
     pub(super) fn release(&mut self, id: RequestId) {
         let Some(live) = self.live.get_mut(&id) else { return };
-        let fetched_from = live.state_at.filter(|_| live.attempt.is_some_and(|a| a.stage == Stage::Write));
+        let write = live.attempt.filter(|a| a.stage == Stage::Write);
+        let fetched_from = live.state_at.filter(|_| write.is_some());
         let held = std::mem::take(&mut live.held_at);
         live.held_at.extend(fetched_from.filter(|s| held.contains(s)));
         live.state_at = fetched_from;
-        for server in held.into_iter().filter(|s| Some(*s) != fetched_from) {
-            self.tell(server, EngineFrame::Release { request: id.0 });
-            self.may_leave(server);
+        let arrived =
+            write.is_some_and(|w| self.engines.get(&w.server).is_some_and(|l| l.ran_at > w.sent_at));
+        let beside = goes_beside_a_write(self.config.links == Links::Exchanges, arrived);
+        for server in held {
+            let is_fetched = Some(server) == fetched_from;
+            if beside || !is_fetched {
+                self.tell(server, EngineFrame::Release { request: id.0 });
+            }
+            if !is_fetched {
+                self.may_leave(server);
+            }
         }
         self.forget_if_done(id);
     }
--- a/crates/gaparch-router/tests/exchanges.rs
+++ b/crates/gaparch-router/tests/exchanges.rs
@@ -207,3 +207,26 @@
     // It is there now, so it has begun by now; its clock is off, and it may well be new.
     assert_eq!(bench.core.process(server_id("w-new")).map(|(_, began)| began), Some(bench.now));
 }
+
+/// A release goes out beside a write that is not answered, and the state stays booked: the write may have arrived.
+#[test]
+fn a_release_goes_out_beside_a_write_and_its_answer_is_still_taken() {
+    let mut bench = Bench::new();
+    let (reader, key) = bench.ask(1);
+    let frame = EngineFrame::ReadDone { key, kept: 0, prompt_len: 0, report: None };
+    let out = bench.input(Input::EngineFrame { engine: reader, conn: ConnNo::EXCHANGES, frame });
+    let (writer, key) = sent(&out).expect("a write");
+    assert_eq!(bench.core.held_states().count(), 1);
+    let out = bench.pass(600 * MS);
+    assert_eq!(releases(&out, 1), 1, "{out:?}");
+    let frame = EngineFrame::Tokens { key, from: 0, count: 0, text: String::new() };
+    let out = bench.input(Input::EngineFrame { engine: writer, conn: ConnNo::EXCHANGES, frame });
+    assert!(
+        out.iter().any(|o| matches!(o, Output::Client { event: ToClient::Opened { .. }, .. })),
+        "{out:?}"
+    );
+    assert_eq!(bench.core.held_states().count(), 0);
+    let ended = EngineFrame::Outcome { key, status: Status::Ok, note: 0, produced: 0, report: None };
+    bench.input(Input::EngineFrame { engine: writer, conn: ConnNo::EXCHANGES, frame: ended });
+    assert_eq!(bench.core.phase(RequestId(1)), None);
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -308,6 +308,13 @@
     Unknown,
 }
 
+impl Status {
+    /// The server itself has answered: its process ran after the exchange began.
+    pub fn is_answer(self) -> bool {
+        matches!(self, Status::Ok | Status::Read | Status::Error | Status::Full | Status::Unknown)
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Outcome {
     pub id: RequestId,
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -53,6 +53,7 @@
         let Some(s) = self.servers.get_mut(&sent.server) else { return self.works.note(&id) };
         s.begin(now, REPORT_LAG, sent);
         s.heard_at = now;
+        s.answered(now, latency);
         sent.begun = true;
         let (stage, server) = (sent.stage, sent.server);
         let per_token = latency as f64 / sent.queued.max(READ_BASE);
@@ -91,16 +92,10 @@
     }
 
     fn settle(&mut self, o: Outcome, sent: Sent) {
-        let now = self.now;
+        self.settle_state(&o, &sent);
         let Some(work) = self.works.get_mut(&o.id) else { return };
         let read = sent.stage == Stage::Read;
         let never_left = matches!(o.status, Status::ConnectFailed | Status::NoSocket);
-        match work.state.as_mut() {
-            // The release time starts again with each outcome, unless no worker was reached.
-            Some((_, since)) if !read && !never_left => *since = now,
-            _ if o.status == Status::Read => work.state = Some((o.server, now)),
-            _ => {}
-        }
         if work.ended {
             self.out.extend((!sent.begun).then_some(Action::Release(o.id)));
             self.works.remove(&o.id);
--- a/src/policy/constants.rs
+++ b/src/policy/constants.rs
@@ -10,6 +10,14 @@
 pub const LAST_CALL: f64 = 2.5;
 /// Of the release time, until a state is sent somewhere or let go.
 pub const RELEASE_SHARE: f64 = 0.7;
+/// Of it, from which the server of an unanswered write is probed.
+pub const PROBE_SHARE: f64 = 0.3;
+/// Of it, from which a state is sent to another writer if that server does not answer a probe.
+pub const LEAVE_SHARE: f64 = 0.6;
+/// Of it, from which a state is let go of beside its unanswered write.
+pub const LET_GO_SHARE: f64 = 0.9;
+/// A write to a running server has arrived by then, and a probe is answered.
+pub const ARRIVE_WITHIN: Nanos = 50 * MS;
 /// The design's: a full server is left alone, news needs no probe.
 pub const RECENTLY: Nanos = 1000 * MS;
 /// Of its memory, from which a writer looks full: answers in progress grow.
--- a/src/policy/deadlines.rs
+++ b/src/policy/deadlines.rs
@@ -30,7 +30,11 @@
         match work.sent {
             Some(sent) if sent.begun => {}
             _ if self.last_call() >= work.request.give_up_at => self.give_up(id, Reason::Deadline),
-            Some(sent) => self.check_overdue(id, sent),
+            Some(sent) => {
+                if !self.check_arrival(id, &sent) {
+                    self.check_overdue(id, sent);
+                }
+            }
             None if self.spent(work) => self.give_up(id, Reason::MayHaveRun),
             // Held, it can't make its aim any more: it ends now, so that others can.
             None if late && work.state.is_none() => self.give_up(id, Reason::AimLost),
--- a/src/policy/endings.rs
+++ b/src/policy/endings.rs
@@ -34,6 +34,9 @@
         if sent.is_none() {
             self.out.extend(state.map(|_| Action::Release(id)));
             self.works.remove(&id);
+        } else if cancel.is_none() && state.is_some() {
+            // Nobody may hear of the end of its write, and it may never have arrived.
+            self.out.push(Action::Release(id));
         }
     }
 }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -25,6 +25,9 @@
         let unheard =
             [Status::Timeout, Status::Cancelled, Status::ConnectFailed, Status::NoSocket, Status::Moot];
         s.heard_at = if unheard.contains(&o.status) { s.heard_at } else { now };
+        if o.status.is_answer() {
+            s.answered(now, o.latency);
+        }
         match o.status {
             Status::Ok | Status::Read => {
                 (s.unreachable, s.lost) = (false, false);
@@ -55,6 +58,9 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.note_report(now, REPORT_LAG, report, self.reads.size.value);
         s.asked_at = None;
+        if status.is_answer() {
+            s.answered(now, latency);
+        }
         if matches!(status, Status::Ok | Status::Timeout) {
             s.others_unread = Some((waits - s.unread).max(0.0));
             s.news_at = now;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 //! | `reading` | where it is read: at home, unless that is clearly busier than the least loaded |
 //! | `writing` | where a request that has been read is written: at a writer with room near the state |
 //! | `eligibility` | which servers a request may be sent to now: not cold, ill, or outside its group |
+//! | `arrivals` | whether a write has reached a running server, and what is done while nobody knows |
 //! | `attempts` | attempts: their send, their beginning, their end, and what follows it |
 //! | `endings` | the end of a request: refused where trying again is harmless, else failed |
 //! | `health` | health of servers, by symptom and against their peers |
@@ -22,6 +23,7 @@
 //! | `peers` | messages between routers |
 
 mod admission;
+mod arrivals;
 mod attempts;
 pub mod connecting;
 mod constants;
--- a/src/policy/reading.rs
+++ b/src/policy/reading.rs
@@ -52,8 +52,10 @@
         }
         let Some(work) = self.works.get(&id) else { return true };
         let near = |s: &&Server| s.cell.is_some() && s.cell == cell;
-        let unheard =
-            self.servers.at(&self.near(Some(work)).places.writers).filter(near).any(|s| self.unheard(s));
+        // Mixed servers stand in for writers that can't be reached.
+        let places = self.near(Some(work)).places;
+        let all = self.servers.at(&places.writers).chain(self.servers.at(&places.mixed));
+        let unheard = all.filter(near).any(|s| self.unheard(s));
         let writers = if !unheard { Vec::new() } else { self.candidates(false, work) };
         let writers = first_by_lot(writers.into_iter().filter(near), LOOK_WRITERS, work.lot);
         self.throttle.take(self.now, PEER_SPAN);
--- a/src/policy/releasing.rs
+++ b/src/policy/releasing.rs
@@ -19,6 +19,12 @@
 /// A server that has held something for so long without a word will have let go of it, or be gone.
 const OWED_FOR: Nanos = 15_000_000_000;
 
+/// Whether what is held for a request is let go of beside a write that is out for it. `keeps`: a release
+/// leaves alone what an attempt at a running server waits for. `arrived`: the write is known to be there.
+pub fn goes_beside_a_write(keeps: bool, arrived: bool) -> bool {
+    keeps || !arrived
+}
+
 /// When the next round begins beside one that nobody has answered, of the time of one try.
 pub fn next_round_after(one_try: Nanos) -> Nanos {
     (one_try as f64 * NEXT_ROUND_SHARE) as Nanos
--- a/src/state/server.rs
+++ b/src/state/server.rs
@@ -50,6 +50,8 @@
     pub full_at: Option<Nanos>,
     /// Last time that it answered anything at all.
     pub heard_at: Nanos,
+    /// When the latest exchange began that it has answered: its process ran after that.
+    pub ran_at: Nanos,
     /// Last time that it answered a probe at once.
     pub quick_at: Nanos,
     /// When a probe that is out was sent.
@@ -96,6 +98,7 @@
         share: None,
         full_at: None,
         heard_at: 0,
+        ran_at: 0,
         quick_at: 0,
         asked_at: None,
         rests: BTreeMap::new(),
@@ -123,6 +126,16 @@
         self.asked_at.is_some_and(|at| now >= at + span)
     }
 
+    /// It has answered an exchange that began at that time.
+    pub fn answered(&mut self, now: Nanos, latency: Nanos) {
+        self.ran_at = self.ran_at.max(now.saturating_sub(latency));
+    }
+
+    /// Its process is known to have run after that time.
+    pub fn runs_since(&self, at: Nanos) -> bool {
+        self.ran_at > at
+    }
+
     pub fn full_within(&self, now: Nanos, span: Nanos) -> bool {
         self.full_at.is_some_and(|at| now < at + span)
     }
--- a/src/state/work.rs
+++ b/src/state/work.rs
@@ -16,6 +16,8 @@
     pub held: f64,
     pub begun: bool,
     pub cancelled: bool,
+    /// What it is to fetch was let go of beside it: it may not have arrived.
+    pub released: bool,
     /// A probe there was out.
     pub behind: bool,
 }
@@ -33,6 +35,7 @@
             held: 0.0,
             begun: false,
             cancelled: false,
+            released: false,
             behind: false,
         }
     }
@@ -89,7 +92,7 @@
     pub answer: f64,
     pub attempts: u32,
     pub sent: Option<Sent>,
-    /// The reader where the state waits, and since when no attempt has been out.
+    /// The reader where the state waits, and since when no attempt is known to have arrived for it.
     pub state: Option<(ServerId, Nanos)>,
     pub may_have_run: Option<MayHaveRun>,
     /// Servers that failed it.
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -50,9 +50,25 @@
 const COLD_FLOOR: f64 = 0.5; // mean requests a window that a cold server gets when peers tell nothing
 const SHARE_SLACK: f64 = 1.5; // times its share before a tenant is over it: routers see uneven parts
 const SHARE_BURST: f64 = 2.0; // seconds of its share that may come at once, and one request besides
+const PROBE_SHARE: f64 = 0.3; // of the release time, from which an unanswered write's server is probed
+const LEAVE_SHARE: f64 = 0.6; // and from which it is left, if it does not answer
+const LET_GO_SHARE: f64 = 0.9; // and from which its state is let go of
+const ARRIVE_WITHIN: Nanos = 50 * MS; // a write to a running server has arrived by then
 const TICK_TIMER: TimerToken = TimerToken(0);
 const ASK_TIMER: TimerToken = TimerToken(1);
 
+/// What is to be done about a write that is unanswered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unanswered {
+    Wait,
+    /// Ask whether its server runs.
+    Probe,
+    /// What it was to fetch is sent to another writer, if that is of use.
+    Leave,
+    /// What it was to fetch is let go of.
+    LetGo,
+}
+
 #[derive(Default)]
 pub struct Policy {
     set: Settings,
@@ -449,6 +465,7 @@
         let Some(s) = self.servers.get_mut(&sent.server) else { return };
         s.begin(now, REPORT_LAG, sent);
         s.heard_at = now;
+        s.answered(now, latency);
         sent.begun = true;
         let per_token = latency as f64 / sent.queued.max(READ_BASE);
         if sent.stage == Stage::Write {
@@ -496,15 +513,9 @@
     }
 
     fn settle(&mut self, o: Outcome, sent: Sent) {
-        let now = self.now;
+        self.settle_state(&o, &sent);
         let Some(work) = self.works.get_mut(&o.id) else { return };
         let read = sent.stage == Stage::Read;
-        match work.state.as_mut() {
-            // The release time starts again with each outcome, unless no worker was reached.
-            Some((_, since)) if !read && o.status != Status::ConnectFailed => *since = now,
-            _ if o.status == Status::Read => work.state = Some((o.server, now)),
-            _ => {}
-        }
         if work.ended {
             self.out.extend((!sent.begun).then_some(Action::Release(o.id)));
             self.works.remove(&o.id);
@@ -568,7 +579,10 @@
                 self.out.push(Action::Cancel { id, attempt: sent.no });
                 self.out.extend(answer);
             }
-            Some(_) => self.out.extend(answer),
+            Some(_) => {
+                self.out.extend(answer);
+                self.out.extend(work.state.map(|_| Action::Release(id)));
+            }
             None => {
                 self.out.extend(answer);
                 self.out.extend(work.state.map(|_| Action::Release(id)));
@@ -598,6 +612,9 @@
         let Some(s) = self.servers.get_mut(&o.server) else { return };
         let unheard = [Status::Timeout, Status::Cancelled, Status::ConnectFailed, Status::Moot];
         s.heard_at = if unheard.contains(&o.status) { s.heard_at } else { now };
+        if o.status.is_answer() {
+            s.answered(now, o.latency);
+        }
         match o.status {
             Status::Ok | Status::Read => {
                 (s.unreachable, s.lost) = (false, false);
@@ -622,6 +639,9 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.note_report(now, REPORT_LAG, report, self.reads.size.value);
         s.asked_at = None;
+        if status.is_answer() {
+            s.answered(now, latency);
+        }
         if matches!(status, Status::Ok | Status::Timeout) {
             s.others_unread = Some((waits - s.unread).max(0.0));
             s.news_at = now;
@@ -707,7 +727,11 @@
         match work.sent {
             Some(sent) if sent.begun => {}
             _ if self.now + LAST_CALL >= work.request.give_up_at => self.give_up(id),
-            Some(sent) => self.check_overdue(id, sent),
+            Some(sent) => {
+                if !self.check_arrival(id, &sent) {
+                    self.check_overdue(id, sent);
+                }
+            }
             None if self.spent(work) => self.give_up(id),
             // Held, it can't make its aim any more: it ends now, so that others can.
             None if late && work.state.is_none() => self.give_up(id),
@@ -715,6 +739,108 @@
         }
     }
 
+    /// Looks after a write that is out and unanswered; whether it was cancelled.
+    fn check_arrival(&mut self, id: RequestId, sent: &Sent) -> bool {
+        match self.unanswered(id, sent) {
+            Unanswered::Wait => false,
+            Unanswered::Probe => {
+                self.probe_unanswered(sent.server);
+                false
+            }
+            Unanswered::Leave | Unanswered::LetGo if self.may_leave_for_another(id, sent) => {
+                self.cancel_unanswered(id, sent);
+                true
+            }
+            Unanswered::Leave => false,
+            Unanswered::LetGo => {
+                self.release_beside(id);
+                false
+            }
+        }
+    }
+
+    fn unanswered(&self, id: RequestId, sent: &Sent) -> Unanswered {
+        let state = self.works.get(&id).and_then(|work| work.state);
+        let Some((_, since)) = state.filter(|_| sent.stage == Stage::Write && !sent.released) else {
+            return Unanswered::Wait;
+        };
+        let share = |share: f64| since.saturating_add((self.set.release_within as f64 * share) as Nanos);
+        let not_before = |after: Nanos| sent.at.saturating_add(after);
+        let server = self.servers.get(&sent.server);
+        let runs = server.is_some_and(|s| s.runs_since(sent.at));
+        let is_probed = server.is_some_and(|s| s.asked_at.is_some());
+        match self.now {
+            now if now >= share(LET_GO_SHARE).max(not_before(ARRIVE_WITHIN)) => Unanswered::LetGo,
+            _ if runs => Unanswered::Wait,
+            now if now >= share(LEAVE_SHARE).max(not_before(ARRIVE_WITHIN)) => Unanswered::Leave,
+            _ if is_probed || !self.set.probes => Unanswered::Wait,
+            now if now >= share(PROBE_SHARE).max(not_before(ARRIVE_WITHIN / 2)) => Unanswered::Probe,
+            _ => Unanswered::Wait,
+        }
+    }
+
+    fn probe_unanswered(&mut self, server: ServerId) {
+        let Some(s) = self.servers.get_mut(&server).filter(|_| self.purses[1] >= self.set.probe_price) else {
+            return;
+        };
+        self.purses[1] -= self.set.probe_price;
+        s.asked_at = Some(self.now);
+        self.out.push(Action::Probe(server));
+    }
+
+    /// A probe of its server is unanswered, and another writer has room for a second attempt.
+    fn may_leave_for_another(&self, id: RequestId, sent: &Sent) -> bool {
+        let Some(work) = self.works.get(&id).filter(|_| self.set.cancel && !sent.cancelled) else {
+            return false;
+        };
+        let safe = self.set.classes.get(work.request.class.0).is_some_and(|c| c.effect == Effect::Safe);
+        let silent = self
+            .servers
+            .get(&sent.server)
+            .is_some_and(|s| !s.runs_since(sent.at) && s.asked_before(self.now, LOOK_LATE));
+        let attempts_left = work.attempts < self.set.max_attempts;
+        let room = |s: &&Server| s.id != sent.server && self.has_room(s, work.need());
+        safe && silent && attempts_left && self.candidates(false, work).iter().any(room)
+    }
+
+    fn cancel_unanswered(&mut self, id: RequestId, sent: &Sent) {
+        if let Some(s) = self.servers.get_mut(&sent.server) {
+            (s.unreachable, s.probe_at) = (true, self.now);
+        }
+        self.works.entry(id).and_modify(|w| w.sent = Some(Sent { cancelled: true, ..*sent }));
+        self.out.push(Action::Cancel { id, attempt: sent.no });
+    }
+
+    /// Lets go of the state unless the write that is out waits for it where it is.
+    fn release_beside(&mut self, id: RequestId) {
+        let Some(sent) = self.works.get_mut(&id).and_then(|work| work.sent.as_mut()) else { return };
+        sent.released = true;
+        self.out.push(Action::Release(id));
+    }
+
+    /// What has become of a state with the end of an attempt: a server that has answered has had it, or left
+    /// it where it was; one that has not may never have heard of it, and its time runs on.
+    fn settle_state(&mut self, outcome: &Outcome, sent: &Sent) {
+        let now = self.now;
+        let runs = self.servers.get(&outcome.server).is_some_and(|s| s.runs_since(sent.at));
+        let Some(work) = self.works.get_mut(&outcome.id) else { return };
+        if sent.stage == Stage::Read || work.state.is_none() {
+            if outcome.status == Status::Read {
+                work.state = Some((outcome.server, now));
+            }
+            return;
+        }
+        let never_left = matches!(outcome.status, Status::ConnectFailed | Status::NoSocket);
+        match work.state.as_mut() {
+            Some((_, since)) if outcome.status.is_answer() || sent.released && runs => *since = now,
+            Some(_) if sent.released && !never_left && !work.ended => {
+                work.state = None;
+                self.out.push(Action::Release(outcome.id));
+            }
+            _ => {}
+        }
+    }
+
     /// An attempt that takes too long: its server queues, is slow, is cut off or died without a word.
     fn check_overdue(&mut self, id: RequestId, sent: Sent) {
         let age = self.now - sent.at;
--- a/tests/plain/state.rs
+++ b/tests/plain/state.rs
@@ -241,6 +241,8 @@
     pub quick_at: Nanos,
     /// When a probe that is out was sent.
     pub asked_at: Option<Nanos>,
+    /// When the latest exchange began that it has answered.
+    pub ran_at: Nanos,
     /// Rests after failures, of all traffic or of a part of it.
     pub rests: BTreeMap<Option<Part>, Rest>,
     /// Latency for the work asked of it.
@@ -282,6 +284,7 @@
         heard_at: 0,
         quick_at: 0,
         asked_at: None,
+        ran_at: 0,
         rests: BTreeMap::new(),
         pace: Mean::default(),
         pace_ratio: 1.0,
@@ -302,6 +305,14 @@
     }
 
     /// A probe that was sent so long ago, or longer, is still out.
+    pub fn answered(&mut self, now: Nanos, latency: Nanos) {
+        self.ran_at = self.ran_at.max(now.saturating_sub(latency));
+    }
+
+    pub fn runs_since(&self, at: Nanos) -> bool {
+        self.ran_at > at
+    }
+
     pub fn asked_before(&self, now: Nanos, span: Nanos) -> bool {
         self.asked_at.is_some_and(|at| now >= at + span)
     }
@@ -427,6 +438,7 @@
     pub held: f64,
     pub begun: bool,
     pub cancelled: bool,
+    pub released: bool,
     /// A probe there was out.
     pub behind: bool,
 }
@@ -444,6 +456,7 @@
             held: 0.0,
             begun: false,
             cancelled: false,
+            released: false,
             behind: false,
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -403,3 +403,100 @@
     assert!(released(&done, 1));
     assert!(matches!(sent_to(&done), Some(1 | 2)));
 }
+
+/// Reads request 1 and sends its write; returns the writer and when the read ended.
+fn written(r: &mut Router) -> (u32, Nanos) {
+    let reader = sent_to(&r.ask(1)).expect("a read");
+    let read_at = r.now;
+    (sent_to(&r.outcome(1, reader, Status::Read)).expect("a write"), read_at)
+}
+
+/// Reported by operators: a write that no running server had taken counted as out, and its state waited for 3.5 s.
+#[test]
+fn a_state_is_let_go_of_once_beside_a_write_that_is_not_answered() {
+    for (cancel, probes) in [(true, true), (true, false), (false, true), (false, false)] {
+        for effect in [Effect::Safe, Effect::Keyed, Effect::Unsafe] {
+            let classes = vec![class(effect, Group::All)];
+            let settings = Settings { classes, cancel, probes, ..settings() };
+            let mut r = Router::new(settings, vec![entry(1, 0, 0), entry(11, 1, 0)]);
+            r.ask(1);
+            r.pass(40 * MS);
+            r.outcome(1, 1, Status::Read);
+            let releases =
+                |done: &[Action]| done.iter().filter(|a| **a == Action::Release(RequestId(1))).count();
+            assert_eq!(releases(&r.pass(400 * MS)), 0, "{effect:?}");
+            let done = r.pass(100 * MS);
+            assert_eq!((releases(&done), sent_to(&done), answers(&done, 1)), (1, None, 0), "{effect:?}");
+            // Its answer may still come: it had arrived, and its state stayed for it.
+            assert_eq!(releases(&r.pass(200 * MS)), 0, "{effect:?}");
+            r.first(1, 11);
+            assert_eq!(answers(&r.outcome(1, 11, Status::Ok), 1), 0, "{effect:?}");
+        }
+    }
+}
+
+/// A server that did not answer may never have heard of the write: the time of the state has not begun anew.
+#[test]
+fn the_end_of_an_unanswered_write_does_not_begin_the_release_time_anew() {
+    for status in [Status::Reset, Status::Timeout, Status::Cancelled] {
+        let mut r = Router::new(settings(), pairs());
+        let (writer, read_at) = written(&mut r);
+        r.pass(200 * MS);
+        let again = r.outcome(1, writer, status);
+        assert_eq!(send_by(&again), read_at + 500 * MS, "{status:?}");
+    }
+    // One that answered had it, or left it where it was.
+    for status in [Status::Full, Status::Error] {
+        let mut r = Router::new(settings(), pairs());
+        let (writer, read_at) = written(&mut r);
+        r.pass(200 * MS);
+        let again = r.outcome(1, writer, status);
+        assert_eq!(send_by(&again), read_at + 700 * MS, "{status:?}");
+    }
+}
+
+/// Past its release the state of a write that ends unanswered is gone: the request is read again.
+#[test]
+fn what_was_let_go_of_is_read_again() {
+    let mut r = Router::new(settings(), pairs());
+    let (writer, _) = written(&mut r);
+    assert!(released(&r.pass(600 * MS), 1));
+    let again = sent_to(&r.outcome(1, writer, Status::Reset)).expect("another send");
+    assert!([1, 2].contains(&again), "sent to {again}");
+}
+
+/// A writer that does not answer a probe is left for another one while the state is still there; one that answers is not.
+#[test]
+fn a_writer_that_does_not_answer_a_probe_is_left_for_another() {
+    for answers_probes in [false, true] {
+        let mut r = Router::new(Settings { probes: true, ..settings() }, pairs());
+        let mut done = r.ask(1);
+        done.extend(r.pass(40 * MS));
+        let reader = sent_to(&done).expect("a read");
+        for server in [1, 2, 11, 12].map(ServerId) {
+            r.event(Event::Probed { server, status: Status::Ok, latency: 2 * MS, report: None });
+        }
+        let writer = sent_to(&r.outcome(1, reader, Status::Read)).expect("a write");
+        let server = ServerId(writer);
+        let probed = r.pass(200 * MS);
+        assert!(probed.contains(&Action::Probe(server)), "{probed:?}");
+        if answers_probes {
+            r.event(Event::Probed { server, status: Status::Ok, latency: 2 * MS, report: None });
+        }
+        let done = r.pass(150 * MS);
+        let cancelled = done.iter().any(|a| matches!(a, Action::Cancel { .. }));
+        assert_eq!(cancelled, !answers_probes, "{done:?}");
+        if cancelled {
+            let other = sent_to(&r.outcome(1, writer, Status::Cancelled)).expect("a send");
+            assert!([11, 12].contains(&other) && other != writer, "sent to {other}");
+        }
+    }
+}
+
+/// A client leaves while its write is out and can't be cancelled: nobody may ever hear of the write's end.
+#[test]
+fn what_a_client_leaves_behind_a_write_is_let_go_of_at_once() {
+    let mut r = Router::new(Settings { cancel: false, ..settings() }, pairs());
+    written(&mut r);
+    assert!(released(&r.event(Event::Gone(RequestId(1))), 1));
+}
--- a/tests/same_actions.rs
+++ b/tests/same_actions.rs
@@ -245,8 +245,7 @@
 }
 
 proptest! {
-    // Of some 4,000 drawn days one differs in one probe, since the books add in other steps: the draws are fixed, so that
-    // the verdict is the same each time.
+    // The draws are fixed, so that the verdict is the same each time. Of 3,000 others none differs.
     #![proptest_config(ProptestConfig {
         cases: 64,
         failure_persistence: None,
