--- a/crates/gaparch-cli/tests/system_calls.rs
+++ b/crates/gaparch-cli/tests/system_calls.rs
@@ -1,10 +1,11 @@
 //! A router in service as a process whose system calls fail for a while.
 
 use gaparch_lab::platform::{head_and_body, raw, read, until, Platform, LONG};
-use rustix::process::{getrlimit, prlimit, Pid, Resource, Rlimit};
+use gaparch_lab::soak::{Shim, Steering};
+use rustix::process::{getrlimit, kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -21,32 +22,38 @@
     }
 }
 
-fn start(file: &PathBuf) -> Child {
+fn start(file: &Path, environment: Vec<(String, String)>) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_gaparch"));
-    command.args(["--log", "info", "node"]).env("ROUTER_CONFIG", file);
+    command.args(["--log", "info", "node"]).env("ROUTER_CONFIG", file).envs(environment);
     command.stdout(Stdio::null()).stderr(Stdio::piped());
     command.spawn().expect("it starts")
 }
 
 impl Site {
     fn new() -> Site {
-        let platform = Platform::new(|_| {});
-        let router = start(&platform.file);
+        Site::on(Platform::new(|_| {}), Vec::new())
+    }
+
+    fn on(platform: Platform, environment: Vec<(String, String)>) -> Site {
+        let router = start(&platform.file, environment);
         let site = Site { platform, router };
         until("the router is ready", || site.platform.health() == 200);
         site
     }
 
+    fn pid(&self) -> Pid {
+        Pid::from_raw(self.router.id() as i32).expect("it was started")
+    }
+
     fn descriptors(&self) -> u64 {
         let folder = format!("/proc/{}/fd", self.router.id());
         std::fs::read_dir(folder).expect("it runs").count() as u64
     }
 
     fn limit_descriptors(&self, most: Option<u64>) {
-        let pid = Pid::from_raw(self.router.id() as i32);
         let maximum = getrlimit(Resource::Nofile).maximum;
         let limit = Rlimit { current: most.or(maximum), maximum };
-        prlimit(pid, Resource::Nofile, limit).expect("its limit is set");
+        prlimit(Some(self.pid()), Resource::Nofile, limit).expect("its limit is set");
     }
 }
 
@@ -73,7 +80,7 @@
 fn an_address_that_is_taken_as_a_router_starts_is_listened_at_once_it_is_free() {
     let platform = Platform::new(|_| {});
     let taken = TcpListener::bind(platform.listen).expect("it is free");
-    let site = Site { router: start(&platform.file), platform };
+    let site = Site { router: start(&platform.file, Vec::new()), platform };
     std::thread::sleep(Duration::from_millis(400));
     drop(taken);
     until("the router is ready", || site.platform.health() == 200);
@@ -90,3 +97,24 @@
     assert_eq!(raw(site.platform.listen, &request, LONG).status, 200);
     assert!(site.router.try_wait().expect("it was started").is_none(), "it has ended");
 }
+
+/// Signals come in series while the calls by which a process hears of them fail: none ends the router, none is lost.
+#[test]
+fn signals_that_come_while_calls_fail_end_no_router_and_are_heard() {
+    let platform = Platform::new(|_| {});
+    let folder = platform.file.parent().expect("a folder").to_owned();
+    let shim = Shim::compile(&folder).expect("a C compiler");
+    let steering = Steering::new(folder.join("faults")).expect("a file");
+    let mut site = Site::on(platform, shim.environment(&steering, 0, 7));
+    steering.set(true).expect("set");
+    for _ in 0..40 {
+        kill_process(site.pid(), Signal::HUP).expect("it runs");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(site.router.try_wait().expect("it was started").is_none(), "it has ended");
+    kill_process(site.pid(), Signal::TERM).expect("it runs");
+    std::thread::sleep(Duration::from_millis(500));
+    steering.set(false).expect("set");
+    let status = site.router.wait().expect("it was started");
+    assert!(status.success(), "{status}");
+}
--- a/crates/gaparch-lab/src/soak/mod.rs
+++ b/crates/gaparch-lab/src/soak/mod.rs
@@ -16,6 +16,7 @@
 mod worker;
 
 pub use judge::{judge, Facts, RouterFacts, WorkerFacts};
+pub use shim::{Shim, Steering};
 pub use worker::run as run_worker;
 
 use clients::Answer;
--- a/crates/gaparch-node/tests/hanging_writers.rs
+++ b/crates/gaparch-node/tests/hanging_writers.rs
@@ -6,6 +6,7 @@
 use common::Site;
 use gaparch_lab::platform::{ask, head_and_body, instance, until, Got, HangingRelay, Platform, Seen};
 use serde_json::{json, Value};
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread::JoinHandle;
@@ -100,6 +101,22 @@
     });
 }
 
+/// One of two writers hangs: what may be repeated is served by the other one.
+#[test]
+fn what_was_read_is_fetched_by_another_writer_while_one_hangs() {
+    let hanging = HangingSite::with(2, |_| {});
+    assert_eq!(ask(hanging.site.listen, "before").status, 200);
+    hanging.relays[0].hang();
+    let names: Vec<String> = (0..12).map(|number| format!("held-{number}")).collect();
+    let asked: BTreeMap<&str, JoinHandle<Got>> =
+        names.iter().map(|name| (name.as_str(), hanging.asks(name))).collect();
+    for (name, answer) in asked {
+        assert_eq!(answer.join().expect("no panic").status, 200, "{name}");
+        hanging.is_not_pinned(name);
+    }
+    hanging.site.no_second_copies();
+}
+
 /// A write whose state was let go of is turned away once its writer goes on, so that it has not run: it is read again
 /// and served, also if it may run only once.
 #[test]
