Signals are heard by flags that their handlers set, not by a call that can fail

Ruled out: the router's own code, which only awaits the driver. Conclusion: class: an internal wake-up trusted not to fail.

--- a/crates/gaparch-cli/src/commands/mod.rs
+++ b/crates/gaparch-cli/src/commands/mod.rs
@@ -17,8 +17,8 @@
 pub mod try_out;
 
 use gaparch_config::Config;
+use gaparch_net::{Signal, Signals};
 use std::path::Path;
-use tokio::signal::unix::{signal, SignalKind};
 
 /// Reads a settings file; every mistake is one line with file, line and element.
 pub fn settings(file: &Path) -> Result<Config, String> {
@@ -36,9 +36,9 @@
 
 /// Waits for Ctrl-C or SIGTERM.
 pub async fn asked_to_stop() -> std::io::Result<&'static str> {
-    let mut term = signal(SignalKind::terminate())?;
-    tokio::select! {
-        pressed = tokio::signal::ctrl_c() => pressed.map(|()| "interrupted"),
-        _ = term.recv() => Ok("terminated"),
+    let signals = Signals::hear(&[Signal::Terminate, Signal::Interrupt])?;
+    match signals.next().await {
+        Signal::Interrupt => Ok("interrupted"),
+        Signal::Terminate | Signal::Hangup => Ok("terminated"),
     }
 }
--- a/crates/gaparch-node/src/run.rs
+++ b/crates/gaparch-node/src/run.rs
@@ -10,7 +10,7 @@
 use crate::transient::connect_failure;
 use crate::worker::Pool;
 use gaparch::policy::connecting::ConnectFailure;
-use gaparch_net::Clock;
+use gaparch_net::{Clock, Signal, Signals};
 use gaparch_platform::config::{ConfigError, NodeConfig};
 use std::io;
 use std::net::SocketAddr;
@@ -19,7 +19,6 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
@@ -80,14 +79,13 @@
 /// When the file can't be used or an address can't be listened at.
 pub async fn run(file: PathBuf) -> Result<(), NodeError> {
     // Before anybody can hear that this router is ready, a signal must not end it.
-    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
-    let mut reload = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
+    let signals = Signals::hear(&[Signal::Terminate, Signal::Hangup]).map_err(NodeError::Signals)?;
     let (orders, taken) = mpsc::channel(4);
     tokio::spawn(async move {
         loop {
-            let order = tokio::select! {
-                _ = terminate.recv() => Order::End,
-                _ = reload.recv() => Order::Reload,
+            let order = match signals.next().await {
+                Signal::Hangup => Order::Reload,
+                Signal::Terminate | Signal::Interrupt => Order::End,
             };
             if orders.send(order).await.is_err() {
                 return;
