Red test: a crowd at the end of a router lets late requests in

Cause: the order that nothing new is taken follows the last acceptance of waiting connections, which a crowd draws out. Conclusion: the intake has to end by the clock.

--- /dev/null
+++ b/crates/gaparch-node/tests/shutdown.rs
@@ -0,0 +1,92 @@
+//! The end of a router whose clients go on sending: what comes late is refused at once, whoever else comes, since the process
+//! may be killed soon after.
+
+mod common;
+
+use common::Site;
+use gaparch_lab::platform::{events, head_and_body, read, stream, Step, LONG};
+use gaparch_node::Order;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// An answer whose first event comes at once and the rest after that time.
+fn slow_stream(after: Duration) -> Vec<Step> {
+    let whole = stream(&events());
+    let first = whole.windows(4).position(|w| w == b"\n\n\r\n").expect("an event") + 4;
+    let (first, rest) = whole.split_at(first);
+    vec![Step::Put(first.to_vec()), Step::Wait(after), Step::Put(rest.to_vec())]
+}
+
+/// Connections that come from then on for so long and begin a request each: none of them can be shed.
+fn crowd(site: &Site, from: Instant, for_how_long: Duration) -> std::thread::JoinHandle<Vec<TcpStream>> {
+    let listen = site.listen;
+    std::thread::spawn(move || {
+        std::thread::sleep(from.saturating_duration_since(Instant::now()));
+        let mut all = Vec::new();
+        while from.elapsed() < for_how_long && all.len() < 60 {
+            let Ok(mut client) = TcpStream::connect(listen) else { break };
+            let _ = client.write_all(b"POST /v1/chat/completions HTTP/1.1\r\n");
+            all.push(client);
+        }
+        all
+    })
+}
+
+/// The platform counts from 0.7 s after the order. A router that is busy with connections that come just then must not
+/// take what comes on an open one all the same.
+#[test]
+fn what_comes_late_on_an_open_connection_is_refused_while_a_crowd_connects() {
+    let site = Site::with(|config| config["limits"]["sockets"] = json!(64));
+    site.next_write(&slow_stream(ms(850)));
+    let mut client = TcpStream::connect(site.listen).expect("it listens");
+    client.write_all(&head_and_body("early", "{}")).expect("written");
+    client.set_read_timeout(Some(LONG)).expect("set");
+    client.read_exact(&mut [0; 1]).expect("its answer begins");
+    let told = Instant::now();
+    site.order(Order::End);
+    let crowd = crowd(&site, told + ms(350), ms(500));
+    // Its answer did not say that the connection would close: the client goes on with it.
+    assert!(read(&mut client, LONG).whole || told.elapsed() < LONG);
+    let _ = client.write_all(&head_and_body("late", "{}"));
+    assert!(told.elapsed() > ms(700), "the machine is faster than the test");
+    let answer = read(&mut client, LONG);
+    assert_ne!(answer.status, 200, "taken {:?} after the order", told.elapsed());
+    assert!(site.floor.asked().iter().all(|(_, txn)| txn != "late"));
+    drop(crowd.join().expect("no panic"));
+    drop(client);
+    site.ended();
+}
+
+/// Nothing of this takes long: whoever asks late hears so within a moment, for as long as the router has open connections.
+#[test]
+fn what_comes_on_open_connections_is_refused_at_once_until_the_last_stream_ends() {
+    let site = Site::with(|config| config["limits"]["sockets"] = json!(256));
+    let clients: Vec<TcpStream> = (0..6)
+        .map(|number| {
+            site.next_write(&slow_stream(ms(500 + 400 * number)));
+            let mut client = TcpStream::connect(site.listen).expect("it listens");
+            client.write_all(&head_and_body(&format!("early-{number}"), "{}")).expect("written");
+            client.set_read_timeout(Some(LONG)).expect("set");
+            client.read_exact(&mut [0; 1]).expect("its answer begins");
+            client
+        })
+        .collect();
+    let told = Instant::now();
+    site.order(Order::End);
+    for (number, mut client) in clients.into_iter().enumerate() {
+        read(&mut client, LONG);
+        let late = told.elapsed() > ms(700);
+        let asked = Instant::now();
+        let _ = client.write_all(&head_and_body(&format!("late-{number}"), "{}"));
+        let answer = read(&mut client, LONG);
+        assert!(!late || [0, 503].contains(&answer.status), "{}", answer.status);
+        assert!(!late || asked.elapsed() < ms(500), "told so after {:?}", asked.elapsed());
+    }
+    site.ended();
+}
