Soak: clients go on to the kill, signals in series, crowds, deadlines, hangs judged

Cause: the soak's kill came at 3.7 s whatever the deadline, its clients asked once, and its judge excused every state while a worker was stopped. Change: deadlines of 0.9 to 5 s drawn by seed, kill at the longest (3 s at most) and 0.7 s; two clients a router go on with open connections; one to four signals in a series; crowds in a third of the runs; long answers; the judge no longer excuses stopped workers, judges what comes late after SIGTERM, and takes a forwarded request whose connection closed for lost.

--- a/crates/gaparch-lab/src/scale/real/wire.rs
+++ b/crates/gaparch-lab/src/scale/real/wire.rs
@@ -100,6 +100,12 @@
         self.stream.write_all(bytes).await.ok()
     }
 
+    /// Ends the connection; what is on its way to the other side arrives.
+    pub async fn close(&mut self) {
+        // One that the other side has ended needs no end.
+        let _ = self.stream.shutdown().await;
+    }
+
     /// A whole answer; how many bytes it had.
     pub async fn answer(&mut self, status: &str, body: &str) -> Option<usize> {
         let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
--- a/crates/gaparch-lab/src/soak/clients.rs
+++ b/crates/gaparch-lab/src/soak/clients.rs
@@ -7,10 +7,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
-/// How long a client waits for its first token, and how long it reads a stream.
-pub const PATIENCE: Duration = Duration::from_millis(3000);
+/// How long a client reads a stream.
 const STREAM: Duration = Duration::from_secs(10);
 /// Who stops in the middle of a request is owed an error or a close by then.
 pub const RUDE_WITHIN: Duration = Duration::from_secs(3);
@@ -26,6 +25,8 @@
     Leaves(Duration),
     /// It sends half a request and stays.
     StopsHalfway,
+    /// It goes on with its connection for as long as that is open.
+    Stays,
 }
 
 /// What became of a request.
@@ -56,6 +57,10 @@
     pub router: usize,
     pub class: &'static str,
     pub manner: Manner,
+    /// Its connection had carried a request before: it may have ended as this one was sent.
+    pub reused: bool,
+    /// How long its client waits for the first token.
+    pub patience: Duration,
     /// When its last byte was written.
     pub sent_ns: u64,
     /// When its answer's head came, or it was known that none would.
@@ -72,26 +77,95 @@
     }
 }
 
+/// Where a client asks, and how long it waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    pub address: SocketAddr,
+    pub router: usize,
+    pub patience: Duration,
+}
+
+impl Target {
+    fn asked(&self, number: u64, class: &'static str, manner: Manner) -> Asked {
+        Asked {
+            txn: format!("n{}-{number}", self.router),
+            router: self.router,
+            class,
+            manner,
+            reused: false,
+            patience: self.patience,
+            sent_ns: monotonic_ns(),
+            answered_ns: 0,
+            answer: Answer::NotSent,
+        }
+    }
+
+    async fn connect(&self) -> Option<Connection> {
+        let stream = timeout(self.patience, TcpStream::connect(self.address)).await.ok()?.ok()?;
+        Some(Connection::new(stream))
+    }
+}
+
 /// Asks once on a connection of its own.
-pub async fn ask(to: SocketAddr, router: usize, number: u64, class: &'static str, manner: Manner) -> Asked {
-    let txn = format!("n{router}-{number}");
-    let mut asked = Asked {
-        txn,
-        router,
-        class,
-        manner,
-        sent_ns: monotonic_ns(),
-        answered_ns: 0,
-        answer: Answer::NotSent,
+pub async fn ask(to: Target, number: u64, class: &'static str, manner: Manner) -> Asked {
+    let mut asked = to.asked(number, class, manner);
+    asked.answer = match to.connect().await {
+        Some(mut connection) => exchange(&mut connection, number, &mut asked).await,
+        None => Answer::NotSent,
     };
-    asked.answer = exchange(to, number, &mut asked).await;
     asked.answered_ns = if asked.answered_ns == 0 { monotonic_ns() } else { asked.answered_ns };
     asked
 }
 
-async fn exchange(to: SocketAddr, number: u64, asked: &mut Asked) -> Answer {
-    let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(to)).await else { return Answer::NotSent };
-    let mut connection = Connection::new(stream);
+/// Between two requests of a client that stays.
+const NEXT_AFTER: Duration = Duration::from_millis(40);
+/// Before a client that stays tries to connect again.
+const CONNECT_AGAIN: Duration = Duration::from_millis(100);
+/// The numbers of requests of clients that stay begin here: others' are lower.
+const FIRST_NUMBER: u64 = 1_000_000;
+/// Between the first numbers of two such clients.
+const NUMBERS: u64 = 100_000;
+
+/// Asks again and again, on one connection for as long as that is open, until the time is over.
+pub async fn keep_asking(to: Target, client: u64, until: Instant) -> Vec<Asked> {
+    let (mut all, mut open) = (Vec::new(), None);
+    let mut number = FIRST_NUMBER + client * NUMBERS;
+    while Instant::now() < until {
+        let class = CLASSES[(number % CLASSES.len() as u64) as usize];
+        let mut asked = to.asked(number, class, Manner::Stays);
+        asked.reused = open.is_some();
+        if open.is_none() {
+            open = to.connect().await;
+        }
+        let Some(mut connection) = open.take() else {
+            sleep(CONNECT_AGAIN).await;
+            continue;
+        };
+        asked.answer = exchange(&mut connection, number, &mut asked).await;
+        asked.answered_ns = if asked.answered_ns == 0 { monotonic_ns() } else { asked.answered_ns };
+        let goes_on = matches!(asked.answer, Answer::Served | Answer::Refused | Answer::Failed(_));
+        open = Some(connection).filter(|_| goes_on);
+        all.push(asked);
+        number += 1;
+        sleep(NEXT_AFTER).await;
+    }
+    all
+}
+
+/// Connections that ask nothing, or begin a request and leave it there; held for so long.
+pub async fn crowd(to: Target, connections: usize, span: Duration) {
+    let mut all = Vec::new();
+    for number in 0..connections {
+        let Some(mut connection) = to.connect().await else { break };
+        if number % 3 == 0 {
+            let _ = connection.write(b"POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\n").await;
+        }
+        all.push(connection);
+    }
+    sleep(span).await;
+}
+
+async fn exchange(connection: &mut Connection, number: u64, asked: &mut Asked) -> Answer {
     let body = "{\"stream\":true}";
     let request = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nX-Txn: {}\r\nX-Lane: {}\r\nX-Org: acme\r\n\
@@ -99,7 +173,7 @@
         asked.txn,
         asked.class,
         number % 40,
-        PATIENCE.as_millis(),
+        asked.patience.as_millis(),
         body.len()
     );
     let length = if asked.manner == Manner::StopsHalfway { request.len() / 2 } else { request.len() };
@@ -109,11 +183,15 @@
     asked.sent_ns = monotonic_ns();
     if let Manner::Leaves(after) = asked.manner {
         sleep(after).await;
-        drop(connection);
+        connection.close().await;
         return Answer::Left;
     }
-    // Half a second more, after which an answer counts as none.
-    let Ok(head) = timeout(PATIENCE + Duration::from_secs(1), connection.head()).await else {
+    // A second more, after which an answer counts as none; who stops halfway waits for what is owed to it.
+    let within = match asked.manner {
+        Manner::StopsHalfway => RUDE_WITHIN,
+        _ => asked.patience,
+    };
+    let Ok(head) = timeout(within + Duration::from_secs(1), connection.head()).await else {
         return Answer::Nothing;
     };
     asked.answered_ns = monotonic_ns();
@@ -123,7 +201,13 @@
             Ok(Some(_)) => Answer::Served,
             _ => Answer::Broken,
         },
-        429 | 503 => Answer::Refused,
-        status => Answer::Failed(status),
+        status => {
+            // The next answer on this connection follows it.
+            let _ = connection.body(head.length).await;
+            match status {
+                429 | 503 => Answer::Refused,
+                status => Answer::Failed(status),
+            }
+        }
     }
 }
--- a/crates/gaparch-lab/src/soak/faults.rs
+++ b/crates/gaparch-lab/src/soak/faults.rs
@@ -19,12 +19,12 @@
     ResetConnections { worker: usize },
     /// New connections to a worker come up late.
     LateConnections { worker: usize, span: Duration },
-    /// A router is told to end, and starts again with its wall clock off.
-    EndRouter { router: usize, clock_ahead_s: i64 },
+    /// A router is told to end by a series of signals, and starts again with its wall clock off.
+    EndRouter { router: usize, clock_ahead_s: i64, signals: u32 },
     /// A router is killed, and starts again with its wall clock off.
     KillRouter { router: usize, clock_ahead_s: i64 },
-    /// A router's configuration is written in two halves; it is told to read it before the second.
-    ReloadRouter { router: usize },
+    /// A router's configuration is written in two halves; it is told to read it before the second, once or in a series.
+    ReloadRouter { router: usize, signals: u32 },
     /// A router is held up.
     HoldRouter { router: usize, span: Duration },
     /// System calls of a router fail.
@@ -33,6 +33,27 @@
     SilenceCatalogue { router: usize, span: Duration },
     /// Changes are told as whole lists.
     WholeLists { span: Duration },
+    /// Connections that ask nothing, or only begin to, fill a router's descriptors; then it is told to end.
+    CrowdRouter { router: usize, connections: usize, span: Duration },
+}
+
+/// What holds for a whole run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shape {
+    /// The deployment's longest deadline, for which every client waits.
+    pub patience: Duration,
+    /// Crowds of connections are among the troubles.
+    pub crowds: bool,
+}
+
+/// Deadlines of the deployments, in milliseconds.
+const PATIENCES_MS: [u64; 4] = [900, 1_500, 3_000, 5_000];
+
+/// Draws what holds for a run.
+pub fn shape(seed: u64) -> Shape {
+    let mut draws = ChaCha8Rng::seed_from_u64(seed ^ 0x5aa9);
+    let patience = Duration::from_millis(PATIENCES_MS[draws.random_range(0..PATIENCES_MS.len())]);
+    Shape { patience, crowds: draws.random_range(0..3) == 0 }
 }
 
 /// A trouble and when it begins.
@@ -52,12 +73,19 @@
 pub fn draw(seed: u64, span: Duration, routers: usize, workers: usize) -> Vec<Event> {
     let mut draws = ChaCha8Rng::seed_from_u64(seed);
     let mut events = Vec::new();
+    let crowds = shape(seed).crowds;
     let mut group = 1_500;
     while Duration::from_millis(group + GROUP_EVERY_MS) < span {
         for _ in 0..draws.random_range(2..=3) {
             let at = Duration::from_millis(group + draws.random_range(0..GROUP_SPREAD_MS));
             events.push(Event { at, trouble: draw_one(&mut draws, routers, workers) });
         }
+        if crowds {
+            let router = draws.random_range(0..routers);
+            let (connections, span) = (draws.random_range(100..400), Duration::from_millis(1_500));
+            let at = Duration::from_millis(group);
+            events.push(Event { at, trouble: Trouble::CrowdRouter { router, connections, span } });
+        }
         group += GROUP_EVERY_MS;
     }
     events.sort_by_key(|event| event.at);
@@ -76,9 +104,9 @@
         3 => Trouble::SilenceConnections { worker },
         4 => Trouble::ResetConnections { worker },
         5 => Trouble::LateConnections { worker, span },
-        6 => Trouble::EndRouter { router, clock_ahead_s },
+        6 => Trouble::EndRouter { router, clock_ahead_s, signals: draws.random_range(1..=4) },
         7 => Trouble::KillRouter { router, clock_ahead_s },
-        8 => Trouble::ReloadRouter { router },
+        8 => Trouble::ReloadRouter { router, signals: draws.random_range(1..=5) },
         9 => Trouble::HoldRouter { router, span: Duration::from_millis(draws.random_range(20..150)) },
         10 => Trouble::FailCalls { router, span },
         11 => Trouble::SilenceCatalogue { router, span: span * 2 },
--- a/crates/gaparch-lab/src/soak/judge.rs
+++ b/crates/gaparch-lab/src/soak/judge.rs
@@ -1,7 +1,7 @@
 //! The rules, judged from what clients, workers and the catalogue saw of a run.
 
 use super::catalogue::Told;
-use super::clients::{Answer, Asked, Manner, PATIENCE, RUDE_WITHIN};
+use super::clients::{Answer, Asked, Manner, RUDE_WITHIN};
 use super::processes::Life;
 use super::worker::{Entry, Kind};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +15,10 @@
 const TOLD_SLACK: Duration = Duration::from_millis(150);
 /// A router that has been told to end takes what comes so soon after; what it may do with the rest is refuse it.
 const TAKEN_AFTER_TERM: Duration = Duration::from_millis(400);
+/// What comes later than this after SIGTERM is owed an answer before the router is killed.
+const OWED_AFTER_TERM: Duration = Duration::from_millis(700);
+/// A request so shortly before a kill may cross it.
+const CROSSES_KILL: Duration = Duration::from_millis(100);
 /// Between the close of an attempt here and its worker's noticing it.
 const CLOSE_SEEN: Duration = Duration::from_millis(100);
 
@@ -48,6 +52,8 @@
 pub struct RouterFacts {
     pub lives: Vec<Life>,
     pub stops: Vec<(u64, u64)>,
+    /// When crowds of connections filled its descriptors: new ones may be shut unread then.
+    pub crowds: Vec<(u64, u64)>,
     pub log: String,
 }
 
@@ -70,7 +76,8 @@
 pub fn judge(facts: &Facts) -> Vec<String> {
     let attempts = attempts(facts);
     let mut breaches = Vec::new();
-    answers(facts, &mut breaches);
+    answers(facts, &attempts, &mut breaches);
+    late_requests(facts, &mut breaches);
     double_effects(facts, &attempts, &mut breaches);
     drains(facts, &attempts, &mut breaches);
     held(facts, &attempts, &mut breaches);
@@ -121,19 +128,29 @@
     let lives = &facts.routers.get(asked.router)?.lives;
     let life =
         lives.iter().find(|l| l.from_ns <= asked.sent_ns && l.until_ns.is_none_or(|u| u > asked.sent_ns))?;
-    let due = asked.sent_ns + ns(PATIENCE);
+    let due = asked.sent_ns + ns(asked.patience);
     let killed_before = life.killed && life.until_ns.is_some_and(|until| until < due + ns(ANSWER_SLACK));
     let late = life.told_to_end_ns.is_some_and(|told| asked.sent_ns > told + ns(TAKEN_AFTER_TERM));
     (!killed_before && !late).then_some(life)
 }
 
+fn sent_after_term(life: &Life, asked: &Asked) -> bool {
+    life.told_to_end_ns.is_some_and(|told| asked.sent_ns > told)
+}
+
+/// Whether a crowd filled the descriptors of its router as a request was sent.
+fn crowded(facts: &Facts, asked: &Asked) -> bool {
+    let router = facts.routers.get(asked.router);
+    router.is_some_and(|r| r.crowds.iter().any(|(from, until)| (*from..=*until).contains(&asked.sent_ns)))
+}
+
 /// Whether a router was held up between two times.
 fn held_up(router: Option<&RouterFacts>, from_ns: u64, until_ns: u64) -> bool {
     router.is_some_and(|r| r.stops.iter().any(|(from, until)| *from <= until_ns && *until >= from_ns))
 }
 
 /// Rule 1: one final answer to each request, in its client's time; bad clients get an error or a close.
-fn answers(facts: &Facts, breaches: &mut Vec<String>) {
+fn answers(facts: &Facts, attempts: &BTreeMap<&str, Vec<Attempt>>, breaches: &mut Vec<String>) {
     for asked in &facts.asked {
         let Some(life) = owing_life(facts, asked) else { continue };
         let took = Duration::from_nanos(asked.answered_ns.saturating_sub(asked.sent_ns));
@@ -146,13 +163,14 @@
                 breaches.push(format!("{txn}: half a request is told so after {took:?}"));
             }
             (Manner::StopsHalfway, _) | (_, Answer::Left | Answer::NotSent) => {}
-            // A request that crosses the end of a router that was told to end.
-            (_, Answer::ClosedUnanswered) if life.told_to_end_ns.is_some_and(|told| asked.sent_ns > told) => {
-            }
+            // A request that crosses the end of its connection, and was not read.
+            (_, Answer::ClosedUnanswered)
+                if (asked.reused || crowded(facts, asked) || sent_after_term(life, asked))
+                    && !attempts.contains_key(txn.as_str()) => {}
             (_, Answer::ClosedUnanswered | Answer::Nothing) => {
                 breaches.push(format!("{txn}: lost: {answer:?} after {took:?}"));
             }
-            (_, _) if took > PATIENCE + ANSWER_SLACK + facts.slack => {
+            (_, _) if took > asked.patience + ANSWER_SLACK + facts.slack => {
                 breaches.push(format!("{txn}: answered after {took:?}: {answer:?}"));
             }
             _ => {}
@@ -160,6 +178,23 @@
     }
 }
 
+/// Rule 1: what comes later than 0.7 s after SIGTERM, on whatever connection is still open, has its whole answer before
+/// the kill.
+fn late_requests(facts: &Facts, breaches: &mut Vec<String>) {
+    for asked in &facts.asked {
+        let lives = facts.routers.get(asked.router).map_or(&[][..], |router| &router.lives);
+        let is_late = |life: &&Life| {
+            let (Some(told), Some(until)) = (life.told_to_end_ns, life.until_ns) else { return false };
+            asked.sent_ns > told + ns(OWED_AFTER_TERM)
+                && asked.sent_ns + ns(CROSSES_KILL + facts.slack) < until
+        };
+        let lost = matches!(asked.answer, Answer::Nothing | Answer::Broken);
+        if lost && asked.manner != Manner::StopsHalfway && lives.iter().any(|life| is_late(&life)) {
+            breaches.push(format!("{}: came late after SIGTERM and is lost: {:?}", asked.txn, asked.answer));
+        }
+    }
+}
+
 /// Rule 2: never two attempts at once, no second execution of what may run once, no refusal of what may have run.
 fn double_effects(facts: &Facts, attempts: &BTreeMap<&str, Vec<Attempt>>, breaches: &mut Vec<String>) {
     let by_txn: BTreeMap<&str, &Asked> =
@@ -242,9 +277,7 @@
                 of.iter().any(|a| a.asked_ns >= read.asked_ns && a.asked_ns > from && a.asked_ns <= until);
             let released =
                 releases.get(txn).is_some_and(|all| all.iter().any(|at| *at > read.asked_ns && *at <= until));
-            // A write that has reached a stopped process is seen by it only when it goes on.
-            let unseen = facts.workers.iter().any(|w| w.stops.iter().any(|(a, b)| *a <= until && *b >= from));
-            if !fetched && !released && !unseen && !held_up(router, from, until) {
+            if !fetched && !released && !held_up(router, from, until) {
                 let worker = &facts.workers[read.worker].name;
                 breaches.push(format!("{txn}: what {worker} holds for it was neither fetched nor let go of"));
             }
@@ -277,7 +310,7 @@
 /// The time that an attempt tells its worker is at most what its client has left.
 fn times_told(facts: &Facts, attempts: &BTreeMap<&str, Vec<Attempt>>, breaches: &mut Vec<String>) {
     for asked in &facts.asked {
-        let due = asked.sent_ns + ns(PATIENCE + TOLD_SLACK + facts.slack);
+        let due = asked.sent_ns + ns(asked.patience + TOLD_SLACK + facts.slack);
         let router = facts.routers.get(asked.router);
         for attempt in attempts.get(asked.txn.as_str()).into_iter().flatten() {
             let worker = &facts.workers[attempt.worker];
--- a/crates/gaparch-lab/src/soak/judge_tests.rs
+++ b/crates/gaparch-lab/src/soak/judge_tests.rs
@@ -11,6 +11,8 @@
         router: 0,
         class: CLASSES[0],
         manner: Manner::Usual,
+        reused: false,
+        patience: Duration::from_secs(3),
         sent_ns: 1_000 * MS,
         answered_ns: 1_200 * MS,
         answer,
--- a/crates/gaparch-lab/src/soak/processes.rs
+++ b/crates/gaparch-lab/src/soak/processes.rs
@@ -10,8 +10,17 @@
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
 
-/// After SIGTERM a router may still be killed no sooner than this: the longest deadline and 0.7 s.
-const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+/// A deployment's longest deadline counts as this where it is longer.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+/// Past that deadline a router that was told to end is killed no sooner.
+const KILLED_PAST: Duration = Duration::from_millis(700);
+/// Between two signals of a series.
+const SIGNALS_APART: Duration = Duration::from_millis(60);
+
+/// How long after SIGTERM a router of a deployment may be killed at the earliest.
+pub fn killed_after(longest_deadline: Duration) -> Duration {
+    longest_deadline.min(LONGEST_COUNTED) + KILLED_PAST
+}
 
 /// One life of a process, in nanoseconds of the machine's monotonic clock.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -80,8 +89,18 @@
         self.end(|life| life.killed = true);
     }
 
-    /// SIGTERM; killed if it has not ended when the platform may do so.
-    pub async fn leave(&mut self) {
+    /// The same signal several times, shortly after one another.
+    pub async fn signal_in_series(&self, signal: Signal, times: u32) {
+        for number in 0..times {
+            if number > 0 {
+                sleep(SIGNALS_APART).await;
+            }
+            self.signal(signal);
+        }
+    }
+
+    /// SIGTERM, in a series with others; killed if it has not ended when the platform may do so.
+    pub async fn leave(&mut self, signals: u32, killed_after: Duration) {
         self.note_crash();
         if self.child.is_none() {
             return;
@@ -90,7 +109,11 @@
         if let Some(life) = self.lives.last_mut() {
             life.told_to_end_ns = Some(monotonic_ns());
         }
-        let until = Instant::now() + KILLED_AFTER;
+        let until = Instant::now() + killed_after;
+        for number in 1..signals {
+            sleep(SIGNALS_APART).await;
+            self.signal(if number % 2 == 1 { Signal::HUP } else { Signal::TERM });
+        }
         while Instant::now() < until {
             let ended = self.child.as_mut().and_then(|child| child.try_wait().ok().flatten());
             if let Some(status) = ended {
@@ -146,6 +169,8 @@
     pub file: PathBuf,
     pub config: String,
     pub steering: Steering,
+    /// When crowds of connections filled its descriptors.
+    pub crowds: Vec<(u64, u64)>,
 }
 
 impl Router {
--- a/crates/gaparch-lab/src/soak/site.rs
+++ b/crates/gaparch-lab/src/soak/site.rs
@@ -1,10 +1,10 @@
 //! The site of a run: its processes, its load, and its troubles as they are played.
 
 use super::catalogue::{Catalogue, Listed};
-use super::clients::{ask, draw_manner, Asked, CLASSES};
-use super::faults::{draw, Event, Trouble};
+use super::clients::{ask, crowd, draw_manner, keep_asking, Asked, Target, CLASSES};
+use super::faults::{draw, shape, Event, Shape, Trouble};
 use super::judge::{Facts, RouterFacts, WorkerFacts};
-use super::processes::{Process, Router};
+use super::processes::{killed_after, Process, Router};
 use super::proxy::Proxy;
 use super::shim::{Shim, Steering};
 use super::worker::{monotonic_ns, Entry};
@@ -32,7 +32,10 @@
 /// What new connections to a worker may take longer: less than the slack of the time told.
 const LATE: Duration = Duration::from_millis(120);
 const DESCRIPTORS: usize = 512;
+/// Clients of each router that go on with their connection.
+const STAYING: u64 = 2;
 const MEMORY_MB: usize = 64;
+const PORT: u16 = 8080;
 
 /// One worker: its process, its relay and its record.
 struct Worker {
@@ -50,6 +53,7 @@
     folder: TempDir,
     shim: Shim,
     seed: u64,
+    shape: Shape,
     catalogue: Catalogue,
     listen: Vec<SocketAddr>,
     routers: Vec<Mutex<Router>>,
@@ -60,16 +64,21 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
 
-fn free_address() -> io::Result<SocketAddr> {
-    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
+/// An address of this run alone: a port that was free a moment ago could be another run's by now, whose requests have
+/// the same ids.
+fn own_address(number: usize) -> SocketAddr {
+    let process = std::process::id();
+    let octets =
+        [127, 100 + (process / 250 % 100) as u8, 1 + (process % 250) as u8, 1 + (number % 250) as u8];
+    SocketAddr::from((octets, PORT))
 }
 
 /// The platform's small deployment with one class of each effect and a slow start of some seconds.
-fn soak_settings(routers: usize) -> Value {
+fn soak_settings(routers: usize, deadline: Duration) -> Value {
     let mut all = settings();
     let class = |name: &str, effect: &str| {
         json!({"name": name, "idempotency": effect, "dedupScope": "all", "dedupWindowNs": 2_000_000_000u64,
-            "aimNs": 1_500_000_000u64, "streamed": true, "deadlineNs": 3_000_000_000u64, "worth": 1.0, "lateShare": 0.1})
+            "aimNs": deadline.as_nanos() as u64 / 2, "streamed": true, "deadlineNs": deadline.as_nanos() as u64, "worth": 1.0, "lateShare": 0.1})
     };
     all["services"] =
         json!([class(CLASSES[0], "free"), class(CLASSES[1], "guarded"), class(CLASSES[2], "single_shot")]);
@@ -83,6 +92,7 @@
 impl Site {
     pub async fn start(options: &Options) -> io::Result<Site> {
         let folder = tempfile::tempdir()?;
+        let shape = shape(options.seed);
         let shim = Shim::compile(folder.path())?;
         let (mut workers, mut listed) = (Vec::new(), BTreeMap::new());
         for number in 0..options.workers {
@@ -95,24 +105,25 @@
         let catalogue = Catalogue::start(listed, options.routers).await?;
         let (mut routers, mut listen) = (Vec::new(), Vec::new());
         for number in 0..options.routers {
-            let address = free_address()?;
+            let address = own_address(options.workers + number);
             let file = folder.path().join(format!("n{number}.json"));
             let config = json!({"name": format!("n{number}"), "listen": address.to_string(),
                 "seed": format!("{:016x}", options.seed.wrapping_mul(97).wrapping_add(number as u64)),
                 "discovery": catalogue.addresses[number].to_string(),
                 "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
-                "settings": soak_settings(options.routers)});
+                "settings": soak_settings(options.routers, shape.patience)});
             let arguments = ["--log", "gaparch_node=debug", "lab", "node"].map(str::to_owned);
             let arguments = [arguments.to_vec(), vec![file.to_string_lossy().into_owned()]].concat();
             let log = folder.path().join(format!("n{number}.log"));
             let process = Process::new(&options.routers_program, arguments, log);
             let steering = Steering::new(folder.path().join(format!("n{number}.faults")))?;
-            let mut router = Router { process, file, config: config.to_string(), steering };
+            let mut router =
+                Router { process, file, config: config.to_string(), steering, crowds: Vec::new() };
             router.start(&shim, 0, options.seed)?;
             listen.push(address);
             routers.push(Mutex::new(router));
         }
-        let site = Site { folder, shim, seed: options.seed, catalogue, listen, routers, workers };
+        let site = Site { folder, shim, seed: options.seed, shape, catalogue, listen, routers, workers };
         for address in &site.listen {
             ready(*address).await?;
         }
@@ -134,7 +145,9 @@
                 site.harm(trouble).await
             });
         }
-        let asked = site.load(options, began).await;
+        let staying = site.staying(began + options.span);
+        let mut asked = site.load(options, began).await;
+        asked.extend(staying.join_all().await.into_iter().flatten());
         while let Some(done) = troubles.join_next().await {
             done.map_err(io::Error::other)??;
         }
@@ -146,6 +159,17 @@
         Ok((facts, lines))
     }
 
+    fn target(&self, router: usize) -> Target {
+        Target { address: self.listen[router], router, patience: self.shape.patience }
+    }
+
+    /// Clients that go on with their connections until the time is over.
+    fn staying(&self, until: Instant) -> JoinSet<Vec<Asked>> {
+        let clients =
+            (0..self.listen.len()).flat_map(|router| (0..STAYING).map(move |client| (router, client)));
+        clients.map(|(router, client)| keep_asking(self.target(router), client, until)).collect()
+    }
+
     /// Requests to all routers at an even rate.
     async fn load(&self, options: &Options, began: Instant) -> Vec<Asked> {
         let mut draws = ChaCha8Rng::seed_from_u64(options.seed ^ 0x10ad);
@@ -155,7 +179,7 @@
             sleep_until(began + gap * number as u32).await;
             let router = draws.random_range(0..self.listen.len());
             let class = CLASSES[draws.random_range(0..CLASSES.len())];
-            open.spawn(ask(self.listen[router], router, number, class, draw_manner(&mut draws)));
+            open.spawn(ask(self.target(router), number, class, draw_manner(&mut draws)));
             number += 1;
             while let Some(done) = open.try_join_next() {
                 asked.extend(done.ok());
@@ -190,9 +214,9 @@
                 sleep(span).await;
                 self.workers[worker].lock().await.proxy.late(Duration::ZERO);
             }
-            Trouble::EndRouter { router, clock_ahead_s } => {
+            Trouble::EndRouter { router, clock_ahead_s, signals } => {
                 let mut router = self.routers[router].lock().await;
-                router.process.leave().await;
+                router.process.leave(signals, killed_after(self.shape.patience)).await;
                 router.start(&self.shim, clock_ahead_s, self.seed)?;
             }
             Trouble::KillRouter { router, clock_ahead_s } => {
@@ -200,11 +224,11 @@
                 router.process.kill();
                 router.start(&self.shim, clock_ahead_s, self.seed)?;
             }
-            Trouble::ReloadRouter { router } => {
+            Trouble::ReloadRouter { router, signals } => {
                 let router = self.routers[router].lock().await;
                 let half = &router.config[..router.config.len() / 2];
                 std::fs::write(&router.file, half)?;
-                router.process.signal(Signal::HUP);
+                router.process.signal_in_series(Signal::HUP, signals).await;
                 sleep(Duration::from_millis(150)).await;
                 std::fs::write(&router.file, &router.config)?;
             }
@@ -222,6 +246,18 @@
                 sleep(span).await;
                 self.catalogue.silence(router, false);
             }
+            Trouble::CrowdRouter { router, connections, span } => {
+                let target = self.target(router);
+                let from = monotonic_ns();
+                let crowding = tokio::spawn(crowd(target, connections, span));
+                sleep(span / 4).await;
+                let mut router = self.routers[router].lock().await;
+                router.process.leave(1, killed_after(self.shape.patience)).await;
+                router.start(&self.shim, 0, self.seed)?;
+                drop(router);
+                crowding.await.map_err(io::Error::other)?;
+                self.routers[target.router].lock().await.crowds.push((from, monotonic_ns()));
+            }
             Trouble::WholeLists { span } => {
                 self.catalogue.tell_whole_lists(true);
                 sleep(span).await;
@@ -265,7 +301,8 @@
             let mut router = router.lock().await;
             router.process.note_crash();
             let (lives, stops) = (router.process.lives.clone(), router.process.stops.clone());
-            facts.routers.push(RouterFacts { lives, stops, log: router.process.log() });
+            let crowds = router.crowds.clone();
+            facts.routers.push(RouterFacts { lives, stops, crowds, log: router.process.log() });
         }
         facts
     }
@@ -275,7 +312,7 @@
     async fn start(options: &Options, folder: &Path, number: usize) -> io::Result<Worker> {
         let reads = number.is_multiple_of(2);
         let name = format!("{}-{number}", if reads { "r" } else { "w" });
-        let (address, record) = (free_address()?, folder.join(format!("{name}.record")));
+        let (address, record) = (own_address(number), folder.join(format!("{name}.record")));
         let mut arguments = ["lab", "soak-worker", "--listen"].map(str::to_owned).to_vec();
         arguments.push(address.to_string());
         arguments.extend(["--record".to_owned(), record.to_string_lossy().into_owned()]);
--- a/crates/gaparch-lab/src/soak/worker.rs
+++ b/crates/gaparch-lab/src/soak/worker.rs
@@ -13,6 +13,9 @@
 
 const READ: Duration = Duration::from_millis(40);
 const EVENTS: usize = 8;
+/// Of one answer in so many, which may be under way when a router is killed.
+const LONG_EVENTS: usize = 50;
+const LONG_ONE_IN: usize = 12;
 const EVENT_GAP: Duration = Duration::from_millis(25);
 
 /// Nanoseconds of the machine's monotonic clock, the same in all processes.
@@ -128,7 +131,7 @@
     record.note(Kind::Asked, &txn, remaining_ms);
     let answered = match reads {
         true => read(connection).await,
-        false => write(connection).await,
+        false => write(connection, events(&txn)).await,
     };
     record.note(if answered.is_some() { Kind::Answered } else { Kind::Closed }, &txn, 0);
     answered
@@ -139,7 +142,17 @@
     connection.answer("202 Accepted", "{\"cached_tokens\":0}").await.map(drop)
 }
 
-async fn write(connection: &mut Connection) -> Option<()> {
+/// How many events the answer to a request has.
+fn events(txn: &str) -> usize {
+    let sum: usize = txn.bytes().map(usize::from).sum();
+    if sum.is_multiple_of(LONG_ONE_IN) {
+        LONG_EVENTS
+    } else {
+        EVENTS
+    }
+}
+
+async fn write(connection: &mut Connection, events: usize) -> Option<()> {
     let event =
         "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word\"},\"finish_reason\":null}]}\n\n";
     let chunk = format!("{:x}\r\n{event}\r\n", event.len());
@@ -147,7 +160,7 @@
     connection
         .write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
         .await?;
-    for _ in 0..EVENTS {
+    for _ in 0..events {
         connection.write(chunk.as_bytes()).await?;
         pause(&connection.stream, EVENT_GAP).await?;
     }
