Red test: a crowd of silent connections holds up who asks behind it

With all places taken a new connection waits for the longest idle one to end, which lingers 0.15 s, one after the other. Conclusion: the time that a client counts from can't be known, so that nobody may be kept waiting for long.

--- a/crates/gaparch-node/tests/guards.rs
+++ b/crates/gaparch-node/tests/guards.rs
@@ -328,3 +328,18 @@
     }
     assert_eq!(site.health(), 200);
 }
+
+/// Silent connections come by the hundred: whoever asks behind them is not kept waiting for each of them to end, or its
+/// attempts would be told more time than it has left.
+#[test]
+fn a_crowd_of_silent_connections_does_not_hold_up_who_asks_behind_it() {
+    let site = Site::with(|config| config["limits"]["sockets"] = json!(64));
+    let crowd: Vec<TcpStream> =
+        (0..120).map(|_| TcpStream::connect(site.listen).expect("it listens")).collect();
+    let from = Instant::now();
+    let mut client = TcpStream::connect(site.listen).expect("it listens");
+    client.write_all(&head_and_body("behind", "{\"stream\":true}")).expect("written");
+    assert_eq!(read(&mut client, LONG).status, 200);
+    assert!(from.elapsed() < ms(2_000), "after {:?}", from.elapsed());
+    drop(crowd);
+}
