Silent connections make room at once: those that never asked go first, without a wait

Cause: with all places taken take() waits for the longest idle connection, whose close lingers 0.15 s (client/mod.rs place, connection.rs close), one after the other; those behind wait in the system's queue, where the time that their clients count from is not known. Change: connections that never carried a request are shed first and end at once: no answer is on its way on them. Conclusion: class: a bounded wait, taken once for each of many.

--- a/crates/gaparch-node/src/client/connection.rs
+++ b/crates/gaparch-node/src/client/connection.rs
@@ -1,7 +1,7 @@
 //! One client's connection: a request at a time, each with exactly one answer.
 
 use super::closes::CloseReason;
-use super::idle::{Idle, Resting};
+use super::idle::{Idle, Resting, Use};
 use super::{Piece, AHEAD};
 use crate::link::{Link, NoBody};
 use crate::shared::{Answer, Forward, Message, Phase, Shared};
@@ -130,7 +130,7 @@
                 }
                 Err(nothing) => Err(nothing),
             };
-            first = false;
+            let carried_nothing = std::mem::replace(&mut first, false);
             let shared = Arc::clone(&self.shared);
             match served {
                 Ok(true) if self.flood == 0 => self.link.trim(),
@@ -140,6 +140,10 @@
                 }
                 Err(Nothing::Close) => {
                     shared.closes.count(CloseReason::Rested);
+                    // No answer is on its way on one that carried nothing: its place is wanted now.
+                    if carried_nothing {
+                        return;
+                    }
                     return self.close().await;
                 }
                 Err(Nothing::Gone) => return shared.closes.count(self.left_with),
@@ -154,7 +158,8 @@
     /// Waits for a head; with it, when its first byte came.
     async fn head(&mut self, first: bool) -> Result<(RequestHead, Instant), Nothing> {
         let mut began = (!self.link.buf.is_empty()).then(Instant::now);
-        let mut resting = began.is_none().then(|| self.idle.enter());
+        let carried = if first { Use::Unused } else { Use::Used };
+        let mut resting = began.is_none().then(|| self.idle.enter(carried));
         let mut phase = self.shared.phase.subscribe();
         loop {
             if let Some(head) = head::take_request(&mut self.link.buf).map_err(Bad::from)? {
