Red test: a history loses what it has while its disk fails for a while

Cause: found by reading the paths of a folder that fails for a while: each failed flush begins another file, and beyond the bound of files the oldest goes; a record whose sync failed is written again beside what is there. Conclusion: the audit trail and the event log stand on it.

--- a/crates/gaparch-store/tests/crashes.rs
+++ b/crates/gaparch-store/tests/crashes.rs
@@ -147,6 +147,42 @@
     assert!(history.dropped() > 0, "what waits is bounded");
 }
 
+/// The disk fails for a while, in any of its ways, and the power goes in the end: what was flushed before is there, and each
+/// record that was flushed after it once.
+#[test]
+fn a_history_loses_nothing_and_doubles_nothing_while_its_disk_fails_for_a_while() {
+    let limits = HistoryLimits { segment: 1024, segments: 4 };
+    let faults = [
+        Faults { sync_fails: true, ..Faults::default() },
+        Faults { read_only: true, ..Faults::default() },
+        Faults { room: Some(200), ..Faults::default() },
+    ];
+    for fault in faults {
+        let disk = FaultyDisk::default();
+        let mut history = History::open(disk.clone(), "events", 1, limits, |_, _| {}).expect("opens");
+        let mut next = 0_u8;
+        let mut push = |history: &mut History<FaultyDisk>| {
+            history.push(&[next; 92]).expect("short");
+            next += 1;
+        };
+        push(&mut history);
+        history.flush().expect("written");
+        disk.set(fault);
+        for _ in 0..20 {
+            push(&mut history);
+            assert!(history.flush().is_err(), "{fault:?}");
+        }
+        disk.set(Faults::default());
+        history.flush().expect("it waited");
+        push(&mut history);
+        history.flush().expect("written");
+        let mut seen = Vec::new();
+        let after = disk.after_crash(Unsynced::Lost);
+        History::open(after, "events", 1, limits, |_, record| seen.push(record[0])).expect("opens");
+        assert_eq!(seen, (0..next).collect::<Vec<u8>>(), "{fault:?}");
+    }
+}
+
 #[test]
 fn a_folder_is_one_router_s_alone() {
     let folder = tempfile::tempdir().expect("a folder");
