A history keeps what it has, and each record once, while its disk fails

Cause: History::flush closed its file on any failure and begin() made another one at each try, letting the oldest go beyond the bound; what a failed sync had left stood beside its second copy; a new file's name was never synced (Folder::sync). Change: the last file is sound up to a length or doubtful past it; a doubtful tail is truncated and synced before anything more is written, an empty file is removed, nothing else goes; a folder is synced with a new file. Conclusion: class: a failure handled by giving up what was taken on.

--- a/crates/gaparch-store/src/disk.rs
+++ b/crates/gaparch-store/src/disk.rs
@@ -1,7 +1,7 @@
 //! A folder of files, as far as the store needs one.
 
 use crate::StoreError;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Read, Write};
 use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
@@ -67,6 +67,8 @@
     /// The lock goes with the last of those that share it.
     lock: Arc<File>,
     open: HashMap<String, File>,
+    /// Files that were made since the folder was last synced: their names may not be on the disk yet.
+    made: HashSet<String>,
 }
 
 impl Folder {
@@ -95,17 +97,25 @@
         }
         // A full disk must not keep a router from its state: the number is only for the message above.
         let _ = lock.set_len(0).and_then(|()| writeln!(lock, "{}", std::process::id()));
-        Ok(Folder { path: path.to_owned(), lock: Arc::new(lock), open: HashMap::new() })
+        Ok(Folder { path: path.to_owned(), lock: Arc::new(lock), open: HashMap::new(), made: HashSet::new() })
     }
 
     /// The same folder for another part of the program, under the same lock.
     pub fn share(&self) -> Folder {
-        Folder { path: self.path.clone(), lock: Arc::clone(&self.lock), open: HashMap::new() }
+        Folder {
+            path: self.path.clone(),
+            lock: Arc::clone(&self.lock),
+            open: HashMap::new(),
+            made: HashSet::new(),
+        }
     }
 
     fn file(&mut self, name: &str) -> io::Result<&mut File> {
         if !self.open.contains_key(name) {
             let path = self.path.join(name);
+            if !path.exists() {
+                self.made.insert(name.to_owned());
+            }
             let file = OpenOptions::new().append(true).create(true).mode(0o600).open(path)?;
             self.open.insert(name.to_owned(), file);
         }
@@ -139,7 +149,12 @@
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        self.file(name)?.sync_data()
+        self.file(name)?.sync_data()?;
+        if self.made.contains(name) {
+            self.sync_folder()?;
+            self.made.clear();
+        }
+        Ok(())
     }
 
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
--- a/crates/gaparch-store/src/history.rs
+++ b/crates/gaparch-store/src/history.rs
@@ -30,13 +30,24 @@
     limits: HistoryLimits,
     /// Numbers of the files, oldest first; the last one is written to.
     parts: Vec<u64>,
-    length: u64,
+    last: LastPart,
     waiting: Vec<u8>,
     dropped: u64,
 }
 
 const MOST_WAITING: usize = 1 << 20;
 
+/// The file that is written to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LastPart {
+    /// It is not written to any more, or there is none.
+    Closed,
+    /// It holds so many bytes, all of them synced.
+    Sound(u64),
+    /// Past so many bytes there may be some of a write or a sync that failed.
+    Doubtful(u64),
+}
+
 impl<D: Disk> History<D> {
     /// Opens it and shows what is there, oldest first, with the schema it was written by.
     ///
@@ -56,7 +67,7 @@
             schema,
             limits,
             parts: Vec::new(),
-            length: 0,
+            last: LastPart::Closed,
             waiting: Vec::new(),
             dropped: 0,
         };
@@ -72,7 +83,6 @@
             }
         }
         // What is written now goes to a new file: the last one may end in the middle of a record.
-        history.length = history.limits.segment;
         Ok(history)
     }
 
@@ -104,40 +114,89 @@
     /// Writes what waits, and syncs it.
     ///
     /// # Errors
-    /// When it can't be written: it waits on, for the next try.
+    /// When it can't be written: it waits on, for the next try, and what was written before stays.
     pub fn flush(&mut self) -> Result<(), StoreError> {
         if self.waiting.is_empty() {
             return Ok(());
         }
-        if self.length >= self.limits.segment || self.parts.is_empty() {
-            self.begin()?;
-        }
-        let file = self.parts.last().map(|part| self.file(*part)).unwrap_or_default();
-        let wrong = |e| StoreError::io(format!("writing {file}"), e);
+        let length = self.writable()?;
+        let file = self.last_file();
         let written = self.disk.append(&file, &self.waiting).and_then(|()| self.disk.sync(&file));
         if let Err(error) = written {
-            // Part of it may be there: the next try goes to a new file.
-            self.length = self.limits.segment;
-            return Err(wrong(error));
+            return Err(self.failed(length, &file, error));
         }
-        self.length += self.waiting.len() as u64;
+        self.last = LastPart::Sound(length + self.waiting.len() as u64);
         self.waiting.clear();
         Ok(())
     }
 
-    fn begin(&mut self) -> Result<(), StoreError> {
-        // Room first: a full disk is helped by what goes.
+    /// Brings the last file to where it can be written to; its length.
+    fn writable(&mut self) -> Result<u64, StoreError> {
+        if let LastPart::Doubtful(length) = self.last {
+            self.tidy(length)?;
+        }
+        match self.last {
+            LastPart::Sound(length) if length < self.limits.segment => Ok(length),
+            LastPart::Sound(_) | LastPart::Closed | LastPart::Doubtful(_) => self.begin(),
+        }
+    }
+
+    /// Takes away what a failed write or sync may have left: it is written again. What is kept of the file's last page
+    /// is written again with it.
+    fn tidy(&mut self, length: u64) -> Result<(), StoreError> {
+        let file = self.last_file();
+        let is_empty = length <= HEAD as u64;
+        let done = match is_empty {
+            true => self.disk.remove(&file),
+            false => self.disk.truncate(&file, length).and_then(|()| self.disk.sync(&file)),
+        };
+        match done {
+            // A file that was never made needs no removal.
+            Err(error) if !(is_empty && error.kind() == std::io::ErrorKind::NotFound) => {
+                Err(self.failed(length, &file, error))
+            }
+            _ if is_empty => {
+                self.parts.pop();
+                self.last = LastPart::Closed;
+                Ok(())
+            }
+            _ => {
+                self.last = LastPart::Sound(length);
+                Ok(())
+            }
+        }
+    }
+
+    /// Begins another file; its length.
+    fn begin(&mut self) -> Result<u64, StoreError> {
         while self.parts.len() >= self.limits.segments {
-            let oldest = self.parts.remove(0);
-            let _ = self.disk.remove(&self.file(oldest));
+            self.drop_oldest();
         }
         let part = self.parts.last().map_or(1, |last| last + 1);
         let file = self.file(part);
         // It counts from now on, written or not, so that what a failed try leaves goes in its turn.
         self.parts.push(part);
         let head = format::head(self.schema);
-        self.disk.append(&file, &head).map_err(|e| StoreError::io(format!("writing {file}"), e))?;
-        self.length = HEAD as u64;
-        Ok(())
+        if let Err(error) = self.disk.append(&file, &head) {
+            return Err(self.failed(0, &file, error));
+        }
+        self.last = LastPart::Sound(HEAD as u64);
+        Ok(HEAD as u64)
+    }
+
+    /// A write or sync of the last file has failed, of which so many bytes are sound.
+    fn failed(&mut self, length: u64, file: &str, error: std::io::Error) -> StoreError {
+        self.last = LastPart::Doubtful(length);
+        StoreError::io(format!("writing {file}"), error)
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self.parts.remove(0);
+        // It costs room and nothing else.
+        let _ = self.disk.remove(&self.file(oldest));
+    }
+
+    fn last_file(&self) -> String {
+        self.parts.last().map(|part| self.file(*part)).unwrap_or_default()
     }
 }
