Red test: reads and writes that take a byte at a time leave the rest lying

Change: a test with the soak's shim; its rates can be set for each kind of call. Conclusion: reads and writes have to go on to EAGAIN.

--- a/crates/gaparch-cli/tests/system_calls.rs
+++ b/crates/gaparch-cli/tests/system_calls.rs
@@ -118,3 +118,20 @@
     let status = site.router.wait().expect("it was started");
     assert!(status.success(), "{status}");
 }
+
+/// Reads and writes take less than there is, or are interrupted, each time: nothing is left lying, and requests are served.
+#[test]
+fn reads_and_writes_that_take_a_byte_at_a_time_leave_nothing_lying() {
+    let platform = Platform::new(|_| {});
+    let folder = platform.file.parent().expect("a folder").to_owned();
+    let shim = Shim::compile(&folder).expect("a C compiler");
+    let steering = Steering::new(folder.join("faults")).expect("a file");
+    let site = Site::on(platform, shim.environment(&steering, 0, 7));
+    steering.set_rates([0, 0, 0, 160, 160]).expect("set");
+    for number in 0..5 {
+        let request = head_and_body(&format!("txn-{number}"), "{\"stream\":true}");
+        let answer = raw(site.platform.listen, &request, LONG);
+        assert_eq!((answer.status, answer.whole), (200, true), "{number}: {}", answer.head);
+    }
+    steering.set(false).expect("set");
+}
--- a/crates/gaparch-lab/src/soak/judge.rs
+++ b/crates/gaparch-lab/src/soak/judge.rs
@@ -273,8 +273,10 @@
             if until > facts.ended_ns || unclear || died(router, read.asked_ns, until) {
                 continue;
             }
-            let fetched =
-                of.iter().any(|a| a.asked_ns >= read.asked_ns && a.asked_ns > from && a.asked_ns <= until);
+            // A reader notes its answer once it is written: the next attempt may be quicker.
+            let fetched = of.iter().any(|a| {
+                a.asked_ns > read.asked_ns && a.asked_ns + ns(CLOSE_SEEN) > from && a.asked_ns <= until
+            });
             let released =
                 releases.get(txn).is_some_and(|all| all.iter().any(|at| *at > read.asked_ns && *at <= until));
             if !fetched && !released && !held_up(router, from, until) {
--- a/crates/gaparch-lab/src/soak/shim.rs
+++ b/crates/gaparch-lab/src/soak/shim.rs
@@ -7,7 +7,7 @@
 
 const SOURCE: &str = include_str!("faults.c");
 /// Kinds of calls in the file that steers it: accept, socket and connect, waits, reads, writes.
-const KINDS: usize = 5;
+pub const KINDS: usize = 5;
 /// Of 256 calls of each kind that fail while calls fail.
 const RATES: [u8; KINDS] = [100, 60, 80, 40, 40];
 
@@ -67,8 +67,16 @@
     /// # Errors
     /// When the file can't be written.
     pub fn set(&self, fail: bool) -> io::Result<()> {
+        self.set_rates(if fail { RATES } else { [0; KINDS] })
+    }
+
+    /// From now on so many of 256 calls of each kind fail, or do less than they could: accept, socket and connect, waits,
+    /// reads, writes.
+    ///
+    /// # Errors
+    /// When the file can't be written.
+    pub fn set_rates(&self, rates: [u8; KINDS]) -> io::Result<()> {
         use std::os::unix::fs::FileExt;
-        let rates = if fail { RATES } else { [0; KINDS] };
         fs::File::options().write(true).open(&self.file)?.write_all_at(&rates, 0)
     }
 }
