Sockets are read and written until they would block

Cause: tokio's poll_read and poll_write clear their readiness after a call that did less than it could, on the ground that the system has nothing more; a call that is cut short then leaves the rest lying until the other side sends again (link.rs read, transient.rs write_all). Ruled out: lost events of the poller (the answer came before the call). Change: readable/writable with try_read/try_write, which clear only on EAGAIN; a yield bounds what one connection takes. Conclusion: class: a shortcut that trusts what a call says beyond its words. gaparch serve still reads by poll_read: open.

--- a/crates/gaparch-node/src/client/connection.rs
+++ b/crates/gaparch-node/src/client/connection.rs
@@ -315,7 +315,7 @@
     }
 
     async fn put(&mut self, answer: &[u8], close: bool) -> Result<bool, Nothing> {
-        match timeout(STALLED, write_all(&mut self.link.stream, &mut &answer[..])).await {
+        match timeout(STALLED, write_all(&self.link.stream, &mut &answer[..])).await {
             Ok(Ok(())) => Ok(!close),
             _ => Err(Nothing::Gone),
         }
--- a/crates/gaparch-node/src/discovery/mod.rs
+++ b/crates/gaparch-node/src/discovery/mod.rs
@@ -240,7 +240,7 @@
 }
 
 async fn ask(link: &mut Link, call: &str, limits: ListLimits) -> Result<Members, Fault> {
-    write_all(&mut link.stream, &mut call.as_bytes()).await.map_err(Fault::Broken)?;
+    write_all(&link.stream, &mut call.as_bytes()).await.map_err(Fault::Broken)?;
     let head = link.answer().await?;
     if head.status != 200 {
         return Err(Fault::Status(head.status));
--- a/crates/gaparch-node/src/link.rs
+++ b/crates/gaparch-node/src/link.rs
@@ -1,14 +1,14 @@
 //! A socket with what has been read from it and not yet understood.
 
-use crate::transient::{is_interrupted, lacks_memory, PAUSE};
+use crate::transient::{is_interrupted, lacks_memory, would_block, PAUSE};
 use bytes::{Bytes, BytesMut};
 use gaparch_platform::body::{Body, BodyError, Framing, Part};
 use gaparch_platform::head::{take_answer, AnswerHead, HeadError};
 use gaparch_platform::worker::MOST_INTERIM;
 use std::io;
 use thiserror::Error;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::task::coop;
 use tokio::time::sleep;
 
 /// Read at once.
@@ -58,8 +58,14 @@
     /// When the connection is broken: a call that was interrupted, or short of memory, is made again.
     pub async fn read(&mut self) -> io::Result<usize> {
         loop {
+            // Many messages at hand must not keep other tasks waiting.
+            coop::consume_budget().await;
+            self.stream.readable().await?;
             self.buf.reserve(READ);
-            match self.stream.read_buf(&mut self.buf).await {
+            // A read that brings less than there was room for does not say that nothing is left: only one that would
+            // block does.
+            match self.stream.try_read_buf(&mut self.buf) {
+                Err(error) if would_block(&error) => {}
                 Err(error) if is_interrupted(&error) => {}
                 Err(error) if lacks_memory(&error) => sleep(PAUSE).await,
                 done => return done,
--- a/crates/gaparch-node/src/transient.rs
+++ b/crates/gaparch-node/src/transient.rs
@@ -3,14 +3,22 @@
 use bytes::Buf;
 use gaparch::policy::connecting::ConnectFailure;
 use rustix::io::Errno;
-use std::io;
+use std::io::{self, IoSlice};
 use std::time::Duration;
-use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// Between two tries of a call for which the system had no memory.
 pub(crate) const PAUSE: Duration = Duration::from_millis(5);
 
+/// Parts of a message that go out in one call.
+const PIECES: usize = 4;
+
+/// Nothing can be done now: the next event says when.
+pub(crate) fn would_block(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::WouldBlock
+}
+
 /// A signal came in between: nothing was done, and nothing is wrong.
 pub(crate) fn is_interrupted(error: &io::Error) -> bool {
     error.kind() == io::ErrorKind::Interrupted
@@ -38,16 +46,40 @@
     }
 }
 
+/// A socket that is written to until it would block. A call that takes less than it was given says nothing of whether there
+/// is room for the rest.
+pub(crate) trait WriteSocket {
+    /// Waits until a write may do something.
+    async fn writable(&self) -> io::Result<()>;
+
+    /// Writes what is taken at once.
+    fn try_write_vectored(&self, pieces: &[IoSlice<'_>]) -> io::Result<usize>;
+}
+
+impl WriteSocket for TcpStream {
+    async fn writable(&self) -> io::Result<()> {
+        TcpStream::writable(self).await
+    }
+
+    fn try_write_vectored(&self, pieces: &[IoSlice<'_>]) -> io::Result<usize> {
+        TcpStream::try_write_vectored(self, pieces)
+    }
+}
+
 /// Writes all that is there, whatever pieces the system takes and however often it is interrupted.
 ///
 /// # Errors
 /// When the connection is broken.
-pub(crate) async fn write_all<W: AsyncWrite + Unpin>(to: &mut W, bytes: &mut impl Buf) -> io::Result<()> {
+pub(crate) async fn write_all(to: &impl WriteSocket, bytes: &mut impl Buf) -> io::Result<()> {
     while bytes.has_remaining() {
-        match to.write_buf(bytes).await {
+        to.writable().await?;
+        let mut pieces = [IoSlice::new(&[]); PIECES];
+        let count = bytes.chunks_vectored(&mut pieces);
+        match to.try_write_vectored(&pieces[..count]) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-            Ok(_) => {}
-            Err(error) if is_interrupted(&error) => {}
+            Ok(n) => bytes.advance(n),
+            Err(error) if would_block(&error) => {}
+            Err(error) if is_interrupted(&error) => tokio::task::yield_now().await,
             Err(error) if lacks_memory(&error) => sleep(PAUSE).await,
             Err(error) => return Err(error),
         }
--- a/crates/gaparch-node/src/worker/calls.rs
+++ b/crates/gaparch-node/src/worker/calls.rs
@@ -24,7 +24,7 @@
 
 /// The status of a call's answer, once that is whole; the connection goes back if it can be used again.
 async fn call(mut conn: Conn, head: &Bytes, pool: &Pool) -> Option<u16> {
-    write_all(&mut conn.link.stream, &mut &head[..]).await.ok()?;
+    write_all(&conn.link.stream, &mut &head[..]).await.ok()?;
     let answer = conn.link.answer().await.ok()?;
     pool.heard(conn.target);
     if conn.link.body(answer.framing, MOST_BODY).await.is_ok() {
--- a/crates/gaparch-node/src/worker/exchange.rs
+++ b/crates/gaparch-node/src/worker/exchange.rs
@@ -223,7 +223,7 @@
     let head = job_head(target, txn, &job.target.address.to_string(), wait_ms, body.len());
     let mut request = head.chain(&body[..]);
     let within = job.write_within.min(Duration::from_nanos(job.write_by.saturating_sub(now)));
-    match timeout(within, write_all(&mut conn.link.stream, &mut request)).await {
+    match timeout(within, write_all(&conn.link.stream, &mut request)).await {
         Ok(Ok(())) => Ok(()),
         _ if shared.clock.now() >= job.write_by => Err(Status::Moot),
         _ => Err(Status::ConnectFailed),
