--- a/crates/gaparch-lab/src/soak/judge.rs
+++ b/crates/gaparch-lab/src/soak/judge.rs
@@ -331,8 +331,10 @@
 /// No router ends by itself, panics, answers twice or late by its own count.
 fn processes(facts: &Facts, breaches: &mut Vec<String>) {
     for (number, router) in facts.routers.iter().enumerate() {
-        if router.lives.iter().any(|life| life.crashed) {
-            breaches.push(format!("router {number} has ended by itself or with an error"));
+        for life in router.lives.iter().filter(|life| life.crashed) {
+            let exit = life.exit.as_deref().unwrap_or("unknown");
+            let order = if life.told_to_end_ns.is_some() { "after" } else { "without" };
+            breaches.push(format!("router {number} has ended {order} an order: {exit}"));
         }
         if let Some(line) = router.log.lines().find(|line| line.contains("panicked")) {
             breaches.push(format!("router {number}: {line}"));
--- a/crates/gaparch-lab/tests/membership.rs
+++ b/crates/gaparch-lab/tests/membership.rs
@@ -141,6 +141,21 @@
     }
 }
 
+/// A round of probes, fifteen pings in vain and the way to all: with processors to spare it takes no longer.
+#[test]
+fn a_link_that_is_cut_one_way_is_told_by_all_in_time() {
+    for seed in 1..=20 {
+        let mut world = whole(7, Terms { seed, ..Terms::of(7) });
+        world.cut(&[2], &[5]);
+        let told = |w: &World, node| {
+            let view = w.view(node).expect("it runs");
+            view.edges.len() == 1 && view.edges[0].from == name(2) && view.edges[0].to == name(5)
+        };
+        let took = world.run_until(20 * SECOND, |w| (0..7).all(|node| told(w, node)));
+        assert!(took.is_some_and(|t| t < 8 * SECOND), "seed {seed}: {took:?}");
+    }
+}
+
 #[test]
 fn a_deaf_and_a_mute_one_are_told_apart() {
     let others: Vec<usize> = (0..9).filter(|n| *n != 4).collect();
