--- a/crates/gaparch-router/tests/core.rs
+++ b/crates/gaparch-router/tests/core.rs
@@ -551,3 +551,29 @@
     let left = bench.core.timers().saturating_sub(before);
     assert!(left < 10, "{left} timers for 500 requests that are over");
 }
+
+/// One connection carries all to an engine, and a release would take a state from a write that waits for it there: it goes
+/// out only beside a write whose engine has answered nothing that was sent after it.
+#[test]
+fn a_state_is_let_go_of_beside_a_write_unless_its_engine_is_known_to_run() {
+    for answers_probes in [false, true] {
+        let mut bench = Bench::new();
+        bench.read(1);
+        let (mut released, mut seen) = (0, 0);
+        for _ in 0..60 {
+            bench.pass(10 * MS);
+            let new = bench.seen[seen..].to_vec();
+            seen = bench.seen.len();
+            for output in new {
+                match output {
+                    Output::Engine { frame: EngineFrame::Release { request: 1 }, .. } => released += 1,
+                    Output::Engine { engine, frame: EngineFrame::Probe { nonce } } if answers_probes => {
+                        bench.frame(engine, EngineFrame::Probed { nonce, report: None });
+                    }
+                    _ => {}
+                }
+            }
+        }
+        assert_eq!(released > 0, !answers_probes, "answers probes: {answers_probes}");
+    }
+}
