One harness for the tests of a router as a process

Cause: the process harness of tests/node.rs stood again in tests/system_calls.rs, with the start of a router and its wait for readiness. Change: tests/common of the cli; what is asserted is the same.

--- /dev/null
+++ b/crates/gaparch-cli/tests/common/mod.rs
@@ -0,0 +1,79 @@
+//! A router in service as a process of its own, on its platform. Each test file uses a part of it.
+#![allow(dead_code)]
+
+use gaparch_lab::platform::{until, Platform, LONG};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use std::ops::Deref;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+/// Variables of a process beside those that this one has.
+pub type Environment = Vec<(String, String)>;
+
+pub struct Site {
+    pub platform: Platform,
+    pub router: Child,
+}
+
+impl Deref for Site {
+    type Target = Platform;
+
+    fn deref(&self) -> &Platform {
+        &self.platform
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = self.router.kill();
+        let _ = self.router.wait();
+    }
+}
+
+/// Starts a router by a configuration file.
+pub fn start(file: &Path, environment: Environment) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gaparch"));
+    command.args(["--log", "info", "node"]).env("ROUTER_CONFIG", file).envs(environment);
+    command.stdout(Stdio::null()).stderr(Stdio::piped());
+    command.spawn().expect("it starts")
+}
+
+impl Site {
+    pub fn new() -> Site {
+        Site::with(|_| {})
+    }
+
+    pub fn with(change: impl FnOnce(&mut Value)) -> Site {
+        Site::on(Platform::new(change), Environment::new())
+    }
+
+    /// A router on a platform that is there, once it is ready.
+    pub fn on(platform: Platform, environment: Environment) -> Site {
+        let router = start(&platform.file, environment);
+        let site = Site { platform, router };
+        until("the router is ready", || site.health() == 200);
+        site
+    }
+
+    pub fn pid(&self) -> Pid {
+        Pid::from_raw(self.router.id() as i32).expect("it was started")
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(self.pid(), signal).expect("it runs");
+    }
+
+    /// How it has ended, once it has.
+    pub fn ended(&mut self) -> ExitStatus {
+        let from = Instant::now();
+        loop {
+            if let Some(status) = self.router.try_wait().expect("it was started") {
+                return status;
+            }
+            assert!(from.elapsed() < LONG, "it does not end");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
--- a/crates/gaparch-cli/tests/node.rs
+++ b/crates/gaparch-cli/tests/node.rs
@@ -1,75 +1,19 @@
 //! The router in service, a process of its own between stand-ins of the platform.
 
+mod common;
+
+use common::{start, Environment, Site};
 use gaparch_lab::platform::{
     ask, events, folder, head_and_body, instance, raw, settings, stream, until, Catalogue, Floor, Got,
     Platform, Seen, Step, Stuck, Worker, LONG,
 };
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::ops::Deref;
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-/// A router as a process of its own, on its platform.
-struct Site {
-    platform: Platform,
-    router: Child,
-}
-
-impl Deref for Site {
-    type Target = Platform;
-
-    fn deref(&self) -> &Platform {
-        &self.platform
-    }
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        let _ = self.router.kill();
-        let _ = self.router.wait();
-    }
-}
-
-fn start(file: &PathBuf) -> Child {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_gaparch"));
-    command.arg("node").env("ROUTER_CONFIG", file).stdout(Stdio::null()).stderr(Stdio::piped());
-    command.spawn().expect("it starts")
-}
-
-impl Site {
-    fn new() -> Site {
-        Site::with(|_| {})
-    }
-
-    fn with(change: impl FnOnce(&mut Value)) -> Site {
-        let platform = Platform::new(change);
-        let router = start(&platform.file);
-        let site = Site { platform, router };
-        until("the router is ready", || site.health() == 200);
-        site
-    }
-
-    fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.router.id() as i32).expect("a process");
-        kill_process(pid, signal).expect("it runs");
-    }
-
-    fn ended(&mut self) -> ExitStatus {
-        let from = Instant::now();
-        loop {
-            if let Some(status) = self.router.try_wait().expect("it was started") {
-                return status;
-            }
-            assert!(from.elapsed() < LONG, "it does not end");
-            std::thread::sleep(Duration::from_millis(10));
-        }
-    }
-}
-
 fn put(text: &str) -> Step {
     Step::Put(text.as_bytes().to_vec())
 }
@@ -537,7 +481,7 @@
             site.router.wait().expect("it was started");
         }
         let from = Instant::now();
-        sites.iter_mut().for_each(|site| site.router = start(&site.platform.file));
+        sites.iter_mut().for_each(|site| site.router = start(&site.platform.file, Environment::new()));
         let late = sites.iter().filter(|site| {
             while site.health() != 200 && from.elapsed() < READY_WITHIN {
                 std::thread::sleep(Duration::from_millis(10));
@@ -577,11 +521,12 @@
         change(&mut config);
         let file = folder().join("config.json");
         std::fs::write(&file, config.to_string()).expect("written");
-        let output = start(&file).wait_with_output().expect("it ends");
+        let output = start(&file, Environment::new()).wait_with_output().expect("it ends");
         let said = String::from_utf8_lossy(&output.stderr).into_owned();
         assert_eq!(output.status.code(), Some(2), "{field}: {said}");
         assert!(said.contains(field) && said.contains("config.json") && said.lines().count() == 1, "{said}");
     }
-    let output = start(&PathBuf::from("/nowhere.json")).wait_with_output().expect("it ends");
+    let output =
+        start(&PathBuf::from("/nowhere.json"), Environment::new()).wait_with_output().expect("it ends");
     assert_eq!(output.status.code(), Some(2));
 }
--- a/crates/gaparch-cli/tests/system_calls.rs
+++ b/crates/gaparch-cli/tests/system_calls.rs
@@ -1,60 +1,35 @@
 //! A router in service as a process whose system calls fail for a while.
 
+mod common;
+
+use common::{start, Environment, Site};
 use gaparch_lab::platform::{head_and_body, raw, read, until, Platform, LONG};
 use gaparch_lab::soak::{Shim, Steering};
-use rustix::process::{getrlimit, kill_process, prlimit, Pid, Resource, Rlimit, Signal};
+use rustix::process::{getrlimit, prlimit, Resource, Rlimit, Signal};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
-use std::path::Path;
-use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-/// A router as a process of its own, on its platform.
-struct Site {
-    platform: Platform,
-    router: Child,
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        let _ = self.router.kill();
-        let _ = self.router.wait();
-    }
+/// Descriptors that a router has open.
+fn descriptors(site: &Site) -> u64 {
+    let folder = format!("/proc/{}/fd", site.router.id());
+    std::fs::read_dir(folder).expect("it runs").count() as u64
 }
 
-fn start(file: &Path, environment: Vec<(String, String)>) -> Child {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_gaparch"));
-    command.args(["--log", "info", "node"]).env("ROUTER_CONFIG", file).envs(environment);
-    command.stdout(Stdio::null()).stderr(Stdio::piped());
-    command.spawn().expect("it starts")
+fn limit_descriptors(site: &Site, most: Option<u64>) {
+    let maximum = getrlimit(Resource::Nofile).maximum;
+    let limit = Rlimit { current: most.or(maximum), maximum };
+    prlimit(Some(site.pid()), Resource::Nofile, limit).expect("its limit is set");
 }
 
-impl Site {
-    fn new() -> Site {
-        Site::on(Platform::new(|_| {}), Vec::new())
-    }
-
-    fn on(platform: Platform, environment: Vec<(String, String)>) -> Site {
-        let router = start(&platform.file, environment);
-        let site = Site { platform, router };
-        until("the router is ready", || site.platform.health() == 200);
-        site
-    }
-
-    fn pid(&self) -> Pid {
-        Pid::from_raw(self.router.id() as i32).expect("it was started")
-    }
-
-    fn descriptors(&self) -> u64 {
-        let folder = format!("/proc/{}/fd", self.router.id());
-        std::fs::read_dir(folder).expect("it runs").count() as u64
-    }
-
-    fn limit_descriptors(&self, most: Option<u64>) {
-        let maximum = getrlimit(Resource::Nofile).maximum;
-        let limit = Rlimit { current: most.or(maximum), maximum };
-        prlimit(Some(self.pid()), Resource::Nofile, limit).expect("its limit is set");
-    }
+/// A router whose system calls can be made to fail.
+fn with_faults() -> (Site, Steering) {
+    let platform = Platform::new(|_| {});
+    let folder = platform.file.parent().expect("a folder").to_owned();
+    let shim = Shim::compile(&folder).expect("a C compiler");
+    let steering = Steering::new(folder.join("faults")).expect("a file");
+    let environment = shim.environment(&steering, 0, 7);
+    (Site::on(platform, environment), steering)
 }
 
 /// No socket is to be had for a moment. That says nothing of the workers, and the request is served once there are some.
@@ -64,10 +39,10 @@
     let mut client = TcpStream::connect(site.platform.listen).expect("it listens");
     client.write_all(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").expect("written");
     assert_eq!(read(&mut client, LONG).status, 200);
-    site.limit_descriptors(Some(site.descriptors()));
+    limit_descriptors(&site, Some(descriptors(&site)));
     client.write_all(&head_and_body("txn-1", "{\"stream\":true}")).expect("written");
     std::thread::sleep(Duration::from_millis(100));
-    site.limit_descriptors(None);
+    limit_descriptors(&site, None);
     assert_eq!(read(&mut client, LONG).status, 200);
     // Nobody was probed: nobody looked dead.
     let seen = site.platform.floor.seen();
@@ -80,7 +55,7 @@
 fn an_address_that_is_taken_as_a_router_starts_is_listened_at_once_it_is_free() {
     let platform = Platform::new(|_| {});
     let taken = TcpListener::bind(platform.listen).expect("it is free");
-    let site = Site { router: start(&platform.file, Vec::new()), platform };
+    let site = Site { router: start(&platform.file, Environment::new()), platform };
     std::thread::sleep(Duration::from_millis(400));
     drop(taken);
     until("the router is ready", || site.platform.health() == 200);
@@ -101,32 +76,24 @@
 /// Signals come in series while the calls by which a process hears of them fail: none ends the router, none is lost.
 #[test]
 fn signals_that_come_while_calls_fail_end_no_router_and_are_heard() {
-    let platform = Platform::new(|_| {});
-    let folder = platform.file.parent().expect("a folder").to_owned();
-    let shim = Shim::compile(&folder).expect("a C compiler");
-    let steering = Steering::new(folder.join("faults")).expect("a file");
-    let mut site = Site::on(platform, shim.environment(&steering, 0, 7));
+    let (mut site, steering) = with_faults();
     steering.set(true).expect("set");
     for _ in 0..40 {
-        kill_process(site.pid(), Signal::HUP).expect("it runs");
+        site.signal(Signal::HUP);
         std::thread::sleep(Duration::from_millis(20));
     }
     assert!(site.router.try_wait().expect("it was started").is_none(), "it has ended");
-    kill_process(site.pid(), Signal::TERM).expect("it runs");
+    site.signal(Signal::TERM);
     std::thread::sleep(Duration::from_millis(500));
     steering.set(false).expect("set");
-    let status = site.router.wait().expect("it was started");
+    let status = site.ended();
     assert!(status.success(), "{status}");
 }
 
 /// Reads and writes take less than there is, or are interrupted, each time: nothing is left lying, and requests are served.
 #[test]
 fn reads_and_writes_that_take_a_byte_at_a_time_leave_nothing_lying() {
-    let platform = Platform::new(|_| {});
-    let folder = platform.file.parent().expect("a folder").to_owned();
-    let shim = Shim::compile(&folder).expect("a C compiler");
-    let steering = Steering::new(folder.join("faults")).expect("a file");
-    let site = Site::on(platform, shim.environment(&steering, 0, 7));
+    let (site, steering) = with_faults();
     steering.set_rates([0, 0, 0, 160, 160]).expect("set");
     for number in 0..5 {
         let request = head_and_body(&format!("txn-{number}"), "{\"stream\":true}");
