Soak's judge: an attempt whose connection was reset under way arrives with its close

The router's log: attempt 1 at w-9 reset after 9.2 ms, attempt 2 written 3 ms before the relay delivered attempt 1 together with its close, 36 us apart. The router had no open connection to w-9 then. Conclusion: the rig's.

--- a/crates/gaparch-lab/src/soak/judge_tests.rs
+++ b/crates/gaparch-lab/src/soak/judge_tests.rs
@@ -74,6 +74,16 @@
 fn two_attempts_at_once_and_a_second_execution_are_found() {
     let second = || vec![entry(1_060, Kind::Asked, "n0-1"), entry(1_190, Kind::Answered, "n0-1")];
     assert!(breaches(|f| f.workers[2].entries = second()).contains("at once"));
+    // One whose connection was reset under way arrives with its close, and had ended before the next was sent.
+    let reset = |lasted_ms: u64| {
+        move |f: &mut Facts| {
+            let closed = entry(1_060 + lasted_ms, Kind::Closed, "n0-1");
+            f.workers[2].entries = vec![entry(1_060, Kind::Asked, "n0-1"), closed];
+            f.workers[2].resets = vec![1_050 * MS];
+        }
+    };
+    assert_eq!(breaches(reset(1)), "");
+    assert!(breaches(reset(30)).contains("at once"));
     let later = || vec![entry(1_400, Kind::Asked, "n0-1"), entry(1_500, Kind::Answered, "n0-1")];
     assert_eq!(breaches(|f| f.workers[2].entries = later()), "");
     let once = |f: &mut Facts| {
--- a/crates/gaparch-lab/src/soak/site.rs
+++ b/crates/gaparch-lab/src/soak/site.rs
@@ -46,6 +46,7 @@
     record: PathBuf,
     kills: Vec<u64>,
     silences: Vec<u64>,
+    resets: Vec<u64>,
 }
 
 /// A site in use.
@@ -208,7 +209,11 @@
                 worker.proxy.silence();
                 worker.silences.push(monotonic_ns());
             }
-            Trouble::ResetConnections { worker } => self.workers[worker].lock().await.proxy.reset(),
+            Trouble::ResetConnections { worker } => {
+                let mut worker = self.workers[worker].lock().await;
+                worker.resets.push(monotonic_ns());
+                worker.proxy.reset();
+            }
             Trouble::LateConnections { worker, span } => {
                 self.workers[worker].lock().await.proxy.late(LATE);
                 sleep(span).await;
@@ -295,6 +300,7 @@
                 stops: worker.process.stops.clone(),
                 kills: worker.kills.clone(),
                 silences: worker.silences.clone(),
+                resets: worker.resets.clone(),
             });
         }
         for router in &self.routers {
@@ -320,7 +326,16 @@
         let mut process = Process::new(&options.program, arguments, folder.join(format!("{name}.log")));
         process.start(&[])?;
         let proxy = Proxy::start(address).await?;
-        Ok(Worker { name, reads, process, proxy, record, kills: Vec::new(), silences: Vec::new() })
+        Ok(Worker {
+            name,
+            reads,
+            process,
+            proxy,
+            record,
+            kills: Vec::new(),
+            silences: Vec::new(),
+            resets: Vec::new(),
+        })
     }
 }
 
