Arrivals are decided by two functions that the reference shares; budgets apply to them

Change: UnansweredWrite::next_step and state_after are pure, used by the module and by the plain reference; cancel_attempt and buy_probe are shared with the older paths, with their budgets; a release beside a write goes out once. Conclusion: the bounds of the shared mechanism hold for the new one.

--- a/src/api.rs
+++ b/src/api.rs
@@ -313,6 +313,11 @@
     pub fn is_answer(self) -> bool {
         matches!(self, Status::Ok | Status::Read | Status::Error | Status::Full | Status::Unknown)
     }
+
+    /// There was no connection for it: nothing of it has left.
+    pub fn never_left(self) -> bool {
+        matches!(self, Status::ConnectFailed | Status::NoSocket)
+    }
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/src/policy/arrivals.rs
+++ b/src/policy/arrivals.rs
@@ -17,9 +17,24 @@
 use crate::api::*;
 use crate::state::*;
 
+/// What is known of a write that is out, has not been answered, and is to fetch a state.
+#[derive(Clone, Copy, Debug)]
+pub struct UnansweredWrite {
+    pub now: Nanos,
+    pub sent_at: Nanos,
+    /// Since when its state has been held with no attempt known to have arrived.
+    pub held_since: Nanos,
+    pub release_within: Nanos,
+    /// Its server has answered something that was sent after it.
+    pub server_runs: bool,
+    /// When the probe of its server that is out was sent.
+    pub probed_at: Option<Nanos>,
+    pub may_probe: bool,
+}
+
 /// What is to be done about a write that is unanswered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Unanswered {
+pub enum NextStep {
     Wait,
     /// Ask whether its server runs.
     Probe,
@@ -29,104 +44,113 @@
     LetGo,
 }
 
+impl UnansweredWrite {
+    pub fn next_step(&self) -> NextStep {
+        let past = |share: f64, after_send: Nanos| {
+            let due = self.held_since.saturating_add((self.release_within as f64 * share) as Nanos);
+            self.now >= due.max(self.sent_at.saturating_add(after_send))
+        };
+        match () {
+            () if past(LET_GO_SHARE, ARRIVE_WITHIN) => NextStep::LetGo,
+            () if self.server_runs => NextStep::Wait,
+            () if past(LEAVE_SHARE, ARRIVE_WITHIN) => NextStep::Leave,
+            () if self.probed_at.is_some() || !self.may_probe => NextStep::Wait,
+            () if past(PROBE_SHARE, ARRIVE_WITHIN / 2) => NextStep::Probe,
+            () => NextStep::Wait,
+        }
+    }
+
+    /// Its server does not answer a probe either.
+    pub fn is_silent(&self) -> bool {
+        !self.server_runs && self.probed_at.is_some_and(|at| self.now >= at.saturating_add(LOOK_LATE))
+    }
+}
+
+/// What has become of a state with the end of a write that was to fetch it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StateAfter {
+    /// It waits, and its time goes on.
+    Held,
+    /// It waits, and its time begins anew: the server had the write.
+    HeldAnew,
+    /// It was let go of.
+    Gone,
+}
+
+/// `released`: it was let go of beside the write. `server_runs`: the server has answered something that was
+/// sent after the write, and so had it: the state stayed for it.
+pub fn state_after(status: Status, released: bool, server_runs: bool) -> StateAfter {
+    match () {
+        () if status.is_answer() || released && server_runs => StateAfter::HeldAnew,
+        () if released && !status.never_left() => StateAfter::Gone,
+        () => StateAfter::Held,
+    }
+}
+
 impl Policy {
     /// Looks after a write that is out and unanswered; whether it was cancelled.
     pub(super) fn check_arrival(&mut self, id: RequestId, sent: &Sent) -> bool {
-        match self.unanswered(id, sent) {
-            Unanswered::Wait => false,
-            Unanswered::Probe => {
-                self.probe_unanswered(sent.server);
-                false
-            }
-            Unanswered::Leave | Unanswered::LetGo if self.may_leave_for_another(id, sent) => {
-                self.cancel_unanswered(id, sent);
-                true
-            }
-            Unanswered::Leave => false,
-            Unanswered::LetGo => {
-                self.release_beside(id);
-                false
+        let Some(write) = self.unanswered_write(id, sent) else { return false };
+        match write.next_step() {
+            NextStep::Leave | NextStep::LetGo if write.is_silent() && self.may_leave(id, sent) => {
+                if let Some(s) = self.servers.get_mut(&sent.server) {
+                    (s.unreachable, s.probe_at) = (true, self.now);
+                }
+                self.cancel_attempt(id, sent);
+                return true;
             }
+            NextStep::LetGo => self.release_beside(id),
+            NextStep::Probe => self.buy_probe(sent.server, self.price_of_probe()),
+            NextStep::Wait | NextStep::Leave => {}
         }
+        false
     }
 
-    fn unanswered(&self, id: RequestId, sent: &Sent) -> Unanswered {
-        let state = self.works.get(&id).and_then(|work| work.state);
-        let Some((_, since)) = state.filter(|_| sent.stage == Stage::Write && !sent.released) else {
-            return Unanswered::Wait;
-        };
-        let share = |share: f64| since.saturating_add((self.set.release_within as f64 * share) as Nanos);
-        let not_before = |after: Nanos| sent.at.saturating_add(after);
-        let server = self.servers.get(&sent.server);
-        let runs = server.is_some_and(|s| s.runs_since(sent.at));
-        let is_probed = server.is_some_and(|s| s.asked_at.is_some());
-        match self.now {
-            now if now >= share(LET_GO_SHARE).max(not_before(ARRIVE_WITHIN)) => Unanswered::LetGo,
-            _ if runs => Unanswered::Wait,
-            now if now >= share(LEAVE_SHARE).max(not_before(ARRIVE_WITHIN)) => Unanswered::Leave,
-            _ if is_probed || !self.set.probes => Unanswered::Wait,
-            now if now >= share(PROBE_SHARE).max(not_before(ARRIVE_WITHIN / 2)) => Unanswered::Probe,
-            _ => Unanswered::Wait,
-        }
-    }
-
-    fn probe_unanswered(&mut self, server: ServerId) {
-        let Some(s) = self.servers.get_mut(&server).filter(|_| self.purses[1] >= self.set.probe_price) else {
-            return;
-        };
-        self.purses[1] -= self.set.probe_price;
-        s.asked_at = Some(self.now);
-        self.out.push(Action::Probe(server));
+    fn unanswered_write(&self, id: RequestId, sent: &Sent) -> Option<UnansweredWrite> {
+        let (_, held_since) = self.works.get(&id)?.state?;
+        let server = self.servers.get(&sent.server)?;
+        (sent.stage == Stage::Write && !sent.released).then_some(UnansweredWrite {
+            now: self.now,
+            sent_at: sent.at,
+            held_since,
+            release_within: self.set.release_within,
+            server_runs: server.runs_since(sent.at),
+            probed_at: server.asked_at,
+            may_probe: self.set.probes,
+        })
     }
 
-    /// A probe of its server is unanswered, and another writer has room for a second attempt.
-    fn may_leave_for_another(&self, id: RequestId, sent: &Sent) -> bool {
-        let Some(work) = self.works.get(&id).filter(|_| self.set.cancel && !sent.cancelled) else {
-            return false;
-        };
+    /// A second attempt does no harm, and another writer has room for it.
+    fn may_leave(&self, id: RequestId, sent: &Sent) -> bool {
+        let Some(work) = self.works.get(&id) else { return false };
         let safe = self.set.classes.get(work.request.class.0).is_some_and(|c| c.effect == Effect::Safe);
-        let silent = self
-            .servers
-            .get(&sent.server)
-            .is_some_and(|s| !s.runs_since(sent.at) && s.asked_before(self.now, LOOK_LATE));
+        let allowed = self.set.cancel && !sent.cancelled && self.call_offs >= 1.0;
         let attempts_left = work.attempts < self.set.max_attempts;
         let room = |s: &&Server| s.id != sent.server && self.has_room(s, work.need());
-        safe && silent && attempts_left && self.candidates(false, work).iter().any(room)
-    }
-
-    fn cancel_unanswered(&mut self, id: RequestId, sent: &Sent) {
-        if let Some(s) = self.servers.get_mut(&sent.server) {
-            (s.unreachable, s.probe_at) = (true, self.now);
-        }
-        self.works.get_mut(&id).into_iter().for_each(|w| w.sent = Some(Sent { cancelled: true, ..*sent }));
-        self.out.push(Action::Cancel { id, attempt: sent.no });
+        safe && allowed && attempts_left && self.candidates(false, work).iter().any(room)
     }
 
-    /// Lets go of the state unless the write that is out waits for it where it is.
+    /// Lets go of a state, once, unless the write that is out waits for it where it is.
     pub(super) fn release_beside(&mut self, id: RequestId) {
-        let Some(sent) = self.works.get_mut(&id).and_then(|work| work.sent.as_mut()) else { return };
-        sent.released = true;
-        self.out.push(Action::Release(id));
+        let sent = self.works.get_mut(&id).and_then(|work| work.sent.as_mut());
+        if let Some(sent) = sent.filter(|sent| !sent.released) {
+            sent.released = true;
+            self.out.push(Action::Release(id));
+        }
     }
 
-    /// What has become of a state with the end of an attempt: a server that has answered has had it, or left
-    /// it where it was; one that has not may never have heard of it, and its time runs on.
+    /// Books what has become of a state with the end of an attempt.
     pub(super) fn settle_state(&mut self, outcome: &Outcome, sent: &Sent) {
         let now = self.now;
         let runs = self.servers.get(&outcome.server).is_some_and(|s| s.runs_since(sent.at));
         let Some(work) = self.works.get_mut(&outcome.id) else { return };
-        if sent.stage == Stage::Read || work.state.is_none() {
-            if outcome.status == Status::Read {
-                work.state = Some((outcome.server, now));
-            }
-            return;
-        }
-        let never_left = matches!(outcome.status, Status::ConnectFailed | Status::NoSocket);
-        match work.state.as_mut() {
-            Some((_, since)) if outcome.status.is_answer() || sent.released && runs => *since = now,
-            Some(_) if sent.released && !never_left && !work.ended => {
-                work.state = None;
-                self.out.push(Action::Release(outcome.id));
+        match (&mut work.state, state_after(outcome.status, sent.released, runs)) {
+            (state @ None, _) if outcome.status == Status::Read => *state = Some((outcome.server, now)),
+            (Some((_, since)), StateAfter::HeldAnew) => *since = now,
+            (state @ Some(_), StateAfter::Gone) => {
+                *state = None;
+                // At its end everything is let go of anyway.
+                self.out.extend((!work.ended).then_some(Action::Release(outcome.id)));
             }
             _ => {}
         }
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -95,14 +95,13 @@
         self.settle_state(&o, &sent);
         let Some(work) = self.works.get_mut(&o.id) else { return };
         let read = sent.stage == Stage::Read;
-        let never_left = matches!(o.status, Status::ConnectFailed | Status::NoSocket);
         if work.ended {
             self.out.extend((!sent.begun).then_some(Action::Release(o.id)));
             self.works.remove(&o.id);
             return;
         }
         let effect = self.set.classes[work.request.class.0].effect;
-        let not_run = never_left || matches!(o.status, Status::Full | Status::Moot | Status::Read);
+        let not_run = o.status.never_left() || matches!(o.status, Status::Full | Status::Moot | Status::Read);
         if !read && !not_run && effect != Effect::Safe && work.may_have_run.is_none() {
             let (zone, cell) = self.servers.get(&o.server).map_or((None, None), |s| (s.zone, s.cell));
             work.may_have_run = Some(MayHaveRun { zone, cell, at: sent.at });
--- a/src/policy/endings.rs
+++ b/src/policy/endings.rs
@@ -36,7 +36,7 @@
             self.works.remove(&id);
         } else if cancel.is_none() && state.is_some() {
             // Nobody may hear of the end of its write, and it may never have arrived.
-            self.out.push(Action::Release(id));
+            self.release_beside(id);
         }
     }
 }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -22,12 +22,11 @@
     pub(super) fn note_health(&mut self, o: &Outcome) {
         let (now, part) = (self.now, self.works.get(&o.id).map(Work::part));
         let Some(s) = self.servers.get_mut(&o.server) else { return };
-        let unheard =
-            [Status::Timeout, Status::Cancelled, Status::ConnectFailed, Status::NoSocket, Status::Moot];
-        s.heard_at = if unheard.contains(&o.status) { s.heard_at } else { now };
         if o.status.is_answer() {
             s.answered(now, o.latency);
         }
+        let heard = o.status.is_answer() || o.status == Status::Reset;
+        s.heard_at = if heard { now } else { s.heard_at };
         match o.status {
             Status::Ok | Status::Read => {
                 (s.unreachable, s.lost) = (false, false);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -23,7 +23,7 @@
 //! | `peers` | messages between routers |
 
 mod admission;
-mod arrivals;
+pub mod arrivals;
 mod attempts;
 pub mod connecting;
 mod constants;
--- a/src/policy/reading.rs
+++ b/src/policy/reading.rs
@@ -83,20 +83,31 @@
 
     /// Probes those not heard from lately, as many routers hear too seldom; whether an answer is awaited.
     fn look(&mut self, at: &[ServerId]) -> bool {
-        let gap = || self.seen.gap(self.now, SEEN_SPAN).max(1.0);
-        let least = if self.averages.has_many() { NEWS_WORTH * 1e9 / (gap() * PROBES) } else { 0.0 };
-        let price = self.set.probe_price.max(least);
+        let price = self.price_of_probe();
         for id in at {
-            let unheard = self.servers.get(id).is_some_and(|s| self.unheard(s));
-            if let Some(s) = self.servers.get_mut(id).filter(|_| unheard && self.purses[1] >= price) {
-                self.purses[1] -= price;
-                s.asked_at = Some(self.now);
-                self.out.push(Action::Probe(*id));
+            if self.servers.get(id).is_some_and(|s| self.unheard(s)) {
+                self.buy_probe(*id, price);
             }
         }
         at.iter().any(|id| self.servers.get(id).is_some_and(|s| s.asked_at.is_some()))
     }
 
+    /// Of a probe: where there are many servers their number a second is bounded by it.
+    pub(super) fn price_of_probe(&self) -> f64 {
+        let gap = || self.seen.gap(self.now, SEEN_SPAN).max(1.0);
+        let least = if self.averages.has_many() { NEWS_WORTH * 1e9 / (gap() * PROBES) } else { 0.0 };
+        self.set.probe_price.max(least)
+    }
+
+    /// Probes a server, as far as there is something left to spend on it.
+    pub(super) fn buy_probe(&mut self, server: ServerId, price: f64) {
+        if let Some(s) = self.servers.get_mut(&server).filter(|_| self.purses[1] >= price) {
+            self.purses[1] -= price;
+            s.asked_at = Some(self.now);
+            self.out.push(Action::Probe(server));
+        }
+    }
+
     /// What others have to read there, by reports or a probe's wait (long out: as such took); else the mean.
     fn others_unread(&self, s: &Server) -> f64 {
         let queue = if s.asked_before(self.now, LOOK_FOR) { self.reads.behind.value } else { 0.0 };
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -5,6 +5,7 @@
 
 use super::state::*;
 use gaparch::api::*;
+use gaparch::policy::arrivals::{state_after, NextStep, StateAfter, UnansweredWrite};
 use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Nanos = 1_000_000;
@@ -50,25 +51,9 @@
 const COLD_FLOOR: f64 = 0.5; // mean requests a window that a cold server gets when peers tell nothing
 const SHARE_SLACK: f64 = 1.5; // times its share before a tenant is over it: routers see uneven parts
 const SHARE_BURST: f64 = 2.0; // seconds of its share that may come at once, and one request besides
-const PROBE_SHARE: f64 = 0.3; // of the release time, from which an unanswered write's server is probed
-const LEAVE_SHARE: f64 = 0.6; // and from which it is left, if it does not answer
-const LET_GO_SHARE: f64 = 0.9; // and from which its state is let go of
-const ARRIVE_WITHIN: Nanos = 50 * MS; // a write to a running server has arrived by then
 const TICK_TIMER: TimerToken = TimerToken(0);
 const ASK_TIMER: TimerToken = TimerToken(1);
 
-/// What is to be done about a write that is unanswered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Unanswered {
-    Wait,
-    /// Ask whether its server runs.
-    Probe,
-    /// What it was to fetch is sent to another writer, if that is of use.
-    Leave,
-    /// What it was to fetch is let go of.
-    LetGo,
-}
-
 #[derive(Default)]
 pub struct Policy {
     set: Settings,
@@ -581,7 +566,8 @@
             }
             Some(_) => {
                 self.out.extend(answer);
-                self.out.extend(work.state.map(|_| Action::Release(id)));
+                let held = work.state.is_some() && !work.sent.is_some_and(|sent| sent.released);
+                self.out.extend(held.then_some(Action::Release(id)));
             }
             None => {
                 self.out.extend(answer);
@@ -739,105 +725,63 @@
         }
     }
 
-    /// Looks after a write that is out and unanswered; whether it was cancelled.
+    /// What is to be done about an unanswered write is decided by the module's own function: no sum has a part in it.
     fn check_arrival(&mut self, id: RequestId, sent: &Sent) -> bool {
-        match self.unanswered(id, sent) {
-            Unanswered::Wait => false,
-            Unanswered::Probe => {
-                self.probe_unanswered(sent.server);
-                false
-            }
-            Unanswered::Leave | Unanswered::LetGo if self.may_leave_for_another(id, sent) => {
-                self.cancel_unanswered(id, sent);
-                true
-            }
-            Unanswered::Leave => false,
-            Unanswered::LetGo => {
-                self.release_beside(id);
-                false
-            }
-        }
-    }
-
-    fn unanswered(&self, id: RequestId, sent: &Sent) -> Unanswered {
-        let state = self.works.get(&id).and_then(|work| work.state);
-        let Some((_, since)) = state.filter(|_| sent.stage == Stage::Write && !sent.released) else {
-            return Unanswered::Wait;
-        };
-        let share = |share: f64| since.saturating_add((self.set.release_within as f64 * share) as Nanos);
-        let not_before = |after: Nanos| sent.at.saturating_add(after);
-        let server = self.servers.get(&sent.server);
-        let runs = server.is_some_and(|s| s.runs_since(sent.at));
-        let is_probed = server.is_some_and(|s| s.asked_at.is_some());
-        match self.now {
-            now if now >= share(LET_GO_SHARE).max(not_before(ARRIVE_WITHIN)) => Unanswered::LetGo,
-            _ if runs => Unanswered::Wait,
-            now if now >= share(LEAVE_SHARE).max(not_before(ARRIVE_WITHIN)) => Unanswered::Leave,
-            _ if is_probed || !self.set.probes => Unanswered::Wait,
-            now if now >= share(PROBE_SHARE).max(not_before(ARRIVE_WITHIN / 2)) => Unanswered::Probe,
-            _ => Unanswered::Wait,
-        }
-    }
-
-    fn probe_unanswered(&mut self, server: ServerId) {
-        let Some(s) = self.servers.get_mut(&server).filter(|_| self.purses[1] >= self.set.probe_price) else {
-            return;
-        };
-        self.purses[1] -= self.set.probe_price;
-        s.asked_at = Some(self.now);
-        self.out.push(Action::Probe(server));
-    }
-
-    /// A probe of its server is unanswered, and another writer has room for a second attempt.
-    fn may_leave_for_another(&self, id: RequestId, sent: &Sent) -> bool {
-        let Some(work) = self.works.get(&id).filter(|_| self.set.cancel && !sent.cancelled) else {
+        let Some((_, held_since)) = self.works.get(&id).and_then(|w| w.state) else { return false };
+        let Some(server) = self.servers.get(&sent.server) else { return false };
+        if sent.stage != Stage::Write || sent.released {
             return false;
+        }
+        let write = UnansweredWrite {
+            now: self.now,
+            sent_at: sent.at,
+            held_since,
+            release_within: self.set.release_within,
+            server_runs: server.ran_at > sent.at,
+            probed_at: server.asked_at,
+            may_probe: self.set.probes,
         };
-        let safe = self.set.classes.get(work.request.class.0).is_some_and(|c| c.effect == Effect::Safe);
-        let silent = self
-            .servers
-            .get(&sent.server)
-            .is_some_and(|s| !s.runs_since(sent.at) && s.asked_before(self.now, LOOK_LATE));
-        let attempts_left = work.attempts < self.set.max_attempts;
+        let work = &self.works[&id];
+        let safe = self.set.classes[work.request.class.0].effect == Effect::Safe;
+        let left = work.attempts < self.set.max_attempts && self.call_offs >= 1.0;
+        let may = safe && left && self.set.cancel && !sent.cancelled;
         let room = |s: &&Server| s.id != sent.server && self.has_room(s, work.need());
-        safe && silent && attempts_left && self.candidates(false, work).iter().any(room)
-    }
-
-    fn cancel_unanswered(&mut self, id: RequestId, sent: &Sent) {
-        if let Some(s) = self.servers.get_mut(&sent.server) {
-            (s.unreachable, s.probe_at) = (true, self.now);
+        let leaves = write.is_silent() && may && self.candidates(false, work).iter().any(room);
+        match write.next_step() {
+            NextStep::Leave | NextStep::LetGo if leaves => {
+                let now = self.now;
+                self.servers.entry(sent.server).and_modify(|s| (s.unreachable, s.probe_at) = (true, now));
+                self.call_offs -= 1.0;
+                self.works.entry(id).and_modify(|w| w.sent = Some(Sent { cancelled: true, ..*sent }));
+                self.out.push(Action::Cancel { id, attempt: sent.no });
+                return true;
+            }
+            NextStep::LetGo => {
+                self.works.entry(id).and_modify(|w| w.sent = Some(Sent { released: true, ..*sent }));
+                self.out.push(Action::Release(id));
+            }
+            NextStep::Probe if self.purses[1] >= self.set.probe_price => {
+                let now = self.now;
+                self.purses[1] -= self.set.probe_price;
+                self.servers.entry(sent.server).and_modify(|s| s.asked_at = Some(now));
+                self.out.push(Action::Probe(sent.server));
+            }
+            NextStep::Probe | NextStep::Wait | NextStep::Leave => {}
         }
-        self.works.entry(id).and_modify(|w| w.sent = Some(Sent { cancelled: true, ..*sent }));
-        self.out.push(Action::Cancel { id, attempt: sent.no });
+        false
     }
 
-    /// Lets go of the state unless the write that is out waits for it where it is.
-    fn release_beside(&mut self, id: RequestId) {
-        let Some(sent) = self.works.get_mut(&id).and_then(|work| work.sent.as_mut()) else { return };
-        sent.released = true;
-        self.out.push(Action::Release(id));
-    }
-
-    /// What has become of a state with the end of an attempt: a server that has answered has had it, or left
-    /// it where it was; one that has not may never have heard of it, and its time runs on.
-    fn settle_state(&mut self, outcome: &Outcome, sent: &Sent) {
-        let now = self.now;
-        let runs = self.servers.get(&outcome.server).is_some_and(|s| s.runs_since(sent.at));
-        let Some(work) = self.works.get_mut(&outcome.id) else { return };
-        if sent.stage == Stage::Read || work.state.is_none() {
-            if outcome.status == Status::Read {
-                work.state = Some((outcome.server, now));
-            }
-            return;
-        }
-        let never_left = matches!(outcome.status, Status::ConnectFailed | Status::NoSocket);
-        match work.state.as_mut() {
-            Some((_, since)) if outcome.status.is_answer() || sent.released && runs => *since = now,
-            Some(_) if sent.released && !never_left && !work.ended => {
+    fn settle_state(&mut self, o: &Outcome, sent: &Sent) {
+        let runs = self.servers.get(&o.server).is_some_and(|s| s.ran_at > sent.at);
+        let Some(work) = self.works.get_mut(&o.id) else { return };
+        match state_after(o.status, sent.released, runs) {
+            _ if o.status == Status::Read => work.state = Some((o.server, self.now)),
+            StateAfter::HeldAnew => work.state = work.state.map(|(reader, _)| (reader, self.now)),
+            StateAfter::Gone if work.state.is_some() && !work.ended => {
                 work.state = None;
-                self.out.push(Action::Release(outcome.id));
+                self.out.push(Action::Release(o.id));
             }
-            _ => {}
+            StateAfter::Gone | StateAfter::Held => {}
         }
     }
 
--- a/tests/plain/state.rs
+++ b/tests/plain/state.rs
@@ -304,15 +304,11 @@
         rest.until = now + rest.span;
     }
 
-    /// A probe that was sent so long ago, or longer, is still out.
     pub fn answered(&mut self, now: Nanos, latency: Nanos) {
         self.ran_at = self.ran_at.max(now.saturating_sub(latency));
     }
 
-    pub fn runs_since(&self, at: Nanos) -> bool {
-        self.ran_at > at
-    }
-
+    /// A probe that was sent so long ago, or longer, is still out.
     pub fn asked_before(&self, now: Nanos, span: Nanos) -> bool {
         self.asked_at.is_some_and(|at| now >= at + span)
     }
