--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -137,6 +137,8 @@
 
 async fn soak(command: Soak) -> Outcome {
     let mut failed = Vec::new();
+    let stop = super::asked_to_stop();
+    tokio::pin!(stop);
     for seed in command.seed..command.seed + command.runs {
         let options = soak::Options {
             program: std::env::current_exe()?,
@@ -149,11 +151,10 @@
             slack: Duration::from_millis(command.slack_ms),
             keep: command.keep.clone(),
         };
-        let stop = super::asked_to_stop();
         let report = tokio::select! {
             report = soak::play(&options) => report?,
             // What was started ends with this process.
-            why = stop => return Err(why?.into()),
+            why = &mut stop => return Err(why?.into()),
         };
         println!("{report}");
         if !report.holds() {
--- a/crates/gaparch-node/src/client/closes.rs
+++ b/crates/gaparch-node/src/client/closes.rs
@@ -1,5 +1,6 @@
 //! Why connections of clients have ended, for the log and the summary.
 
+use gaparch::counts::write_counts;
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -57,12 +58,8 @@
 
 impl fmt::Display for Closes {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let counted =
-            CloseReason::ALL.map(|reason| (reason, self.counts[reason as usize].load(Ordering::Relaxed)));
-        for (number, (reason, count)) in counted.into_iter().filter(|(_, count)| *count > 0).enumerate() {
-            write!(f, "{}{}={count}", if number > 0 { "," } else { "" }, reason.name())?;
-        }
-        Ok(())
+        let count = |reason| self.counts[reason as usize].load(Ordering::Relaxed);
+        write_counts(f, CloseReason::ALL.into_iter().map(|reason| (reason.name(), count(reason))))
     }
 }
 
--- a/crates/gaparch-node/src/client/connection.rs
+++ b/crates/gaparch-node/src/client/connection.rs
@@ -1,13 +1,14 @@
 //! One client's connection: a request at a time, each with exactly one answer.
 
 use super::closes::CloseReason;
-use super::idle::{Idle, Resting, Use};
+use super::idle::{Idle, Resting};
 use super::{Piece, AHEAD};
 use crate::link::{Link, NoBody};
 use crate::shared::{Answer, Forward, Message, Phase, Shared};
 use crate::transient::write_all;
 use bytes::BytesMut;
 use gaparch::api::{Nanos, RequestId};
+use gaparch::policy::intake::Carried;
 use gaparch_platform::ask::{Ask, AskError, READY_PATH};
 use gaparch_platform::body::{put_chunk, Framing, LAST_CHUNK, MOST_BODY};
 use gaparch_platform::head::{self, HeadError, RequestHead};
@@ -158,7 +159,7 @@
     /// Waits for a head; with it, when its first byte came.
     async fn head(&mut self, first: bool) -> Result<(RequestHead, Instant), Nothing> {
         let mut began = (!self.link.buf.is_empty()).then(Instant::now);
-        let carried = if first { Use::Unused } else { Use::Used };
+        let carried = if first { Carried::Nothing } else { Carried::Requests };
         let mut resting = began.is_none().then(|| self.idle.enter(carried));
         let mut phase = self.shared.phase.subscribe();
         loop {
--- a/crates/gaparch-node/src/client/mod.rs
+++ b/crates/gaparch-node/src/client/mod.rs
@@ -108,13 +108,13 @@
         });
     }
 
-    /// Where all places are taken the connection that is idle for longest makes room, else the new one goes.
+    /// Where all places are taken the resting connection whose turn it is makes room, else the new one goes.
     async fn place(&self) -> Option<OwnedSemaphorePermit> {
         let places = &self.budget.clients;
         if let Ok(place) = Arc::clone(places).try_acquire_owned() {
             return Some(place);
         }
-        self.idle.close_longest();
+        self.idle.close_next();
         timeout(PLACE, Arc::clone(places).acquire_owned()).await.ok()?.ok()
     }
 
--- a/crates/gaparch-node/src/link.rs
+++ b/crates/gaparch-node/src/link.rs
@@ -126,7 +126,7 @@
     pub fn is_quiet(&self) -> bool {
         let mut byte = [0];
         let nothing = self.stream.try_read(&mut byte);
-        self.buf.is_empty() && nothing.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        self.buf.is_empty() && nothing.is_err_and(|error| would_block(&error))
     }
 
     /// Gives a large empty buffer back.
--- a/crates/gaparch-node/src/owner.rs
+++ b/crates/gaparch-node/src/owner.rs
@@ -13,7 +13,7 @@
 use gaparch_platform::ask::Ask;
 use gaparch_protocol::engine::{AttemptKey, EngineFrame, Job as EngineJob, RouterRun};
 use gaparch_protocol::ops::ending::WaitedFor;
-use gaparch_router::core::{status_word, Accepted, ConnNo, Core, Input, ListUpdate, Output, ToClient};
+use gaparch_router::core::{Accepted, ConnNo, Core, Input, ListUpdate, Output, ToClient};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -247,7 +247,6 @@
                 while self.releases.try_join_next().is_some() {}
                 let _ = reply.send(self.open.len() + self.releases.len());
             }
-            Message::Stop => self.core.handle(now, Input::Stop, out),
             Message::StopAt(at) => self.core.handle(now, Input::StopAt(at), out),
             Message::StopNow => self.core.handle(now, Input::StopNow, out),
         }
@@ -386,7 +385,7 @@
             prefix = ask.prefix,
             session = ask.session,
             waited_us = waited / 1000,
-            after = self.core.last_status(id).map(status_word),
+            after = self.core.last_status(id).map(Status::name),
             "sent"
         );
         let (written, seen) = watch::channel(false);
--- a/crates/gaparch-node/src/run.rs
+++ b/crates/gaparch-node/src/run.rs
@@ -10,6 +10,7 @@
 use crate::transient::connect_failure;
 use crate::worker::Pool;
 use gaparch::policy::connecting::ConnectFailure;
+use gaparch::policy::intake::{ACCEPTED_FOR, TAKEN_FOR};
 use gaparch_net::{Clock, Signal, Signals};
 use gaparch_platform::config::{ConfigError, NodeConfig};
 use std::io;
@@ -23,13 +24,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
-/// After SIGTERM new connections keep arriving for up to 0.4 s: until then and a little longer all goes on.
-const ARRIVALS: Duration = Duration::from_millis(450);
-/// After SIGTERM what is read later than this is refused: what is taken later could still be under way when the process
-/// is killed, and would be lost. The platform counts from 0.7 s, and a router may be held up for 0.15 s between its clock
-/// and its next step.
-const TAKEN: Duration = Duration::from_millis(500);
-/// For what runs after that. Whoever ends the process does so when he will; a stream may take a minute.
+/// For what runs when nothing new is taken any more. Whoever ends the process does so when he will; a stream may take a minute.
 const FINISH: Duration = Duration::from_secs(90);
 /// For clients' connections to end after the last answer was given, however late that was.
 const LAST_WORDS: Duration = Duration::from_millis(500);
@@ -154,10 +149,10 @@
     }
     let told_to_end = Instant::now();
     // By the clock, whatever keeps this task busy until then.
-    shared.tell(Message::StopAt(shared.clock.at((told_to_end + TAKEN).into_std())));
+    shared.tell(Message::StopAt(shared.clock.at((told_to_end + Duration::from_nanos(TAKEN_FOR)).into_std())));
     shared.phase.send_replace(Phase::Leaving);
     tracing::info!("ending: what is open is finished");
-    sleep_until(told_to_end + ARRIVALS).await;
+    sleep_until(told_to_end + Duration::from_nanos(ACCEPTED_FOR)).await;
     shared.phase.send_replace(Phase::Closing);
     let _ = accepting.await;
     finish(&shared, &clients, most_clients).await;
@@ -246,7 +241,7 @@
 /// Waits for all that is open, within bounds: requests, what is held for them, and the answers on their way to clients.
 async fn finish(shared: &Shared, clients: &Semaphore, most_clients: usize) {
     // What comes from now on is refused, and what came before is waited for.
-    shared.tell(Message::Stop);
+    shared.tell(Message::StopAt(shared.clock.now()));
     let until = Instant::now() + FINISH;
     if timeout_at(until, nothing_open(shared)).await.is_err() {
         shared.tell(Message::StopNow);
--- a/crates/gaparch-node/src/shared.rs
+++ b/crates/gaparch-node/src/shared.rs
@@ -104,8 +104,6 @@
     ListDown,
     /// How many requests and releases are open.
     Open(oneshot::Sender<usize>),
-    /// Nothing new is taken from now on.
-    Stop,
     /// Nothing new is taken from that time on.
     StopAt(Nanos),
     /// What still runs is ended.
--- a/crates/gaparch-node/tests/common/mod.rs
+++ b/crates/gaparch-node/tests/common/mod.rs
@@ -1,11 +1,14 @@
 //! A router's shell on a thread of its own, on the scripted platform. Each test file uses a part of it.
 #![allow(dead_code)]
 
-use gaparch_lab::platform::{until, Platform, Step};
+use gaparch_lab::platform::{head_and_body, until, Platform, Step, LONG};
 use gaparch_node::{serve, NodeError, Order};
 use serde_json::Value;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::ops::Deref;
 use std::thread::JoinHandle;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
 pub struct Site {
@@ -47,6 +50,19 @@
     }
 }
 
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// A client whose answer has begun: all but its first byte is still to be read.
+pub fn begun(site: &Site, txn: &str) -> TcpStream {
+    let mut client = TcpStream::connect(site.listen).expect("it listens");
+    client.write_all(&head_and_body(txn, "{}")).expect("written");
+    client.set_read_timeout(Some(LONG)).expect("set");
+    client.read_exact(&mut [0; 1]).expect("its answer begins");
+    client
+}
+
 pub fn put(text: &str) -> Step {
     Step::Put(text.as_bytes().to_vec())
 }
--- a/crates/gaparch-router/src/core/actions.rs
+++ b/crates/gaparch-router/src/core/actions.rs
@@ -1,7 +1,6 @@
 //! What the module wants done.
 
 use super::engines::EngineLink;
-use super::reasons::status_word;
 use super::request::{Attempt, Stage};
 use super::timers::Timer;
 use super::{Core, Output, ToClient};
@@ -65,7 +64,7 @@
         live.attempt = Some(Attempt { no, server, stage, sent_at: now, begun: false, waits: false, timer });
         live.step_begins(server, stage, now);
         if let Some(before) = live.last_status.filter(|status| *status != Status::Read) {
-            self.reasons.retries.count(status_word(before));
+            self.reasons.retries.count(before.name());
         }
         let Some(link) = self.engines.get_mut(&server) else {
             return self.close_by(id, no, Status::ConnectFailed);
@@ -202,8 +201,7 @@
         let held = std::mem::take(&mut live.held_at);
         live.held_at.extend(fetched_from.filter(|s| held.contains(s)));
         live.state_at = fetched_from;
-        let arrived =
-            write.is_some_and(|w| self.engines.get(&w.server).is_some_and(|l| l.ran_at > w.sent_at));
+        let arrived = write.is_some_and(|w| self.policy.has_run_since(w.server, w.sent_at));
         let beside = goes_beside_a_write(self.config.links == Links::Exchanges, arrived);
         for server in held {
             let is_fetched = Some(server) == fetched_from;
--- a/crates/gaparch-router/src/core/attempts.rs
+++ b/crates/gaparch-router/src/core/attempts.rs
@@ -1,6 +1,5 @@
 //! How attempts end, and what falls due.
 
-use super::reasons::status_word;
 use super::request::{Attempt, Stage};
 use super::timers::Timer;
 use super::{Core, Output, ToClient};
@@ -47,7 +46,7 @@
         live.step_ends(status, self.now);
         live.last_status = Some(status);
         if !matches!(status, Status::Ok | Status::Read) {
-            self.reasons.attempts.count(status_word(status));
+            self.reasons.attempts.count(status.name());
         }
         if let Some(link) = self.engines.get_mut(&attempt.server) {
             link.attempts.remove(&id);
--- a/crates/gaparch-router/src/core/clients.rs
+++ b/crates/gaparch-router/src/core/clients.rs
@@ -70,11 +70,11 @@
             ToClient::Finished { .. } => self.counts.served += 1,
             ToClient::Refused { cause, .. } => {
                 self.counts.refused += 1;
-                self.reasons.refused(cause);
+                self.reasons.refused.count(cause.word());
             }
             ToClient::Failed { cause, .. } => {
                 self.counts.failed += 1;
-                self.reasons.failed(cause);
+                self.reasons.failed.count(cause.word());
             }
             ToClient::Opened { .. } | ToClient::Part { .. } => self.counts.failed += 1,
         }
@@ -93,7 +93,7 @@
     }
 
     pub(super) fn stop_now(&mut self, out: &mut Vec<Output>) {
-        self.stop_at = Some(self.now);
+        self.stop_at(self.now);
         let open: Vec<RequestId> = self.live.iter().filter(|(_, l)| !l.ended).map(|(id, _)| *id).collect();
         for id in open {
             // What was never sent anywhere is harmless to repeat; of the rest nothing is promised.
--- a/crates/gaparch-router/src/core/engines.rs
+++ b/crates/gaparch-router/src/core/engines.rs
@@ -31,8 +31,6 @@
     pub attempts: BTreeSet<RequestId>,
     /// Probes out, by nonce, with when they were sent.
     pub probes: BTreeMap<u64, Nanos>,
-    /// When the latest exchange began that it has answered: its process ran after that.
-    pub ran_at: Nanos,
     /// The last report that came by itself.
     pub report: Option<Report>,
     pub tally: Tally,
@@ -59,11 +57,6 @@
         EngineLink { state: State::Up(ConnNo::EXCHANGES), ..EngineLink::default() }
     }
 
-    /// It has answered an exchange that began then.
-    pub fn answered(&mut self, began: Nanos) {
-        self.ran_at = self.ran_at.max(began);
-    }
-
     pub fn is_new(&self) -> bool {
         self.state == State::New
     }
@@ -117,7 +110,6 @@
         self.state = State::Down;
         self.attempts.clear();
         self.report = None;
-        self.ran_at = 0;
         Some(Down {
             was_up,
             retry_after: doubled.min(settings.reconnect_most),
--- a/crates/gaparch-router/src/core/links.rs
+++ b/crates/gaparch-router/src/core/links.rs
@@ -107,7 +107,6 @@
                 let sent = self.engines.get_mut(&engine).and_then(|l| l.probes.remove(&nonce));
                 let report = clean(report, &mut self.counts);
                 if let Some(sent) = sent {
-                    self.engines.get_mut(&engine).into_iter().for_each(|link| link.answered(sent));
                     self.probed(engine, self.now.saturating_sub(sent), Status::Ok, report);
                 }
             }
@@ -156,7 +155,6 @@
         let Some(attempt) = attempt.filter(|a| !a.waits) else {
             return self.counts.late_frames += 1;
         };
-        self.engines.get_mut(&engine).into_iter().for_each(|link| link.answered(attempt.sent_at));
         match frame {
             EngineFrame::ReadDone { kept, report, .. } if attempt.stage == Stage::Read => {
                 let report = self.report(engine, report);
--- a/crates/gaparch-router/src/core/mod.rs
+++ b/crates/gaparch-router/src/core/mod.rs
@@ -16,7 +16,7 @@
 pub use engines::ConnNo;
 pub(crate) use operate::told_to_stay_away;
 pub use operate::Proposal;
-pub use reasons::{status_word, HeldState, ReasonCounts, Reasons};
+pub use reasons::{HeldState, ReasonCounts, Reasons};
 pub use request::{Accepted, Phase};
 pub use roster::ListUpdate;
 
@@ -82,8 +82,6 @@
     Routers(u32),
     /// An operator's change, [proposed](Core::propose) or found again at the start.
     Taken(Taken),
-    /// Takes nothing new from now on.
-    Stop,
     /// Takes nothing new from that time on.
     StopAt(Nanos),
     /// Ends what still runs.
@@ -333,7 +331,6 @@
             Input::Peer { from, data } => self.events.push_back(Event::Peer { from, data }),
             Input::Routers(routers) => self.events.push_back(Event::Routers(routers)),
             Input::Taken(taken) => self.on_taken(taken, out),
-            Input::Stop => self.stop_at(self.now),
             Input::StopAt(at) => self.stop_at(at),
             Input::StopNow => self.stop_now(out),
         }
--- a/crates/gaparch-router/src/core/reasons.rs
+++ b/crates/gaparch-router/src/core/reasons.rs
@@ -3,7 +3,7 @@
 
 use super::Core;
 use gaparch::api::{Nanos, RequestId, ServerId, Status};
-use gaparch_protocol::ops::ending::Cause;
+use gaparch::counts::write_counts;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -17,19 +17,11 @@
     pub(super) fn count(&mut self, reason: &'static str) {
         *self.counts.entry(reason).or_default() += 1;
     }
-
-    /// How often that reason was counted.
-    pub fn of(&self, reason: &str) -> u64 {
-        self.counts.get(reason).copied().unwrap_or(0)
-    }
 }
 
 impl fmt::Display for ReasonCounts {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (number, (reason, count)) in self.counts.iter().enumerate() {
-            write!(f, "{}{reason}={count}", if number > 0 { "," } else { "" })?;
-        }
-        Ok(())
+        write_counts(f, self.counts.iter().map(|(reason, count)| (*reason, *count)))
     }
 }
 
@@ -46,33 +38,6 @@
     pub retries: ReasonCounts,
 }
 
-impl Reasons {
-    pub(super) fn refused(&mut self, cause: Cause) {
-        self.refused.count(cause.word());
-    }
-
-    pub(super) fn failed(&mut self, cause: Cause) {
-        self.failed.count(cause.word());
-    }
-}
-
-/// The word for a status in logs and counters.
-pub fn status_word(status: Status) -> &'static str {
-    match status {
-        Status::Ok => "ok",
-        Status::Read => "read",
-        Status::Error => "error",
-        Status::Full => "full",
-        Status::Timeout => "timeout",
-        Status::ConnectFailed => "connect_failed",
-        Status::NoSocket => "no_socket",
-        Status::Reset => "reset",
-        Status::Cancelled => "cancelled",
-        Status::Moot => "moot",
-        Status::Unknown => "unknown",
-    }
-}
-
 /// What was read for a request and that no writer is known to have fetched.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldState {
--- a/crates/gaparch-router/src/shell/owner.rs
+++ b/crates/gaparch-router/src/shell/owner.rs
@@ -228,7 +228,7 @@
                 let update = self.versions.as_mut().and_then(|versions| versions.on_adopt(adopt));
                 update.into_iter().for_each(|update| self.core.handle(now, Input::List(update), out));
             }
-            Control::Stop => self.core.handle(now, Input::Stop, out),
+            Control::Stop => self.core.handle(now, Input::StopAt(now), out),
             Control::StopNow => {
                 self.core.handle(now, Input::StopNow, out);
                 self.hand_over();
--- a/src/api.rs
+++ b/src/api.rs
@@ -314,6 +314,23 @@
         matches!(self, Status::Ok | Status::Read | Status::Error | Status::Full | Status::Unknown)
     }
 
+    /// The word for it in logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Status::Ok => "ok",
+            Status::Read => "read",
+            Status::Error => "error",
+            Status::Full => "full",
+            Status::Timeout => "timeout",
+            Status::ConnectFailed => "connect_failed",
+            Status::NoSocket => "no_socket",
+            Status::Reset => "reset",
+            Status::Cancelled => "cancelled",
+            Status::Moot => "moot",
+            Status::Unknown => "unknown",
+        }
+    }
+
     /// There was no connection for it: nothing of it has left.
     pub fn never_left(self) -> bool {
         matches!(self, Status::ConnectFailed | Status::NoSocket)
--- a/src/policy/arrivals.rs
+++ b/src/policy/arrivals.rs
@@ -124,7 +124,7 @@
     fn may_leave(&self, id: RequestId, sent: &Sent) -> bool {
         let Some(work) = self.works.get(&id) else { return false };
         let safe = self.set.classes.get(work.request.class.0).is_some_and(|c| c.effect == Effect::Safe);
-        let allowed = self.set.cancel && !sent.cancelled && self.call_offs >= 1.0;
+        let allowed = self.set.cancel && !sent.cancelled;
         let attempts_left = work.attempts < self.set.max_attempts;
         let room = |s: &&Server| s.id != sent.server && self.has_room(s, work.need());
         safe && allowed && attempts_left && self.candidates(false, work).iter().any(room)
--- a/src/policy/deadlines.rs
+++ b/src/policy/deadlines.rs
@@ -77,6 +77,7 @@
         if !safe || !left || self.call_offs < 1.0 || !self.candidates(reads, work).iter().any(better) {
             return;
         }
+        self.call_offs -= 1.0;
         let part = work.part();
         self.rest(sent.server, Some(part));
         if reads {
@@ -85,9 +86,8 @@
         self.cancel_attempt(id, &sent);
     }
 
-    /// Cancels an attempt before its time is up, which is one of those that may be.
+    /// Cancels an attempt before its time is up.
     pub(super) fn cancel_attempt(&mut self, id: RequestId, sent: &Sent) {
-        self.call_offs -= 1.0;
         self.works.get_mut(&id).into_iter().for_each(|w| w.sent = Some(Sent { cancelled: true, ..*sent }));
         self.out.push(Action::Cancel { id, attempt: sent.no });
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 //! | `slow_start` | slow start: what a server that has just started may be sent |
 //! | `permits` | whether something may be sent, sent again or refused now: the rules, asked before each |
 //! | `releasing` | how what is held for a request is let go of until some server has heard of it |
+//! | `intake` | what is taken in while a router ends, and which connection makes room for another |
 //! | `start_times` | when a listed process began, by the router's own clock |
 //! | `members` | the list of servers |
 //! | `connecting` | what a connection that did not come up says, and whether it is tried again |
@@ -31,6 +32,7 @@
 mod eligibility;
 mod endings;
 mod health;
+pub mod intake;
 mod members;
 mod peers;
 pub mod permits;
--- a/src/policy/permits.rs
+++ b/src/policy/permits.rs
@@ -6,6 +6,7 @@
 //! denied is counted by its reason.
 
 use crate::api::{CellId, Class, Effect, Group, Nanos, Status, ZoneId};
+use crate::counts::write_counts;
 use crate::state::MayHaveRun;
 
 /// What is known at the moment of a send.
@@ -166,10 +167,6 @@
 
 impl std::fmt::Display for Denials {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let some = Denial::ALL.into_iter().filter(|denial| self.of(*denial) > 0);
-        for (number, denial) in some.enumerate() {
-            write!(f, "{}{}={}", if number > 0 { "," } else { "" }, denial.name(), self.of(denial))?;
-        }
-        Ok(())
+        write_counts(f, Denial::ALL.into_iter().map(|denial| (denial.name(), self.of(denial))))
     }
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -68,6 +68,11 @@
         })
     }
 
+    /// Whether a server has answered something that was sent after that time.
+    pub fn has_run_since(&self, server: ServerId, at: Nanos) -> bool {
+        self.servers.get(&server).is_some_and(|s| s.runs_since(at))
+    }
+
     /// All servers that it was ever told of, in the order of their ids.
     pub fn views(&self) -> impl Iterator<Item = ServerView> + '_ {
         self.servers.values().map(|s| self.view(s))
