Soak sends no SIGHUP in a router's first second; unlisted writers count as not running

An unanswered write at a server that has left the module's books would have been left alone: not reachable as the books keep servers with open attempts, but nothing said so. Change: the rig waits for the first second and for readiness; unanswered_write needs no server.

--- a/crates/gaparch-lab/src/soak/site.rs
+++ b/crates/gaparch-lab/src/soak/site.rs
@@ -230,7 +230,10 @@
                 router.start(&self.shim, clock_ahead_s, self.seed)?;
             }
             Trouble::ReloadRouter { router, signals } => {
+                let address = self.listen[router];
                 let router = self.routers[router].lock().await;
+                sleep(router.process.hears_hangup_in()).await;
+                ready(address).await?;
                 let half = &router.config[..router.config.len() / 2];
                 std::fs::write(&router.file, half)?;
                 router.process.signal_in_series(Signal::HUP, signals).await;
--- a/src/policy/arrivals.rs
+++ b/src/policy/arrivals.rs
@@ -108,14 +108,15 @@
 
     fn unanswered_write(&self, id: RequestId, sent: &Sent) -> Option<UnansweredWrite> {
         let (_, held_since) = self.works.get(&id)?.state?;
-        let server = self.servers.get(&sent.server)?;
+        // One that has left the books is not known to run.
+        let server = self.servers.get(&sent.server);
         (sent.stage == Stage::Write && !sent.released).then_some(UnansweredWrite {
             now: self.now,
             sent_at: sent.at,
             held_since,
             release_within: self.set.release_within,
-            server_runs: server.runs_since(sent.at),
-            probed_at: server.asked_at,
+            server_runs: server.is_some_and(|s| s.runs_since(sent.at)),
+            probed_at: server.and_then(|s| s.asked_at),
             may_probe: self.set.probes,
         })
     }
