Review case 1: requests at once with large bodies take a router over its memory

The case starts one router (48 MB, 768 descriptors) and sends 248 valid requests at once, each with the largest body of the protocol, beside six usual clients.

--- /dev/null
+++ b/review/standin/run.sh
@@ -0,0 +1,16 @@
+# Runs one case: sourced by review/N/run.sh with HERE set to its folder.
+ROOT=$(cd "$HERE/../.." && pwd)
+FOLDER=$(mktemp -d) || exit 2
+export HERE ROOT FOLDER
+program=$ROOT/review/standin/build/case-$(basename "$HERE")
+if [ ! -x "$program" ] || [ ! -x "$ROOT/target/release/gaparch" ]; then
+    echo "build first: the build of deploy/balancer.toml, then review/build.sh" >&2
+    rm -rf "$FOLDER"
+    exit 2
+fi
+timeout -k 2 110 "$program"
+code=$?
+[ -f "$FOLDER/router.log" ] && { echo "--- the router's log"; tail -n 40 "$FOLDER/router.log"; } >> "$HERE/record.txt"
+rm -rf "$FOLDER"
+[ "$code" -le 2 ] && exit "$code"
+exit 2
