--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -20,7 +20,7 @@
 }
 
 fn run(case: &Case) -> i32 {
-    let (_, workers) = workers(&case.record, 2, 3);
+    let (_, workers) = workers(&case.record, 2, 3, 8);
     let discovery = Discovery::start(&case.record, &workers);
     let limits = Limits { memory_mb: 192, sockets: 1024 };
     let Some(router) = Router::start(&case.record, &discovery, &limits, &case.folder) else {
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -284,7 +284,7 @@
 }
 
 impl Worker {
-    pub fn start(record: &Record, floor: &Arc<Mutex<Floor>>, name: &str, reads: bool) -> Worker {
+    pub fn start(record: &Record, floor: &Arc<Mutex<Floor>>, name: &str, reads: bool, events: u32) -> Worker {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let worker = Worker {
             name: name.to_owned(),
@@ -294,7 +294,7 @@
             stream: Arc::new(Mutex::new(Stream::Good)),
             read_time: ms(60),
             event_gap: ms(60),
-            events: 8,
+            events,
             record: record.clone(),
         };
         let served = worker.clone();
@@ -706,15 +706,20 @@
     }
 }
 
-/// Readers and writers of a small site.
-pub fn workers(record: &Record, readers: usize, writers: usize) -> (Arc<Mutex<Floor>>, Vec<Worker>) {
+/// Readers and writers of a small site, whose streams have so many events.
+pub fn workers(
+    record: &Record,
+    readers: usize,
+    writers: usize,
+    events: u32,
+) -> (Arc<Mutex<Floor>>, Vec<Worker>) {
     let floor = Arc::new(Mutex::new(Floor::default()));
     let mut all = Vec::new();
     for number in 0..readers {
-        all.push(Worker::start(record, &floor, &format!("s-read-{number}"), true));
+        all.push(Worker::start(record, &floor, &format!("s-read-{number}"), true, events));
     }
     for number in 0..writers {
-        all.push(Worker::start(record, &floor, &format!("s-write-{number}"), false));
+        all.push(Worker::start(record, &floor, &format!("s-write-{number}"), false, events));
     }
     (floor, all)
 }
