--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -551,6 +551,8 @@
 
 pub struct Router {
     pub child: Child,
+    /// Names the process as long as it may run, for the script that started this program.
+    pid_file: PathBuf,
     pub listen: SocketAddr,
     pub config: PathBuf,
 }
@@ -559,6 +561,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.pid_file);
     }
 }
 
@@ -640,7 +643,9 @@
             .stderr(log)
             .spawn()
             .ok()?;
-        let router = Router { child, listen, config };
+        let pid_file = folder.join("router.pid");
+        let _ = std::fs::write(&pid_file, child.id().to_string());
+        let router = Router { child, pid_file, listen, config };
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
             if health(listen) == 200 {
--- a/review/standin/run.sh
+++ b/review/standin/run.sh
@@ -10,6 +10,8 @@
 fi
 timeout -k 2 110 "$program"
 code=$?
+# Left only if the program above was ended before it could end the router.
+[ -f "$FOLDER/router.pid" ] && kill -9 "$(cat "$FOLDER/router.pid")" 2>/dev/null
 [ -f "$FOLDER/router.log" ] && { echo "--- the router's log"; tail -n 40 "$FOLDER/router.log"; } >> "$HERE/record.txt"
 rm -rf "$FOLDER"
 [ "$code" -le 2 ] && exit "$code"
