--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -343,6 +343,7 @@
         });
         if self.reads {
             thread::sleep(self.read_time);
+            self.record.say(&format!("worker {}: has read {txn}, answers 202", self.name));
             lock(&self.floor).held.insert(txn);
             return answer(
                 socket,
@@ -352,6 +353,7 @@
             );
         }
         if !lock(&self.floor).held.remove(&txn) {
+            self.record.say(&format!("worker {}: has no state for {txn}, answers 410", self.name));
             return answer(socket, "410 Gone", "X-Turned-Away: 1\r\n", "");
         }
         self.write(socket, &txn)
@@ -387,7 +389,10 @@
         let usage = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":100,\"completion_tokens\":8,\
                      \"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\n";
         let end = format!("{}{}0\r\n\r\n", chunk(usage), chunk("data: [DONE]\n\n"));
-        socket.write_all(end.as_bytes()).is_ok()
+        let whole = socket.write_all(end.as_bytes()).is_ok();
+        let result = if whole { "written to its end" } else { "broke off: the router closed" };
+        self.record.say(&format!("worker {}: stream of {txn} {result}", self.name));
+        whole
     }
 }
 
