Log when an exchange passed on its last event

Cause: the line 'exchange ended' has the times up to the first byte of the response, so it can't tell a worker that went silent from one whose bytes kept arriving without an event. Change: the line also has last_event_us. Measured: exchange_log passes with a check of the new field.

--- a/crates/gaparch-platform-router/src/worker/exchange/mod.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/mod.rs
@@ -161,7 +161,7 @@
             let event = AttemptEvent::Prefilled { cached_prompt_tokens };
             ExchangeEnd { event: Some(event), finished: body.finished }
         }
-        ResponseMeaning::EventStream => forward_stream(attempt, shared, connection, response).await,
+        ResponseMeaning::EventStream => forward_stream(attempt, shared, trace, connection, response).await,
     }
 }
 
--- a/crates/gaparch-platform-router/src/worker/exchange/stream.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/stream.rs
@@ -1,5 +1,6 @@
 //! Forwards a worker's event stream to the client.
 
+use super::trace::Trace;
 use super::{Attempt, ExchangeEnd, FinishedConnection};
 use crate::messages::{AttemptEvent, StreamPart};
 use crate::shared_state::SharedState;
@@ -38,6 +39,7 @@
 struct StreamForwarder<'a> {
     attempt: &'a Attempt,
     shared: &'a SharedState,
+    trace: &'a mut Trace,
     events: EventStream,
     /// Events that arrived and were not forwarded yet. Everything that is buffered is validated before it is
     /// forwarded, so a stream that is malformed from the start counts as not begun.
@@ -50,12 +52,14 @@
 pub(super) async fn forward_stream(
     attempt: &Attempt,
     shared: &SharedState,
+    trace: &mut Trace,
     mut connection: WorkerConnection,
     response: ResponseHead,
 ) -> ExchangeEnd {
     let mut forwarder = StreamForwarder {
         attempt,
         shared,
+        trace,
         events: EventStream::default(),
         pending: BytesMut::new(),
         client: None,
@@ -126,7 +130,9 @@
         }
         let Some(client) = &self.client else { return Err(StreamError::Abandoned) };
         let events = self.pending.split().freeze();
-        client.send(StreamPart::Events(events)).await.map_err(|_| StreamError::Abandoned)
+        client.send(StreamPart::Events(events)).await.map_err(|_| StreamError::Abandoned)?;
+        self.trace.record_event();
+        Ok(())
     }
 
     /// Asks the owner for the channel to the client.
--- a/crates/gaparch-platform-router/src/worker/exchange/trace.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/trace.rs
@@ -39,6 +39,8 @@
     connected_at: Nanos,
     written_at: Nanos,
     first_byte_at: Nanos,
+    /// When the last event so far was passed on to the client.
+    last_event_at: Nanos,
 }
 
 impl Trace {
@@ -56,6 +58,7 @@
             connected_at: 0,
             written_at: 0,
             first_byte_at: 0,
+            last_event_at: 0,
         }
     }
 
@@ -72,6 +75,10 @@
         self.first_byte_at = self.clock.now();
     }
 
+    pub fn record_event(&mut self) {
+        self.last_event_at = self.clock.now();
+    }
+
     /// Logs the end of the exchange; `event` is `None` if the request was given up meanwhile.
     pub fn log_end(&mut self, event: Option<&AttemptEvent>) {
         match event {
@@ -97,6 +104,7 @@
             connected_us = micros(self.connected_at),
             written_us = micros(self.written_at),
             first_us = micros(self.first_byte_at),
+            last_event_us = micros(self.last_event_at),
             ended_us = micros(self.clock.now()),
             ?end,
             "exchange ended"
--- a/crates/gaparch-platform-router/tests/exchange_log.rs
+++ b/crates/gaparch-platform-router/tests/exchange_log.rs
@@ -93,7 +93,7 @@
     router.next_write(&[common::put(first_event), Step::Hang]);
     drop(started_stream(&router, "left"));
     log.wait_for_line(&["attempt cancelled", "txn=\"left\""]);
-    log.wait_for_line(&["exchange ended", "txn=\"left\"", "end=Cancelled"]);
+    log.wait_for_line(&["exchange ended", "txn=\"left\"", "last_event_us=", "end=Cancelled"]);
     log.wait_for_line(&["connection closed", "reason=ClientDisconnected"]);
 
     router.tell(Platform::without_writers(&Platform::list(&router.readers, &router.writers)));
