End a stream by its last event, not by its last byte

Cause: StreamForwarder::read_more started the timeout of 4 s anew with every read that brought any byte. Limits on lengths (256 bytes of a line, 64 KiB of an event, 4 KiB of a trailer) bound bytes, not time. Change: the timeout runs from the last event that was passed on to the client, to the next one or the end of the stream. The wait for a slow client still does not count. Why it works: what restarts the timeout is what the client sees, whichever part of the framing the other bytes belong to.

--- a/crates/gaparch-platform-router/src/worker/exchange/stream.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/stream.rs
@@ -12,10 +12,11 @@
 use gaparch_scheduler::api::AttemptStatus;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{timeout_at, Instant};
 
-/// Longest silence of a worker within a stream. The platform allows a client to wait 5 s after an event.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(4000);
+/// Longest wait for the next event, or the end of the stream, after an event was passed on. The platform
+/// allows a client to wait 5 s.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(4000);
 
 /// Why forwarding ends before the body is complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +47,9 @@
     pending: BytesMut,
     /// The channel to the client; set when the first events are forwarded.
     client: Option<mpsc::Sender<StreamPart>>,
+    /// When the next event has to be forwarded, whatever other bytes arrive. `None` before the first event,
+    /// when the attempt's own timeout applies.
+    next_event_by: Option<Instant>,
 }
 
 /// Forwards events as they arrive. Malformed data before the first forwarded event makes the attempt fail.
@@ -63,6 +67,7 @@
         events: EventStream::default(),
         pending: BytesMut::new(),
         client: None,
+        next_event_by: None,
     };
     match forwarder.forward_body(&mut connection, &response).await {
         Ok(()) => forwarder.finish(connection, response).await,
@@ -109,9 +114,12 @@
         connection: &mut WorkerConnection,
         decoder: &BodyDecoder,
     ) -> Result<bool, StreamError> {
-        // Before the first event the attempt's own timeout applies.
-        let read_timeout = if self.client.is_some() { SILENCE_TIMEOUT } else { Duration::MAX };
-        match timeout(read_timeout, connection.socket.read()).await {
+        let reading = connection.socket.read();
+        let result = match self.next_event_by {
+            Some(next_event_by) => timeout_at(next_event_by, reading).await,
+            None => Ok(reading.await),
+        };
+        match result {
             Ok(Ok(length)) if length > 0 => Ok(false),
             Ok(Ok(_)) if decoder.ends_with_connection() => Ok(true),
             Ok(_) => Err(StreamError::Failed(AttemptStatus::Reset)),
@@ -120,7 +128,7 @@
     }
 
     /// Forwards the pending events. If the client's queue is full, this waits, which applies back pressure to
-    /// the worker instead of losing events.
+    /// the worker instead of losing events. The worker's time for its next event starts after that.
     async fn forward_pending(&mut self) -> Result<(), StreamError> {
         if self.pending.is_empty() {
             return Ok(());
@@ -131,6 +139,7 @@
         let Some(client) = &self.client else { return Err(StreamError::Abandoned) };
         let events = self.pending.split().freeze();
         client.send(StreamPart::Events(events)).await.map_err(|_| StreamError::Abandoned)?;
+        self.next_event_by = Some(Instant::now() + EVENT_TIMEOUT);
         self.trace.record_event();
         Ok(())
     }
@@ -158,3 +167,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "stream_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gaparch-platform-router/tests/stalled_streams.rs
@@ -0,0 +1,138 @@
+//! Tests streams of decode workers whose bytes keep arriving without an event that the client could see, and
+//! sound streams that look similar.
+
+mod common;
+
+use common::{ms, put, RunningRouter};
+use gaparch_testbed::platform::{ask, events, head_and_body, stream, Step, LONG};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// By the platform's rules a client's connection ends this long after the last event at the latest.
+const MAX_CLIENT_WAIT: Duration = Duration::from_secs(5);
+/// How long a worker goes on sending bytes that complete no event.
+const DRIP_TIME: Duration = Duration::from_secs(8);
+const DRIP_INTERVAL: Duration = Duration::from_millis(100);
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// What a client received until its connection ended.
+struct Received {
+    bytes: Vec<u8>,
+    /// How long it waited after the last bytes.
+    waited: Duration,
+}
+
+impl Received {
+    fn has_last_chunk(&self) -> bool {
+        self.bytes.ends_with(LAST_CHUNK)
+    }
+
+    fn count_events(&self) -> usize {
+        self.bytes.windows(6).filter(|window| window == b"data: ").count()
+    }
+}
+
+/// Connects a client that asks for its connection to be closed after the response.
+fn send_request(router: &RunningRouter, txn: &str) -> TcpStream {
+    let request = String::from_utf8(head_and_body(txn, "{}")).expect("UTF-8");
+    let request = request.replacen("\r\n", "\r\nConnection: close\r\n", 1);
+    let mut client = TcpStream::connect(router.listen).expect("connected");
+    client.write_all(request.as_bytes()).expect("written");
+    client
+}
+
+/// Reads until the connection ends.
+fn receive(client: &mut TcpStream) -> Received {
+    client.set_read_timeout(Some(LONG)).expect("set");
+    let mut bytes = Vec::new();
+    let mut piece = [0; 64 * 1024];
+    let mut last_bytes_at = Instant::now();
+    loop {
+        match client.read(&mut piece).expect("the connection ends") {
+            0 => return Received { bytes, waited: last_bytes_at.elapsed() },
+            length => {
+                bytes.extend_from_slice(&piece[..length]);
+                last_bytes_at = Instant::now();
+            }
+        }
+    }
+}
+
+/// Writes one byte after the other.
+fn drip(bytes: impl IntoIterator<Item = u8>, interval: Duration) -> Vec<Step> {
+    bytes.into_iter().flat_map(|byte| [Step::Put(vec![byte]), Step::Wait(interval)]).collect()
+}
+
+/// A stream with a first event, followed by bytes that keep arriving.
+fn stalled_after_first_event(start: &str, repeated: &str) -> Vec<Step> {
+    let first = stream(&events()[..1]);
+    let first = first[..first.len() - LAST_CHUNK.len()].to_vec();
+    stalled(first, start, repeated)
+}
+
+/// The given bytes, followed by bytes that keep arriving.
+fn stalled(sound: Vec<u8>, start: &str, repeated: &str) -> Vec<Step> {
+    let drips = (DRIP_TIME.as_millis() / DRIP_INTERVAL.as_millis()) as usize;
+    let mut steps = vec![Step::Put(sound), put(start)];
+    steps.extend(drip(repeated.bytes().cycle().take(drips), DRIP_INTERVAL));
+    steps.push(Step::Hang);
+    steps
+}
+
+/// Plays a stalled stream to a client: its connection has to end in time and without the last chunk, and the
+/// router has to serve others.
+fn assert_ends_in_time(case: &str, steps: &[Step]) {
+    let router = RunningRouter::with(|_| {});
+    router.next_write(steps);
+    let received = receive(&mut send_request(&router, "stalled"));
+    assert!(received.count_events() > 0, "{case}: no event was passed on");
+    assert!(!received.has_last_chunk(), "{case}: the stream was ended as complete");
+    assert!(received.waited <= MAX_CLIENT_WAIT, "{case}: the client waited {:?}", received.waited);
+    assert_eq!(ask(router.listen, "next").status, 200, "{case}");
+}
+
+/// Guards against a client that is left waiting because bytes without an event restart its stream's timeout.
+#[test]
+fn a_stream_ends_in_time_if_bytes_arrive_but_no_events() {
+    let all_but_last_line = |whole: Vec<u8>| whole[..whole.len() - b"\r\n".len()].to_vec();
+    let cases = [
+        ("a malformed chunk size", stalled_after_first_event("", "z")),
+        ("a chunk extension", stalled_after_first_event("5;", "x")),
+        ("an incomplete event", stalled_after_first_event("4000\r\ndata: ", "x")),
+        ("an incomplete event in small chunks", stalled_after_first_event("6\r\ndata: \r\n", "1\r\nx\r\n")),
+        ("a trailer", stalled(all_but_last_line(stream(&events())), "x: ", "x")),
+    ];
+    std::thread::scope(|all| {
+        for (case, steps) in &cases {
+            all.spawn(move || assert_ends_in_time(case, steps));
+        }
+    });
+}
+
+/// Guards against a timeout that cuts off a sound stream whose events arrive in small pieces.
+#[test]
+fn a_sound_stream_in_small_pieces_stays_complete() {
+    let router = RunningRouter::with(|_| {});
+    router.next_write(&drip(stream(&events()), ms(15)));
+    let received = receive(&mut send_request(&router, "pieces"));
+    assert!(received.has_last_chunk());
+    assert_eq!(received.count_events(), events().len());
+}
+
+/// Guards against a timeout that counts the time in which a sound stream waits for its slow client.
+#[test]
+fn a_sound_stream_behind_a_slow_client_stays_complete() {
+    // More than the buffers between the worker and the client hold.
+    const EVENTS: usize = 24 * 1024;
+    let event = format!("data: {}\n\n", "x".repeat(1000));
+    let mut all_events = vec![event; EVENTS];
+    all_events.push("data: [DONE]\n\n".to_owned());
+    let router = RunningRouter::with(|_| {});
+    router.next_write(&[Step::Put(stream(&all_events))]);
+    let mut client = send_request(&router, "slow");
+    std::thread::sleep(ms(6000));
+    let received = receive(&mut client);
+    assert!(received.has_last_chunk());
+    assert_eq!(received.count_events(), all_events.len());
+}
