Count only events with data as a stream's progress

Callers saw a stream that brings only comments, and no end: comments, as some servers send to keep connections open, were passed on as events. Each restarted the stream's timeout, and as the first one it also ended the client's deadline and the search for another worker. Cause: EventStream took every block of lines for an event, while a client ignores a block without a data line. Change: a block without data is buffered and passed on, unchanged, with the event that follows; blocks and event together have at most 64 KiB. Why it works: what is passed on always ends with an event, so both the deadline and the timeout go by what the client sees. Streams with comments in between are forwarded byte for byte.

--- a/crates/gaparch-platform-protocol/src/event_stream.rs
+++ b/crates/gaparch-platform-protocol/src/event_stream.rs
@@ -23,10 +23,17 @@
     AfterDone,
 }
 
-/// Splits a stream into runs of complete events. It buffers at most one incomplete event.
+/// Splits a stream into runs of complete events. It buffers at most [`MAX_EVENT_BYTES`] of what is not a
+/// complete event yet.
+///
+/// A block of lines without data, such as a comment that keeps a connection open, is no event: a client
+/// ignores it. It is buffered and returned with the event that follows.
 #[derive(Debug, Default)]
 pub struct EventStream {
+    /// Blocks without data, and an incomplete block.
     incomplete: BytesMut,
+    /// Length of those blocks without data, which are not checked again.
+    checked: usize,
     done: bool,
 }
 
@@ -38,24 +45,28 @@
     pub fn push(&mut self, data: &[u8]) -> Result<Option<Bytes>, EventStreamError> {
         self.incomplete.extend_from_slice(data);
         let mut complete = 0;
-        while let Some(length) = first_event_length(&self.incomplete[complete..]) {
-            let event = &self.incomplete[complete..complete + length];
+        while let Some(length) = first_block_length(&self.incomplete[self.checked..]) {
+            let block = &self.incomplete[self.checked..self.checked + length];
             if self.done {
                 return Err(EventStreamError::AfterDone);
             }
-            if !may_begin_event(event) {
+            if !may_begin_block(block) {
                 return Err(EventStreamError::NotAnEvent);
             }
-            self.done = event.trim_ascii_end() == DONE_EVENT;
-            complete += length;
+            self.checked += length;
+            if has_data(block) {
+                self.done = block.trim_ascii_end() == DONE_EVENT;
+                complete = self.checked;
+            }
         }
-        let rest = &self.incomplete[complete..];
-        if !rest.is_empty() && !may_begin_event(rest) {
+        let rest = &self.incomplete[self.checked..];
+        if !rest.is_empty() && !may_begin_block(rest) {
             return Err(EventStreamError::NotAnEvent);
         }
-        if rest.len() > MAX_EVENT_BYTES {
+        if self.incomplete.len() - complete > MAX_EVENT_BYTES {
             return Err(EventStreamError::TooLong);
         }
+        self.checked -= complete;
         Ok((complete > 0).then(|| self.incomplete.split_to(complete).freeze()))
     }
 
@@ -65,8 +76,9 @@
     }
 }
 
-/// Returns the length of the first event, with its terminating blank line; `None` while it is incomplete.
-fn first_event_length(bytes: &[u8]) -> Option<usize> {
+/// Returns the length of the first block of lines, with its terminating blank line; `None` while it is
+/// incomplete.
+fn first_block_length(bytes: &[u8]) -> Option<usize> {
     let mut line_start = 0;
     while let Some(length) = bytes[line_start..].iter().position(|byte| *byte == b'\n') {
         let next_line = line_start + length + 1;
@@ -79,8 +91,15 @@
     None
 }
 
-/// Whether an event may begin with these bytes, which may be only a part of its first field's name.
-fn may_begin_event(bytes: &[u8]) -> bool {
+/// Whether a block has a line with data, which makes it an event.
+fn has_data(block: &[u8]) -> bool {
+    block
+        .split(|byte| *byte == b'\n')
+        .any(|line| line.starts_with(b"data:") || line.trim_ascii_end() == b"data")
+}
+
+/// Whether a block may begin with these bytes, which may be only a part of its first field's name.
+fn may_begin_block(bytes: &[u8]) -> bool {
     let field_names = [b"data:".as_slice(), b"event:", b"id:", b"retry:", b":"];
     let is_compatible = |name: &[u8]| bytes.iter().zip(name).all(|(byte, expected)| byte == expected);
     field_names.into_iter().any(is_compatible)
--- a/crates/gaparch-platform-protocol/tests/codec.rs
+++ b/crates/gaparch-platform-protocol/tests/codec.rs
@@ -188,3 +188,18 @@
         Err(EventStreamError::TooLong)
     );
 }
+
+/// Guards against comments that are forwarded as if they were events, and against buffering them without
+/// bound.
+#[test]
+fn blocks_without_data_are_forwarded_with_the_next_event() {
+    let without_data = ": ping\n\nevent: progress\nid: 7\r\n\r\n";
+    assert_eq!(forward_events(without_data.as_bytes(), &[9]), (Vec::new(), Ok(false)));
+    let whole = format!("{without_data}event: x\r\ndata: a\r\n\r\n: ping\n\nid: 8\ndata\n\ndata: [DONE]\n\n");
+    for cut in 0..whole.len() {
+        assert_eq!(forward_events(whole.as_bytes(), &[cut]), (whole.clone().into_bytes(), Ok(true)), "{cut}");
+    }
+    let comments = ": ping\n\n".repeat(10_000);
+    assert_eq!(forward_events(comments.as_bytes(), &[]), (Vec::new(), Err(EventStreamError::TooLong)));
+    assert_eq!(forward_events(b"data: [DONE]\n\n: ping\n\n", &[]).1, Err(EventStreamError::AfterDone));
+}
