Skip token frames without tokens in the framed router

Callers of gaparch serve would wait up to the stream limit behind an engine that keeps sending token frames with neither a token nor text: each restarted the silence limit, and as the first frame it started the stream, after which the client's deadline no longer applies. Cause: Core::on_tokens took every frame for progress. Change: a frame without tokens and text is skipped. The report of an exchange's shell that its stream has begun stays as it was. Why it works: only what the client receives restarts the limit. Measured: a_stream_of_frames_without_tokens_fails_at_the_silence_limit and a_frame_without_tokens_does_not_start_a_stream failed before and pass; found by reading, not seen in service.

--- a/crates/gaparch-router/src/core/streams.rs
+++ b/crates/gaparch-router/src/core/streams.rs
@@ -4,6 +4,7 @@
 use super::request::{Attempt, AttemptState, Stage};
 use super::timers::Timer;
 use super::{Core, Output, ResponseEvent};
+use gaparch_config::Links;
 use gaparch_protocol::client::{StopReason, Usage};
 use gaparch_protocol::engine::EngineFrame;
 use gaparch_protocol::ops::outcome::OutcomeCause;
@@ -13,7 +14,8 @@
 const STREAM_BROKEN: &str = "the answer broke off";
 
 impl Core {
-    /// Handles tokens from an engine; `sent_before` is the number of tokens that it sent before these.
+    /// Handles tokens from an engine; `sent_before` is the number of tokens that it sent before these. A frame
+    /// that brings none neither starts a stream nor extends its silence limit.
     pub(super) fn on_tokens(
         &mut self,
         id: RequestId,
@@ -31,6 +33,11 @@
         if sent_before < received {
             return self.counters.late_frames += 1;
         }
+        // The shell of an exchange forwards the tokens itself, and only reports here that they have begun.
+        let is_report = self.config.links == Links::Exchanges;
+        if count == 0 && text.is_empty() && !is_report {
+            return;
+        }
         tracked.usage.output_tokens = received.saturating_add(u32::from(count));
         self.counters.tokens += u64::from(count);
         tracked.last_token_at = self.now;
--- a/crates/gaparch-router/tests/core.rs
+++ b/crates/gaparch-router/tests/core.rs
@@ -376,6 +376,41 @@
     assert!(out.contains(&Output::Engine { engine: decode_worker, frame: EngineFrame::Cancel(key) }));
 }
 
+fn empty_tokens(key: AttemptKey, from: u32) -> EngineFrame {
+    EngineFrame::Tokens { key, sent_before: from, count: 0, text: String::new() }
+}
+
+/// Guards against a client that is left waiting because frames without tokens restart its stream's silence
+/// limit.
+#[test]
+fn a_stream_of_frames_without_tokens_fails_at_the_silence_limit() {
+    let mut router = TestRouter::new();
+    let (decode_worker, key) = router.start_decode(1);
+    router.receive_frame(decode_worker, tokens(key, 0));
+    for _ in 0..4 {
+        router.advance(S);
+        router.receive_frame(decode_worker, empty_tokens(key, 1));
+    }
+    assert!(final_answers(&router.outputs, 1).is_empty(), "the silence limit is not reached");
+    let out = router.advance(2 * S);
+    assert!(matches!(final_answers(&out, 1)[..], [ResponseEvent::Failed { .. }]));
+    assert!(out.contains(&Output::Engine { engine: decode_worker, frame: EngineFrame::Cancel(key) }));
+    let empty_text = |output: &Output| matches!(output, Output::Client { event: ResponseEvent::Text { text }, .. } if text.is_empty());
+    assert!(!router.outputs.iter().any(empty_text), "frames without tokens are not passed on");
+}
+
+/// Guards against a frame without tokens that counts as the first token, from which on the client's deadline
+/// no longer applies.
+#[test]
+fn a_frame_without_tokens_does_not_start_a_stream() {
+    let mut router = TestRouter::new();
+    let (decode_worker, key) = router.start_decode(1);
+    router.receive_frame(decode_worker, empty_tokens(key, 0));
+    assert_eq!(router.core.phase(RequestId(1)), Some(Phase::Decoding));
+    router.receive_frame(decode_worker, tokens(key, 0));
+    assert_eq!(router.core.phase(RequestId(1)), Some(Phase::Streaming));
+}
+
 #[test]
 fn a_stop_answers_open_requests_and_rejects_new_ones() {
     let mut router = TestRouter::new();
