Time a fetch of a list by new entries, not by pages

A router that lags would never turn to another one while the router that it asked repeats a page it has sent before: each page of the list restarted the timeout of 250 ms. Cause: Fetch::on_page counted every page as progress. Change: only a page that brings an entry that was missing restarts it. Why it works: the entries of a list are bounded, so a source can delay the fetch only while it completes the list. Measured: a_router_that_repeats_a_page_does_not_delay_a_fetch failed before (no other router asked in 5 s) and passes (asked within 1 s); found by reading.

--- a/crates/gaparch-audit/src/endpoint_list/fetch.rs
+++ b/crates/gaparch-audit/src/endpoint_list/fetch.rs
@@ -8,7 +8,7 @@
 use gaparch_protocol::versions::{ListVersion, ReplicationMessage};
 use std::collections::BTreeMap;
 
-/// The time without a page after which another router is asked.
+/// The time without a new entry after which another router is asked.
 pub(super) const PAGE_TIMEOUT: Nanos = 250 * MILLISECOND;
 /// The greatest number of pages sent per request.
 const MAX_PAGES: usize = 8;
@@ -32,7 +32,8 @@
     pub requested: BelievedList,
     /// The router that was asked last.
     pub source: String,
-    requested_at: Nanos,
+    /// When it was asked, or later sent an entry that was missing.
+    progress_at: Nanos,
     entries: BTreeMap<u32, ListEntry>,
     total: Option<u32>,
 }
@@ -52,12 +53,12 @@
 
 impl Fetch {
     pub fn new(requested: BelievedList, source: String, now: Nanos) -> Fetch {
-        Fetch { requested, source, requested_at: now, entries: BTreeMap::new(), total: None }
+        Fetch { requested, source, progress_at: now, entries: BTreeMap::new(), total: None }
     }
 
-    /// When another router is asked if no page arrives before.
+    /// When another router is asked if no new entry arrives before.
     pub fn times_out_at(&self) -> Nanos {
-        self.requested_at + PAGE_TIMEOUT
+        self.progress_at + PAGE_TIMEOUT
     }
 
     /// The index of the first entry that is missing.
@@ -72,7 +73,7 @@
     /// Continues with another router. Received entries are kept, since the digest is checked at the end.
     pub fn switch_source(&mut self, source: String, now: Nanos) {
         self.source = source;
-        self.requested_at = now;
+        self.progress_at = now;
     }
 
     pub fn on_page(&mut self, page: Page, now: Nanos) -> FetchProgress {
@@ -84,10 +85,13 @@
             return FetchProgress::DigestMismatch;
         }
         self.total = Some(page.total);
-        self.requested_at = now;
+        let known_entries = self.entries.len();
         for (index, entry) in (page.first..page.total).zip(page.entries) {
             self.entries.entry(index).or_insert(entry);
         }
+        if self.entries.len() > known_entries {
+            self.progress_at = now;
+        }
         if self.entries.len() < page.total as usize {
             return FetchProgress::Incomplete { first_missing: self.first_missing() };
         }
--- a/crates/gaparch-audit/tests/list_follower.rs
+++ b/crates/gaparch-audit/tests/list_follower.rs
@@ -247,6 +247,61 @@
     );
 }
 
+/// Guards against a fetch that never turns to another router, since its source keeps sending a page that it
+/// has sent before.
+#[test]
+fn a_router_that_repeats_a_page_does_not_delay_a_fetch() {
+    const ASKED_ELSEWHERE_WITHIN: Nanos = 1_000 * MS;
+    let settings =
+        |router: &str| FollowerSettings { router: router.to_owned(), confirm_within: CONFIRM, seed: 1 };
+    let mut list = ActiveList::default();
+    let Service { epoch, version, entries } = Service::new(110);
+    list.apply_service_update(epoch, true, Scope::Full, version, &entries);
+    let mut source = ListFollower::new(settings("router-1"), 0);
+    let mut follower = ListFollower::new(settings("router-0"), 0);
+    let peers = [name(1), name(2)];
+    let mut first_request: Option<(Nanos, String, ReplicationMessage)> = None;
+    for now in (0..5_000 * MS).step_by(100 * MS as usize) {
+        source.on_list(now, Some(list.snapshot()), Some(now));
+        let mut sent = Vec::new();
+        source.on_timer(now, vec![name(0)], &mut sent);
+        let mut out = Vec::new();
+        for (_, status) in messages(&sent) {
+            peers.iter().for_each(|peer| follower.on_message(now, peer, status.clone(), &mut out));
+        }
+        if let Some((_, router, page)) = &first_request {
+            follower.on_message(now, router, page.clone(), &mut out);
+        }
+        follower.on_timer(now, peers.to_vec(), &mut out);
+        let is_request =
+            |message: &ReplicationMessage| matches!(message, ReplicationMessage::ListRequest { .. });
+        for (to, request) in messages(&out).into_iter().filter(|(_, message)| is_request(message)) {
+            match &first_request {
+                None => {
+                    let mut pages = Vec::new();
+                    source.on_message(now, &name(0), request, &mut pages);
+                    first_request = Some((now, to, messages(&pages).remove(0).1));
+                }
+                Some((asked_at, router, _)) if to != *router => {
+                    assert!(now - asked_at <= ASKED_ELSEWHERE_WITHIN, "{} ms", (now - asked_at) / MS);
+                    return;
+                }
+                Some(_) => {}
+            }
+        }
+    }
+    panic!("no other router was asked");
+}
+
+/// The messages among the outputs, each with its receiver.
+fn messages(out: &[FollowerOutput]) -> Vec<(String, ReplicationMessage)> {
+    let message = |output: &FollowerOutput| match output {
+        FollowerOutput::Send { to, message } => Some((to.clone(), message.clone())),
+        _ => None,
+    };
+    out.iter().filter_map(message).collect()
+}
+
 #[test]
 fn one_router_with_a_service_link_is_enough_for_all() {
     let mut fleet = Fleet::new(9, 30, 2);
