Take a call's outcome from its head, whatever the body does

A release whose answer has a body that does not end was repeated at further workers for 16 s as if nobody had answered, and a prefill that is made again waited for it. A health check with such a body counted as timed out, and a reservation as made. Cause: call() returned the status only after the whole body, so bytes of a body could use up the timeout of the call. Change: the status counts from the head on. The body is read for 50 ms at most; if it is not complete by then, the connection is closed. Health checks and reservations take the same way and have no test of their own.

--- a/crates/gaparch-platform-router/src/worker/call.rs
+++ b/crates/gaparch-platform-router/src/worker/call.rs
@@ -4,8 +4,14 @@
 use crate::transient_errors::write_all;
 use bytes::Bytes;
 use gaparch_platform_protocol::body::MAX_BODY_BYTES;
+use std::time::Duration;
+use tokio::time::timeout;
 
-/// Makes a call and returns the status of the complete response, or `None` if there is no response. The
+/// How long the rest of a response is read after its head, so that the connection can be reused. Longer than a
+/// peer's delayed acknowledgement, which may separate a body from its head.
+const BODY_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Makes a call and returns the status in the head of the response, or `None` if there is none. The
 /// connection is returned to the pool if it can be reused.
 pub(super) async fn call(
     mut connection: WorkerConnection,
@@ -15,7 +21,8 @@
     write_all(&connection.socket.stream, &mut &head[..]).await.ok()?;
     let response = connection.socket.read_response_head().await.ok()?;
     pool.record_response(connection.process);
-    if connection.socket.read_body(response.framing, MAX_BODY_BYTES).await.is_ok() {
+    let reading = connection.socket.read_body(response.framing, MAX_BODY_BYTES);
+    if matches!(timeout(BODY_TIMEOUT, reading).await, Ok(Ok(_))) {
         pool.put(connection, &response, LastExchange::Call);
     }
     Some(response.status)
