Test that the head states the outcome of health checks and reservations

Need: calls take their outcome from the head of the answer, but only the release had a test of it. Change: two tests with a worker whose bodies do not end, which the test of the release now shares.

--- a/crates/gaparch-platform-router/src/worker/call.rs
+++ b/crates/gaparch-platform-router/src/worker/call.rs
@@ -27,3 +27,7 @@
     }
     Some(response.status)
 }
+
+#[cfg(test)]
+#[path = "call_tests.rs"]
+mod tests;
--- a/crates/gaparch-platform-router/src/worker/release_tests.rs
+++ b/crates/gaparch-platform-router/src/worker/release_tests.rs
@@ -1,11 +1,13 @@
 //! Tests releases when some workers do not answer, or only in part.
 
 use super::{release, Clock, ConnectionPool, Release};
+use crate::test_support::worker_with_endless_bodies;
 use crate::worker::WorkerProcess;
 use gaparch_platform_protocol::client_request::TransactionId;
 use gaparch_scheduler::api::ServerId;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -54,28 +56,12 @@
 /// Guards against a release that counts as unanswered because the body of its answer does not end.
 #[tokio::test]
 async fn a_release_is_answered_by_the_head_of_its_response() {
-    let (process, listener) = worker(1);
-    let (called, calls) = mpsc::channel();
-    std::thread::spawn(move || {
-        for socket in listener.incoming().flatten() {
-            let _ = called.send(Instant::now());
-            std::thread::spawn(move || answer_without_end(socket));
-        }
-    });
+    let (process, connections) = worker_with_endless_bodies("HTTP/1.1 200 OK");
     let pool = Arc::new(ConnectionPool::new(Arc::new(Semaphore::new(64)), ATTEMPT_TIMEOUT, None));
     let transaction = TransactionId::new("txn").expect("an id");
     let started = Instant::now();
     let request = Release { transaction, processes: vec![process], attempt_timeout: ATTEMPT_TIMEOUT };
     release(request, pool, Clock::default()).await;
     assert!(started.elapsed() < ATTEMPT_TIMEOUT / 2, "answered after {:?}", started.elapsed());
-    assert_eq!(calls.try_iter().count(), 1, "the release was repeated");
-}
-
-/// Answers with a head, and a body of which one byte after the other arrives.
-fn answer_without_end(mut socket: TcpStream) {
-    let _ = socket.read(&mut [0; 1024]);
-    let _ = socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
-    while socket.write_all(b"x").is_ok() {
-        std::thread::sleep(Duration::from_millis(20));
-    }
+    assert_eq!(connections.load(Ordering::Relaxed), 1, "the release was repeated");
 }
