--- a/crates/gaparch-cli/tests/node.rs
+++ b/crates/gaparch-cli/tests/node.rs
@@ -4,8 +4,8 @@
 
 use common::{start, Environment, Site};
 use gaparch_testbed::platform::{
-    ask, events, folder, head_and_body, instance, raw, settings, stream, until, Catalogue, Floor, Got,
-    Platform, Seen, Step, Stuck, Worker, LONG,
+    ask, events, folder, head_and_body, instance, raw, settings, stream, until, DiscoveryService,
+    FullBacklog, Platform, Response, Step, Worker, WorkerEvent, WorkerLog, LONG,
 };
 use rustix::process::Signal;
 use serde_json::{json, Value};
@@ -31,16 +31,22 @@
     let body = "{\"stream\":true,\"messages\":[\"\u{e1}\"]}";
     let mut request = head_and_body("txn-1", body);
     let got = raw(site.listen, &request, LONG);
-    assert_eq!((got.status, got.whole), (200, true));
+    assert_eq!((got.status, got.is_complete), (200, true));
     assert_eq!(String::from_utf8_lossy(&got.body), events().concat());
-    let asked: Vec<Seen> =
-        site.floor.seen().into_iter().filter(|s| matches!(s, Seen::Asked { .. })).collect();
-    let [Seen::Asked { worker: read, .. }, Seen::Asked { worker: written, .. }] = &asked[..] else {
+    let asked: Vec<WorkerEvent> = site
+        .worker_log
+        .events()
+        .into_iter()
+        .filter(|s| matches!(s, WorkerEvent::RequestReceived { .. }))
+        .collect();
+    let [WorkerEvent::RequestReceived { worker: read, .. }, WorkerEvent::RequestReceived { worker: written, .. }] =
+        &asked[..]
+    else {
         panic!("{asked:?}")
     };
     assert!(read.starts_with("r-") && written.starts_with("w-"), "{asked:?}");
     for seen in &asked {
-        let Seen::Asked { txn, target, body: forwarded, .. } = seen else { continue };
+        let WorkerEvent::RequestReceived { txn, target, body: forwarded, .. } = seen else { continue };
         assert_eq!((txn.as_str(), target.as_str()), ("txn-1", "/v1/chat/completions"));
         assert_eq!(forwarded, body.as_bytes());
     }
@@ -50,12 +56,12 @@
          Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n1\r\n \r\n0\r\n\r\n"
             .to_vec();
     assert_eq!(raw(site.listen, &request, LONG).status, 200);
-    let forwarded = |s: &Seen| {
-        matches!(s, Seen::Asked { txn, target, body, .. }
+    let forwarded = |s: &WorkerEvent| {
+        matches!(s, WorkerEvent::RequestReceived { txn, target, body, .. }
         if txn == "txn-2" && target == "/v1/chat/completions?a=b" && body == b"{} ")
     };
-    assert_eq!(site.floor.seen().iter().filter(|s| forwarded(s)).count(), 2);
-    site.no_second_copies();
+    assert_eq!(site.worker_log.events().iter().filter(|s| forwarded(s)).count(), 2);
+    site.assert_no_second_copies();
 }
 
 #[test]
@@ -84,12 +90,12 @@
     let site = Site::new();
     for (number, (what, steps)) in bad.into_iter().enumerate() {
         let txn = format!("txn-{number}");
-        site.next_write(&steps);
+        site.reply_to_next_decode(&steps);
         let got = ask(site.listen, &txn);
-        assert_eq!((got.status, got.whole), (200, true), "{what}");
-        assert_eq!(site.writes(&txn), 2, "{what}");
+        assert_eq!((got.status, got.is_complete), (200, true), "{what}");
+        assert_eq!(site.decode_requests(&txn), 2, "{what}");
     }
-    site.no_second_copies();
+    site.assert_no_second_copies();
 }
 
 #[test]
@@ -109,12 +115,12 @@
     ];
     for (number, (what, steps)) in bad.into_iter().enumerate() {
         let txn = format!("txn-{number}");
-        site.next_write(&steps);
+        site.reply_to_next_decode(&steps);
         let got = ask(site.listen, &txn);
-        assert_eq!((got.status, got.whole, site.writes(&txn)), (200, false, 1), "{what}");
+        assert_eq!((got.status, got.is_complete, site.decode_requests(&txn)), (200, false, 1), "{what}");
         assert_eq!(String::from_utf8_lossy(&got.body), events()[0], "{what}");
     }
-    site.no_second_copies();
+    site.assert_no_second_copies();
 }
 
 #[test]
@@ -126,10 +132,10 @@
     response.splice(at..at, b"X-Pressure: \xff\x01{{=?\r\n".iter().copied());
     let interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\n".to_vec();
     let all = [interim, response, stream(&events())].concat();
-    site.writers.iter().for_each(|w| w.always(vec![Step::Put(all.clone())]));
+    site.decode_workers.iter().for_each(|w| w.reply_always(vec![Step::Put(all.clone())]));
     for number in 0..4 {
         let got = ask(site.listen, &format!("txn-{number}"));
-        assert_eq!((got.status, got.whole), (200, true));
+        assert_eq!((got.status, got.is_complete), (200, true));
         assert_eq!(String::from_utf8_lossy(&got.body), events().concat());
     }
 }
@@ -219,22 +225,22 @@
     }
     // The id of a request whose connection was closed halfway can be used again.
     drop(TcpStream::connect(site.listen).map(|mut s| s.write_all(format!("{head}X-Txn: half").as_bytes())));
-    assert_eq!(site.floor.asked(), vec![]);
+    assert_eq!(site.worker_log.requests(), vec![]);
     assert_eq!(ask(site.listen, "half").status, 200);
-    assert_eq!(site.floor.asked().len(), 2);
+    assert_eq!(site.worker_log.requests().len(), 2);
 }
 
 #[test]
 fn the_id_of_an_open_request_is_rejected_until_the_request_has_ended() {
     let site = Site::new();
-    site.next_write(&[put(&first_event()), Step::Wait(Duration::from_millis(600)), Step::Close]);
+    site.reply_to_next_decode(&[put(&first_event()), Step::Wait(Duration::from_millis(600)), Step::Close]);
     let listen = site.listen;
     let first = std::thread::spawn(move || ask(listen, "same"));
-    until("decode has started", || site.writes("same") == 1);
+    until("decode has started", || site.decode_requests("same") == 1);
     assert_eq!(ask(site.listen, "same").status, 409);
     assert_eq!(first.join().expect("the client thread ends").status, 200);
-    until("the id can be used again", || ask(site.listen, "same").whole);
-    site.no_second_copies();
+    until("the id can be used again", || ask(site.listen, "same").is_complete);
+    site.assert_no_second_copies();
 }
 
 #[test]
@@ -245,7 +251,7 @@
     assert!(silent.len() > 256);
     for number in 0..20 {
         let got = ask(site.listen, &format!("txn-{number}"));
-        assert_eq!((got.status, got.whole), (200, true), "request {number}");
+        assert_eq!((got.status, got.is_complete), (200, true), "request {number}");
     }
     assert_eq!(site.health(), 200);
 }
@@ -253,32 +259,42 @@
 #[test]
 fn the_kv_cache_of_a_failed_prefill_attempt_is_released() {
     let site = Site::new();
-    site.readers[0].then(vec![Step::Close]);
+    site.prefill_workers[0].reply_once(vec![Step::Close]);
     let got = ask(site.listen, "broken");
-    assert_eq!((got.status, got.whole), (200, true));
-    let released =
-        || site.floor.seen().iter().any(|s| matches!(s, Seen::Released { txn, .. } if txn == "broken"));
+    assert_eq!((got.status, got.is_complete), (200, true));
+    let released = || {
+        site.worker_log
+            .events()
+            .iter()
+            .any(|s| matches!(s, WorkerEvent::Released { txn, .. } if txn == "broken"))
+    };
     until("the KV cache is released", released);
-    site.no_second_copies();
+    site.assert_no_second_copies();
 }
 
 #[test]
 fn the_kv_cache_is_released_when_the_client_disconnects() {
     let site = Site::new();
-    site.writers.iter().for_each(|w| w.always(vec![Step::Hang]));
+    site.decode_workers.iter().for_each(|w| w.reply_always(vec![Step::Hang]));
     let mut client = TcpStream::connect(site.listen).expect("the router listens");
     client.write_all(&head_and_body("left", "{}")).expect("written");
-    until("decode has started", || site.writes("left") == 1);
+    until("decode has started", || site.decode_requests("left") == 1);
     drop(client);
-    let released =
-        || site.floor.seen().iter().any(|s| matches!(s, Seen::Released { txn, .. } if txn == "left"));
+    let released = || {
+        site.worker_log
+            .events()
+            .iter()
+            .any(|s| matches!(s, WorkerEvent::Released { txn, .. } if txn == "left"))
+    };
     until("the KV cache is released", released);
 }
 
 #[test]
 fn a_rejection_is_sent_immediately_with_retry_after() {
     let site = Site::with(|config| config["settings"]["caps"]["maxAttempts"] = json!(2));
-    site.writers.iter().for_each(|w| w.always(vec![put("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")]));
+    site.decode_workers
+        .iter()
+        .for_each(|w| w.reply_always(vec![put("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")]));
     let started_at = Instant::now();
     let got = ask(site.listen, "refused");
     assert_eq!(got.status, 503, "{got:?}");
@@ -289,32 +305,32 @@
 #[test]
 fn a_draining_worker_gets_no_requests_and_invalid_lists_never_empty_the_endpoint_list() {
     let site = Site::new();
-    let mut list = Platform::list(&site.readers, &site.writers);
+    let mut list = Platform::list(&site.prefill_workers, &site.decode_workers);
     list[0]["lifecycle"] = json!("draining");
     list[2]["lifecycle"] = json!("draining");
-    let calls = site.catalogue.calls();
-    site.catalogue.set(list);
-    until("the change is received", || site.catalogue.calls() > calls + 1);
-    let before = site.floor.asked().len();
+    let calls = site.discovery.responses();
+    site.discovery.set_list(list);
+    until("the change is received", || site.discovery.responses() > calls + 1);
+    let before = site.worker_log.requests().len();
     for invalid in
         ["", "{", "[]", "{\"generation\":9}", "{\"generation\":99,\"reset\":true,\"instances\":[]}"]
     {
-        site.catalogue.nonsense(Some(invalid));
-        let calls = site.catalogue.calls();
-        until("the invalid list is received", || site.catalogue.calls() > calls + 1);
+        site.discovery.set_malformed_body(Some(invalid));
+        let calls = site.discovery.responses();
+        until("the invalid list is received", || site.discovery.responses() > calls + 1);
         for number in 0..5 {
-            let txn = format!("txn-{number}-{}", site.floor.seen().len());
+            let txn = format!("txn-{number}-{}", site.worker_log.events().len());
             assert_eq!(ask(site.listen, &txn).status, 200, "{invalid}");
         }
     }
-    let asked = &site.floor.asked()[before..];
+    let asked = &site.worker_log.requests()[before..];
     assert!(asked.iter().all(|(worker, _)| worker == "r-2" || worker == "w-2"), "{asked:?}");
     // A valid list makes the drained workers available again.
-    site.catalogue.nonsense(None);
-    site.catalogue.set(Platform::list(&site.readers, &site.writers));
+    site.discovery.set_malformed_body(None);
+    site.discovery.set_list(Platform::list(&site.prefill_workers, &site.decode_workers));
     until("the drained workers get requests again", || {
-        ask(site.listen, &format!("txn-{}", site.floor.seen().len()));
-        site.floor.asked()[before..].iter().any(|(worker, _)| worker == "w-1" || worker == "r-1")
+        ask(site.listen, &format!("txn-{}", site.worker_log.events().len()));
+        site.worker_log.requests()[before..].iter().any(|(worker, _)| worker == "w-1" || worker == "r-1")
     });
 }
 
@@ -326,25 +342,25 @@
         let caps = &mut config["settings"]["caps"];
         (caps["connectTimeoutNs"], caps["maxAttempts"]) = (json!(3_500_000_000u64), json!(2));
     });
-    let stuck_worker = Stuck::start();
+    let stuck_worker = FullBacklog::start();
     let stuck_entry = |state: &str| {
-        let mut entry = instance(&site.writers[0], "decode", state);
+        let mut entry = instance(&site.decode_workers[0], "decode", state);
         entry["instanceId"] = json!("w-stuck");
         entry["hostPort"] = json!(stuck_worker.address.to_string());
         entry
     };
-    let list = Platform::list(&site.readers, &site.writers);
-    site.tell([Platform::without_writers(&list), vec![stuck_entry("ready")]].concat());
+    let list = Platform::list(&site.prefill_workers, &site.decode_workers);
+    site.publish_list([Platform::without_decode_workers(&list), vec![stuck_entry("ready")]].concat());
     let listen = site.listen;
     let client = std::thread::spawn(move || {
         let started_at = Instant::now();
         (ask(listen, "late"), started_at.elapsed())
     });
-    until("prefill has started", || site.floor.asked().iter().any(|(_, txn)| txn == "late"));
-    site.catalogue.set([&list[..], &[stuck_entry("draining")]].concat());
+    until("prefill has started", || site.worker_log.requests().iter().any(|(_, txn)| txn == "late"));
+    site.discovery.set_list([&list[..], &[stuck_entry("draining")]].concat());
     // The worker accepts connections again after the grace period; a request still waiting would arrive now.
     std::thread::sleep(Duration::from_millis(700));
-    let received = stuck_worker.heard_within(Duration::from_millis(2500));
+    let received = stuck_worker.received_within(Duration::from_millis(2500));
     assert_eq!(received, "", "a draining worker got a request");
     // The response was sent as soon as the connection timed out, not only at the deadline of the client.
     let (got, took) = client.join().expect("the client thread ends");
@@ -360,7 +376,7 @@
         config["settings"]["services"][0]["aimNs"] = json!(600_000_000);
         config["settings"]["caps"]["maxAttempts"] = json!(2);
     });
-    let list = Platform::list(&site.readers, &site.writers);
+    let list = Platform::list(&site.prefill_workers, &site.decode_workers);
     let assert_rejected = |txn: &str| {
         let started_at = Instant::now();
         let got = ask(site.listen, txn);
@@ -369,14 +385,16 @@
         // The deadline of the client is 5 s.
         assert!(started_at.elapsed() < Duration::from_millis(3000), "{txn}: {:?}", started_at.elapsed());
     };
-    site.readers.iter().for_each(|r| r.always(vec![put("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")]));
+    site.prefill_workers
+        .iter()
+        .for_each(|r| r.reply_always(vec![put("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")]));
     assert_rejected("no-read");
-    site.readers.iter().for_each(|r| r.always(vec![Step::Close]));
+    site.prefill_workers.iter().for_each(|r| r.reply_always(vec![Step::Close]));
     assert_rejected("broken-read");
     // There is no decode worker to wait for: the wait ends at the latency objective.
-    let calls = site.catalogue.calls();
-    site.catalogue.set(Platform::without_writers(&list));
-    until("the list is received", || site.catalogue.calls() > calls + 1);
+    let calls = site.discovery.responses();
+    site.discovery.set_list(Platform::without_decode_workers(&list));
+    until("the list is received", || site.discovery.responses() > calls + 1);
     assert_rejected("no-writer");
 }
 
@@ -390,53 +408,53 @@
         Step::Wait(Duration::from_millis(1500)),
         Step::Put(whole[cut..].to_vec()),
     ];
-    site.writers.iter().for_each(|w| w.always(steps.clone()));
+    site.decode_workers.iter().for_each(|w| w.reply_always(steps.clone()));
     let listen = site.listen;
     let open = std::thread::spawn(move || ask(listen, "open"));
-    until("decode has started", || site.writes("open") == 1);
+    until("decode has started", || site.decode_requests("open") == 1);
     site.signal(Signal::TERM);
     until("the router is shutting down", || site.health() != 200);
     // New connections that arrive during the shutdown are still served.
     let late = ask(site.listen, "late");
-    assert_eq!((late.status, late.whole), (200, true));
+    assert_eq!((late.status, late.is_complete), (200, true));
     assert!(late.head.contains("Connection: close"), "{}", late.head);
     let got = open.join().expect("the client thread ends");
-    assert_eq!((got.status, got.whole), (200, true));
+    assert_eq!((got.status, got.is_complete), (200, true));
     assert!(site.wait_for_exit().success());
 }
 
 #[test]
 fn sighup_switches_the_discovery_service_and_an_invalid_file_changes_nothing() {
     let site = Site::new();
-    let other = Catalogue::start(Platform::list(&site.readers, &site.writers));
+    let other = DiscoveryService::start(Platform::list(&site.prefill_workers, &site.decode_workers));
     // First an invalid file, then a valid one with two signals in a row.
     std::fs::write(&site.file, "{\"name\":").expect("written");
     site.signal(Signal::HUP);
-    let calls = site.catalogue.calls();
-    until("the old discovery service is still polled", || site.catalogue.calls() > calls + 1);
+    let calls = site.discovery.responses();
+    until("the old discovery service is still polled", || site.discovery.responses() > calls + 1);
     assert_eq!(ask(site.listen, "txn-1").status, 200);
     let mut config = site.config.clone();
     config["discovery"] = json!(other.address.to_string());
     std::fs::write(&site.file, config.to_string()).expect("written");
     site.signal(Signal::HUP);
     site.signal(Signal::HUP);
-    until("the new discovery service is polled", || other.calls() > 1);
-    let mut list = Platform::list(&site.readers, &site.writers);
+    until("the new discovery service is polled", || other.responses() > 1);
+    let mut list = Platform::list(&site.prefill_workers, &site.decode_workers);
     list[2]["lifecycle"] = json!("draining");
-    let calls = other.calls();
-    other.set(list);
-    until("the change is received", || other.calls() > calls + 1);
-    let before = site.floor.asked().len();
+    let calls = other.responses();
+    other.set_list(list);
+    until("the change is received", || other.responses() > calls + 1);
+    let before = site.worker_log.requests().len();
     for number in 0..6 {
         assert_eq!(ask(site.listen, &format!("txn-b-{number}")).status, 200);
     }
-    assert!(site.floor.asked()[before..].iter().all(|(worker, _)| worker != "w-1"));
+    assert!(site.worker_log.requests()[before..].iter().all(|(worker, _)| worker != "w-1"));
 }
 
 #[test]
 fn a_router_starts_with_its_known_list_when_the_discovery_service_is_silent() {
-    let floor = Floor::default();
-    let (reader, writer) = (Worker::reader("r-1", &floor), Worker::writer("w-1", &floor));
+    let worker_log = WorkerLog::default();
+    let (reader, writer) = (Worker::prefill("r-1", &worker_log), Worker::decode("w-1", &worker_log));
     let known = json!({"generation": 7, "reset": true,
         "instances": [instance(&reader, "prefill", "ready"), instance(&writer, "decode", "ready")]});
     let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -445,15 +463,15 @@
         config["discovery"] = json!(address);
         config["known"] = known;
     });
-    let got: Got = ask(site.listen, "txn-1");
-    assert_eq!((got.status, got.whole), (200, true));
-    assert_eq!(floor.asked().len(), 2);
+    let got: Response = ask(site.listen, "txn-1");
+    assert_eq!((got.status, got.is_complete), (200, true));
+    assert_eq!(worker_log.requests().len(), 2);
 }
 
 /// Starts a router with a known endpoint list and the given discovery service.
 fn with_known_list(discovery: SocketAddr) -> Site {
-    let floor = Floor::default();
-    let (reader, writer) = (Worker::reader("r-1", &floor), Worker::writer("w-1", &floor));
+    let worker_log = WorkerLog::default();
+    let (reader, writer) = (Worker::prefill("r-1", &worker_log), Worker::decode("w-1", &worker_log));
     let entries = [instance(&reader, "prefill", "ready"), instance(&writer, "decode", "ready")];
     Site::with(|config| {
         config["discovery"] = json!(discovery.to_string());
@@ -468,8 +486,8 @@
     const READY_WITHIN: Duration = Duration::from_secs(10);
     let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let closed = TcpListener::bind("127.0.0.1:0").expect("a free port").local_addr().expect("its address");
-    let invalid = Catalogue::start(Vec::new());
-    invalid.nonsense(Some("{\"generation\": \"many\"}"));
+    let invalid = DiscoveryService::start(Vec::new());
+    invalid.set_malformed_body(Some("{\"generation\": \"many\"}"));
     for discovery in [silent.local_addr().expect("its address"), closed, invalid.address] {
         let starting: Vec<_> =
             (0..10).map(|_| std::thread::spawn(move || with_known_list(discovery))).collect();
--- a/crates/gaparch-cli/tests/system_calls.rs
+++ b/crates/gaparch-cli/tests/system_calls.rs
@@ -46,8 +46,9 @@
     limit_descriptors(&site, None);
     assert_eq!(read(&mut client, LONG).status, 200);
     // Unhealthy workers would be probed.
-    let seen = site.platform.floor.seen();
-    let probes = seen.iter().filter(|s| matches!(s, gaparch_testbed::platform::Seen::Probed { .. })).count();
+    let seen = site.platform.worker_log.events();
+    let probes =
+        seen.iter().filter(|s| matches!(s, gaparch_testbed::platform::WorkerEvent::Probed { .. })).count();
     assert!(probes <= 4, "{seen:?}");
 }
 
@@ -99,7 +100,7 @@
     for number in 0..5 {
         let request = head_and_body(&format!("txn-{number}"), "{\"stream\":true}");
         let answer = raw(site.platform.listen, &request, LONG);
-        assert_eq!((answer.status, answer.whole), (200, true), "{number}: {}", answer.head);
+        assert_eq!((answer.status, answer.is_complete), (200, true), "{number}: {}", answer.head);
     }
     steering.set(false).expect("the faults are set");
 }
--- a/crates/gaparch-platform-router/src/worker/pool_tests.rs
+++ b/crates/gaparch-platform-router/src/worker/pool_tests.rs
@@ -5,7 +5,7 @@
 use gaparch_platform_protocol::head::decode_response;
 use gaparch_scheduler::api::ServerId;
 use gaparch_scheduler::policy::connect::{ConnectFailure, SendRisk};
-use gaparch_testbed::platform::Stuck;
+use gaparch_testbed::platform::FullBacklog;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
@@ -63,7 +63,7 @@
 /// connection is tried in parallel.
 #[tokio::test]
 async fn a_second_connection_is_tried_while_the_first_is_not_established() {
-    let stuck = Stuck::start();
+    let stuck = FullBacklog::start();
     // The kernel retransmits the first connection request only after a second.
     let pool = ConnectionPool::new(Arc::new(Semaphore::new(8)), Duration::from_millis(900), None);
     let process = WorkerProcess { server: ServerId(1), address: stuck.address, started_at: 0 };
--- a/crates/gaparch-platform-router/tests/exchange_log.rs
+++ b/crates/gaparch-platform-router/tests/exchange_log.rs
@@ -74,35 +74,38 @@
     log.wait_for_line(&["exchange ended", "txn=\"served\"", "end=Ended(AttemptEnd { status: Ok, "]);
 
     let saturated = "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
-    router.next_write(&[common::put(saturated)]);
+    router.reply_to_next_decode(&[common::put(saturated)]);
     assert_eq!(ask(router.listen, "retried").status, 200);
     log.wait_for_line(&["exchange ended", "txn=\"retried\"", "end=Ended(AttemptEnd { status: Rejected, "]);
     log.wait_for_line(&["attempt sent", "txn=\"retried\"", "previous_status=Some(Rejected)"]);
 
     let missing = "HTTP/1.1 410 Gone\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
-    router.next_write(&[common::put(missing)]);
+    router.reply_to_next_decode(&[common::put(missing)]);
     assert_eq!(ask(router.listen, "missing").status, 200);
     log.wait_for_line(&["exchange ended", "txn=\"missing\"", "status: Rejected, kv_cache_missing: true"]);
 
-    router.next_write(&[Step::Close]);
+    router.reply_to_next_decode(&[Step::Close]);
     assert_eq!(ask(router.listen, "reset").status, 200);
     log.wait_for_line(&["exchange ended", "txn=\"reset\"", "status: Reset, "]);
 
     // The client disconnects after its stream has begun.
     let first_event = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\ndata: {}\n\n\r\n";
-    router.next_write(&[common::put(first_event), Step::Hang]);
+    router.reply_to_next_decode(&[common::put(first_event), Step::Hang]);
     drop(started_stream(&router, "left"));
     log.wait_for_line(&["attempt cancelled", "txn=\"left\""]);
     log.wait_for_line(&["exchange ended", "txn=\"left\"", "last_event_us=", "end=Cancelled"]);
     log.wait_for_line(&["connection closed", "reason=ClientDisconnected"]);
 
-    router.tell(Platform::without_writers(&Platform::list(&router.readers, &router.writers)));
+    router.publish_list(Platform::without_decode_workers(&Platform::list(
+        &router.prefill_workers,
+        &router.decode_workers,
+    )));
     assert_eq!(ask(router.listen, "rejected").status, 503);
     log.wait_for_line(&["request rejected", "txn=\"rejected\"", "cause=", "waited_for=Some("]);
 
     let single_shot =
         RunningRouter::with(|config| config["settings"]["services"][0]["idempotency"] = json!("single_shot"));
-    single_shot.next_write(&[Step::Close]);
+    single_shot.reply_to_next_decode(&[Step::Close]);
     assert_eq!(ask(single_shot.listen, "failed").status, 500);
     log.wait_for_line(&["request failed", "txn=\"failed\"", "cause=", "detail="]);
     log.wait_for_line(&["KV cache released", "txn=\"failed\"", "prefill_worker="]);
--- a/crates/gaparch-platform-router/tests/faults_by_stage.rs
+++ b/crates/gaparch-platform-router/tests/faults_by_stage.rs
@@ -6,7 +6,7 @@
 use common::{put, RunningRouter};
 use gaparch_platform_router::Command;
 use gaparch_testbed::platform::{
-    ask, events, head_and_body, judge, read, stream, until, Facts, Platform, Step, LONG,
+    ask, events, find_breaches, head_and_body, read, stream, until, Platform, Step, TestActions, LONG,
 };
 use rustix::net::sockopt::set_socket_linger;
 use serde_json::json;
@@ -57,37 +57,38 @@
 
 /// Starts a request and advances it to that stage.
 fn client_at_stage(router: &RunningRouter, stage: Stage) -> TcpStream {
-    let list = Platform::list(&router.readers, &router.writers);
+    let list = Platform::list(&router.prefill_workers, &router.decode_workers);
     let whole = stream(&events());
     match stage {
-        Queued => router.tell(Platform::without_writers(&list)),
-        Prefilling => router.readers[0].then(vec![Step::Hang]),
-        Prefilled => router.readers[0].then(vec![
+        Queued => router.publish_list(Platform::without_decode_workers(&list)),
+        Prefilling => router.prefill_workers[0].reply_once(vec![Step::Hang]),
+        Prefilled => router.prefill_workers[0].reply_once(vec![
             Step::Wait(Duration::from_millis(300)),
             put("HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}"),
         ]),
-        Decoding => router.next_write(&[Step::Hang]),
+        Decoding => router.reply_to_next_decode(&[Step::Hang]),
         Streaming => {
             let Step::Put(first) = first_event() else { unreachable!("first_event returns a Put") };
             let head = whole.windows(6).position(|w| w == b"data: ").expect("an event");
             let second =
                 head + whole[head..].windows(2).position(|w| w == b"\n\n").expect("the end of the event") + 4;
             let rest = Step::Put(whole[second..].to_vec());
-            router.next_write(&[Step::Put(first), Step::Wait(Duration::from_millis(700)), rest]);
+            router.reply_to_next_decode(&[Step::Put(first), Step::Wait(Duration::from_millis(700)), rest]);
         }
         Connecting | Head | Body | Idle => {}
     }
     let mut client = TcpStream::connect(router.listen).expect("connected");
     client.write_all(&bytes_written_at(stage)).expect("written");
-    let was_sent_to =
-        |kind: &str| router.floor.asked().iter().any(|(worker, txn)| worker.starts_with(kind) && txn == TXN);
+    let was_sent_to = |kind: &str| {
+        router.worker_log.requests().iter().any(|(worker, txn)| worker.starts_with(kind) && txn == TXN)
+    };
     match stage {
         Connecting | Head | Body => {}
         Queued => std::thread::sleep(Duration::from_millis(50)),
         Prefilling => until("the request is being prefilled", || was_sent_to("r-")),
         Prefilled => {
             until("the request is being prefilled", || was_sent_to("r-"));
-            router.tell(Platform::without_writers(&list));
+            router.publish_list(Platform::without_decode_workers(&list));
             std::thread::sleep(Duration::from_millis(50));
         }
         Decoding => until("the request is being decoded", || was_sent_to("w-")),
@@ -95,7 +96,7 @@
             client.set_read_timeout(Some(LONG)).expect("set");
             client.read_exact(&mut [0; 1]).expect("the response begins");
         }
-        Idle => assert!(read(&mut client, LONG).whole),
+        Idle => assert!(read(&mut client, LONG).is_complete),
     }
     client
 }
@@ -108,17 +109,23 @@
             all.spawn(move || {
                 let router = RunningRouter::with(|_| {});
                 let client = client_at_stage(&router, stage);
-                let mut facts = Facts::default();
+                let mut actions = TestActions::default();
                 disconnect(client);
                 // A client whose response is complete has no open request to give up.
-                facts.left.extend((stage != Idle).then(|| (TXN.to_owned(), Instant::now())));
-                std::thread::sleep(gaparch_testbed::platform::LEFT + WAIT_AFTER_DISCONNECT);
-                router.tell(Platform::list(&router.readers, &router.writers));
+                actions.disconnected.extend((stage != Idle).then(|| (TXN.to_owned(), Instant::now())));
+                std::thread::sleep(
+                    gaparch_testbed::platform::MAX_SEND_DELAY_AFTER_DISCONNECT + WAIT_AFTER_DISCONNECT,
+                );
+                router.publish_list(Platform::list(&router.prefill_workers, &router.decode_workers));
                 assert_eq!(ask(router.listen, "next").status, 200, "{stage:?}");
                 if matches!(stage, Prefilling | Prefilled | Decoding) {
-                    until("workers have released its resources", || router.released(TXN));
+                    until("workers have released its resources", || router.is_released(TXN));
                 }
-                assert_eq!(judge(&router.floor.log(), &facts), Vec::<String>::new(), "{stage:?}");
+                assert_eq!(
+                    find_breaches(&router.worker_log.log(), &actions),
+                    Vec::<String>::new(),
+                    "{stage:?}"
+                );
                 // The transaction id can be used again.
                 until("the transaction id is free", || ask(router.listen, TXN).status == 200);
             });
@@ -159,14 +166,14 @@
 
 /// The client stays connected. It must receive exactly one complete response whatever fault is applied to its
 /// router. `shuts_down` says whether the fault ends the router.
-fn test_response(shuts_down: bool, fault: fn(&RunningRouter, &mut Facts)) {
+fn test_response(shuts_down: bool, fault: fn(&RunningRouter, &mut TestActions)) {
     std::thread::scope(|all| {
         for stage in STAGES {
             all.spawn(move || {
                 let router = RunningRouter::with(|_| {});
                 let mut client = client_at_stage(&router, stage);
-                let mut facts = Facts::default();
-                fault(&router, &mut facts);
+                let mut actions = TestActions::default();
+                fault(&router, &mut actions);
                 let whole = head_and_body(TXN, "{\"stream\":true}");
                 let rest = &whole[bytes_written_at(stage).len()..];
                 client.write_all(rest).expect("connection is open");
@@ -175,7 +182,7 @@
                         // The fault may list the decode workers as ready again.
                         Queued | Prefilled => [200, 503],
                         // The worker that hangs may be the only one left.
-                        Prefilling | Decoding if !facts.drained.is_empty() => [200, 503],
+                        Prefilling | Decoding if !actions.drained.is_empty() => [200, 503],
                         _ => [200, 200],
                     };
                     // The first byte was already read if the stream has begun.
@@ -183,13 +190,17 @@
                         Streaming => read_rest_of_stream(&mut client),
                         _ => read(&mut client, LONG),
                     };
-                    assert!(got.whole && status.contains(&got.status), "{stage:?}: {got:?}");
+                    assert!(got.is_complete && status.contains(&got.status), "{stage:?}: {got:?}");
                 }
                 client.set_read_timeout(Some(Duration::from_millis(200))).expect("set");
                 let after = client.read(&mut [0; 64]).map_err(|error| error.kind());
                 let none = matches!(after, Ok(0) | Err(ErrorKind::WouldBlock | ErrorKind::TimedOut));
                 assert!(none, "{stage:?}: unexpected bytes after the response: {after:?}");
-                assert_eq!(judge(&router.floor.log(), &facts), Vec::<String>::new(), "{stage:?}");
+                assert_eq!(
+                    find_breaches(&router.worker_log.log(), &actions),
+                    Vec::<String>::new(),
+                    "{stage:?}"
+                );
                 match shuts_down {
                     true => router.wait_for_shutdown(),
                     false => assert_eq!(ask(router.listen, "next").status, 200, "{stage:?}"),
@@ -200,7 +211,7 @@
 }
 
 /// Reads the rest of a streamed response whose first byte was already read.
-fn read_rest_of_stream(client: &mut TcpStream) -> gaparch_testbed::platform::Got {
+fn read_rest_of_stream(client: &mut TcpStream) -> gaparch_testbed::platform::Response {
     let mut bytes = b"H".to_vec();
     let mut piece = [0; 4096];
     while !bytes.ends_with(b"0\r\n\r\n") {
@@ -208,7 +219,7 @@
         assert!(n > 0, "the stream was cut off: {}", String::from_utf8_lossy(&bytes));
         bytes.extend_from_slice(&piece[..n]);
     }
-    gaparch_testbed::platform::Got { status: 200, whole: true, ..Default::default() }
+    gaparch_testbed::platform::Response { status: 200, is_complete: true, ..Default::default() }
 }
 
 #[test]
@@ -216,7 +227,7 @@
     test_response(true, |router, _| {
         router.send(Command::Shutdown);
         until("the router is shutting down", || router.health() != 200);
-        router.catalogue.set(Platform::list(&router.readers, &router.writers));
+        router.discovery.set_list(Platform::list(&router.prefill_workers, &router.decode_workers));
     });
 }
 
@@ -228,28 +239,28 @@
         std::thread::sleep(Duration::from_millis(50));
         std::fs::write(&router.file, router.config.to_string()).expect("written");
         router.send(Command::Reload);
-        router.catalogue.set(Platform::list(&router.readers, &router.writers));
+        router.discovery.set_list(Platform::list(&router.prefill_workers, &router.decode_workers));
     });
 }
 
 #[test]
 fn a_drain_at_any_stage() {
-    test_response(false, |router, facts| {
-        let mut list = Platform::list(&router.readers, &router.writers);
+    test_response(false, |router, actions| {
+        let mut list = Platform::list(&router.prefill_workers, &router.decode_workers);
         (list[0]["lifecycle"], list[2]["lifecycle"]) = (json!("draining"), json!("draining"));
-        router.tell(list);
+        router.publish_list(list);
         let end = Instant::now() + GRACE;
-        facts.drained.extend([("r-1".to_owned(), end), ("w-1".to_owned(), end)]);
+        actions.drained.extend([("r-1".to_owned(), end), ("w-1".to_owned(), end)]);
     });
 }
 
 #[test]
 fn a_silent_discovery_service_at_any_stage() {
     test_response(false, |router, _| {
-        router.catalogue.set(Platform::list(&router.readers, &router.writers));
+        router.discovery.set_list(Platform::list(&router.prefill_workers, &router.decode_workers));
         std::thread::sleep(Duration::from_millis(50));
-        router.catalogue.silent(true);
+        router.discovery.set_silent(true);
         std::thread::sleep(Duration::from_millis(200));
-        router.catalogue.silent(false);
+        router.discovery.set_silent(false);
     });
 }
--- a/crates/gaparch-platform-router/tests/guards.rs
+++ b/crates/gaparch-platform-router/tests/guards.rs
@@ -5,7 +5,7 @@
 use common::{ms, put, RunningRouter};
 use gaparch_platform_router::Command;
 use gaparch_testbed::platform::{
-    ask, head_and_body, instance, raw, read, until, Got, Platform, Step, Stuck, Worker, LONG,
+    ask, head_and_body, instance, raw, read, until, FullBacklog, Platform, Response, Step, Worker, LONG,
 };
 use serde_json::{json, Value};
 use std::io::{ErrorKind, Read, Write};
@@ -22,17 +22,21 @@
 #[test]
 fn a_client_that_floods_and_disconnects_is_noticed() {
     let router = RunningRouter::with(|_| {});
-    let list = Platform::list(&router.readers, &router.writers);
-    router.tell(Platform::without_writers(&list));
+    let list = Platform::list(&router.prefill_workers, &router.decode_workers);
+    router.publish_list(Platform::without_decode_workers(&list));
     let mut client = TcpStream::connect(router.listen).expect("connected");
     client.write_all(&head_and_body("flood", "{}")).expect("written");
     // The request waits for a decode worker. A megabyte sent after it must not hide the disconnect.
     let _ = client.write_all(&vec![b'x'; 1 << 20]);
     drop(client);
     std::thread::sleep(ms(300));
-    router.tell(list);
+    router.publish_list(list);
     assert_eq!(ask(router.listen, "next").status, 200);
-    assert!(router.floor.asked().iter().all(|(_, txn)| txn == "next"), "{:?}", router.floor.asked());
+    assert!(
+        router.worker_log.requests().iter().all(|(_, txn)| txn == "next"),
+        "{:?}",
+        router.worker_log.requests()
+    );
 }
 
 #[test]
@@ -51,15 +55,19 @@
         assert!(n > 0, "the connection closed: {text}");
         text.push_str(&String::from_utf8_lossy(&piece[..n]));
     }
-    assert_eq!(router.writes("two"), 1);
+    assert_eq!(router.decode_requests("two"), 1);
 }
 
 /// Returns a list whose only decode worker accepts connections late.
-fn list_with_late_writer(router: &RunningRouter, late: &Stuck) -> Vec<Value> {
-    let mut entry = instance(&router.writers[0], "decode", "ready");
+fn list_with_late_decode_worker(router: &RunningRouter, late: &FullBacklog) -> Vec<Value> {
+    let mut entry = instance(&router.decode_workers[0], "decode", "ready");
     entry["instanceId"] = json!("w-late");
     entry["hostPort"] = json!(late.address.to_string());
-    [Platform::without_writers(&Platform::list(&router.readers, &router.writers)), vec![entry]].concat()
+    [
+        Platform::without_decode_workers(&Platform::list(&router.prefill_workers, &router.decode_workers)),
+        vec![entry],
+    ]
+    .concat()
 }
 
 #[test]
@@ -71,16 +79,16 @@
         settings["caps"]["connectTimeoutNs"] = json!(3_500_000_000u64);
         settings["rules"]["stopSendingWithinNs"] = json!(0);
     });
-    let late = Stuck::start();
-    router.tell(list_with_late_writer(&router, &late));
+    let late = FullBacklog::start();
+    router.publish_list(list_with_late_decode_worker(&router, &late));
     let mut client = TcpStream::connect(router.listen).expect("connected");
     client.write_all(&head_and_body("left", "{}")).expect("written");
-    until("it is prefilled", || router.floor.asked().iter().any(|(_, txn)| txn == "left"));
+    until("it is prefilled", || router.worker_log.requests().iter().any(|(_, txn)| txn == "left"));
     std::thread::sleep(ms(100));
     drop(client);
     std::thread::sleep(ms(100));
     // Releases may go to any worker.
-    let heard = late.heard_within(ms(2000));
+    let heard = late.received_within(ms(2000));
     assert!(!heard.contains("POST"), "sent for a disconnected client: {heard}");
 }
 
@@ -95,19 +103,19 @@
         settings["rules"]["stopSendingWithinNs"] = json!(0);
         settings["familyInfo"]["releaseWithinNs"] = json!(5_000_000_000u64);
     });
-    let late = Stuck::start();
+    let late = FullBacklog::start();
     // The first decode attempt breaks off and may have run. By then only the late decode worker is listed.
-    router.writers.iter().for_each(|w| w.always(vec![Step::Wait(ms(300)), Step::Close]));
+    router.decode_workers.iter().for_each(|w| w.reply_always(vec![Step::Wait(ms(300)), Step::Close]));
     let listen = router.listen;
     let client = std::thread::spawn(move || ask(listen, "repeat"));
-    until("it is sent to a decode worker", || router.writes("repeat") == 1);
-    router.catalogue.set(list_with_late_writer(&router, &late));
+    until("it is sent to a decode worker", || router.decode_requests("repeat") == 1);
+    router.discovery.set_list(list_with_late_decode_worker(&router, &late));
     std::thread::sleep(ms(700));
-    let heard = late.heard_within(ms(2000));
+    let heard = late.received_within(ms(2000));
     assert!(!heard.contains("POST"), "retried after the deduplication window: {heard}");
     let got = client.join().expect("no panic");
     assert!(got.status >= 400, "{got:?}");
-    assert_eq!(router.writes("repeat"), 1);
+    assert_eq!(router.decode_requests("repeat"), 1);
 }
 
 #[test]
@@ -116,18 +124,19 @@
     let endless = |head: &str| {
         vec![put(&format!("HTTP/1.1 {head}\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n")), Step::Hang]
     };
-    router.readers[0].then(endless("202 Accepted"));
+    router.prefill_workers[0].reply_once(endless("202 Accepted"));
     let started_at = Instant::now();
     assert_eq!(ask(router.listen, "read").status, 200);
-    router.next_write(&endless("503 Full\r\nX-Turned-Away: 1"));
+    router.reply_to_next_decode(&endless("503 Full\r\nX-Turned-Away: 1"));
     assert_eq!(ask(router.listen, "full").status, 200);
     assert!(started_at.elapsed() < ms(3000), "{:?}", started_at.elapsed());
-    assert_eq!((router.writes("read"), router.writes("full")), (1, 2));
+    assert_eq!((router.decode_requests("read"), router.decode_requests("full")), (1, 2));
     // The outcome stated by the head was used: the prompt was not prefilled a second time.
-    let reads =
-        |of: &str| router.floor.asked().iter().filter(|(w, txn)| w.starts_with("r-") && txn == of).count();
+    let reads = |of: &str| {
+        router.worker_log.requests().iter().filter(|(w, txn)| w.starts_with("r-") && txn == of).count()
+    };
     assert_eq!((reads("read"), reads("full")), (1, 1));
-    router.no_second_copies();
+    router.assert_no_second_copies();
 }
 
 /// The result of a request on an idle connection, as its client sees it.
@@ -164,7 +173,7 @@
         .enumerate()
         .map(|(number, mut client)| {
             client.write_all(&head_and_body(&format!("first-{number}"), "{}")).expect("written");
-            assert!(read(&mut client, LONG).whole);
+            assert!(read(&mut client, LONG).is_complete);
             client
         })
         .collect();
@@ -193,7 +202,7 @@
     }
     // Some requests came before the close and some after. Those that were not served were never forwarded.
     assert!(!served.is_empty() && served.len() < 120, "{}", served.len());
-    let asked = router.floor.asked();
+    let asked = router.worker_log.requests();
     assert!(asked.iter().all(|(_, txn)| txn.starts_with("first") || served.contains(txn)));
     router.wait_for_shutdown();
 }
@@ -205,7 +214,7 @@
         .map(|number| {
             let mut client = TcpStream::connect(router.listen).expect("connected");
             client.write_all(&head_and_body(&format!("first-{number}"), "{}")).expect("written");
-            assert!(read(&mut client, LONG).whole);
+            assert!(read(&mut client, LONG).is_complete);
             client
         })
         .collect();
@@ -276,11 +285,11 @@
                 let length = 250 + step * 25;
                 let mut events = vec![event; length];
                 events.push("data: [DONE]\n\n".to_owned());
-                router.next_write(&[Step::Put(gaparch_testbed::platform::stream(&events))]);
+                router.reply_to_next_decode(&[Step::Put(gaparch_testbed::platform::stream(&events))]);
                 let mut client = TcpStream::connect(router.listen).expect("connected");
                 rustix::net::sockopt::set_socket_recv_buffer_size(&client, 64 * 1024).expect("set");
                 client.write_all(&head_and_body("long", "{}")).expect("written");
-                until("it is sent to a decode worker", || router.writes("long") == 1);
+                until("it is sent to a decode worker", || router.decode_requests("long") == 1);
                 router.send(Command::Shutdown);
                 // The client reads nothing for a while.
                 std::thread::sleep(ms(900));
@@ -299,31 +308,32 @@
 #[test]
 fn the_endpoint_list_is_followed_in_time_while_idle_clients_hold_all_they_can_get() {
     let router = RunningRouter::with(|config| config["limits"]["sockets"] = json!(128));
-    router.catalogue.silent(true);
+    router.discovery.set_silent(true);
     let _idle_clients: Vec<TcpStream> =
         (0..400).filter_map(|_| TcpStream::connect(router.listen).ok()).collect();
-    let mut list = Platform::list(&router.readers, &router.writers);
+    let mut list = Platform::list(&router.prefill_workers, &router.decode_workers);
     list[0]["lifecycle"] = json!("draining");
     list[2]["lifecycle"] = json!("draining");
     std::thread::sleep(ms(2500));
-    router.catalogue.set(list);
-    router.catalogue.silent(false);
+    router.discovery.set_list(list);
+    router.discovery.set_silent(false);
     let changed_at = Instant::now();
-    let (calls, drained) = (router.catalogue.calls(), [&router.readers[0].name, &router.writers[0].name]);
-    until("the list is requested again", || router.catalogue.calls() > calls + 1);
+    let (calls, drained) =
+        (router.discovery.responses(), [&router.prefill_workers[0].name, &router.decode_workers[0].name]);
+    until("the list is requested again", || router.discovery.responses() > calls + 1);
     assert!(changed_at.elapsed() < ms(6000), "{:?}", changed_at.elapsed());
     for number in 0..4 {
-        let got: Got = raw(router.listen, &head_and_body(&format!("txn-{number}"), "{}"), LONG);
+        let got: Response = raw(router.listen, &head_and_body(&format!("txn-{number}"), "{}"), LONG);
         assert_eq!(got.status, 200);
     }
-    let asked = router.floor.asked();
+    let asked = router.worker_log.requests();
     assert!(asked.iter().all(|(worker, _)| !drained.contains(&worker)), "{asked:?}");
 }
 
 #[test]
 fn malformed_entries_cost_nobody_else_and_are_not_sent_to() {
     let router = RunningRouter::with(|_| {});
-    let worker: &Worker = &router.writers[0];
+    let worker: &Worker = &router.decode_workers[0];
     let bad = |field: &str, value: Value| {
         let mut entry = instance(worker, "decode", "ready");
         entry["instanceId"] = json!(format!("w-bad-{field}"));
@@ -340,7 +350,8 @@
         json!([]),
         json!(null),
     ];
-    router.tell([Platform::list(&router.readers, &router.writers), malformed].concat());
+    router
+        .publish_list([Platform::list(&router.prefill_workers, &router.decode_workers), malformed].concat());
     for number in 0..6 {
         assert_eq!(ask(router.listen, &format!("txn-{number}")).status, 200);
     }
--- a/crates/gaparch-platform-router/tests/hanging_decode_workers.rs
+++ b/crates/gaparch-platform-router/tests/hanging_decode_workers.rs
@@ -5,7 +5,9 @@
 mod common;
 
 use common::RunningRouter;
-use gaparch_testbed::platform::{ask, head_and_body, instance, until, Got, HangingRelay, Platform, Seen};
+use gaparch_testbed::platform::{
+    ask, head_and_body, instance, until, HangingRelay, Platform, Response, WorkerEvent,
+};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -23,43 +25,50 @@
 }
 
 impl HangingPlatform {
-    fn with(writers: usize, change: impl FnOnce(&mut Value)) -> HangingPlatform {
+    fn with(decode_workers: usize, change: impl FnOnce(&mut Value)) -> HangingPlatform {
         let router = RunningRouter::with(change);
-        let relays: Vec<HangingRelay> =
-            router.writers.iter().take(writers).map(|writer| HangingRelay::start(writer.address)).collect();
-        let mut list = Platform::without_writers(&Platform::list(&router.readers, &router.writers));
-        for (writer, relay) in router.writers.iter().zip(&relays) {
+        let relays: Vec<HangingRelay> = router
+            .decode_workers
+            .iter()
+            .take(decode_workers)
+            .map(|writer| HangingRelay::start(writer.address))
+            .collect();
+        let mut list = Platform::without_decode_workers(&Platform::list(
+            &router.prefill_workers,
+            &router.decode_workers,
+        ));
+        for (writer, relay) in router.decode_workers.iter().zip(&relays) {
             let mut entry = instance(writer, "decode", "ready");
             entry["hostPort"] = json!(relay.address.to_string());
             list.retain(|other| other["instanceId"] != entry["instanceId"]);
             list.push(entry);
         }
-        router.tell(list);
+        router.publish_list(list);
         HangingPlatform { router, relays }
     }
 
-    fn send_request(&self, txn: &str) -> JoinHandle<Got> {
+    fn send_request(&self, txn: &str) -> JoinHandle<Response> {
         let (listen, txn) = (self.router.listen, txn.to_owned());
         std::thread::spawn(move || ask(listen, &txn))
     }
 
     /// Returns when the prefill arrived. The prefill is answered immediately.
     fn prefilled_at(&self, txn: &str) -> Instant {
-        let is_prefill = |seen: &Seen| matches!(seen, Seen::Asked { worker, txn: of, .. } if of == txn && worker.starts_with('r'));
+        let is_prefill = |seen: &WorkerEvent| matches!(seen, WorkerEvent::RequestReceived { worker, txn: of, .. } if of == txn && worker.starts_with('r'));
         until("it is prefilled", || self.first_time(&is_prefill).is_some());
         self.first_time(&is_prefill).expect("prefilled")
     }
 
-    fn first_time(&self, matches: &dyn Fn(&Seen) -> bool) -> Option<Instant> {
-        self.router.floor.log().into_iter().find(|(_, seen)| matches(seen)).map(|(at, _)| at)
+    fn first_time(&self, matches: &dyn Fn(&WorkerEvent) -> bool) -> Option<Instant> {
+        self.router.worker_log.log().into_iter().find(|(_, seen)| matches(seen)).map(|(at, _)| at)
     }
 
     /// Asserts that the KV cache is fetched by a running decode worker or released in time.
     fn assert_kv_cache_not_pinned(&self, txn: &str) {
         let prefilled_at = self.prefilled_at(txn);
-        let is_done = |seen: &Seen| match seen {
-            Seen::Asked { worker, txn: of, .. } => of == txn && worker.starts_with('w'),
-            Seen::Released { txn: of, .. } => of == txn,
+        let is_done = |seen: &WorkerEvent| match seen {
+            WorkerEvent::RequestReceived { worker, txn: of, .. } => of == txn && worker.starts_with('w'),
+            WorkerEvent::Released { txn: of, .. } => of == txn,
             _ => false,
         };
         until("its KV cache is fetched or released", || self.first_time(&is_done).is_some());
@@ -96,7 +105,7 @@
                     hanging.assert_kv_cache_not_pinned("held");
                     let status = request.join().expect("no panic").status;
                     assert_ne!(status, 0, "{idempotency}, cancel {cancel}, probes {probes}: no response");
-                    hanging.router.no_second_copies();
+                    hanging.router.assert_no_second_copies();
                 });
             }
         }
@@ -110,13 +119,13 @@
     assert_eq!(ask(hanging.router.listen, "before").status, 200);
     hanging.relays[0].hang();
     let names: Vec<String> = (0..12).map(|number| format!("held-{number}")).collect();
-    let requests: BTreeMap<&str, JoinHandle<Got>> =
+    let requests: BTreeMap<&str, JoinHandle<Response>> =
         names.iter().map(|name| (name.as_str(), hanging.send_request(name))).collect();
     for (name, answer) in requests {
         assert_eq!(answer.join().expect("no panic").status, 200, "{name}");
         hanging.assert_kv_cache_not_pinned(name);
     }
-    hanging.router.no_second_copies();
+    hanging.router.assert_no_second_copies();
 }
 
 /// A decode request whose KV cache was released is rejected when its worker resumes. Since it has not run, it
@@ -125,16 +134,16 @@
 fn a_decode_worker_that_resumes_rejects_the_request_and_it_is_prefilled_again() {
     let hanging = HangingPlatform::with(1, with_idempotency("single_shot"));
     let gone = "HTTP/1.1 410 Gone\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
-    hanging.router.next_write(&[common::put(gone)]);
+    hanging.router.reply_to_next_decode(&[common::put(gone)]);
     hanging.relays[0].hang();
     let request = hanging.send_request("again");
     hanging.assert_kv_cache_not_pinned("again");
-    until("the KV cache is released", || hanging.router.released("again"));
+    until("the KV cache is released", || hanging.router.is_released("again"));
     hanging.relays[0].resume();
     let answer = request.join().expect("no panic");
     assert_eq!(answer.status, 200, "{}", answer.head);
-    assert_eq!(hanging.router.writes("again"), 2);
-    hanging.router.no_second_copies();
+    assert_eq!(hanging.router.decode_requests("again"), 2);
+    hanging.router.assert_no_second_copies();
 }
 
 /// The client disconnects, or the router shuts down, while a decode request hangs. In the first case it can't
--- a/crates/gaparch-platform-router/tests/long_lists.rs
+++ b/crates/gaparch-platform-router/tests/long_lists.rs
@@ -9,9 +9,9 @@
 
 /// Returns the usual list with `others` additional, draining workers.
 fn list_with_others(router: &RunningRouter, others: usize) -> Vec<Value> {
-    let mut list = Platform::list(&router.readers, &router.writers);
+    let mut list = Platform::list(&router.prefill_workers, &router.decode_workers);
     let other = |n: usize| {
-        let mut entry = instance(&router.readers[0], "prefill", "draining");
+        let mut entry = instance(&router.prefill_workers[0], "prefill", "draining");
         entry["instanceId"] = json!(format!("other-{n}"));
         entry
     };
@@ -28,11 +28,11 @@
     let router = router_with_memory(64);
     let mut list = list_with_others(&router, 10_000);
     (list[0]["lifecycle"], list[2]["lifecycle"]) = (json!("draining"), json!("draining"));
-    router.tell(list);
+    router.publish_list(list);
     for number in 0..6 {
         assert_eq!(ask(router.listen, &format!("txn-{number}")).status, 200);
     }
-    let asked = router.floor.asked();
+    let asked = router.worker_log.requests();
     assert!(asked.iter().all(|(worker, _)| worker.ends_with("-2")), "{asked:?}");
 }
 
@@ -41,23 +41,23 @@
 #[test]
 fn a_list_beyond_the_limit_is_rejected_and_the_last_valid_one_stays_in_use() {
     let router = router_with_memory(1);
-    let calls = router.catalogue.calls();
-    router.catalogue.set(list_with_others(&router, 5_000));
-    until("the long list is rejected", || router.catalogue.calls() > calls + 3);
-    let (from, calls) = (Instant::now(), router.catalogue.calls());
+    let calls = router.discovery.responses();
+    router.discovery.set_list(list_with_others(&router, 5_000));
+    until("the long list is rejected", || router.discovery.responses() > calls + 3);
+    let (from, calls) = (Instant::now(), router.discovery.responses());
     std::thread::sleep(Duration::from_secs(2));
-    let rate = (router.catalogue.calls() - calls) as f64 / from.elapsed().as_secs_f64();
+    let rate = (router.discovery.responses() - calls) as f64 / from.elapsed().as_secs_f64();
     assert!(rate < 4.0, "requested {rate:.1} times a second");
     assert_eq!(ask(router.listen, "kept").status, 200);
-    let mut list = Platform::list(&router.readers, &router.writers);
+    let mut list = Platform::list(&router.prefill_workers, &router.decode_workers);
     (list[0]["lifecycle"], list[2]["lifecycle"]) = (json!("draining"), json!("draining"));
     let from = Instant::now();
-    router.tell(list);
+    router.publish_list(list);
     assert!(from.elapsed() < Duration::from_secs(6));
-    let before = router.floor.asked().len();
+    let before = router.worker_log.requests().len();
     for number in 0..6 {
         assert_eq!(ask(router.listen, &format!("txn-{number}")).status, 200);
     }
-    let asked = router.floor.asked();
+    let asked = router.worker_log.requests();
     assert!(asked[before..].iter().all(|(worker, _)| worker.ends_with("-2")), "{asked:?}");
 }
--- a/crates/gaparch-platform-router/tests/pinned_bytes.rs
+++ b/crates/gaparch-platform-router/tests/pinned_bytes.rs
@@ -113,13 +113,16 @@
         Connection: close\r\n\r\n";
     let all = events().concat();
     let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
-    router.next_write(&[put(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{all}", all.len()))]);
+    router.reply_to_next_decode(&[put(&format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{all}",
+        all.len()
+    ))]);
     let expected = format!("{head}{}0\r\n\r\n", chunk(&all));
     assert_eq!(response_to(&router, &last_request("complete", 5000)), expected);
 
     let first = &events()[0];
     let begun = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(first));
-    router.next_write(&[put(&begun), Step::Wait(Duration::from_millis(200)), Step::Close]);
+    router.reply_to_next_decode(&[put(&begun), Step::Wait(Duration::from_millis(200)), Step::Close]);
     assert_eq!(response_to(&router, &last_request("broken", 5000)), format!("{head}{}", chunk(first)));
 }
 
@@ -129,12 +132,12 @@
         config["settings"]["services"][0]["idempotency"] = json!("single_shot");
         config["settings"]["caps"]["retryAfter"] = json!(false);
     });
-    router.next_write(&[Step::Wait(Duration::from_millis(100)), Step::Close]);
+    router.reply_to_next_decode(&[Step::Wait(Duration::from_millis(100)), Step::Close]);
     let failed = closing_response("500 Internal Server Error", "not answered; it may have run");
     assert_eq!(response_to(&router, &last_request("failed", 5000)), failed);
 
-    let list = Platform::list(&router.readers, &router.writers);
-    router.tell(Platform::without_writers(&list));
+    let list = Platform::list(&router.prefill_workers, &router.decode_workers);
+    router.publish_list(Platform::without_decode_workers(&list));
     let mut open = TcpStream::connect(router.listen).expect("connected");
     open.write_all(&head_and_body("open", "{}")).expect("written");
     std::thread::sleep(Duration::from_millis(100));
@@ -178,7 +181,7 @@
     }
 
     fn entry(&self, router: &RunningRouter, name: &str, kind: &str) -> Value {
-        let mut entry = instance(&router.readers[0], kind, "ready");
+        let mut entry = instance(&router.prefill_workers[0], kind, "ready");
         entry["instanceId"] = json!(name);
         entry["hostPort"] = json!(self.address);
         entry
@@ -193,11 +196,11 @@
 
 /// Lists only these two workers, and those of the platform as gone.
 fn list_only(router: &RunningRouter, prefill: &Recorder, decode: &Recorder) {
-    let mut list = Platform::list(&router.readers, &router.writers);
+    let mut list = Platform::list(&router.prefill_workers, &router.decode_workers);
     list.iter_mut().for_each(|entry| entry["lifecycle"] = json!("gone"));
     list.push(prefill.entry(router, "p", "prefill"));
     list.push(decode.entry(router, "d", "decode"));
-    router.tell(list);
+    router.publish_list(list);
 }
 
 /// Reads a message with its body, whose length the head states; returns `None` at the end of the connection.
--- a/crates/gaparch-platform-router/tests/races.rs
+++ b/crates/gaparch-platform-router/tests/races.rs
@@ -7,8 +7,8 @@
 use common::{ms, put, RunningRouter};
 use gaparch_platform_router::Command;
 use gaparch_testbed::platform::{
-    ask, head_and_body, instance, judge, read, stream, until, Catalogue, Facts, Got, Platform, Seen, Step,
-    Stuck, LONG,
+    ask, find_breaches, head_and_body, instance, read, stream, until, DiscoveryService, FullBacklog,
+    Platform, Response, Step, TestActions, WorkerEvent, LONG,
 };
 use serde_json::{json, Value};
 use std::io::Write;
@@ -28,19 +28,23 @@
 }
 
 /// Returns the full list with one decode worker, which accepts connections late, in place of the usual ones.
-fn list_with_late_writer(router: &RunningRouter, late: &Stuck) -> Vec<Value> {
-    let mut entry = instance(&router.writers[0], "decode", "ready");
+fn list_with_late_decode_worker(router: &RunningRouter, late: &FullBacklog) -> Vec<Value> {
+    let mut entry = instance(&router.decode_workers[0], "decode", "ready");
     entry["instanceId"] = json!("w-late");
     entry["hostPort"] = json!(late.address.to_string());
-    [Platform::without_writers(&Platform::list(&router.readers, &router.writers)), vec![entry]].concat()
+    [
+        Platform::without_decode_workers(&Platform::list(&router.prefill_workers, &router.decode_workers)),
+        vec![entry],
+    ]
+    .concat()
 }
 
 /// Connects a client whose request is prefilled and waits for a connection to the late decode worker.
-fn client_waiting_for(router: &RunningRouter, late: &Stuck, txn: &str) -> TcpStream {
-    router.tell(list_with_late_writer(router, late));
+fn client_waiting_for(router: &RunningRouter, late: &FullBacklog, txn: &str) -> TcpStream {
+    router.publish_list(list_with_late_decode_worker(router, late));
     let mut client = TcpStream::connect(router.listen).expect("connected");
     client.write_all(&head_and_body(txn, "{}")).expect("written");
-    until("it is prefilled", || router.floor.asked().iter().any(|(_, of)| of == txn));
+    until("it is prefilled", || router.worker_log.requests().iter().any(|(_, of)| of == txn));
     std::thread::sleep(ms(200));
     client
 }
@@ -48,10 +52,10 @@
 #[test]
 fn an_attempt_states_the_time_that_is_left_when_its_connection_is_up() {
     let router = RunningRouter::with(with_long_connect_timeout);
-    let late = Stuck::start();
+    let late = FullBacklog::start();
     let started_at = Instant::now();
     let _client = client_waiting_for(&router, &late, "told");
-    let heard = late.heard_within(ms(2500));
+    let heard = late.received_within(ms(2500));
     let stated = heard.lines().find_map(|line| line.strip_prefix("X-Remaining-Ms: ")).expect("it is sent");
     let stated: u64 = stated.trim().parse().expect("a number");
     // The full accept queue delays a connection by at least a second.
@@ -62,16 +66,16 @@
 #[test]
 fn a_drain_listed_while_the_connection_comes_up_stops_the_send() {
     let router = RunningRouter::with(with_long_connect_timeout);
-    let late = Stuck::start();
+    let late = FullBacklog::start();
     let _client = client_waiting_for(&router, &late, "drained");
-    let mut list = list_with_late_writer(&router, &late);
+    let mut list = list_with_late_decode_worker(&router, &late);
     list.iter_mut().for_each(|entry| {
         // No other decode worker has capacity, otherwise the attempt would be cancelled in favour of it.
         let is_decode = entry["machineType"] == json!("decode");
         entry["lifecycle"] = json!(if is_decode { "draining" } else { "ready" });
     });
-    router.tell(list);
-    let heard = late.heard_within(ms(2500));
+    router.publish_list(list);
+    let heard = late.received_within(ms(2500));
     assert!(!heard.contains("POST"), "sent to a draining decode worker: {heard}");
 }
 
@@ -82,46 +86,47 @@
         with_long_connect_timeout(config);
         config["settings"]["familyInfo"]["releaseWithinNs"] = json!(1_000_000_000u64);
     });
-    let late = Stuck::start();
+    let late = FullBacklog::start();
     let mut client = client_waiting_for(&router, &late, "pinned");
-    until("the KV cache is released", || router.released("pinned"));
-    let log = router.floor.log();
-    let first_time =
-        |matches: fn(&Seen) -> bool| log.iter().find(|(_, seen)| matches(seen)).expect("a matching event").0;
-    let prefilled_at = first_time(|seen| matches!(seen, Seen::Asked { .. }));
-    let held = first_time(|seen| matches!(seen, Seen::Released { .. })) - prefilled_at;
+    until("the KV cache is released", || router.is_released("pinned"));
+    let log = router.worker_log.log();
+    let first_time = |matches: fn(&WorkerEvent) -> bool| {
+        log.iter().find(|(_, seen)| matches(seen)).expect("a matching event").0
+    };
+    let prefilled_at = first_time(|seen| matches!(seen, WorkerEvent::RequestReceived { .. }));
+    let held = first_time(|seen| matches!(seen, WorkerEvent::Released { .. })) - prefilled_at;
     assert!(held < ms(1000) + SLACK, "{held:?}");
     assert!(matches!(read(&mut client, LONG).status, 429 | 503));
-    assert!(!late.heard_within(ms(2500)).contains("POST"));
+    assert!(!late.received_within(ms(2500)).contains("POST"));
 }
 
 /// Covers first attempts and retries of prefill and decode, with and without queueing before.
 #[test]
 fn every_attempt_states_at_most_the_time_that_its_client_has_left() {
     let router = RunningRouter::with(|_| {});
-    let list = Platform::list(&router.readers, &router.writers);
-    let mut facts = Facts::default();
+    let list = Platform::list(&router.prefill_workers, &router.decode_workers);
+    let mut actions = TestActions::default();
     // The second prefill and the second decode attempt are retries.
-    router.readers[0].then(vec![Step::Wait(ms(300)), Step::Close]);
-    router.next_write(&[Step::Wait(ms(300)), Step::Close]);
+    router.prefill_workers[0].reply_once(vec![Step::Wait(ms(300)), Step::Close]);
+    router.reply_to_next_decode(&[Step::Wait(ms(300)), Step::Close]);
     for (number, queued_ms) in [0, 700].into_iter().enumerate() {
         let txn = format!("told-{number}");
         if queued_ms > 0 {
-            router.tell(Platform::without_writers(&list));
+            router.publish_list(Platform::without_decode_workers(&list));
         }
         let mut client = TcpStream::connect(router.listen).expect("connected");
         client.write_all(&head_and_body(&txn, "{}")).expect("written");
-        facts.due.insert(txn, Instant::now() + ms(5000));
+        actions.deadlines.insert(txn, Instant::now() + ms(5000));
         if queued_ms > 0 {
             std::thread::sleep(ms(queued_ms));
-            router.tell(list.clone());
+            router.publish_list(list.clone());
         }
         assert_eq!(read(&mut client, LONG).status, 200);
     }
-    let log = router.floor.log();
-    let attempts = log.iter().filter(|(_, seen)| matches!(seen, Seen::Asked { .. })).count();
+    let log = router.worker_log.log();
+    let attempts = log.iter().filter(|(_, seen)| matches!(seen, WorkerEvent::RequestReceived { .. })).count();
     assert_eq!(attempts, 6, "{log:?}");
-    assert_eq!(judge(&log, &facts), Vec::<String>::new());
+    assert_eq!(find_breaches(&log, &actions), Vec::<String>::new());
 }
 
 /// A release frees everything held for a request, including the result of a second prefill. So the second
@@ -129,17 +134,17 @@
 #[test]
 fn a_second_prefill_does_not_overtake_the_release_of_the_first() {
     let router = RunningRouter::with(|_| {});
-    router.floor.slow_releases(ms(50));
-    router.readers[0].then(vec![Step::Close]);
+    router.worker_log.slow_releases(ms(50));
+    router.prefill_workers[0].reply_once(vec![Step::Close]);
     assert_eq!(ask(router.listen, "again").status, 200);
     let order: Vec<&str> = router
-        .floor
-        .seen()
+        .worker_log
+        .events()
         .iter()
         .filter_map(|seen| match seen {
-            Seen::Asked { worker, .. } if worker.starts_with("r-") => Some("read"),
-            Seen::Asked { .. } => Some("write"),
-            Seen::Released { .. } => Some("release"),
+            WorkerEvent::RequestReceived { worker, .. } if worker.starts_with("r-") => Some("read"),
+            WorkerEvent::RequestReceived { .. } => Some("write"),
+            WorkerEvent::Released { .. } => Some("release"),
             _ => None,
         })
         .collect();
@@ -166,8 +171,8 @@
 fn requests_of_clients_that_disconnect_as_decode_workers_come_back_are_not_forwarded() {
     for disconnect_first in [true, false] {
         let router = RunningRouter::with(|config| config["limits"]["sockets"] = json!(1024));
-        let list = Platform::list(&router.readers, &router.writers);
-        router.tell(Platform::without_writers(&list));
+        let list = Platform::list(&router.prefill_workers, &router.decode_workers);
+        router.publish_list(Platform::without_decode_workers(&list));
         let waiting: Vec<(String, TcpStream)> = (0..200)
             .map(|number| {
                 let txn = format!("left-{number}");
@@ -178,22 +183,28 @@
             .collect();
         assert_eq!(router.health(), 200);
         if !disconnect_first {
-            router.catalogue.set(list.clone());
-            until("the first request is forwarded", || !router.floor.asked().is_empty());
+            router.discovery.set_list(list.clone());
+            until("the first request is forwarded", || !router.worker_log.requests().is_empty());
         }
-        let mut facts = Facts::default();
+        let mut actions = TestActions::default();
         for (txn, client) in waiting {
             drop(client);
-            facts.left.insert(txn, Instant::now());
+            actions.disconnected.insert(txn, Instant::now());
         }
         if disconnect_first {
-            router.catalogue.set(list);
+            router.discovery.set_list(list);
         }
         until("other clients are served", || ask(router.listen, "next").status == 200);
-        let log = router.floor.log();
-        assert_eq!(judge(&log, &facts), Vec::<String>::new(), "disconnect first: {disconnect_first}");
-        let delay = |(at, seen): &(Instant, Seen)| match seen {
-            Seen::Asked { txn, .. } => Some(at.saturating_duration_since(*facts.left.get(txn)?)),
+        let log = router.worker_log.log();
+        assert_eq!(
+            find_breaches(&log, &actions),
+            Vec::<String>::new(),
+            "disconnect first: {disconnect_first}"
+        );
+        let delay = |(at, seen): &(Instant, WorkerEvent)| match seen {
+            WorkerEvent::RequestReceived { txn, .. } => {
+                Some(at.saturating_duration_since(*actions.disconnected.get(txn)?))
+            }
             _ => None,
         };
         let longest = log.iter().filter_map(delay).max();
@@ -208,25 +219,25 @@
 #[test]
 fn a_discovery_service_that_moves_between_two_attempts_is_asked_for_its_full_list() {
     let router = RunningRouter::with(|_| {});
-    let mut list = Platform::list(&router.readers, &router.writers);
+    let mut list = Platform::list(&router.prefill_workers, &router.decode_workers);
     (list[0]["lifecycle"], list[2]["lifecycle"]) = (json!("draining"), json!("draining"));
     // A different list with the same generation as the old one.
-    let new_service = Catalogue::start(list);
-    router.catalogue.silent(true);
-    let given_up = router.catalogue.given_up();
+    let new_service = DiscoveryService::start(list);
+    router.discovery.set_silent(true);
+    let given_up = router.discovery.abandoned_connections();
     // The first abandoned connection is that of the silent watch. The address changes in the delay after it;
     // any later delay would do as well.
-    until("a connection is abandoned", || router.catalogue.given_up() > given_up);
+    until("a connection is abandoned", || router.discovery.abandoned_connections() > given_up);
     let mut config = router.config.clone();
     config["discovery"] = json!(new_service.address.to_string());
     std::fs::write(&router.file, config.to_string()).expect("written");
     router.send(Command::Reload);
-    until("the new service is asked", || new_service.calls() > 1);
+    until("the new service is asked", || new_service.responses() > 1);
     for number in 0..6 {
         assert_eq!(ask(router.listen, &format!("txn-{number}")).status, 200);
     }
     let drained = ["r-1", "w-1"];
-    let asked = router.floor.asked();
+    let asked = router.worker_log.requests();
     assert!(asked.iter().all(|(worker, _)| !drained.contains(&worker.as_str())), "{asked:?}");
 }
 
@@ -235,14 +246,14 @@
 #[test]
 fn a_change_is_received_in_time_although_two_more_connections_stay_silent() {
     let router = RunningRouter::with(|_| {});
-    let mut list = Platform::list(&router.readers, &router.writers);
+    let mut list = Platform::list(&router.prefill_workers, &router.decode_workers);
     (list[0]["lifecycle"], list[2]["lifecycle"]) = (json!("draining"), json!("draining"));
-    router.catalogue.silent(true);
-    let (silent_since, calls) = (Instant::now(), router.catalogue.calls());
-    router.catalogue.set(list);
-    router.catalogue.silent_on_next(2);
-    router.catalogue.silent(false);
-    until("the list is requested", || router.catalogue.calls() > calls);
+    router.discovery.set_silent(true);
+    let (silent_since, calls) = (Instant::now(), router.discovery.responses());
+    router.discovery.set_list(list);
+    router.discovery.set_silent_connections(2);
+    router.discovery.set_silent(false);
+    until("the list is requested", || router.discovery.responses() > calls);
     assert!(silent_since.elapsed() < ms(6000), "{:?}", silent_since.elapsed());
 }
 
@@ -255,17 +266,17 @@
 #[test]
 fn a_second_answer_some_milliseconds_late_is_nobodys_answer() {
     let router = RunningRouter::with(|_| {});
-    let mut entries = Platform::list(&router.readers, &router.writers);
+    let mut entries = Platform::list(&router.prefill_workers, &router.decode_workers);
     (entries[1]["lifecycle"], entries[3]["lifecycle"]) = (json!("draining"), json!("draining"));
-    router.tell(entries);
+    router.publish_list(entries);
     let own = String::from_utf8(stream(&gaparch_testbed::platform::events())).expect("text");
     let late = vec![put(&own), Step::Wait(ms(6)), put(&foreign_stream())];
     let mut client = TcpStream::connect(router.listen).expect("connected");
     for number in 0..30 {
-        router.next_write(&late);
+        router.reply_to_next_decode(&late);
         client.write_all(&head_and_body(&format!("txn-{number}"), "{}")).expect("written");
-        let got: Got = read(&mut client, LONG);
-        assert!(got.whole && got.status == 200, "{got:?}");
+        let got: Response = read(&mut client, LONG);
+        assert!(got.is_complete && got.status == 200, "{got:?}");
         assert!(
             !String::from_utf8_lossy(&got.body).contains("foreign"),
             "{number}: received the response to another client"
@@ -279,16 +290,16 @@
 fn an_id_is_free_only_once_no_attempt_of_it_is_in_flight() {
     // Cancellation is disabled.
     let router = RunningRouter::with(|config| config["settings"]["caps"]["cancel"] = json!(false));
-    router.readers[0].then(vec![Step::Hang]);
+    router.prefill_workers[0].reply_once(vec![Step::Hang]);
     let mut client = TcpStream::connect(router.listen).expect("connected");
     client.write_all(&head_and_body("twice", "{}")).expect("written");
-    let prefills = || router.floor.asked().iter().filter(|(_, txn)| txn == "twice").count();
+    let prefills = || router.worker_log.requests().iter().filter(|(_, txn)| txn == "twice").count();
     until("the request is being prefilled", || prefills() == 1);
     drop(client);
     std::thread::sleep(ms(100));
     assert_eq!(ask(router.listen, "twice").status, 409);
     until("the transaction id is free", || ask(router.listen, "twice").status == 200);
-    router.no_second_copies();
+    router.assert_no_second_copies();
 }
 
 /// A router shuts down in time even if new connections keep arriving.
@@ -332,10 +343,14 @@
     let event = &gaparch_testbed::platform::events()[0];
     let first =
         format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n", event.len());
-    router.next_write(&[put(&first), Step::Wait(ms(2500)), put("e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")]);
+    router.reply_to_next_decode(&[
+        put(&first),
+        Step::Wait(ms(2500)),
+        put("e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"),
+    ]);
     let mut streaming = TcpStream::connect(router.listen).expect("connected");
     streaming.write_all(&head_and_body("streaming", "{}")).expect("written");
-    until("its decode attempt is sent", || router.writes("streaming") == 1);
+    until("its decode attempt is sent", || router.decode_requests("streaming") == 1);
     router.send(Command::Shutdown);
     std::thread::sleep(ms(300));
     let mut late = TcpStream::connect(router.listen).expect("still accepting connections");
@@ -345,9 +360,12 @@
     late.write_all(&whole[60..]).expect("connection is open");
     let got = read(&mut late, LONG);
     assert_eq!(got.status, 503, "accepted 0.9 s after the shutdown command: {got:?}");
-    assert!(router.floor.asked().iter().all(|(_, txn)| txn != "late"), "the late request was forwarded");
+    assert!(
+        router.worker_log.requests().iter().all(|(_, txn)| txn != "late"),
+        "the late request was forwarded"
+    );
     let got = read(&mut streaming, LONG);
-    assert!(got.status == 200 && got.whole, "the open stream was not forwarded completely: {got:?}");
+    assert!(got.status == 200 && got.is_complete, "the open stream was not forwarded completely: {got:?}");
     router.wait_for_shutdown();
 }
 
@@ -357,13 +375,14 @@
 #[test]
 fn reloading_a_partially_written_configuration_is_retried() {
     let router = RunningRouter::with(|_| {});
-    let new_service = Catalogue::start(Platform::list(&router.readers, &router.writers));
+    let new_service =
+        DiscoveryService::start(Platform::list(&router.prefill_workers, &router.decode_workers));
     std::fs::write(&router.file, "{\"name\":\"n0\",").expect("written");
     router.send(Command::Reload);
     std::thread::sleep(ms(200));
     let mut config = router.config.clone();
     config["discovery"] = json!(new_service.address.to_string());
     std::fs::write(&router.file, config.to_string()).expect("written");
-    until("the new service is asked", || new_service.calls() > 0);
+    until("the new service is asked", || new_service.responses() > 0);
     assert_eq!(ask(router.listen, "next").status, 200);
 }
--- a/crates/gaparch-platform-router/tests/shutdown.rs
+++ b/crates/gaparch-platform-router/tests/shutdown.rs
@@ -45,18 +45,18 @@
 #[test]
 fn a_late_request_on_an_open_connection_is_rejected_during_a_burst_of_connections() {
     let router = RunningRouter::with(|config| config["limits"]["sockets"] = json!(64));
-    router.next_write(&slow_stream(ms(850)));
+    router.reply_to_next_decode(&slow_stream(ms(850)));
     let mut client = started_stream(&router, "early");
     let shutdown_at = Instant::now();
     router.send(Command::Shutdown);
     let burst = spawn_connection_burst(&router, shutdown_at + ms(350), ms(500));
     // The response did not announce that the connection closes, so the client continues to use it.
-    assert!(read(&mut client, LONG).whole, "the response is cut off");
+    assert!(read(&mut client, LONG).is_complete, "the response is cut off");
     let _ = client.write_all(&head_and_body("late", "{}"));
     assert!(shutdown_at.elapsed() > ms(700), "the stream ended too early for the request to be late");
     let answer = read(&mut client, LONG);
     assert_ne!(answer.status, 200, "accepted {:?} after the shutdown command", shutdown_at.elapsed());
-    assert!(router.floor.asked().iter().all(|(_, txn)| txn != "late"));
+    assert!(router.worker_log.requests().iter().all(|(_, txn)| txn != "late"));
     drop(burst.join().expect("no panic"));
     drop(client);
     router.wait_for_shutdown();
@@ -68,7 +68,7 @@
     let router = RunningRouter::with(|config| config["limits"]["sockets"] = json!(256));
     let clients: Vec<TcpStream> = (0..6)
         .map(|number| {
-            router.next_write(&slow_stream(ms(500 + 400 * number)));
+            router.reply_to_next_decode(&slow_stream(ms(500 + 400 * number)));
             started_stream(&router, &format!("early-{number}"))
         })
         .collect();
@@ -76,7 +76,7 @@
     router.send(Command::Shutdown);
     let mut late_requests = 0;
     for (number, mut client) in clients.into_iter().enumerate() {
-        assert!(read(&mut client, LONG).whole, "early-{number} is cut off");
+        assert!(read(&mut client, LONG).is_complete, "early-{number} is cut off");
         let is_late = shutdown_at.elapsed() > ms(700);
         late_requests += usize::from(is_late);
         let sent_at = Instant::now();
@@ -84,7 +84,8 @@
         let answer = read(&mut client, LONG);
         assert!(!is_late || [0, 503].contains(&answer.status), "{}", answer.status);
         assert!(!is_late || sent_at.elapsed() < ms(500), "rejected after {:?}", sent_at.elapsed());
-        let was_forwarded = router.floor.asked().iter().any(|(_, txn)| *txn == format!("late-{number}"));
+        let was_forwarded =
+            router.worker_log.requests().iter().any(|(_, txn)| *txn == format!("late-{number}"));
         assert!(!is_late || !was_forwarded, "late-{number} was forwarded");
     }
     assert!(late_requests >= 4, "only {late_requests} requests were late");
--- a/crates/gaparch-platform-router/tests/silent_connections.rs
+++ b/crates/gaparch-platform-router/tests/silent_connections.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use common::RunningRouter;
-use gaparch_testbed::platform::{ask, head_and_body, instance, until, Platform, Seen, SilentRelay, Step};
+use gaparch_testbed::platform::{
+    ask, head_and_body, instance, until, Platform, SilentRelay, Step, WorkerEvent,
+};
 use serde_json::json;
 use std::io::Write;
 use std::net::TcpStream;
@@ -14,8 +16,8 @@
 const MAX_HELD_TIME: Duration = Duration::from_millis(500 + 300);
 
 /// Returns when a worker first saw a matching event.
-fn first_time(router: &RunningRouter, matches: impl Fn(&Seen) -> bool) -> Option<Instant> {
-    router.floor.log().into_iter().find(|(_, seen)| matches(seen)).map(|(at, _)| at)
+fn first_time(router: &RunningRouter, matches: impl Fn(&WorkerEvent) -> bool) -> Option<Instant> {
+    router.worker_log.log().into_iter().find(|(_, seen)| matches(seen)).map(|(at, _)| at)
 }
 
 /// The idle connections to the only decode worker go silent between two requests, so a decode request sent on
@@ -24,11 +26,18 @@
 #[test]
 fn the_kv_cache_is_not_pinned_by_a_decode_request_on_a_connection_that_went_silent() {
     let router = RunningRouter::with(|_| {});
-    let relay = SilentRelay::start(router.writers[0].address);
-    let mut entry = instance(&router.writers[0], "decode", "ready");
+    let relay = SilentRelay::start(router.decode_workers[0].address);
+    let mut entry = instance(&router.decode_workers[0], "decode", "ready");
     entry["hostPort"] = json!(relay.address.to_string());
-    router.tell(
-        [Platform::without_writers(&Platform::list(&router.readers, &router.writers)), vec![entry]].concat(),
+    router.publish_list(
+        [
+            Platform::without_decode_workers(&Platform::list(
+                &router.prefill_workers,
+                &router.decode_workers,
+            )),
+            vec![entry],
+        ]
+        .concat(),
     );
     assert_eq!(ask(router.listen, "before").status, 200);
     // Wait for the settle time, in which stray bytes could follow the response, so that connections are not
@@ -39,11 +48,11 @@
         let listen = router.listen;
         move || ask(listen, "after")
     });
-    let is_prefill = |seen: &Seen| matches!(seen, Seen::Asked { worker, txn, .. } if txn == "after" && worker.starts_with('r'));
+    let is_prefill = |seen: &WorkerEvent| matches!(seen, WorkerEvent::RequestReceived { worker, txn, .. } if txn == "after" && worker.starts_with('r'));
     until("it is prefilled", || first_time(&router, is_prefill).is_some());
-    let is_done = |seen: &Seen| match seen {
-        Seen::Asked { worker, txn, .. } => txn == "after" && worker.starts_with('w'),
-        Seen::Released { txn, .. } => txn == "after",
+    let is_done = |seen: &WorkerEvent| match seen {
+        WorkerEvent::RequestReceived { worker, txn, .. } => txn == "after" && worker.starts_with('w'),
+        WorkerEvent::Released { txn, .. } => txn == "after",
         _ => false,
     };
     until("its KV cache is fetched or released", || first_time(&router, is_done).is_some());
@@ -51,7 +60,7 @@
         first_time(&router, is_done).expect("done") - first_time(&router, is_prefill).expect("prefilled");
     assert!(held < MAX_HELD_TIME, "held for {held:?}");
     assert_eq!(request.join().expect("no panic").status, 200);
-    router.no_second_copies();
+    router.assert_no_second_copies();
 }
 
 /// All idle connections, two to each worker, go silent at once, and a client disconnects while its prompt is
@@ -59,14 +68,14 @@
 #[test]
 fn a_release_reaches_a_worker_if_all_idle_connections_went_silent() {
     let router = RunningRouter::with(|_| {});
-    let workers = router.readers.iter().chain(&router.writers);
+    let workers = router.prefill_workers.iter().chain(&router.decode_workers);
     let relays: Vec<SilentRelay> = workers.map(|worker| SilentRelay::start(worker.address)).collect();
-    let mut list = Platform::list(&router.readers, &router.writers);
+    let mut list = Platform::list(&router.prefill_workers, &router.decode_workers);
     for (entry, relay) in list.iter_mut().zip(&relays) {
         entry["hostPort"] = json!(relay.address.to_string());
     }
-    router.tell(list);
-    router.floor.slow_releases(Duration::from_millis(5));
+    router.publish_list(list);
+    router.worker_log.slow_releases(Duration::from_millis(5));
     std::thread::scope(|all| {
         for number in 0..24 {
             let listen = router.listen;
@@ -74,14 +83,17 @@
         }
     });
     std::thread::sleep(Duration::from_millis(100));
-    router.readers[0].then(vec![Step::Wait(Duration::from_millis(300)), Step::Hang]);
+    router.prefill_workers[0].reply_once(vec![Step::Wait(Duration::from_millis(300)), Step::Hang]);
     let mut client = TcpStream::connect(router.listen).expect("connected");
     client.write_all(&head_and_body("leaves", "{}")).expect("written");
-    until("the request is being prefilled", || router.floor.asked().iter().any(|(_, txn)| txn == "leaves"));
+    until("the request is being prefilled", || {
+        router.worker_log.requests().iter().any(|(_, txn)| txn == "leaves")
+    });
     relays.iter().for_each(SilentRelay::silence_open_connections);
     drop(client);
     let disconnected_at = Instant::now();
-    let is_release = |seen: &Seen| matches!(seen, Seen::Released { txn, .. } if txn == "leaves");
+    let is_release =
+        |seen: &WorkerEvent| matches!(seen, WorkerEvent::Released { txn, .. } if txn == "leaves");
     until("the KV cache is released", || first_time(&router, is_release).is_some());
     let held = first_time(&router, is_release).expect("released") - disconnected_at;
     assert!(held < MAX_HELD_TIME, "held for {held:?}");
@@ -98,15 +110,15 @@
         settings["caps"]["connectTimeoutNs"] = json!(3_000_000_000u64);
         settings["rules"]["stopSendingWithinNs"] = json!(10_000_000_000u64);
     });
-    let relay = SilentRelay::start(router.readers[0].address);
-    let mut list = Platform::list(&router.readers, &router.writers);
+    let relay = SilentRelay::start(router.prefill_workers[0].address);
+    let mut list = Platform::list(&router.prefill_workers, &router.decode_workers);
     list.remove(1);
     list[0]["hostPort"] = json!(relay.address.to_string());
-    router.tell(list);
+    router.publish_list(list);
     assert_eq!(ask(router.listen, "before").status, 200);
     let probes = || {
-        let is_probe = |seen: &Seen| matches!(seen, Seen::Probed { worker } if worker == "r-1");
-        router.floor.seen().iter().filter(|seen| is_probe(seen)).count()
+        let is_probe = |seen: &WorkerEvent| matches!(seen, WorkerEvent::Probed { worker } if worker == "r-1");
+        router.worker_log.events().iter().filter(|seen| is_probe(seen)).count()
     };
     // Long enough for the prefill worker to be probed before the next prefill.
     std::thread::sleep(Duration::from_millis(1_200));
--- a/crates/gaparch-platform-router/tests/stalled_streams.rs
+++ b/crates/gaparch-platform-router/tests/stalled_streams.rs
@@ -94,7 +94,7 @@
 /// router has to serve others.
 fn assert_ends_in_time(case: &str, steps: &[Step]) {
     let router = RunningRouter::with(|_| {});
-    router.next_write(steps);
+    router.reply_to_next_decode(steps);
     let received = receive(&mut send_request(&router, "stalled"));
     assert!(received.count_events() > 0, "{case}: no event was passed on");
     assert!(!received.has_last_chunk(), "{case}: the stream was ended as complete");
@@ -145,10 +145,10 @@
     let router = RunningRouter::with(|_| {});
     let mut steps = vec![put("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")];
     steps.extend(keep_alive_comments());
-    router.next_write(&steps);
+    router.reply_to_next_decode(&steps);
     let asked_at = Instant::now();
     let got = ask(router.listen, "comments");
-    assert!(got.whole, "{got:?}");
+    assert!(got.is_complete, "{got:?}");
     assert!(asked_at.elapsed() <= CLIENT_DEADLINE + MAX_ANSWER_DELAY, "{:?}", asked_at.elapsed());
 }
 
@@ -157,9 +157,9 @@
 fn a_sound_stream_with_comments_is_forwarded_unchanged() {
     let router = RunningRouter::with(|_| {});
     let with_comments: Vec<String> = events().iter().map(|event| format!(": computing\n\n{event}")).collect();
-    router.next_write(&[Step::Put(stream(&with_comments))]);
+    router.reply_to_next_decode(&[Step::Put(stream(&with_comments))]);
     let got = ask(router.listen, "with-comments");
-    assert!(got.whole);
+    assert!(got.is_complete);
     assert_eq!(String::from_utf8_lossy(&got.body), with_comments.concat());
 }
 
@@ -167,7 +167,7 @@
 #[test]
 fn a_sound_stream_in_small_pieces_stays_complete() {
     let router = RunningRouter::with(|_| {});
-    router.next_write(&drip(stream(&events()), ms(15)));
+    router.reply_to_next_decode(&drip(stream(&events()), ms(15)));
     let received = receive(&mut send_request(&router, "pieces"));
     assert!(received.has_last_chunk());
     assert_eq!(received.count_events(), events().len());
@@ -182,7 +182,7 @@
     let mut all_events = vec![event; EVENTS];
     all_events.push("data: [DONE]\n\n".to_owned());
     let router = RunningRouter::with(|_| {});
-    router.next_write(&[Step::Put(stream(&all_events))]);
+    router.reply_to_next_decode(&[Step::Put(stream(&all_events))]);
     let mut client = send_request(&router, "slow");
     std::thread::sleep(ms(6000));
     let received = receive(&mut client);
--- a/crates/gaparch-testbed/src/platform/hanging.rs
+++ b/crates/gaparch-testbed/src/platform/hanging_relay.rs
@@ -1,12 +1,13 @@
-//! A worker whose process hangs while its machine goes on: connections come up and bytes are taken, and nothing is read.
+//! A relay that imitates a worker whose process hangs: the system still accepts connections and bytes, but nothing
+//! is read.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 
-/// Stands before a worker. While it hangs it accepts and reads nothing: the system's queues take what comes, as those of
-/// a stopped process do.
+/// Forwards bytes between a router and a worker. While it hangs, it accepts and reads nothing; connections and bytes
+/// wait in the queues of the system, as for a stopped process.
 #[derive(Debug)]
 pub struct HangingRelay {
     pub address: SocketAddr,
@@ -33,7 +34,7 @@
 }
 
 impl HangingRelay {
-    /// Starts one that does not hang yet.
+    /// Starts a relay to a worker that does not hang yet.
     pub fn start(to: SocketAddr) -> HangingRelay {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("its address");
@@ -53,12 +54,12 @@
         relay
     }
 
-    /// From now on nothing is accepted or read.
+    /// Accepts and reads nothing from now on.
     pub fn hang(&self) {
         self.gate.set(true);
     }
 
-    /// What has come meanwhile is accepted and read.
+    /// Accepts and reads again, first what has arrived meanwhile.
     pub fn resume(&self) {
         self.gate.set(false);
     }
--- a/crates/gaparch-testbed/src/platform/silent.rs
+++ b/crates/gaparch-testbed/src/platform/silent_relay.rs
@@ -1,4 +1,4 @@
-//! A relay before a worker whose open connections fall silent on command.
+//! A relay whose open connections can fall silent.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::thread;
 
-/// Passes bytes both ways. A connection that has fallen silent stays open: what comes on it is taken and goes nowhere.
+/// Forwards bytes in both directions. A connection that has fallen silent stays open; bytes on it are read and dropped.
 #[derive(Debug)]
 pub struct SilentRelay {
     pub address: SocketAddr,
-    /// Connections of a number below this pass nothing.
+    /// Connections with a lower number forward nothing.
     silent_below: Arc<AtomicU64>,
     next: Arc<AtomicU64>,
 }
@@ -35,7 +35,7 @@
         relay
     }
 
-    /// All connections that are open now fall silent, for good. Later ones work.
+    /// Makes all open connections fall silent for good. Later ones are not affected.
     pub fn silence_open_connections(&self) {
         self.silent_below.store(self.next.load(Ordering::SeqCst), Ordering::SeqCst);
     }
--- a/crates/gaparch-testbed/src/platform/site.rs
+++ b/crates/gaparch-testbed/src/platform/site.rs
@@ -1,28 +1,28 @@
-//! The platform around one router: workers, a catalogue and its configuration file.
+//! The platform around one router: workers, a discovery service and its configuration file.
 
-use super::{instance, raw, Catalogue, Floor, Seen, Worker};
+use super::{instance, raw, DiscoveryService, Worker, WorkerEvent, WorkerLog};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-/// Far beyond what anything here takes on a machine that is not stuck.
+/// Longer than any step of a test takes on a machine that is not stuck.
 pub const LONG: Duration = Duration::from_secs(20);
 
-/// Two readers, two writers, a catalogue and the configuration of a router between them.
+/// Two prefill workers, two decode workers, a discovery service and the configuration of a router between them.
 #[derive(Debug)]
 pub struct Platform {
-    pub floor: Floor,
-    pub readers: [Worker; 2],
-    pub writers: [Worker; 2],
-    pub catalogue: Catalogue,
+    pub worker_log: WorkerLog,
+    pub prefill_workers: [Worker; 2],
+    pub decode_workers: [Worker; 2],
+    pub discovery: DiscoveryService,
     pub listen: SocketAddr,
     pub file: PathBuf,
     pub config: Value,
 }
 
-/// Settings of a small deployment with one class.
+/// The settings of a small deployment with one class.
 pub fn settings() -> Value {
     json!({
         "me": 0, "replicasOfMe": 1, "stepNs": 2_000_000, "zone": "a", "zones": ["a"],
@@ -42,7 +42,7 @@
     })
 }
 
-/// An address of this test alone: a port that was free a moment ago could be another test's by now.
+/// Returns an address that no other test uses: a port that was free a moment ago might be in use by now.
 pub fn own_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let (process, test) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
@@ -50,7 +50,7 @@
     SocketAddr::from((octets, 8080))
 }
 
-/// A new folder of this test alone.
+/// Creates a folder that no other test uses.
 pub fn folder() -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -59,7 +59,7 @@
     folder
 }
 
-/// Waits until something holds.
+/// Waits until a condition holds.
 pub fn until(what: &str, holds: impl Fn() -> bool) {
     let from = Instant::now();
     while !holds() {
@@ -70,60 +70,71 @@
 
 impl Platform {
     pub fn new(change: impl FnOnce(&mut Value)) -> Platform {
-        let floor = Floor::default();
-        let (reader, writer) = (Worker::reader("r-1", &floor), Worker::writer("w-1", &floor));
-        let readers = [reader.clone(), reader.twin("r-2", &floor)];
-        let writers = [writer.clone(), writer.twin("w-2", &floor)];
-        let catalogue = Catalogue::start(Platform::list(&readers, &writers));
+        let worker_log = WorkerLog::default();
+        let (reader, writer) = (Worker::prefill("r-1", &worker_log), Worker::decode("w-1", &worker_log));
+        let prefill_workers = [reader.clone(), reader.with_same_script("r-2", &worker_log)];
+        let decode_workers = [writer.clone(), writer.with_same_script("w-2", &worker_log)];
+        let discovery = DiscoveryService::start(Platform::list(&prefill_workers, &decode_workers));
         let listen = own_address();
         let mut config = json!({"name": "n0", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
-            "discovery": catalogue.address.to_string(), "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
+            "discovery": discovery.address.to_string(), "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
             "settings": settings()});
         change(&mut config);
         let file = folder().join("config.json");
         std::fs::write(&file, config.to_string()).expect("written");
-        Platform { floor, readers, writers, catalogue, listen, file, config }
+        Platform { worker_log, prefill_workers, decode_workers, discovery, listen, file, config }
     }
 
-    pub fn list(readers: &[Worker; 2], writers: &[Worker; 2]) -> Vec<Value> {
-        let readers = readers.iter().map(|w| instance(w, "prefill", "ready"));
-        readers.chain(writers.iter().map(|w| instance(w, "decode", "ready"))).collect()
+    pub fn list(prefill_workers: &[Worker; 2], decode_workers: &[Worker; 2]) -> Vec<Value> {
+        let prefill_workers = prefill_workers.iter().map(|w| instance(w, "prefill", "ready"));
+        prefill_workers.chain(decode_workers.iter().map(|w| instance(w, "decode", "ready"))).collect()
     }
 
-    /// The same with its writers drained.
-    pub fn without_writers(list: &[Value]) -> Vec<Value> {
+    /// Returns the list with its decode workers draining.
+    pub fn without_decode_workers(list: &[Value]) -> Vec<Value> {
         let mut list = list.to_vec();
         list[2..].iter_mut().for_each(|entry| entry["lifecycle"] = json!("draining"));
         list
     }
 
-    /// Lists this, and waits until the router has heard of it.
-    pub fn tell(&self, list: Vec<Value>) {
-        let calls = self.catalogue.calls();
-        self.catalogue.set(list);
-        until("the list is told", || self.catalogue.calls() > calls + 1);
+    /// Publishes a list, and waits until the router has received it.
+    pub fn publish_list(&self, list: Vec<Value>) {
+        let responses = self.discovery.responses();
+        self.discovery.set_list(list);
+        // The request after the response with the list shows that the router has read it.
+        until("the router has received the list", || self.discovery.responses() > responses + 1);
     }
 
-    /// What the router's own readiness call answers; 0: nothing.
+    /// Returns the status of the router's health check; 0 if there is no response.
     pub fn health(&self) -> u16 {
         raw(self.listen, b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n", LONG).status
     }
 
-    /// The next write gets this, whichever writer is asked.
-    pub fn next_write(&self, steps: &[super::Step]) {
-        self.writers[0].then(steps.to_vec());
+    /// Sets the reply to the next decode request, whichever worker receives it.
+    pub fn reply_to_next_decode(&self, steps: &[super::Step]) {
+        self.decode_workers[0].reply_once(steps.to_vec());
     }
 
-    pub fn writes(&self, txn: &str) -> usize {
-        self.floor.asked().iter().filter(|(worker, of)| worker.starts_with("w-") && of == txn).count()
+    /// Returns the number of decode requests with this id that workers have received.
+    pub fn decode_requests(&self, txn: &str) -> usize {
+        self.worker_log.requests().iter().filter(|(worker, id)| worker.starts_with("w-") && id == txn).count()
     }
 
-    pub fn released(&self, txn: &str) -> bool {
-        self.floor.seen().iter().any(|s| matches!(s, Seen::Released { txn: of, .. } if of == txn))
+    /// Whether a worker has received a release for this id.
+    pub fn is_released(&self, txn: &str) -> bool {
+        self.worker_log
+            .events()
+            .iter()
+            .any(|event| matches!(event, WorkerEvent::Released { txn: id, .. } if id == txn))
     }
 
-    pub fn no_second_copies(&self) {
-        let copies = self.floor.seen().into_iter().filter(|s| matches!(s, Seen::SecondCopy { .. }));
+    /// Asserts that no worker received an attempt while another one of the same request was in flight.
+    pub fn assert_no_second_copies(&self) {
+        let copies = self
+            .worker_log
+            .events()
+            .into_iter()
+            .filter(|event| matches!(event, WorkerEvent::SecondCopy { .. }));
         assert_eq!(copies.collect::<Vec<_>>(), vec![]);
     }
 }
--- a/crates/gaparch-testbed/src/platform/worker.rs
+++ b/crates/gaparch-testbed/src/platform/worker.rs
@@ -1,4 +1,4 @@
-//! Workers that do what a script says, and a record of what they were asked, in order.
+//! Workers that follow a script, and the log of what they received.
 
 use super::{answer, header, message};
 use rustix::net::{recv, RecvFlags};
@@ -9,30 +9,34 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// One thing that a worker does on a connection.
+/// One step of a reply.
 #[derive(Clone, Debug)]
 pub enum Step {
+    /// Writes these bytes.
     Put(Vec<u8>),
+    /// Writes nothing for this long.
     Wait(Duration),
-    /// Says nothing more until the other side closes.
+    /// Writes nothing more until the peer closes the connection.
     Hang,
+    /// Closes the connection.
     Close,
 }
 
+/// What a worker does after it has received a request.
 pub type Reply = Vec<Step>;
 
-/// What a worker saw.
+/// What a worker received.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Seen {
-    /// A request's last byte: its id, target, body, and how long its client still waits.
-    Asked {
+pub enum WorkerEvent {
+    /// The last byte of a request, which states how long its client still waits.
+    RequestReceived {
         worker: String,
         txn: String,
         target: String,
         remaining: Option<Duration>,
         body: Vec<u8>,
     },
-    /// An attempt whose request had another one out on an open connection.
+    /// An attempt, while another one for the same request is in flight on an open connection.
     SecondCopy {
         txn: String,
     },
@@ -49,20 +53,20 @@
     },
 }
 
-/// The record of all workers of a site, and the attempts that are out.
+/// The log of all workers of a platform, and their attempts in flight.
 #[derive(Clone, Debug, Default)]
-pub struct Floor {
-    seen: Arc<Mutex<Vec<(Instant, Seen)>>>,
-    /// Before a release is taken.
-    release_after: Arc<Mutex<Duration>>,
-    open: Arc<Mutex<Vec<(String, TcpStream)>>>,
+pub struct WorkerLog {
+    events: Arc<Mutex<Vec<(Instant, WorkerEvent)>>>,
+    /// The time that a worker takes for a release.
+    release_time: Arc<Mutex<Duration>>,
+    in_flight: Arc<Mutex<Vec<(String, TcpStream)>>>,
 }
 
 fn lock<T>(table: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     table.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Whether the other side has closed, by what this machine knows.
+/// Whether the peer has closed the connection, as far as the system knows.
 fn is_closed(socket: &TcpStream) -> bool {
     let mut byte = [0; 1];
     match recv(socket, &mut byte[..], RecvFlags::PEEK | RecvFlags::DONTWAIT) {
@@ -71,181 +75,213 @@
     }
 }
 
-impl Floor {
-    pub fn seen(&self) -> Vec<Seen> {
-        self.log().into_iter().map(|(_, seen)| seen).collect()
+impl WorkerLog {
+    /// Returns all events so far.
+    pub fn events(&self) -> Vec<WorkerEvent> {
+        self.log().into_iter().map(|(_, event)| event).collect()
     }
 
-    /// The same with when it was seen.
-    pub fn log(&self) -> Vec<(Instant, Seen)> {
-        lock(&self.seen).clone()
+    /// Returns all events so far with their times.
+    pub fn log(&self) -> Vec<(Instant, WorkerEvent)> {
+        lock(&self.events).clone()
     }
 
-    /// Every worker takes so long over each release from now on.
+    /// Makes every worker take this long for each release from now on.
     pub fn slow_releases(&self, span: Duration) {
-        *lock(&self.release_after) = span;
+        *lock(&self.release_time) = span;
     }
 
-    /// Requests that workers have taken, as `(worker, id)`.
-    pub fn asked(&self) -> Vec<(String, String)> {
-        let of = |s: Seen| match s {
-            Seen::Asked { worker, txn, .. } => Some((worker, txn)),
+    /// Returns the requests received so far, as `(worker, id)`.
+    pub fn requests(&self) -> Vec<(String, String)> {
+        let request = |event: WorkerEvent| match event {
+            WorkerEvent::RequestReceived { worker, txn, .. } => Some((worker, txn)),
             _ => None,
         };
-        self.seen().into_iter().filter_map(of).collect()
+        self.events().into_iter().filter_map(request).collect()
     }
 
-    fn note(&self, seen: Seen) {
-        lock(&self.seen).push((Instant::now(), seen));
+    fn record(&self, event: WorkerEvent) {
+        lock(&self.events).push((Instant::now(), event));
     }
 
     fn begin(&self, txn: &str, socket: &TcpStream) {
-        let mut open = lock(&self.open);
-        if open.iter().any(|(of, other)| of == txn && !is_closed(other)) {
-            self.note(Seen::SecondCopy { txn: txn.to_owned() });
+        let mut in_flight = lock(&self.in_flight);
+        if in_flight.iter().any(|(id, other)| id == txn && !is_closed(other)) {
+            self.record(WorkerEvent::SecondCopy { txn: txn.to_owned() });
         }
         if let Ok(socket) = socket.try_clone() {
-            open.push((txn.to_owned(), socket));
+            in_flight.push((txn.to_owned(), socket));
         }
     }
 
     fn end(&self, txn: &str) {
-        let mut open = lock(&self.open);
-        if let Some(at) = open.iter().position(|(of, _)| of == txn) {
-            open.remove(at);
+        let mut in_flight = lock(&self.in_flight);
+        if let Some(at) = in_flight.iter().position(|(id, _)| id == txn) {
+            in_flight.remove(at);
         }
     }
 }
 
-/// One scripted worker. Its threads end with the process.
+/// A scripted worker. Its threads end with the process.
 #[derive(Clone, Debug)]
 pub struct Worker {
     pub name: String,
     pub address: SocketAddr,
     script: Arc<Mutex<VecDeque<Reply>>>,
-    /// What it does when the script is at its end.
-    usual: Arc<Mutex<Reply>>,
+    /// The reply once the script has ended.
+    default_reply: Arc<Mutex<Reply>>,
 }
 
 impl Worker {
-    /// Starts one that answers reads.
-    pub fn reader(name: &str, floor: &Floor) -> Worker {
+    /// Starts a prefill worker that answers immediately.
+    pub fn prefill(name: &str, worker_log: &WorkerLog) -> Worker {
         let body = "{\"cached_tokens\":7}";
         let read = format!("HTTP/1.1 202 Accepted\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        Worker::start(name, vec![Step::Put(read.into_bytes())], Arc::default(), floor)
+        Worker::start(name, vec![Step::Put(read.into_bytes())], Arc::default(), worker_log)
     }
 
-    /// Starts one that writes a short whole stream.
-    pub fn writer(name: &str, floor: &Floor) -> Worker {
-        Worker::start(name, vec![Step::Put(stream(&events()))], Arc::default(), floor)
+    /// Starts a decode worker that writes a short complete stream.
+    pub fn decode(name: &str, worker_log: &WorkerLog) -> Worker {
+        Worker::start(name, vec![Step::Put(stream(&events()))], Arc::default(), worker_log)
     }
 
-    /// Starts another that writes, with the same script: a reply is given by whichever is asked first.
-    pub fn twin(&self, name: &str, floor: &Floor) -> Worker {
-        let usual = lock(&self.usual).clone();
-        Worker::start(name, usual, Arc::clone(&self.script), floor)
+    /// Starts another worker with the same script: whichever receives a request first gives the next reply.
+    pub fn with_same_script(&self, name: &str, worker_log: &WorkerLog) -> Worker {
+        let default_reply = lock(&self.default_reply).clone();
+        Worker::start(name, default_reply, Arc::clone(&self.script), worker_log)
     }
 
-    fn start(name: &str, usual: Reply, script: Arc<Mutex<VecDeque<Reply>>>, floor: &Floor) -> Worker {
+    fn start(
+        name: &str,
+        default_reply: Reply,
+        script: Arc<Mutex<VecDeque<Reply>>>,
+        worker_log: &WorkerLog,
+    ) -> Worker {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("its address");
-        let worker = Worker { name: name.to_owned(), address, script, usual: Arc::new(Mutex::new(usual)) };
-        let (this, floor) = (worker.clone(), floor.clone());
+        let worker = Worker {
+            name: name.to_owned(),
+            address,
+            script,
+            default_reply: Arc::new(Mutex::new(default_reply)),
+        };
+        let (this, worker_log) = (worker.clone(), worker_log.clone());
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
-                let (this, floor) = (this.clone(), floor.clone());
-                thread::spawn(move || this.serve(socket, &floor));
+                let (this, worker_log) = (this.clone(), worker_log.clone());
+                thread::spawn(move || this.serve(socket, &worker_log));
             }
         });
         worker
     }
 
-    /// What it does to the next requests, one reply each.
-    pub fn then(&self, reply: Reply) {
+    /// Adds the reply to one request to the script.
+    pub fn reply_once(&self, reply: Reply) {
         lock(&self.script).push_back(reply);
     }
 
-    /// What it does to all others from now on.
-    pub fn always(&self, reply: Reply) {
-        *lock(&self.usual) = reply;
+    /// Sets the reply to all further requests after the script.
+    pub fn reply_always(&self, reply: Reply) {
+        *lock(&self.default_reply) = reply;
     }
 
-    fn serve(&self, mut socket: TcpStream, floor: &Floor) {
+    fn serve(&self, mut socket: TcpStream, worker_log: &WorkerLog) {
         let _ = socket.set_nodelay(true);
         while let Some((head, body)) = message(&mut socket) {
-            let mut words = head.split_whitespace();
-            let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
-            let worker = self.name.clone();
-            let held = target.strip_prefix("/internal/reservations/").map(str::to_owned);
-            let go_on = match (method, held) {
-                ("DELETE", Some(txn)) => {
-                    let span = *lock(&floor.release_after);
-                    thread::sleep(span);
-                    floor.note(Seen::Released { worker, txn });
-                    answer(&mut socket, "204 No Content", "")
-                }
-                ("POST", Some(txn)) => {
-                    floor.note(Seen::Reserved { worker, txn });
-                    answer(&mut socket, "200 OK", "")
-                }
-                ("GET", _) if target == "/ping" => {
-                    floor.note(Seen::Probed { worker });
-                    answer(&mut socket, "200 OK", "")
-                }
-                _ => {
-                    let txn = header(&head, "x-txn").unwrap_or_default().to_owned();
-                    floor.begin(&txn, &socket);
-                    let remaining = header(&head, "x-remaining-ms").and_then(|ms| ms.parse().ok());
-                    let remaining = remaining.map(Duration::from_millis);
-                    floor.note(Seen::Asked {
-                        worker,
-                        txn: txn.clone(),
-                        target: target.to_owned(),
-                        remaining,
-                        body,
-                    });
-                    let reply = lock(&self.script).pop_front();
-                    let reply = reply.unwrap_or_else(|| lock(&self.usual).clone());
-                    play(&mut socket, reply, || floor.end(&txn))
-                }
-            };
-            if !go_on {
+            if !self.respond(&mut socket, &head, body, worker_log) {
                 return;
             }
         }
     }
-}
 
-/// Plays a reply; whether the connection may go on. `over` is told just before the answer's last bytes: whoever has
-/// read these may send the next attempt sooner than this thread goes on.
-fn play(socket: &mut TcpStream, reply: Reply, over: impl FnOnce()) -> bool {
-    let last = reply.len().saturating_sub(1);
-    let (mut over, mut go_on) = (Some(over), true);
-    for (number, step) in reply.into_iter().enumerate() {
-        go_on = match step {
-            Step::Put(bytes) => {
-                over.take_if(|_| number == last).into_iter().for_each(|over| over());
-                socket.write_all(&bytes).is_ok()
+    /// Responds to one message; returns whether the connection remains open.
+    fn respond(&self, socket: &mut TcpStream, head: &str, body: Vec<u8>, worker_log: &WorkerLog) -> bool {
+        let mut words = head.split_whitespace();
+        let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+        let worker = self.name.clone();
+        let reservation = target.strip_prefix("/internal/reservations/").map(str::to_owned);
+        match (method, reservation) {
+            ("DELETE", Some(txn)) => {
+                let release_time = *lock(&worker_log.release_time);
+                thread::sleep(release_time);
+                worker_log.record(WorkerEvent::Released { worker, txn });
+                answer(socket, "204 No Content", "")
             }
-            Step::Wait(span) => {
-                thread::sleep(span);
-                true
+            ("POST", Some(txn)) => {
+                worker_log.record(WorkerEvent::Reserved { worker, txn });
+                answer(socket, "200 OK", "")
             }
-            Step::Hang => {
-                while socket.read(&mut [0; 256]).is_ok_and(|n| n > 0) {}
-                false
+            ("GET", _) if target == "/ping" => {
+                worker_log.record(WorkerEvent::Probed { worker });
+                answer(socket, "200 OK", "")
             }
-            Step::Close => false,
-        };
-        if !go_on {
-            break;
+            _ => self.respond_to_request(socket, head, body, worker_log),
+        }
+    }
+
+    /// Records a request and gives the next reply.
+    fn respond_to_request(
+        &self,
+        socket: &mut TcpStream,
+        head: &str,
+        body: Vec<u8>,
+        worker_log: &WorkerLog,
+    ) -> bool {
+        let txn = header(head, "x-txn").unwrap_or_default().to_owned();
+        worker_log.begin(&txn, socket);
+        let remaining_ms = header(head, "x-remaining-ms").and_then(|ms| ms.parse().ok());
+        worker_log.record(WorkerEvent::RequestReceived {
+            worker: self.name.clone(),
+            txn: txn.clone(),
+            target: head.split_whitespace().nth(1).unwrap_or_default().to_owned(),
+            remaining: remaining_ms.map(Duration::from_millis),
+            body,
+        });
+        let scripted = lock(&self.script).pop_front();
+        let reply = scripted.unwrap_or_else(|| lock(&self.default_reply).clone());
+        give_reply(socket, reply, || worker_log.end(&txn))
+    }
+}
+
+/// Gives a reply; returns whether the connection remains open. `on_end` is called just before the last bytes are
+/// written, since a router that has read them may send the next attempt before this thread continues.
+fn give_reply(socket: &mut TcpStream, mut reply: Reply, on_end: impl FnOnce()) -> bool {
+    let last_step = reply.pop();
+    let is_open = reply.into_iter().all(|step| perform(socket, step));
+    match last_step.filter(|_| is_open) {
+        Some(step @ Step::Put(_)) => {
+            on_end();
+            perform(socket, step)
+        }
+        Some(step) => {
+            let is_open = perform(socket, step);
+            on_end();
+            is_open
+        }
+        None => {
+            on_end();
+            is_open
+        }
+    }
+}
+
+/// Performs one step; returns whether the connection remains open.
+fn perform(socket: &mut TcpStream, step: Step) -> bool {
+    match step {
+        Step::Put(bytes) => socket.write_all(&bytes).is_ok(),
+        Step::Wait(time) => {
+            thread::sleep(time);
+            true
+        }
+        Step::Hang => {
+            while socket.read(&mut [0; 256]).is_ok_and(|length| length > 0) {}
+            false
         }
+        Step::Close => false,
     }
-    over.into_iter().for_each(|over| over());
-    go_on
 }
 
-/// The events of a short answer, the last one included.
+/// The events of a short response, including the last one.
 pub fn events() -> Vec<String> {
     let piece = |text: &str| {
         format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}},\"finish_reason\":null}}]}}\n\n")
@@ -253,7 +289,7 @@
     vec![piece("one"), piece("two"), piece("thr\u{e9}e"), "data: [DONE]\n\n".to_owned()]
 }
 
-/// A head and a chunk for each event, with the last chunk.
+/// A head, a chunk for each event, and the last chunk.
 pub fn stream(events: &[String]) -> Vec<u8> {
     let mut out =
         b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
--- a/crates/gaparch-testbed/tests/checker.rs
+++ b/crates/gaparch-testbed/tests/checker.rs
@@ -257,35 +257,40 @@
     assert_eq!(broken(&verdict(Effect::Safe, twice, none)), [1]);
 }
 
-/// The judge of what workers saw names each kind of breach, and nothing where there is none.
+/// Each kind of breach in the log of the workers is found, and none where there is none.
 #[test]
-fn what_workers_saw_is_judged_by_when_it_came() {
-    use gaparch_testbed::platform::{judge, Facts, Seen, LEFT};
+fn breaches_in_the_log_of_the_workers_are_found_by_their_time() {
+    use gaparch_testbed::platform::{
+        find_breaches, TestActions, WorkerEvent, MAX_SEND_DELAY_AFTER_DISCONNECT,
+    };
     use std::time::{Duration, Instant};
     let from = Instant::now();
     let told = |worker: &str, txn: &str, ms: u64, remaining: Option<u64>| {
         let (worker, txn) = (worker.to_owned(), txn.to_owned());
         let remaining = remaining.map(Duration::from_millis);
         let (target, body) = (String::new(), Vec::new());
-        (from + Duration::from_millis(ms), Seen::Asked { worker, txn, target, remaining, body })
+        (
+            from + Duration::from_millis(ms),
+            WorkerEvent::RequestReceived { worker, txn, target, remaining, body },
+        )
     };
     let asked = |worker: &str, txn: &str, ms: u64| told(worker, txn, ms, Some(0));
-    let mut facts = Facts::default();
-    facts.left.insert("left".to_owned(), from);
-    facts.drained.insert("w-1".to_owned(), from + Duration::from_millis(500));
-    let late = LEFT.as_millis() as u64 + 1;
+    let mut actions = TestActions::default();
+    actions.disconnected.insert("left".to_owned(), from);
+    actions.drained.insert("w-1".to_owned(), from + Duration::from_millis(500));
+    let late = MAX_SEND_DELAY_AFTER_DISCONNECT.as_millis() as u64 + 1;
     let sound = vec![asked("w-2", "left", late - 1), asked("w-1", "a", 500), asked("w-2", "a", 900)];
-    assert_eq!(judge(&sound, &facts), Vec::<String>::new());
-    let copy = (from, Seen::SecondCopy { txn: "a".to_owned() });
+    assert_eq!(find_breaches(&sound, &actions), Vec::<String>::new());
+    let copy = (from, WorkerEvent::SecondCopy { txn: "a".to_owned() });
     let bad = vec![asked("w-2", "left", late), asked("w-1", "a", 501), copy];
-    assert_eq!(judge(&bad, &facts).len(), 3, "{:?}", judge(&bad, &facts));
-    facts.due.insert("due".to_owned(), from + Duration::from_millis(1000));
+    assert_eq!(find_breaches(&bad, &actions).len(), 3, "{:?}", find_breaches(&bad, &actions));
+    actions.deadlines.insert("due".to_owned(), from + Duration::from_millis(1000));
     let sound = vec![told("w-2", "due", 0, Some(1150)), told("w-2", "due", 400, Some(750))];
-    assert_eq!(judge(&sound, &facts), Vec::<String>::new());
+    assert_eq!(find_breaches(&sound, &actions), Vec::<String>::new());
     let bad = vec![
         told("w-2", "due", 0, Some(1151)),
         told("w-2", "due", 400, Some(751)),
         told("w-2", "due", 0, None),
     ];
-    assert_eq!(judge(&bad, &facts).len(), 3, "{:?}", judge(&bad, &facts));
+    assert_eq!(find_breaches(&bad, &actions).len(), 3, "{:?}", find_breaches(&bad, &actions));
 }
