Name the soak test's discovery stand-in in the terms of the field

Need: Catalogue, Listed, Told and their methods were left of the withdrawn house style, and stood beside the platform's stand-in of another name. Change: DiscoveryService, ListedWorker, DeliveredEntry, with doc comments; the judge's local names follow. What is judged stays; the text of one breach says 'listed as draining' now. Measured: the judge's tests and a_short_soak_run_breaks_no_rule pass.

--- a/crates/gaparch-testbed/src/soak/catalogue.rs
+++ b/crates/gaparch-testbed/src/soak/discovery.rs
@@ -1,4 +1,4 @@
-//! The list of workers, told to each router by an agent of its own, which can fall silent.
+//! A stand-in discovery service: an agent for each router, which can fall silent.
 
 use crate::scale::real::wire::{query, Connection};
 use crate::soak::worker::monotonic_ns;
@@ -13,19 +13,20 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// A worker as it is listed.
+/// The entry of a worker in the list.
 #[derive(Clone, Debug)]
-pub struct Listed {
+pub struct ListedWorker {
     pub address: SocketAddr,
     pub kind: &'static str,
     pub lifecycle: &'static str,
-    /// Unix time of its process's start in milliseconds; 0: long ago.
+    /// When its process started, as Unix time in milliseconds; 0 if long ago.
     pub started_at_ms: u64,
 }
 
-/// A state of one worker that one router was told.
+/// An entry of the list that was sent to a router.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Told {
+pub struct DeliveredEntry {
+    /// When it was sent, on the monotonic clock of the machine in nanoseconds.
     pub at_ns: u64,
     pub router: usize,
     pub worker: String,
@@ -36,24 +37,26 @@
 #[derive(Debug, Default)]
 struct Table {
     generation: u64,
-    entries: BTreeMap<String, (u64, Listed)>,
-    /// Agents that say nothing.
+    /// The workers by name, each with the generation of its last change.
+    entries: BTreeMap<String, (u64, ListedWorker)>,
+    /// Whether the agent of each router is silent.
     silent: Vec<bool>,
-    told: Vec<Told>,
-    whole_lists: bool,
+    delivered: Vec<DeliveredEntry>,
+    /// Whether changes are sent as full lists.
+    full_lists_only: bool,
 }
 
-/// The catalogue. Dropped, it stops.
+/// A running discovery service. It stops when it is dropped.
 #[derive(Debug)]
-pub struct Catalogue {
-    /// Of each router's agent.
+pub struct DiscoveryService {
+    /// The address of each router's agent.
     pub addresses: Vec<SocketAddr>,
     table: Arc<Mutex<Table>>,
     changed: watch::Sender<u64>,
     serving: Vec<JoinHandle<()>>,
 }
 
-impl Drop for Catalogue {
+impl Drop for DiscoveryService {
     fn drop(&mut self) {
         self.serving.iter().for_each(JoinHandle::abort);
     }
@@ -63,11 +66,16 @@
     table.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Catalogue {
+impl DiscoveryService {
+    /// Starts an agent for each router.
+    ///
     /// # Errors
-    /// When no addresses are to be had.
-    pub async fn start(workers: BTreeMap<String, Listed>, routers: usize) -> io::Result<Catalogue> {
-        let entries = workers.into_iter().map(|(name, listed)| (name, (1, listed))).collect();
+    /// If no port can be bound.
+    pub async fn start(
+        workers: BTreeMap<String, ListedWorker>,
+        routers: usize,
+    ) -> io::Result<DiscoveryService> {
+        let entries = workers.into_iter().map(|(name, worker)| (name, (1, worker))).collect();
         let silent = vec![false; routers];
         let table = Arc::new(Mutex::new(Table { generation: 1, entries, silent, ..Table::default() }));
         let changed = watch::Sender::new(1);
@@ -83,68 +91,69 @@
                 }
             }));
         }
-        Ok(Catalogue { addresses, table, changed, serving })
+        Ok(DiscoveryService { addresses, table, changed, serving })
     }
 
     /// Changes the entry of a worker.
-    pub fn set(&self, worker: &str, change: impl FnOnce(&mut Listed)) {
+    pub fn set(&self, worker: &str, change: impl FnOnce(&mut ListedWorker)) {
         let mut table = lock(&self.table);
         table.generation += 1;
         let generation = table.generation;
-        if let Some((changed, listed)) = table.entries.get_mut(worker) {
+        if let Some((changed, worker)) = table.entries.get_mut(worker) {
             *changed = generation;
-            change(listed);
+            change(worker);
         }
         drop(table);
         self.changed.send_replace(generation);
     }
 
-    /// The agent of a router says nothing from now on, or speaks again.
-    pub fn silence(&self, router: usize, silent: bool) {
-        lock(&self.table).silent[router] = silent;
-        // Whoever waits looks again.
+    /// Sets whether the agent of a router is silent.
+    pub fn set_silent(&self, router: usize, is_silent: bool) {
+        lock(&self.table).silent[router] = is_silent;
+        // Wakes the pending requests, which check whether the agent is silent.
         self.changed.send_modify(|_| {});
     }
 
-    /// Changes are told as whole lists.
-    pub fn tell_whole_lists(&self, whole: bool) {
-        lock(&self.table).whole_lists = whole;
+    /// Sets whether changes are sent as full lists.
+    pub fn send_full_lists(&self, full_lists_only: bool) {
+        lock(&self.table).full_lists_only = full_lists_only;
     }
 
-    pub fn told(&self) -> Vec<Told> {
-        lock(&self.table).told.clone()
+    /// Returns all entries that were sent so far.
+    pub fn delivered(&self) -> Vec<DeliveredEntry> {
+        lock(&self.table).delivered.clone()
     }
 }
 
 impl Table {
-    /// The answer to a call that knows so much, and what it tells.
-    fn answer(&self, router: usize, after: Option<u64>) -> (String, Vec<Told>) {
-        let after = after.filter(|after| !self.whole_lists || *after == self.generation);
+    /// Returns the body of the response to a router that has the generation `after`, and the entries in it.
+    fn response(&self, router: usize, after: Option<u64>) -> (String, Vec<DeliveredEntry>) {
+        let after = after.filter(|after| !self.full_lists_only || *after == self.generation);
         let mut text =
             format!("{{\"generation\":{},\"reset\":{},\"instances\":[", self.generation, after.is_none());
-        let mut told = Vec::new();
-        for (name, (changed, listed)) in &self.entries {
+        let mut delivered = Vec::new();
+        for (name, (changed, worker)) in &self.entries {
             if after.is_some_and(|after| *changed <= after) {
                 continue;
             }
-            let comma = if told.is_empty() { "" } else { "," };
+            let comma = if delivered.is_empty() { "" } else { "," };
             // Writing to a text does not fail.
             let _ = write!(
                 text,
                 "{comma}{{\"instanceId\":\"{name}\",\"hostPort\":\"{}\",\"zone\":\"a\",\"machineType\":\"{}\",\
                  \"cell\":1,\"lifecycle\":\"{}\",\"weight\":1.0,\"startedAtMs\":{}}}",
-                listed.address, listed.kind, listed.lifecycle, listed.started_at_ms
+                worker.address, worker.kind, worker.lifecycle, worker.started_at_ms
             );
-            told.push(Told {
+            delivered.push(DeliveredEntry {
                 at_ns: 0,
                 router,
                 worker: name.clone(),
-                lifecycle: listed.lifecycle,
-                started_at_ms: listed.started_at_ms,
+                lifecycle: worker.lifecycle,
+                started_at_ms: worker.started_at_ms,
             });
         }
         text.push_str("]}");
-        (text, told)
+        (text, delivered)
     }
 }
 
@@ -164,13 +173,13 @@
             let _ = timeout(wait, changed.wait_for(|generation| *generation > after)).await;
         }
         while lock(&table).silent[router] {
-            // A connection on which it fell silent stays silent until it speaks again.
+            // A request that is pending when the agent falls silent is answered once it is no longer silent.
             changed.changed().await.ok()?;
         }
-        let (text, mut told) = lock(&table).answer(router, after);
+        let (text, mut delivered) = lock(&table).response(router, after);
         connection.answer("200 OK", &text).await?;
         let at_ns = monotonic_ns();
-        told.iter_mut().for_each(|told| told.at_ns = at_ns);
-        lock(&table).told.extend(told);
+        delivered.iter_mut().for_each(|delivered| delivered.at_ns = at_ns);
+        lock(&table).delivered.extend(delivered);
     }
 }
--- a/crates/gaparch-testbed/src/soak/faults.rs
+++ b/crates/gaparch-testbed/src/soak/faults.rs
@@ -30,8 +30,8 @@
     /// System calls of a router fail.
     FailCalls { router: usize, span: Duration },
     /// A router's agent says nothing.
-    SilenceCatalogue { router: usize, span: Duration },
-    /// Changes are told as whole lists.
+    SilenceDiscovery { router: usize, span: Duration },
+    /// Changes of the endpoint list are sent as full lists.
     WholeLists { span: Duration },
     /// Connections that ask nothing, or only begin to, fill a router's descriptors; then it is told to end.
     CrowdRouter { router: usize, connections: usize, span: Duration },
@@ -109,7 +109,7 @@
         8 => Trouble::ReloadRouter { router, signals: draws.random_range(1..=5) },
         9 => Trouble::HoldRouter { router, span: Duration::from_millis(draws.random_range(20..150)) },
         10 => Trouble::FailCalls { router, span },
-        11 => Trouble::SilenceCatalogue { router, span: span * 2 },
+        11 => Trouble::SilenceDiscovery { router, span: span * 2 },
         _ => Trouble::WholeLists { span: span * 2 },
     }
 }
--- a/crates/gaparch-testbed/src/soak/judge.rs
+++ b/crates/gaparch-testbed/src/soak/judge.rs
@@ -1,7 +1,7 @@
-//! The rules, judged from what clients, workers and the catalogue saw of a run.
+//! Judges the rules by what clients, workers and the discovery service recorded of a run.
 
-use super::catalogue::Told;
 use super::clients::{Answer, Asked, Manner, RUDE_WITHIN};
+use super::discovery::DeliveredEntry;
 use super::processes::Life;
 use super::worker::{Entry, Kind};
 use std::collections::{BTreeMap, BTreeSet};
@@ -46,7 +46,7 @@
 pub struct Facts {
     pub asked: Vec<Asked>,
     pub workers: Vec<WorkerFacts>,
-    pub told: Vec<Told>,
+    pub delivered: Vec<DeliveredEntry>,
     pub routers: Vec<RouterFacts>,
     pub ended_ns: u64,
     /// What a busy machine adds to every limit here.
@@ -263,22 +263,22 @@
     was_reset && !attempt.answered && lasted < ns(AT_ONCE)
 }
 
-/// Rule 3: nothing to a worker past the grace after this router was told that it drains.
+/// Rule 3: nothing is sent to a worker past the grace period after the router has received that it drains.
 fn drains(facts: &Facts, attempts: &BTreeMap<&str, Vec<Attempt>>, breaches: &mut Vec<String>) {
     for (txn, of) in attempts {
         let router = router_of(txn);
         for attempt in of {
             let worker = &facts.workers[attempt.worker];
-            let told = facts.told.iter().filter(|told| {
-                told.router == router && told.worker == worker.name && told.at_ns <= attempt.asked_ns
+            let delivered = facts.delivered.iter().filter(|entry| {
+                entry.router == router && entry.worker == worker.name && entry.at_ns <= attempt.asked_ns
             });
-            let Some(last) = told.max_by_key(|told| told.at_ns) else { continue };
+            let Some(last) = delivered.max_by_key(|entry| entry.at_ns) else { continue };
             let over = attempt.asked_ns.saturating_sub(last.at_ns) > ns(DRAIN_GRACE + facts.slack);
             let stopped = worker.stops.iter().any(|(_, until)| {
                 attempt.asked_ns >= *until && attempt.asked_ns - until < ns(Duration::from_millis(500))
             });
             if last.lifecycle != "ready" && over && !stopped {
-                breaches.push(format!("{txn}: sent to {} though it was told to drain", worker.name));
+                breaches.push(format!("{txn}: sent to {} though it was listed as draining", worker.name));
             }
         }
     }
--- a/crates/gaparch-testbed/src/soak/judge_tests.rs
+++ b/crates/gaparch-testbed/src/soak/judge_tests.rs
@@ -169,16 +169,16 @@
 
 #[test]
 fn a_send_to_a_drained_worker_is_found() {
-    let told = |at_ms: u64, lifecycle| Told {
+    let told = |at_ms: u64, lifecycle| DeliveredEntry {
         at_ns: at_ms * MS,
         router: 0,
         worker: "w-1".to_owned(),
         lifecycle,
         started_at_ms: 0,
     };
-    assert!(breaches(|f| f.told = vec![told(100, "draining")]).contains("drain"));
-    assert_eq!(breaches(|f| f.told = vec![told(900, "draining")]), "", "within its grace");
-    assert_eq!(breaches(|f| f.told = vec![told(100, "draining"), told(900, "ready")]), "");
+    assert!(breaches(|f| f.delivered = vec![told(100, "draining")]).contains("drain"));
+    assert_eq!(breaches(|f| f.delivered = vec![told(900, "draining")]), "", "within its grace");
+    assert_eq!(breaches(|f| f.delivered = vec![told(100, "draining"), told(900, "ready")]), "");
 }
 
 #[test]
--- a/crates/gaparch-testbed/src/soak/mod.rs
+++ b/crates/gaparch-testbed/src/soak/mod.rs
@@ -1,12 +1,12 @@
 //! A soak test of routers in service: a few dozen processes on loopback, two or three troubles at a time, judged by what
-//! clients, workers and the catalogue saw.
+//! clients, workers and the discovery service recorded.
 //!
 //! Routers and workers are processes of the program. Before each worker stands a relay whose connections fall silent, are
-//! reset or come up late; each router has an agent of the catalogue of its own, and a shim that makes its system calls fail
+//! reset or come up late; each router has an agent of the discovery service, and a shim that makes its system calls fail
 //! and shifts its wall clock. All times are of the machine's monotonic clock, which all processes share.
 
-mod catalogue;
 mod clients;
+mod discovery;
 mod faults;
 mod judge;
 mod processes;
--- a/crates/gaparch-testbed/src/soak/site.rs
+++ b/crates/gaparch-testbed/src/soak/site.rs
@@ -1,7 +1,7 @@
 //! The site of a run: its processes, its load, and its troubles as they are played.
 
-use super::catalogue::{Catalogue, Listed};
 use super::clients::{ask, crowd, draw_manner, keep_asking, Asked, Target, CLASSES};
+use super::discovery::{DiscoveryService, ListedWorker};
 use super::faults::{draw, shape, Event, Shape, Trouble};
 use super::judge::{Facts, RouterFacts, WorkerFacts};
 use super::processes::{killed_after, Process, Router};
@@ -55,7 +55,7 @@
     shim: Shim,
     seed: u64,
     shape: Shape,
-    catalogue: Catalogue,
+    discovery: DiscoveryService,
     listen: Vec<SocketAddr>,
     routers: Vec<Mutex<Router>>,
     workers: Vec<Mutex<Worker>>,
@@ -99,18 +99,19 @@
         for number in 0..options.workers {
             let worker = Worker::start(options, folder.path(), number).await?;
             let kind = if worker.reads { "prefill" } else { "decode" };
-            let entry = Listed { address: worker.proxy.address, kind, lifecycle: "ready", started_at_ms: 0 };
+            let entry =
+                ListedWorker { address: worker.proxy.address, kind, lifecycle: "ready", started_at_ms: 0 };
             listed.insert(worker.name.clone(), entry);
             workers.push(Mutex::new(worker));
         }
-        let catalogue = Catalogue::start(listed, options.routers).await?;
+        let discovery = DiscoveryService::start(listed, options.routers).await?;
         let (mut routers, mut listen) = (Vec::new(), Vec::new());
         for number in 0..options.routers {
             let address = own_address(options.workers + number);
             let file = folder.path().join(format!("n{number}.json"));
             let config = json!({"name": format!("n{number}"), "listen": address.to_string(),
                 "seed": format!("{:016x}", options.seed.wrapping_mul(97).wrapping_add(number as u64)),
-                "discovery": catalogue.addresses[number].to_string(),
+                "discovery": discovery.addresses[number].to_string(),
                 "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
                 "settings": soak_settings(options.routers, shape.patience)});
             let arguments = ["--log", "gaparch_platform_router=debug", "lab", "node"].map(str::to_owned);
@@ -124,7 +125,7 @@
             listen.push(address);
             routers.push(Mutex::new(router));
         }
-        let site = Site { folder, shim, seed: options.seed, shape, catalogue, listen, routers, workers };
+        let site = Site { folder, shim, seed: options.seed, shape, discovery, listen, routers, workers };
         for address in &site.listen {
             ready(*address).await?;
         }
@@ -200,9 +201,9 @@
             }
             Trouble::DrainWorker { worker, span } => {
                 let name = self.workers[worker].lock().await.name.clone();
-                self.catalogue.set(&name, |listed| listed.lifecycle = "draining");
+                self.discovery.set(&name, |listed| listed.lifecycle = "draining");
                 sleep(span).await;
-                self.catalogue.set(&name, |listed| listed.lifecycle = "ready");
+                self.discovery.set(&name, |listed| listed.lifecycle = "ready");
             }
             Trouble::SilenceConnections { worker } => {
                 let mut worker = self.workers[worker].lock().await;
@@ -249,10 +250,10 @@
                 sleep(span).await;
                 steering.set(false)?;
             }
-            Trouble::SilenceCatalogue { router, span } => {
-                self.catalogue.silence(router, true);
+            Trouble::SilenceDiscovery { router, span } => {
+                self.discovery.set_silent(router, true);
                 sleep(span).await;
-                self.catalogue.silence(router, false);
+                self.discovery.set_silent(router, false);
             }
             Trouble::CrowdRouter { router, connections, span } => {
                 let target = self.target(router);
@@ -267,9 +268,9 @@
                 self.routers[target.router].lock().await.crowds.push((from, monotonic_ns()));
             }
             Trouble::WholeLists { span } => {
-                self.catalogue.tell_whole_lists(true);
+                self.discovery.send_full_lists(true);
                 sleep(span).await;
-                self.catalogue.tell_whole_lists(false);
+                self.discovery.send_full_lists(false);
             }
         }
         Ok(())
@@ -279,11 +280,11 @@
         let mut worker = self.workers[worker].lock().await;
         worker.kills.push(monotonic_ns());
         worker.process.kill();
-        self.catalogue.set(&worker.name, |listed| listed.lifecycle = "gone");
+        self.discovery.set(&worker.name, |listed| listed.lifecycle = "gone");
         sleep(away).await;
         worker.process.start(&[])?;
         let started = unix_ms();
-        self.catalogue.set(&worker.name, |listed| {
+        self.discovery.set(&worker.name, |listed| {
             (listed.lifecycle, listed.started_at_ms) = ("ready", started);
         });
         Ok(())
@@ -291,7 +292,7 @@
 
     async fn facts(&self, asked: Vec<Asked>) -> Facts {
         let ended_ns = monotonic_ns();
-        let mut facts = Facts { asked, told: self.catalogue.told(), ended_ns, ..Facts::default() };
+        let mut facts = Facts { asked, delivered: self.discovery.delivered(), ended_ns, ..Facts::default() };
         for worker in &self.workers {
             let mut worker = worker.lock().await;
             worker.process.kill();
