Bound request bodies in sum against the router's memory limit

Cause: each body was bounded (256 KiB), and the number of connections by the descriptors, but nothing bounded the sum. A body was also kept until its stream had ended, although no attempt may follow the first event. It grew by doubling, and was copied out of a buffer that had grown too.

Change: `policy::memory` divides the limit: half for the endpoint list as before, 8 MiB for process and tasks, the rest by kind of buffer. A body longer than 2 KiB is read once all its bytes are reserved in the pool of bodies (in order of arrival, so a large one is not overtaken forever); until then its bytes stay in the kernel. What gets no memory by the deadline of an incomplete request is answered 503: nothing was forwarded. While others wait, an incomplete body that does not advance by 8 KiB in 250 ms gives its memory back. A body of known length is read into a buffer of exactly that length, and freed with the answer or the first event. The summary line shows the bytes held for bodies (`body_kb`).

--- /dev/null
+++ b/crates/gaparch-cli/tests/memory.rs
@@ -0,0 +1,90 @@
+//! Tests that a platform router process stays under its memory limit, whatever clients and workers send.
+
+mod common;
+
+use common::Site;
+use gaparch_testbed::platform::{ask, head_and_body, raw, Platform, Response, LONG};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+const KB_PER_MB: u64 = 1024;
+/// The largest body of the protocol.
+const MAX_BODY_BYTES: usize = 256 * 1024;
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
+
+fn limits(memory_mb: u64, sockets: u64) -> impl FnOnce(&mut Value) {
+    move |config| config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets})
+}
+
+/// Memory that a process has filled itself, without the pages of its program file, in KiB.
+fn resident_kb(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let kb = |field: &str| -> u64 {
+        let line = status.lines().find_map(|line| line.strip_prefix(field)).unwrap_or_default();
+        line.trim().trim_end_matches(" kB").parse().unwrap_or(0)
+    };
+    kb("RssAnon:") + kb("RssShmem:")
+}
+
+/// Measures the peak of a router's memory until it is asked for it.
+struct MemoryPeak {
+    done: Arc<AtomicBool>,
+    sampling: JoinHandle<u64>,
+}
+
+impl MemoryPeak {
+    fn of(site: &Site) -> MemoryPeak {
+        let (pid, done) = (site.router.id(), Arc::new(AtomicBool::new(false)));
+        let stop = Arc::clone(&done);
+        let sampling = std::thread::spawn(move || {
+            let mut peak = 0;
+            while !stop.load(Ordering::Relaxed) {
+                peak = resident_kb(pid).max(peak);
+                std::thread::sleep(SAMPLE_INTERVAL);
+            }
+            peak
+        });
+        MemoryPeak { done, sampling }
+    }
+
+    fn assert_below(self, memory_mb: u64) {
+        self.done.store(true, Ordering::Relaxed);
+        let peak = self.sampling.join().expect("no panic");
+        assert!(peak < memory_mb * KB_PER_MB, "the router filled {peak} kB of {memory_mb} MB");
+    }
+}
+
+/// Makes this many requests with bodies of this length at once, each on its own connection.
+fn ask_at_once(to: SocketAddr, requests: usize, body_bytes: usize) -> Vec<JoinHandle<Response>> {
+    let body = format!("{{{}}}", " ".repeat(body_bytes - 2));
+    let request = |number| head_and_body(&format!("large-{number}"), &body);
+    let requests: Vec<Vec<u8>> = (0..requests).map(request).collect();
+    requests.into_iter().map(|bytes| std::thread::spawn(move || raw(to, &bytes, LONG))).collect()
+}
+
+/// Guards against a kill for memory under hundreds of requests with large bodies at once, whose bytes were
+/// bounded one by one, but not in sum.
+#[test]
+fn many_large_bodies_at_once_stay_under_the_memory_limit() {
+    const MEMORY_MB: u64 = 64;
+    let site = Site::with(limits(MEMORY_MB, 1024));
+    let list = Platform::list(&site.prefill_workers, &site.decode_workers);
+    // The requests wait for a decode worker, so their bodies are kept.
+    site.publish_list(Platform::without_decode_workers(&list));
+    let peak = MemoryPeak::of(&site);
+    let large = ask_at_once(site.listen, 400, MAX_BODY_BYTES);
+    std::thread::sleep(Duration::from_millis(1200));
+    site.publish_list(list);
+    assert_eq!(ask(site.listen, "usual").status, 200);
+    let statuses: Vec<u16> =
+        large.into_iter().map(|client| client.join().expect("no panic").status).collect();
+    peak.assert_below(MEMORY_MB);
+    // At the bound a request waits, or is rejected so that a retry is harmless.
+    assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!(served >= 100, "{served} served: {statuses:?}");
+}
--- a/crates/gaparch-platform-protocol/src/config.rs
+++ b/crates/gaparch-platform-protocol/src/config.rs
@@ -46,6 +46,8 @@
     pub discovery: SocketAddr,
     /// Maximum number of sockets that the router may use.
     pub sockets: usize,
+    /// Maximum number of bytes of memory that the router may use.
+    pub memory_bytes: usize,
     /// Limits on the size of an endpoint list, derived from the memory limit.
     pub list_limits: ListLimits,
     /// Addresses for gossip; `None` if gossip is not configured.
@@ -94,6 +96,7 @@
             listen: required_address(&file, "listen", &fallback)?,
             discovery: required_address(&file, "discovery", &fallback)?,
             sockets,
+            memory_bytes,
             list_limits: ListLimits::for_memory(memory_bytes),
             gossip: read_gossip(&file)?,
             // An invalid list is ignored, since the discovery service provides the current one.
--- a/crates/gaparch-platform-router/src/buffered_socket.rs
+++ b/crates/gaparch-platform-router/src/buffered_socket.rs
@@ -1,12 +1,13 @@
 //! A TCP connection with a buffer for bytes that were read but not yet decoded.
 
 use crate::transient_errors::{is_interrupted, lacks_memory, would_block, RETRY_DELAY};
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use gaparch_platform_protocol::body::{BodyDecoder, BodyError, BodyPart, Framing};
 use gaparch_platform_protocol::head::{decode_response, HeadError, ResponseHead};
 use gaparch_platform_protocol::worker::MAX_INTERIM_RESPONSES;
 use std::io;
 use thiserror::Error;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::task::coop;
 use tokio::time::sleep;
@@ -73,6 +74,30 @@
         }
     }
 
+    /// Reads bytes past the buffer into `target`, which grows to at most `max_length` bytes. Returns their number,
+    /// or 0 at the end of the connection. Cancel-safe.
+    ///
+    /// # Errors
+    /// As for [`BufferedSocket::read`].
+    pub async fn read_into(&self, target: &mut BytesMut, max_length: usize) -> io::Result<usize> {
+        loop {
+            coop::consume_budget().await;
+            self.stream.readable().await?;
+            let missing = max_length.saturating_sub(target.len());
+            match self.stream.try_read_buf(&mut target.limit(missing)) {
+                Err(error) if would_block(&error) || is_interrupted(&error) => {}
+                Err(error) if lacks_memory(&error) => sleep(RETRY_DELAY).await,
+                result => return result,
+            }
+        }
+    }
+
+    /// Waits until the peer has closed the connection or its sending side, without reading what it sent before.
+    pub async fn closed(&self) {
+        // An error means that the connection is of no further use either.
+        let _ = self.stream.ready(Interest::PRIORITY).await;
+    }
+
     /// Reads more bytes; returns `false` if the connection has ended or is broken.
     pub async fn read_more(&mut self) -> bool {
         matches!(self.read().await, Ok(length) if length > 0)
--- a/crates/gaparch-platform-router/src/client/connection.rs
+++ b/crates/gaparch-platform-router/src/client/connection.rs
@@ -1,6 +1,7 @@
 //! One client connection, which serves one request at a time, each with exactly one response.
 
 use super::idle_connections::{IdleConnections, IdleGuard};
+use super::request::REJECTED_TEXT;
 use super::MAX_BYTES_AHEAD;
 use crate::buffered_socket::{BodyReadError, BufferedSocket};
 use crate::close_reason::CloseReason;
@@ -103,6 +104,12 @@
     pub fn request_timeout() -> Rejection {
         Rejection { status: 408, text: "the request did not come in time".to_owned() }
     }
+
+    /// Returns the response to a request that got no memory in time. Nothing of it was forwarded, so a retry is
+    /// harmless.
+    pub fn no_memory() -> Rejection {
+        Rejection { status: 503, text: REJECTED_TEXT.to_owned() }
+    }
 }
 
 impl From<HeadError> for Rejection {
--- a/crates/gaparch-platform-router/src/client/request.rs
+++ b/crates/gaparch-platform-router/src/client/request.rs
@@ -1,22 +1,20 @@
 //! Handling of one client request, from its head to the owner's response.
 
 use super::connection::{AfterResponse, ArrivedHead, Connection, ConnectionEnd, Rejection};
-use crate::buffered_socket::BodyReadError;
 use crate::close_reason::CloseReason;
 use crate::forwarded_request::ForwardedRequest;
 use crate::messages::{ArrivedRequest, ClientResponse, OwnerMessage};
 use crate::shared_state::{Phase, SharedState};
-use bytes::Bytes;
-use gaparch_platform_protocol::body::{Framing, MAX_BODY_BYTES};
-use gaparch_platform_protocol::client_request::{ClientRequest, ClientRequestError, HEALTH_PATH};
+use gaparch_platform_protocol::body::Framing;
+use gaparch_platform_protocol::client_request::{ClientRequest, HEALTH_PATH};
 use gaparch_platform_protocol::head::{encode_response, RequestHead};
 use gaparch_scheduler::api::{Nanos, RequestId};
 use std::sync::Arc;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 
 /// Response body for a request that the owner rejected.
-const REJECTED_TEXT: &str = "not done; a retry is harmless";
+pub(super) const REJECTED_TEXT: &str = "not done; a retry is harmless";
 /// Response body for a request that failed.
 const FAILED_TEXT: &str = "not answered; it may have run";
 /// Response body for a request whose transaction id belongs to an open request.
@@ -44,6 +42,7 @@
         if !self.is_complete {
             // Attempts check this flag before they are sent, however long the owner's queue is.
             self.forwarded.set_client_disconnected();
+            self.forwarded.free_body();
             self.shared.notify_owner(OwnerMessage::ClientDisconnected(self.id));
         }
     }
@@ -61,7 +60,9 @@
         }
         let settings = &self.shared.config.settings;
         let request = ClientRequest::from_head(&head, settings).map_err(Rejection::from)?;
-        let body = self.read_request_body(head.framing, deadline).await?;
+        // The header lines are not kept while the request is open.
+        let RequestHead { target, framing, close: client_closes, .. } = head;
+        let body = self.read_request_body(framing, deadline).await?;
         let request = request.with_body_length(body.len());
         let request_queue = Arc::clone(&self.shared.request_queue);
         let permit = self.while_connected(request_queue.acquire_owned()).await?;
@@ -70,10 +71,10 @@
             return Err(Rejection { status: 409, text: CONFLICT_TEXT.to_owned() }.into());
         }
         let transaction = request.transaction.clone();
-        let forwarded = Arc::new(ForwardedRequest::new(head.target.clone(), transaction, body));
+        let forwarded = Arc::new(ForwardedRequest::new(target, transaction, body));
         let (mut open, response) = self.open_request(request, forwarded, arrived_at, queue_permit);
         let response = self.while_connected(response).await?;
-        let close = head.close || self.shared.phase() >= Phase::Draining;
+        let close = client_closes || self.shared.phase() >= Phase::Draining;
         match response {
             Ok(ClientResponse::Stream(parts)) => self.write_stream(parts, &mut open, close).await,
             Ok(ClientResponse::Rejected { over_quota, retry_after }) => {
@@ -97,23 +98,6 @@
         self.write(&encode_response(status, &[], "", close), close).await
     }
 
-    async fn read_request_body(
-        &mut self,
-        framing: Framing,
-        deadline: Instant,
-    ) -> Result<Bytes, ConnectionEnd> {
-        let body = match timeout_at(deadline, self.socket.read_body(framing, MAX_BODY_BYTES)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(BodyReadError::ConnectionEnded)) => return Err(ConnectionEnd::ClientClosed),
-            Ok(Err(error)) => return Err(Rejection::from(error).into()),
-            Err(_) => return Err(Rejection::request_timeout().into()),
-        };
-        if body.is_empty() {
-            return Err(Rejection::from(ClientRequestError::NoBody).into());
-        }
-        Ok(body)
-    }
-
     /// Passes a request to the owner.
     fn open_request(
         &mut self,
--- a/crates/gaparch-platform-router/src/lib.rs
+++ b/crates/gaparch-platform-router/src/lib.rs
@@ -19,6 +19,8 @@
 //!   closed; if none is idle, the attempt fails to connect.
 //! - Event batches waiting for one client: [`client::STREAM_QUEUE_LENGTH`]. When the queue is full, the
 //!   router stops reading from the worker.
+//! - Request bodies: the share of the memory limit that [`gaparch_scheduler::policy::memory`] gives them. When it
+//!   is used up, further bodies are not read yet; those that wait too long are rejected.
 //! - Bytes that a client sends ahead of a response: [`client::MAX_BYTES_AHEAD`]. Further bytes are read and
 //!   dropped, and the connection closes after the response; beyond a second limit the client counts as
 //!   disconnected.
@@ -33,6 +35,8 @@
 mod discovery;
 mod forwarded_request;
 mod gossip;
+mod memory_pool;
+mod memory_pools;
 mod messages;
 mod owner;
 mod ready_workers;
--- a/crates/gaparch-platform-router/src/owner/responses.rs
+++ b/crates/gaparch-platform-router/src/owner/responses.rs
@@ -13,6 +13,8 @@
     pub(super) fn respond(&mut self, id: RequestId, event: ResponseEvent) {
         self.touched.push(id);
         let Some(open) = self.open.get_mut(&id) else { return };
+        // The request has its answer with the first event, so no attempt needs its body any more.
+        open.forwarded.free_body();
         let txn = open.forwarded.transaction.as_str();
         let response = match event {
             ResponseEvent::Started { .. } => {
--- a/crates/gaparch-platform-router/src/owner/summary.rs
+++ b/crates/gaparch-platform-router/src/owner/summary.rs
@@ -7,6 +7,7 @@
 /// Maximum number of unfetched KV caches that are logged at a time.
 const MAX_UNFETCHED_LINES: usize = 4;
 const NANOS_PER_MS: Nanos = 1_000_000;
+const BYTES_PER_KB: usize = 1024;
 
 /// Statistics of the KV caches held for requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -87,6 +88,7 @@
             workers = pool.workers,
             idle = pool.idle_connections,
             memory_kb = resident_memory_kb(),
+            body_kb = self.shared.memory.bodies.reserved_bytes() / BYTES_PER_KB,
             lag_us = self.max_timer_lag.as_micros() as u64,
             "summary"
         );
--- a/crates/gaparch-platform-router/src/shared_state.rs
+++ b/crates/gaparch-platform-router/src/shared_state.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of a router share.
 
 use crate::close_reason::CloseCounts;
+use crate::memory_pools::MemoryPools;
 use crate::messages::OwnerMessage;
 use crate::ready_workers::ReadyWorkers;
 use crate::sync::lock;
@@ -41,6 +42,8 @@
     /// Slots for requests in the owner's queue. Without this limit, clients that connect and disconnect
     /// faster than the owner handles their requests would exhaust memory.
     pub request_queue: Arc<Semaphore>,
+    /// Memory for the bytes of messages.
+    pub memory: MemoryPools,
     /// Counts of closed client connections by reason.
     pub closes: CloseCounts,
     owner: mpsc::UnboundedSender<OwnerMessage>,
@@ -52,19 +55,21 @@
 }
 
 impl SharedState {
-    /// Creates the state of a router in which at most `max_queued_requests` requests wait for the owner.
+    /// Creates the state of a router with at most `max_clients` client connections, each of which may have a
+    /// request that waits for the owner.
     pub fn new(
         config: RouterConfig,
         clock: Clock,
         owner: mpsc::UnboundedSender<OwnerMessage>,
-        max_queued_requests: usize,
+        max_clients: usize,
     ) -> SharedState {
         SharedState {
+            memory: MemoryPools::new(config.memory_bytes, max_clients),
             config,
             clock,
             phase: watch::Sender::new(Phase::Starting),
             ready_workers: ReadyWorkers::default(),
-            request_queue: Arc::new(Semaphore::new(max_queued_requests)),
+            request_queue: Arc::new(Semaphore::new(max_clients)),
             closes: CloseCounts::default(),
             owner,
             next_request_id: AtomicU64::new(1),
--- a/crates/gaparch-platform-router/src/worker/exchange/mod.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/mod.rs
@@ -192,8 +192,8 @@
         now: shared.clock.now(),
         deadline_at: attempt.deadline_at,
         send_by: attempt.write_by,
-        // The previous attempt has ended by now, and a response cancels attempts in flight.
-        answered: false,
+        answered: attempt.forwarded.is_answered() && !attempt.forwarded.is_client_disconnected(),
+        // The previous attempt has ended by now.
         attempt_in_flight: false,
         attempts_exhausted: false,
         repeat: None,
@@ -221,11 +221,12 @@
     shared: &SharedState,
     connection: &mut WorkerConnection,
 ) -> Result<(), AttemptStatus> {
-    let ForwardedRequest { target, transaction, body, .. } = &*attempt.forwarded;
+    let ForwardedRequest { target, transaction, .. } = &*attempt.forwarded;
+    let Some(body) = attempt.forwarded.body() else { return Err(Denial::Answered.status()) };
     let now = shared.clock.now();
     let host = attempt.process.address.to_string();
     let head = encode_request_head(target, transaction, &host, remaining_ms(attempt, now), body.len());
-    let mut message = head.chain(&body[..]);
+    let mut message = head.chain(body);
     let until_write_by = Duration::from_nanos(attempt.write_by.saturating_sub(now));
     let write_timeout = attempt.write_timeout.min(until_write_by);
     match timeout(write_timeout, write_all(&connection.socket.stream, &mut message)).await {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -24,6 +24,7 @@
 //! | `slow_start` | how much a server that has just started may be sent |
 //! | `send_guards` | whether a send, a repeat or a rejection is allowed now |
 //! | `kv_release` | how a KV cache release is repeated until a server confirms it |
+//! | `memory` | how memory is divided among buffers, and who gives some back |
 //! | `shutdown_intake` | what a router accepts during shutdown, and which connection is closed first |
 //! | `process_start` | when a listed process started, on the router's own clock |
 //! | `endpoints` | how the endpoint list is applied |
@@ -45,6 +46,7 @@
 mod health;
 pub mod kv_release;
 mod load_probes;
+pub mod memory;
 mod prefill_affinity;
 mod prefill_placement;
 pub mod process_start;
