Bound heads and bytes sent ahead of responses in sum

What callers saw: the same as with large bodies: a router killed for memory, here by clients that send a second request ahead of the first response, or by many long incomplete heads.

Cause: each connection could keep 288 KiB sent ahead, in a buffer that grew by doubling to 512 KiB, and a head of 8 KiB in a buffer of 16 KiB; the sums were bounded by the descriptors only. An empty buffer kept 32 KiB.

Change: a read buffer has 2 KiB (clients) or 4 KiB (workers) without reservation and none while it is empty; beyond that its memory is reserved in the pool for heads or for bytes sent ahead, which `policy::memory` sizes. A head waits for memory; bytes sent ahead are kept while there is memory, and are dropped without, as they were before beyond 288 KiB, so that a client that leaves is still noticed. A request whose rest was dropped now gets 503 after the response before it, where the connection was closed without an answer.

--- a/crates/gaparch-cli/tests/memory.rs
+++ b/crates/gaparch-cli/tests/memory.rs
@@ -3,9 +3,10 @@
 mod common;
 
 use common::Site;
-use gaparch_testbed::platform::{ask, head_and_body, raw, Platform, Response, LONG};
+use gaparch_testbed::platform::{ask, head_and_body, raw, read, Platform, Response, LONG};
 use serde_json::{json, Value};
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -54,6 +55,7 @@
     fn assert_below(self, memory_mb: u64) {
         self.done.store(true, Ordering::Relaxed);
         let peak = self.sampling.join().expect("no panic");
+        println!("the router filled {peak} kB of {memory_mb} MB");
         assert!(peak < memory_mb * KB_PER_MB, "the router filled {peak} kB of {memory_mb} MB");
     }
 }
@@ -88,3 +90,76 @@
     let served = statuses.iter().filter(|status| **status == 200).count();
     assert!(served >= 100, "{served} served: {statuses:?}");
 }
+
+fn connect(to: SocketAddr) -> TcpStream {
+    let socket = TcpStream::connect(to).expect("connected");
+    socket.set_write_timeout(Some(LONG)).expect("set");
+    socket
+}
+
+/// Guards against a kill for memory by what clients send ahead of a response, and against a second request that
+/// is lost because there was no memory to keep it.
+#[test]
+fn much_sent_ahead_of_responses_stays_under_the_memory_limit() {
+    const MEMORY_MB: u64 = 64;
+    let site = Site::with(limits(MEMORY_MB, 1024));
+    let list = Platform::list(&site.prefill_workers, &site.decode_workers);
+    site.publish_list(Platform::without_decode_workers(&list));
+    let peak = MemoryPeak::of(&site);
+    let second_body = format!("{{{}}}", " ".repeat(200 * 1024));
+    let clients = (0..300).map(|number| {
+        let mut socket = connect(site.listen);
+        socket.write_all(&head_and_body(&format!("first-{number}"), "{}")).expect("written");
+        let second = head_and_body(&format!("second-{number}"), &second_body);
+        std::thread::spawn(move || {
+            let _ = socket.write_all(&second);
+            read_statuses(&mut socket)
+        })
+    });
+    let clients: Vec<JoinHandle<Vec<u16>>> = clients.collect();
+    std::thread::sleep(Duration::from_millis(1000));
+    site.publish_list(list);
+    let statuses: Vec<Vec<u16>> =
+        clients.into_iter().map(|client| client.join().expect("no panic")).collect();
+    peak.assert_below(MEMORY_MB);
+    let is_answered = |statuses: &Vec<u16>| matches!(statuses[..], [200, 200 | 503]);
+    assert!(statuses.iter().all(is_answered), "{statuses:?}");
+}
+
+/// Reads responses until two streams are complete, a request is rejected or the connection ends. Returns their
+/// statuses.
+fn read_statuses(socket: &mut TcpStream) -> Vec<u16> {
+    socket.set_read_timeout(Some(LONG)).expect("set");
+    let mut text = String::new();
+    let mut piece = [0; 4096];
+    while text.matches("[DONE]").count() < 2 && !text.contains("HTTP/1.1 503") {
+        match socket.read(&mut piece) {
+            Ok(length) if length > 0 => text.push_str(&String::from_utf8_lossy(&piece[..length])),
+            _ => break,
+        }
+    }
+    let status = |rest: &str| rest.get(..3).and_then(|digits| digits.parse().ok()).unwrap_or(0);
+    text.split("HTTP/1.1 ").skip(1).map(status).collect()
+}
+
+/// Guards against a kill for memory by incomplete heads, of which each connection could hold twice the longest.
+#[test]
+fn many_incomplete_heads_stay_under_the_memory_limit() {
+    const MEMORY_MB: u64 = 6;
+    let site = Site::with(limits(MEMORY_MB, 1024));
+    let peak = MemoryPeak::of(&site);
+    let head = format!("POST /v1/chat/completions HTTP/1.1\r\nX-Long: {}", "x".repeat(8_000));
+    let clients: Vec<TcpStream> = (0..480)
+        .map(|_| {
+            let mut socket = connect(site.listen);
+            socket.write_all(head.as_bytes()).expect("written");
+            socket
+        })
+        .collect();
+    assert_eq!(ask(site.listen, "usual").status, 200);
+    for mut socket in clients {
+        let status = read(&mut socket, LONG).status;
+        assert!([408, 503].contains(&status), "{status}");
+    }
+    peak.assert_below(MEMORY_MB);
+}
--- a/crates/gaparch-platform-router/src/buffered_socket.rs
+++ b/crates/gaparch-platform-router/src/buffered_socket.rs
@@ -1,27 +1,55 @@
 //! A TCP connection with a buffer for bytes that were read but not yet decoded.
+//!
+//! The buffer has a few KiB without reservation, and none while it is empty. A longer one is reserved in a
+//! memory pool.
 
+use crate::memory_pool::{MemoryPool, Reservation};
 use crate::transient_errors::{is_interrupted, lacks_memory, would_block, RETRY_DELAY};
 use bytes::{BufMut, Bytes, BytesMut};
 use gaparch_platform_protocol::body::{BodyDecoder, BodyError, BodyPart, Framing};
-use gaparch_platform_protocol::head::{decode_response, HeadError, ResponseHead};
+use gaparch_platform_protocol::head::{decode_response, HeadError, ResponseHead, MAX_HEAD_BYTES};
 use gaparch_platform_protocol::worker::MAX_INTERIM_RESPONSES;
 use std::io;
+use std::sync::Arc;
 use thiserror::Error;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::task::coop;
 use tokio::time::sleep;
 
-/// Minimum free buffer space for one read, in bytes.
-const READ_SIZE: usize = 8 * 1024;
-/// An empty buffer that a large message made grow beyond this capacity is freed.
-const MAX_IDLE_CAPACITY: usize = 32 * 1024;
+/// Capacity of a buffer with a reservation, in bytes: enough for the longest head.
+const RESERVED_CAPACITY: usize = 2 * MAX_HEAD_BYTES;
+/// Minimum free space of a buffer for a read, in bytes.
+const MIN_READ_SIZE: usize = 512;
+/// Number of bytes that are read at once to be dropped.
+const DROP_SIZE: usize = 8 * 1024;
 
 /// A connection with its read buffer.
 #[derive(Debug)]
 pub(crate) struct BufferedSocket {
     pub stream: TcpStream,
     pub buffer: BytesMut,
+    memory: BufferMemory,
+    /// The memory of the buffer while it is long.
+    reservation: Option<Reservation>,
+}
+
+/// How much memory a buffer may have.
+#[derive(Clone, Debug)]
+pub(crate) struct BufferMemory {
+    /// Capacity without reservation, in bytes.
+    pub unreserved: usize,
+    /// Where more is reserved.
+    pub pool: Arc<MemoryPool>,
+}
+
+/// What became of bytes that were read ahead of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AheadRead {
+    /// They are in the buffer.
+    Kept(usize),
+    /// There was no memory to keep them.
+    Dropped(usize),
 }
 
 /// Why a response head could not be read.
@@ -47,14 +75,14 @@
 }
 
 impl BufferedSocket {
-    pub fn new(stream: TcpStream) -> BufferedSocket {
+    pub fn new(stream: TcpStream, memory: BufferMemory) -> BufferedSocket {
         // Messages are small and alternate between the sides: Nagle's algorithm would only add latency.
         let _ = stream.set_nodelay(true);
-        BufferedSocket { stream, buffer: BytesMut::new() }
+        BufferedSocket { stream, buffer: BytesMut::new(), memory, reservation: None }
     }
 
-    /// Reads more bytes into the buffer and returns their number, or 0 at the end of the connection.
-    /// Cancel-safe.
+    /// Reads more bytes into the buffer and returns their number, or 0 at the end of the connection. Waits
+    /// until there is memory for a long buffer. Cancel-safe.
     ///
     /// # Errors
     /// Returns an error if the connection is broken. Interrupted calls and lack of memory are retried.
@@ -62,8 +90,9 @@
         loop {
             // A connection that always has data must not starve other tasks.
             coop::consume_budget().await;
+            self.shrink_buffer();
             self.stream.readable().await?;
-            self.buffer.reserve(READ_SIZE);
+            self.make_space().await;
             // A short read does not mean that nothing is left; only `WouldBlock` does.
             match self.stream.try_read_buf(&mut self.buffer) {
                 Err(error) if would_block(&error) => {}
@@ -167,10 +196,90 @@
         self.buffer.is_empty() && result.is_err_and(|error| would_block(&error))
     }
 
-    /// Frees the buffer if it is empty and large.
+    /// Makes space for a read, and reserves the memory if the buffer is long.
+    async fn make_space(&mut self) {
+        let length = self.buffer.len();
+        if self.buffer.capacity() - length >= MIN_READ_SIZE {
+            return;
+        }
+        if self.reservation.is_none() && length + MIN_READ_SIZE > self.memory.unreserved {
+            self.reservation = Some(self.memory.pool.reserve(RESERVED_CAPACITY).await);
+        }
+        let capacity = if self.reservation.is_some() { RESERVED_CAPACITY } else { self.memory.unreserved };
+        self.buffer.reserve(capacity.saturating_sub(length).max(MIN_READ_SIZE));
+    }
+
+    /// Whether the next read has to wait for memory.
+    pub fn lacks_memory(&self) -> bool {
+        self.reservation.is_none() && self.buffer.len() + MIN_READ_SIZE > self.memory.unreserved
+    }
+
+    /// Whether the buffer has reserved memory.
+    pub fn holds_reservation(&self) -> bool {
+        self.reservation.is_some()
+    }
+
+    /// Reads bytes that arrive ahead of a response; 0 bytes mean the end of the connection. They are kept in the
+    /// buffer if `may_keep` and `pool` has memory for them, up to `max_length` bytes. Cancel-safe.
+    ///
+    /// # Errors
+    /// As for [`BufferedSocket::read`].
+    pub async fn read_ahead(
+        &mut self,
+        pool: &MemoryPool,
+        max_length: usize,
+        may_keep: bool,
+    ) -> io::Result<AheadRead> {
+        loop {
+            coop::consume_budget().await;
+            self.stream.readable().await?;
+            let result = if may_keep && self.make_space_ahead(pool, max_length) {
+                self.stream.try_read_buf(&mut self.buffer).map(AheadRead::Kept)
+            } else {
+                self.stream.try_read(&mut [0; DROP_SIZE]).map(AheadRead::Dropped)
+            };
+            match result {
+                Err(error) if would_block(&error) || is_interrupted(&error) => self.shrink_buffer(),
+                Err(error) if lacks_memory(&error) => sleep(RETRY_DELAY).await,
+                result => return result,
+            }
+        }
+    }
+
+    /// Makes space for a read, if there is memory for it now and the buffer is shorter than `max_length`.
+    fn make_space_ahead(&mut self, pool: &MemoryPool, max_length: usize) -> bool {
+        let length = self.buffer.len();
+        if self.buffer.capacity() - length >= MIN_READ_SIZE {
+            return true;
+        }
+        let capacities = [self.memory.unreserved, RESERVED_CAPACITY, max_length + MIN_READ_SIZE];
+        let Some(capacity) = capacities.into_iter().find(|capacity| length + MIN_READ_SIZE <= *capacity)
+        else {
+            return false;
+        };
+        if capacity > self.memory.unreserved {
+            let Some(reservation) = pool.try_reserve(capacity) else { return false };
+            // The buffer is copied to one of the new capacity at once: growing in steps would need more.
+            let mut buffer = BytesMut::with_capacity(capacity);
+            buffer.extend_from_slice(&self.buffer);
+            self.buffer = buffer;
+            self.reservation = Some(reservation);
+        } else {
+            self.buffer.reserve(capacity - length);
+        }
+        true
+    }
+
+    /// Frees memory that the bytes in the buffer do not need.
     pub fn shrink_buffer(&mut self) {
-        if self.buffer.is_empty() && self.buffer.capacity() > MAX_IDLE_CAPACITY {
+        if self.buffer.is_empty() {
             self.buffer = BytesMut::new();
+            self.reservation = None;
+        } else if self.reservation.is_some() && self.buffer.len() + MIN_READ_SIZE <= self.memory.unreserved {
+            let mut buffer = BytesMut::with_capacity(self.memory.unreserved);
+            buffer.extend_from_slice(&self.buffer);
+            self.buffer = buffer;
+            self.reservation = None;
         }
     }
 }
--- a/crates/gaparch-platform-router/src/client/connection.rs
+++ b/crates/gaparch-platform-router/src/client/connection.rs
@@ -1,15 +1,18 @@
 //! One client connection, which serves one request at a time, each with exactly one response.
 
 use super::idle_connections::{IdleConnections, IdleGuard};
+use super::progress_check::ProgressCheck;
 use super::request::REJECTED_TEXT;
 use super::MAX_BYTES_AHEAD;
-use crate::buffered_socket::{BodyReadError, BufferedSocket};
+use crate::buffered_socket::{AheadRead, BodyReadError, BufferedSocket};
 use crate::close_reason::CloseReason;
 use crate::shared_state::{Phase, SharedState};
 use crate::transient_errors::write_all;
 use bytes::BytesMut;
 use gaparch_platform_protocol::client_request::ClientRequestError;
-use gaparch_platform_protocol::head::{decode_request, encode_response, HeadError, RequestHead};
+use gaparch_platform_protocol::head::{
+    decode_request, encode_response, HeadError, RequestHead, MAX_HEAD_BYTES,
+};
 use gaparch_scheduler::policy::shutdown_intake::ConnectionHistory;
 use std::future::Future;
 use std::sync::Arc;
@@ -135,7 +138,7 @@
 impl Connection {
     pub fn new(socket: TcpStream, shared: Arc<SharedState>, idle: Arc<IdleConnections>) -> Connection {
         Connection {
-            socket: BufferedSocket::new(socket),
+            socket: BufferedSocket::new(socket, shared.memory.client_buffers.clone()),
             shared,
             idle,
             connected_at: Instant::now(),
@@ -152,6 +155,9 @@
             self.reason_if_client_closes = CloseReason::ClientIdle;
             match self.serve_next(is_first).await {
                 Ok(AfterResponse::KeepAlive) if self.dropped_bytes == 0 => self.socket.shrink_buffer(),
+                Ok(AfterResponse::KeepAlive) if self.has_request_ahead() => {
+                    break Rejection::no_memory().into();
+                }
                 Ok(_) => {
                     self.shared.closes.count(self.reason_after_response);
                     return self.close().await;
@@ -177,6 +183,11 @@
         }
     }
 
+    /// Whether the bytes sent ahead begin with the head of a request. It can't be served if the rest was dropped.
+    fn has_request_ahead(&mut self) -> bool {
+        matches!(decode_request(&mut self.socket.buffer), Ok(Some(_)))
+    }
+
     async fn serve_next(&mut self, is_first: bool) -> Result<AfterResponse, ConnectionEnd> {
         let arrived = self.read_head(is_first).await?;
         self.serve_request(arrived).await
@@ -188,6 +199,7 @@
         let history = if is_first { ConnectionHistory::Unused } else { ConnectionHistory::CarriedRequests };
         let mut idle_guard = arrived_at.is_none().then(|| self.idle.enter(history));
         let mut phase = self.shared.phase.subscribe();
+        let mut progress = ProgressCheck::new(MAX_HEAD_BYTES);
         loop {
             if let Some(head) = decode_request(&mut self.socket.buffer).map_err(Rejection::from)? {
                 let arrived_at = arrived_at.unwrap_or_else(Instant::now);
@@ -207,10 +219,17 @@
                 read = self.socket.read() => Some(read),
                 () = sleep_until_or_forever(timeout_at) => {
                     if !is_idle {
-                        return Err(Rejection::request_timeout().into());
+                        return Err(self.head_timeout().into());
                     }
                     None
                 }
+                () = progress.due(), if self.socket.holds_reservation() => {
+                    let missing = MAX_HEAD_BYTES.saturating_sub(self.socket.buffer.len());
+                    if !progress.may_continue(&self.shared.memory.client_buffers.pool, missing) {
+                        return Err(Rejection::no_memory().into());
+                    }
+                    continue;
+                }
                 () = close_requested(idle_guard.as_ref()), if is_idle => None,
                 _ = phase.wait_for(|phase| *phase == Phase::Closing), if is_idle => None,
             };
@@ -229,6 +248,16 @@
         }
     }
 
+    /// Returns the response to a head that is not complete in time. If it waits for memory, the client is not to
+    /// blame.
+    fn head_timeout(&self) -> Rejection {
+        if self.socket.lacks_memory() {
+            Rejection::no_memory()
+        } else {
+            Rejection::request_timeout()
+        }
+    }
+
     /// Returns when a request whose first byte arrived at `arrived_at` has to be complete.
     fn request_deadline(&self, is_first: bool, arrived_at: Instant) -> Instant {
         let deadline = arrived_at + REQUEST_TIMEOUT;
@@ -251,14 +280,18 @@
             tokio::select! {
                 biased;
                 output = &mut future => return Ok(output),
-                has_more = self.socket.read_more() => {
-                    if !has_more || self.dropped_bytes > MAX_DROPPED_BYTES {
-                        return Err(ConnectionEnd::ClientClosed);
+                read = self.socket.read_ahead(&self.shared.memory.ahead, MAX_BYTES_AHEAD, self.dropped_bytes == 0) => {
+                    match read {
+                        Ok(AheadRead::Kept(1..)) => {}
+                        Ok(AheadRead::Dropped(length @ 1..)) if self.dropped_bytes <= MAX_DROPPED_BYTES => {
+                            self.dropped_bytes += length;
+                        }
+                        Ok(AheadRead::Kept(_) | AheadRead::Dropped(_)) | Err(_) => {
+                            return Err(ConnectionEnd::ClientClosed);
+                        }
                     }
                 }
             }
-            self.dropped_bytes += self.socket.buffer.len().saturating_sub(MAX_BYTES_AHEAD);
-            self.socket.buffer.truncate(MAX_BYTES_AHEAD);
         }
     }
 
--- a/crates/gaparch-platform-router/src/discovery/connection.rs
+++ b/crates/gaparch-platform-router/src/discovery/connection.rs
@@ -2,7 +2,7 @@
 
 use super::error::DiscoveryError;
 use super::CONNECT_TIMEOUT;
-use crate::buffered_socket::BufferedSocket;
+use crate::buffered_socket::{BufferMemory, BufferedSocket};
 use crate::transient_errors::write_all;
 use gaparch_platform_protocol::body::{BodyDecoder, BodyPart};
 use gaparch_platform_protocol::endpoint_list::{EndpointList, EndpointListParser, ListLimits};
@@ -25,11 +25,14 @@
     ///
     /// # Errors
     /// Returns an error if no connection is established within [`CONNECT_TIMEOUT`].
-    pub async fn open(service: SocketAddr) -> Result<DiscoveryConnection, DiscoveryError> {
+    pub async fn open(
+        service: SocketAddr,
+        buffer_memory: BufferMemory,
+    ) -> Result<DiscoveryConnection, DiscoveryError> {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(service)).await;
         let stream =
             connecting.map_err(|_| DiscoveryError::ConnectTimeout)?.map_err(DiscoveryError::Connect)?;
-        Ok(DiscoveryConnection { socket: BufferedSocket::new(stream) })
+        Ok(DiscoveryConnection { socket: BufferedSocket::new(stream, buffer_memory) })
     }
 
     /// Sends a request and reads the list in its response.
--- a/crates/gaparch-platform-router/src/discovery/mod.rs
+++ b/crates/gaparch-platform-router/src/discovery/mod.rs
@@ -156,7 +156,7 @@
     state: &mut FollowState,
     shared: &SharedState,
 ) -> Result<(), DiscoveryError> {
-    let mut connection = DiscoveryConnection::open(service).await?;
+    let mut connection = DiscoveryConnection::open(service, shared.memory.discovery_buffer.clone()).await?;
     let host = service.to_string();
     // The service answers the first request on a connection without waiting, so that an unresponsive service
     // is detected early.
--- a/crates/gaparch-platform-router/src/run/mod.rs
+++ b/crates/gaparch-platform-router/src/run/mod.rs
@@ -161,12 +161,17 @@
         log_start(&config, &budget);
 
         let connect_timeout = connect_timeout(&config.settings.scheduler);
-        let pool =
-            Arc::new(ConnectionPool::new(Arc::clone(&budget.workers), connect_timeout, config.idle_close_ns));
+        let idle_close_ns = config.idle_close_ns;
         let core_config = core_config(&config);
         let discovery = watch::Sender::new(config.discovery);
         let (owner_sender, messages) = mpsc::unbounded_channel();
         let shared = Arc::new(SharedState::new(config, Clock::default(), owner_sender, budget.max_clients));
+        let pool = Arc::new(ConnectionPool::new(
+            Arc::clone(&budget.workers),
+            shared.memory.worker_buffers.clone(),
+            connect_timeout,
+            idle_close_ns,
+        ));
 
         let (gossip_sender, gossip_messages) = mpsc::channel(gossip::QUEUE_LENGTH);
         if let Some(socket) = &gossip_socket {
--- a/crates/gaparch-platform-router/src/test_support.rs
+++ b/crates/gaparch-platform-router/src/test_support.rs
@@ -1,6 +1,8 @@
 //! Helpers shared by the unit tests: the state of a router whose owner is the test itself, and a worker whose
 //! answers do not end.
 
+use crate::buffered_socket::BufferMemory;
+use crate::memory_pool::MemoryPool;
 use crate::messages::OwnerMessage;
 use crate::shared_state::SharedState;
 use crate::worker::WorkerProcess;
@@ -29,6 +31,11 @@
     (Arc::new(SharedState::new(config, Clock::default(), owner, max_queued_requests)), messages)
 }
 
+/// Returns memory for the buffers of a test's connections, which never lacks.
+pub(crate) fn buffer_memory() -> BufferMemory {
+    BufferMemory { unreserved: 4 * 1024, pool: MemoryPool::new(1 << 20) }
+}
+
 /// Starts a worker that answers each request with the given status line and a body of which one byte after
 /// the other arrives. Returns it with the number of its connections so far.
 pub(crate) fn worker_with_endless_bodies(status_line: &'static str) -> (WorkerProcess, Arc<AtomicUsize>) {
--- a/crates/gaparch-platform-router/src/worker/call_tests.rs
+++ b/crates/gaparch-platform-router/src/worker/call_tests.rs
@@ -1,7 +1,7 @@
 //! Tests that the head of an answer states the outcome of a health check and of a reservation.
 
 use crate::messages::{AttemptEvent, OwnerMessage};
-use crate::test_support::{shared_state, worker_with_endless_bodies};
+use crate::test_support::{buffer_memory, shared_state, worker_with_endless_bodies};
 use crate::worker::{probe, reserve, ConnectionPool, ReservationRequest};
 use gaparch_platform_protocol::client_request::TransactionId;
 use gaparch_scheduler::api::{AttemptNumber, AttemptStatus, RequestId};
@@ -14,7 +14,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
 fn pool() -> Arc<ConnectionPool> {
-    Arc::new(ConnectionPool::new(Arc::new(Semaphore::new(8)), CONNECT_TIMEOUT, None))
+    Arc::new(ConnectionPool::new(Arc::new(Semaphore::new(8)), buffer_memory(), CONNECT_TIMEOUT, None))
 }
 
 /// Guards against a healthy worker that counts as timed out because the body of its answer does not end.
--- a/crates/gaparch-platform-router/src/worker/exchange/stream_tests.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/stream_tests.rs
@@ -3,7 +3,7 @@
 use super::{Attempt, EVENT_TIMEOUT};
 use crate::forwarded_request::ForwardedRequest;
 use crate::messages::{AttemptEvent, OwnerMessage, StreamPart};
-use crate::test_support::shared_state;
+use crate::test_support::{buffer_memory, shared_state};
 use crate::worker::{exchange, ConnectionPool, WorkerProcess};
 use bytes::{Bytes, BytesMut};
 use gaparch_platform_protocol::body::{encode_chunk, LAST_CHUNK};
@@ -71,7 +71,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("local address");
     let process = WorkerProcess { server: ServerId(1), address, started_at: 0 };
-    let pool = Arc::new(ConnectionPool::new(Arc::new(Semaphore::new(8)), Duration::from_secs(5), None));
+    let pool = Arc::new(ConnectionPool::new(
+        Arc::new(Semaphore::new(8)),
+        buffer_memory(),
+        Duration::from_secs(5),
+        None,
+    ));
     let exchanging = tokio::spawn(exchange(decode_attempt(process), pool, shared));
     let (mut worker, _) = listener.accept().await.expect("accepted");
     let _ = worker.read(&mut [0; 4096]).await.expect("the request");
--- a/crates/gaparch-platform-router/src/worker/pool.rs
+++ b/crates/gaparch-platform-router/src/worker/pool.rs
@@ -1,6 +1,6 @@
 //! The pool of idle connections to workers. The most recently used connection is reused first.
 
-use crate::buffered_socket::BufferedSocket;
+use crate::buffered_socket::{BufferMemory, BufferedSocket};
 use crate::sync::lock;
 use crate::transient_errors::connect_failure;
 use gaparch_platform_protocol::head::ResponseHead;
@@ -91,6 +91,7 @@
 pub(crate) struct ConnectionPool {
     workers: Mutex<HashMap<ServerId, Worker>>,
     permits: Arc<Semaphore>,
+    buffer_memory: BufferMemory,
     connect_timeout: Duration,
     idle_timeout: Duration,
     /// When a reused connection last broke before the response to a request.
@@ -108,6 +109,7 @@
     /// Creates a pool. `idle_close_ns` is the idle timeout of the workers.
     pub fn new(
         permits: Arc<Semaphore>,
+        buffer_memory: BufferMemory,
         connect_timeout: Duration,
         idle_close_ns: Option<u64>,
     ) -> ConnectionPool {
@@ -118,6 +120,7 @@
         ConnectionPool {
             workers: Mutex::default(),
             permits,
+            buffer_memory,
             connect_timeout,
             idle_timeout,
             last_break: Mutex::default(),
@@ -204,7 +207,7 @@
     async fn connect_once(&self, process: WorkerProcess) -> Result<WorkerConnection, ConnectFailure> {
         let permit = self.permit().ok_or(ConnectFailure::Local)?;
         let stream = TcpStream::connect(process.address).await.map_err(|error| connect_failure(&error))?;
-        let socket = BufferedSocket::new(stream);
+        let socket = BufferedSocket::new(stream, self.buffer_memory.clone());
         Ok(WorkerConnection { socket, process, idle_time: None, _permit: permit })
     }
 
--- a/crates/gaparch-platform-router/src/worker/pool_tests.rs
+++ b/crates/gaparch-platform-router/src/worker/pool_tests.rs
@@ -1,6 +1,7 @@
 //! Tests the reuse of idle connections, connection hedging, and waiting for descriptor permits.
 
 use super::{ConnectionPool, LastExchange, ResponseHead, WorkerProcess, SETTLE_TIME};
+use crate::test_support::buffer_memory;
 use bytes::BytesMut;
 use gaparch_platform_protocol::head::decode_response;
 use gaparch_scheduler::api::ServerId;
@@ -22,7 +23,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("local address");
     let process = WorkerProcess { server: ServerId(1), address, started_at: 0 };
-    let pool = ConnectionPool::new(Arc::new(Semaphore::new(8)), Duration::from_secs(5), None);
+    let pool =
+        ConnectionPool::new(Arc::new(Semaphore::new(8)), buffer_memory(), Duration::from_secs(5), None);
     let connection = pool.connect(process).await.expect("connected");
     let (socket, _) = listener.accept().expect("accepted");
     pool.record_response(process);
@@ -65,7 +67,8 @@
 async fn a_second_connection_is_tried_while_the_first_is_not_established() {
     let stuck = FullBacklog::start();
     // The kernel retransmits the first connection request only after a second.
-    let pool = ConnectionPool::new(Arc::new(Semaphore::new(8)), Duration::from_millis(900), None);
+    let pool =
+        ConnectionPool::new(Arc::new(Semaphore::new(8)), buffer_memory(), Duration::from_millis(900), None);
     let process = WorkerProcess { server: ServerId(1), address: stuck.address, started_at: 0 };
     let (connection, _) = tokio::join!(pool.connect(process), async {
         tokio::time::sleep(Duration::from_millis(100)).await;
@@ -82,7 +85,7 @@
     let address = listener.local_addr().expect("local address");
     let process = WorkerProcess { server: ServerId(1), address, started_at: 0 };
     let permits = Arc::new(Semaphore::new(1));
-    let pool = ConnectionPool::new(Arc::clone(&permits), Duration::from_millis(200), None);
+    let pool = ConnectionPool::new(Arc::clone(&permits), buffer_memory(), Duration::from_millis(200), None);
     let taken = permits.acquire_owned().await.expect("it is open");
     assert_eq!(pool.connect(process).await.err(), Some(ConnectFailure::Local));
     let (connection, ()) = tokio::join!(pool.connect(process), async {
--- a/crates/gaparch-platform-router/src/worker/release_tests.rs
+++ b/crates/gaparch-platform-router/src/worker/release_tests.rs
@@ -1,7 +1,7 @@
 //! Tests releases when some workers do not answer, or only in part.
 
 use super::{release, Clock, ConnectionPool, Release};
-use crate::test_support::worker_with_endless_bodies;
+use crate::test_support::{buffer_memory, worker_with_endless_bodies};
 use crate::worker::WorkerProcess;
 use gaparch_platform_protocol::client_request::TransactionId;
 use gaparch_scheduler::api::ServerId;
@@ -41,7 +41,8 @@
             std::thread::spawn(move || answer(socket));
         }
     });
-    let pool = Arc::new(ConnectionPool::new(Arc::new(Semaphore::new(64)), ATTEMPT_TIMEOUT, None));
+    let pool =
+        Arc::new(ConnectionPool::new(Arc::new(Semaphore::new(64)), buffer_memory(), ATTEMPT_TIMEOUT, None));
     silent.iter().for_each(|process| pool.record_response(*process));
     let processes = [vec![running], silent].concat();
     let transaction = TransactionId::new("txn").expect("an id");
@@ -57,7 +58,8 @@
 #[tokio::test]
 async fn a_release_is_answered_by_the_head_of_its_response() {
     let (process, connections) = worker_with_endless_bodies("HTTP/1.1 200 OK");
-    let pool = Arc::new(ConnectionPool::new(Arc::new(Semaphore::new(64)), ATTEMPT_TIMEOUT, None));
+    let pool =
+        Arc::new(ConnectionPool::new(Arc::new(Semaphore::new(64)), buffer_memory(), ATTEMPT_TIMEOUT, None));
     let transaction = TransactionId::new("txn").expect("an id");
     let started = Instant::now();
     let request = Release { transaction, processes: vec![process], attempt_timeout: ATTEMPT_TIMEOUT };
