Read on after rejecting a request for lack of memory, so that the answer arrives

What callers saw: some requests that got no memory ended with a reset in place of their 503.

Cause: the connection was closed 150 ms after the answer, with up to 256 KiB of the body unread when hundreds were rejected at once; closing over unread bytes resets the connection, and the client loses the answer.

Other rejections linger 150 ms as before.

--- a/crates/gaparch-platform-router/src/buffered_socket.rs
+++ b/crates/gaparch-platform-router/src/buffered_socket.rs
@@ -22,7 +22,7 @@
 /// Minimum free space of a buffer for a read, in bytes.
 const MIN_READ_SIZE: usize = 512;
 /// Number of bytes that are read at once to be dropped.
-const DROP_SIZE: usize = 8 * 1024;
+const DROP_SIZE: usize = 16 * 1024;
 
 /// A connection with its read buffer.
 #[derive(Debug)]
@@ -246,6 +246,19 @@
         }
     }
 
+    /// Reads bytes and drops them. Returns their number, or 0 at the end of the connection. Cancel-safe.
+    ///
+    /// # Errors
+    /// As for [`BufferedSocket::read`].
+    pub async fn read_and_drop(&mut self) -> io::Result<usize> {
+        self.buffer = BytesMut::new();
+        self.reservation = None;
+        let pool = Arc::clone(&self.memory.pool);
+        match self.read_ahead(&pool, 0, false).await? {
+            AheadRead::Kept(length) | AheadRead::Dropped(length) => Ok(length),
+        }
+    }
+
     /// Makes space for a read, if there is memory for it now and the buffer is shorter than `max_length`.
     fn make_space_ahead(&mut self, pool: &MemoryPool, max_length: usize) -> bool {
         let length = self.buffer.len();
--- a/crates/gaparch-platform-router/src/client/connection.rs
+++ b/crates/gaparch-platform-router/src/client/connection.rs
@@ -2,13 +2,12 @@
 
 use super::idle_connections::{IdleConnections, IdleGuard};
 use super::progress_check::ProgressCheck;
-use super::request::REJECTED_TEXT;
+use super::request::{CONFLICT_TEXT, REJECTED_TEXT};
 use super::MAX_BYTES_AHEAD;
 use crate::buffered_socket::{AheadRead, BodyReadError, BufferedSocket};
 use crate::close_reason::CloseReason;
 use crate::shared_state::{Phase, SharedState};
 use crate::transient_errors::write_all;
-use bytes::BytesMut;
 use gaparch_platform_protocol::client_request::ClientRequestError;
 use gaparch_platform_protocol::head::{
     decode_request, encode_response, HeadError, RequestHead, MAX_HEAD_BYTES,
@@ -33,8 +32,10 @@
 /// connection and the client may lose the response. Shorter than the wait for a free permit
 /// ([`super::PERMIT_TIMEOUT`]).
 const LINGER_TIMEOUT: Duration = Duration::from_millis(150);
+/// The same for a request that got no memory: all of its body may still be unread, as may those of many others.
+const UNREAD_BODY_LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of bytes that are read during that time.
-const MAX_LINGER_BYTES: usize = 256 * 1024;
+const MAX_LINGER_BYTES: usize = MAX_BYTES_AHEAD;
 /// A client that sends more than this ahead of its response, beyond the bytes kept, counts as disconnected,
 /// since it apparently does not read.
 const MAX_DROPPED_BYTES: usize = 4 * 1024 * 1024;
@@ -100,38 +101,52 @@
 pub(super) struct Rejection {
     pub status: u16,
     pub text: String,
+    /// How long bytes are still read after the response.
+    pub linger_timeout: Duration,
 }
 
 impl Rejection {
+    fn new(status: u16, text: String) -> Rejection {
+        Rejection { status, text, linger_timeout: LINGER_TIMEOUT }
+    }
+
+    /// Returns the response to a request whose transaction id belongs to an open request.
+    pub fn conflict() -> Rejection {
+        Rejection::new(409, CONFLICT_TEXT.to_owned())
+    }
+
     /// Returns the response to a request that is not complete in time.
     pub fn request_timeout() -> Rejection {
-        Rejection { status: 408, text: "the request did not come in time".to_owned() }
+        Rejection::new(408, "the request did not come in time".to_owned())
     }
 
     /// Returns the response to a request that got no memory in time. Nothing of it was forwarded, so a retry is
     /// harmless.
     pub fn no_memory() -> Rejection {
-        Rejection { status: 503, text: REJECTED_TEXT.to_owned() }
+        Rejection {
+            linger_timeout: UNREAD_BODY_LINGER_TIMEOUT,
+            ..Rejection::new(503, REJECTED_TEXT.to_owned())
+        }
     }
 }
 
 impl From<HeadError> for Rejection {
     fn from(error: HeadError) -> Rejection {
         let status = if error == HeadError::TooLong { 431 } else { 400 };
-        Rejection { status, text: error.to_string() }
+        Rejection::new(status, error.to_string())
     }
 }
 
 impl From<BodyReadError> for Rejection {
     fn from(error: BodyReadError) -> Rejection {
         let status = if error == BodyReadError::TooLong { 413 } else { 400 };
-        Rejection { status, text: error.to_string() }
+        Rejection::new(status, error.to_string())
     }
 }
 
 impl From<ClientRequestError> for Rejection {
     fn from(error: ClientRequestError) -> Rejection {
-        Rejection { status: error.status(), text: error.to_string() }
+        Rejection::new(error.status(), error.to_string())
     }
 }
 
@@ -160,7 +175,7 @@
                 }
                 Ok(_) => {
                     self.shared.closes.count(self.reason_after_response);
-                    return self.close().await;
+                    return self.close(LINGER_TIMEOUT).await;
                 }
                 Err(end) => break end,
             }
@@ -173,7 +188,7 @@
                 // An unused connection has no response in transit, so it needs no lingering close and frees
                 // its permit immediately.
                 if !is_first {
-                    self.close().await;
+                    self.close(LINGER_TIMEOUT).await;
                 }
             }
             ConnectionEnd::Rejected(rejection) => {
@@ -309,28 +324,26 @@
         tracing::debug!(status = rejection.status, reason = %rejection.text, "client message rejected");
         let response = encode_response(rejection.status, &[], &rejection.text, true);
         if self.write(&response, true).await.is_ok() {
-            self.close().await;
+            self.close(rejection.linger_timeout).await;
         }
     }
 
     /// Closes the sending side and keeps reading for a while, so that the client receives the last response
     /// and a clean end instead of a reset.
-    async fn close(mut self) {
+    async fn close(mut self, linger_timeout: Duration) {
         if self.socket.stream.shutdown().await.is_err() {
             return;
         }
-        self.socket.buffer = BytesMut::new();
         let mut drained = 0;
         let drain = async {
             while drained < MAX_LINGER_BYTES {
-                match self.socket.read().await {
+                match self.socket.read_and_drop().await {
                     Ok(length) if length > 0 => drained += length,
                     Ok(_) | Err(_) => return,
                 }
-                self.socket.buffer.clear();
             }
         };
-        let _ = timeout(LINGER_TIMEOUT, drain).await;
+        let _ = timeout(linger_timeout, drain).await;
     }
 }
 
--- a/crates/gaparch-platform-router/src/client/request.rs
+++ b/crates/gaparch-platform-router/src/client/request.rs
@@ -18,7 +18,7 @@
 /// Response body for a request that failed.
 const FAILED_TEXT: &str = "not answered; it may have run";
 /// Response body for a request whose transaction id belongs to an open request.
-const CONFLICT_TEXT: &str = "a request of this id is open";
+pub(super) const CONFLICT_TEXT: &str = "a request of this id is open";
 const NANOS_PER_SECOND: f64 = 1e9;
 
 /// Tracks a request that is open at the owner. If it is dropped before the response is complete, the client
@@ -68,7 +68,7 @@
         let permit = self.while_connected(request_queue.acquire_owned()).await?;
         let Ok(queue_permit) = permit else { return Err(ConnectionEnd::CloseRequested) };
         if !self.shared.register_transaction(&request.transaction) {
-            return Err(Rejection { status: 409, text: CONFLICT_TEXT.to_owned() }.into());
+            return Err(Rejection::conflict().into());
         }
         let transaction = request.transaction.clone();
         let forwarded = Arc::new(ForwardedRequest::new(target, transaction, body));
