Bound the bytes of stream parts queued for clients that do not read

What callers saw: the same kill for memory, by clients that ask and do not read while workers send long events.

Cause: up to 32 parts were queued for each client, whatever their length (an event has up to 64 KiB): 2 MiB and more for each connection, bounded by the descriptors only. A part also kept the buffer of which it was a slice.

Change: the queue of a stream is bounded in bytes too, by the share of the memory limit that `policy::memory` gives each client connection; a full queue stops reading from the worker as before, and no stream can take the share of another. Long events pass in pieces, each a copy of exactly its length. The buffer in which they are encoded has half a queue and is freed after each write.

--- a/crates/gaparch-cli/tests/memory.rs
+++ b/crates/gaparch-cli/tests/memory.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::Site;
-use gaparch_testbed::platform::{ask, head_and_body, raw, read, Platform, Response, LONG};
+use gaparch_testbed::platform::{ask, head_and_body, raw, read, Platform, Response, Step, LONG};
+use rustix::net::sockopt::set_socket_recv_buffer_size;
+use rustix::net::{socket, AddressFamily, SocketType};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -163,3 +165,40 @@
     }
     peak.assert_below(MEMORY_MB);
 }
+
+/// Connects a client whose machine buffers little, so that what it does not read stays in the router.
+fn connect_with_small_buffer(to: SocketAddr) -> TcpStream {
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+    set_socket_recv_buffer_size(&socket, 4096).expect("set");
+    rustix::net::connect(&socket, &to).expect("connected");
+    TcpStream::from(socket)
+}
+
+/// Guards against a kill for memory by stream parts that wait for clients that do not read: their number was
+/// bounded for each client, but not their bytes.
+#[test]
+fn streams_to_clients_that_do_not_read_stay_under_the_memory_limit() {
+    const MEMORY_MB: u64 = 32;
+    const CLIENTS: usize = 80;
+    let site = Site::with(limits(MEMORY_MB, 512));
+    let event = format!("data: {}\n\n", "x".repeat(16_000));
+    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    let stream = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk.repeat(300));
+    for _ in 0..CLIENTS {
+        site.reply_to_next_decode(&[Step::Put(stream.clone().into_bytes()), Step::Hang]);
+    }
+    let peak = MemoryPeak::of(&site);
+    let clients: Vec<TcpStream> = (0..CLIENTS)
+        .map(|number| {
+            let mut socket = connect_with_small_buffer(site.listen);
+            socket.write_all(&head_and_body(&format!("stalled-{number}"), "{}")).expect("written");
+            socket.set_read_timeout(Some(LONG)).expect("set");
+            socket.read_exact(&mut [0; 1]).expect("the response begins");
+            socket
+        })
+        .collect();
+    assert_eq!(ask(site.listen, "usual").status, 200);
+    std::thread::sleep(Duration::from_millis(500));
+    peak.assert_below(MEMORY_MB);
+    drop(clients);
+}
--- a/crates/gaparch-platform-router/src/client/response.rs
+++ b/crates/gaparch-platform-router/src/client/response.rs
@@ -3,11 +3,11 @@
 use super::connection::{AfterResponse, Connection, ConnectionEnd};
 use super::request::RequestGuard;
 use crate::close_reason::CloseReason;
-use crate::messages::StreamPart;
+use crate::stream_queue::{StreamPart, StreamReceiver};
 use bytes::BytesMut;
 use gaparch_platform_protocol::body::{encode_chunk, LAST_CHUNK};
 use gaparch_platform_protocol::head::event_stream_head;
-use tokio::sync::mpsc::{self, error::TryRecvError};
+use tokio::sync::mpsc::error::TryRecvError;
 
 /// Stream parts are combined into one write up to about this many bytes.
 const WRITE_SIZE: usize = 16 * 1024;
@@ -25,17 +25,20 @@
     /// Writes a stream as its parts arrive.
     pub(super) async fn write_stream(
         &mut self,
-        mut parts: mpsc::Receiver<StreamPart>,
+        mut parts: StreamReceiver,
         open: &mut RequestGuard,
         close: bool,
     ) -> Result<AfterResponse, ConnectionEnd> {
         let mut out = BytesMut::from(event_stream_head(close));
+        // The last part may exceed this by half of a queue.
+        let max_bytes = WRITE_SIZE.min(self.shared.memory.stream_queue_bytes / 2);
         loop {
             let part = self.while_connected(parts.recv()).await?;
-            match encode_available(part, &mut parts, &mut out) {
+            match encode_available(part, &mut parts, &mut out, max_bytes) {
                 StreamState::Continues => {
                     self.write(&out, close).await?;
-                    out.clear();
+                    // A buffer that is kept for each stream would be more than all the others.
+                    out = BytesMut::new();
                 }
                 StreamState::Complete => {
                     let after = self.write(&out, close).await?;
@@ -54,11 +57,12 @@
     }
 }
 
-/// Encodes a part and those queued behind it, up to [`WRITE_SIZE`]. `None` means that the stream broke off.
+/// Encodes a part and those queued behind it, up to about `max_bytes`. `None` means that the stream broke off.
 fn encode_available(
     first: Option<StreamPart>,
-    parts: &mut mpsc::Receiver<StreamPart>,
+    parts: &mut StreamReceiver,
     out: &mut BytesMut,
+    max_bytes: usize,
 ) -> StreamState {
     let mut part = first;
     loop {
@@ -70,7 +74,7 @@
             }
             None => return StreamState::Broken,
         }
-        if out.len() >= WRITE_SIZE {
+        if out.len() >= max_bytes {
             return StreamState::Continues;
         }
         part = match parts.try_recv() {
--- a/crates/gaparch-platform-router/src/lib.rs
+++ b/crates/gaparch-platform-router/src/lib.rs
@@ -17,8 +17,8 @@
 //!   is closed.
 //! - Connections to workers: their share of the descriptors. When it is used up, an idle connection is
 //!   closed; if none is idle, the attempt fails to connect.
-//! - Event batches waiting for one client: [`client::STREAM_QUEUE_LENGTH`]. When the queue is full, the
-//!   router stops reading from the worker.
+//! - Event batches waiting for one client: [`client::STREAM_QUEUE_LENGTH`], and their bytes by its share of the
+//!   memory limit. When the queue is full, the router stops reading from the worker.
 //! - Request bodies: the share of the memory limit that [`gaparch_scheduler::policy::memory`] gives them. When it
 //!   is used up, further bodies are not read yet; those that wait too long are rejected.
 //! - Bytes that a client sends ahead of a response: [`client::MAX_BYTES_AHEAD`]. Further bytes are read and
@@ -42,6 +42,7 @@
 mod ready_workers;
 mod run;
 mod shared_state;
+mod stream_queue;
 mod sync;
 #[cfg(test)]
 mod test_support;
--- a/crates/gaparch-platform-router/src/memory_pools.rs
+++ b/crates/gaparch-platform-router/src/memory_pools.rs
@@ -21,6 +21,8 @@
     pub ahead: Arc<MemoryPool>,
     /// For request bodies.
     pub bodies: Arc<MemoryPool>,
+    /// Maximum number of bytes queued for one client's stream.
+    pub stream_queue_bytes: usize,
     /// For long heads and long events of workers.
     pub worker_buffers: BufferMemory,
     /// For the connection to the discovery service.
@@ -37,6 +39,7 @@
             client_buffers: buffers(CLIENT_BUFFER_BYTES, shares.heads),
             ahead: MemoryPool::new(shares.ahead),
             bodies: MemoryPool::new(shares.bodies),
+            stream_queue_bytes: shares.stream_queue,
             worker_buffers: buffers(WORKER_BUFFER_BYTES, shares.worker_buffers),
             discovery_buffer: buffers(DISCOVERY_BUFFER_BYTES, DISCOVERY_BUFFER_BYTES),
         }
--- a/crates/gaparch-platform-router/src/messages.rs
+++ b/crates/gaparch-platform-router/src/messages.rs
@@ -1,12 +1,12 @@
 //! Messages between the tasks of a router.
 
 use crate::forwarded_request::ForwardedRequest;
-use bytes::Bytes;
+use crate::stream_queue::{StreamReceiver, StreamSender};
 use gaparch_platform_protocol::client_request::ClientRequest;
 use gaparch_router::core::ListUpdate;
 use gaparch_scheduler::api::{AttemptNumber, AttemptStatus, Nanos, RequestId, ServerId};
 use std::sync::Arc;
-use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
+use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
 /// A message to the owner.
 #[derive(Debug)]
@@ -61,7 +61,7 @@
 pub(crate) enum AttemptEvent {
     /// The first event of the response stream arrived. The owner replies with the channel to the client, or
     /// drops the sender if no client is waiting any more.
-    FirstToken(oneshot::Sender<mpsc::Sender<StreamPart>>),
+    FirstToken(oneshot::Sender<StreamSender>),
     /// The prompt is prefilled.
     Prefilled { cached_prompt_tokens: u32 },
     /// The attempt ended.
@@ -88,7 +88,7 @@
 #[derive(Debug)]
 pub(crate) enum ClientResponse {
     /// The response is streamed through this channel.
-    Stream(mpsc::Receiver<StreamPart>),
+    Stream(StreamReceiver),
     /// The request was rejected and has not run.
     Rejected {
         /// Whether it was rejected because the tenant is over quota.
@@ -99,12 +99,3 @@
     /// The request failed and may have run.
     Failed,
 }
-
-/// Part of a stream from a worker to a client.
-#[derive(Debug)]
-pub(crate) enum StreamPart {
-    /// One or more complete events.
-    Events(Bytes),
-    /// The stream is complete.
-    End,
-}
--- a/crates/gaparch-platform-router/src/owner/mod.rs
+++ b/crates/gaparch-platform-router/src/owner/mod.rs
@@ -9,8 +9,9 @@
 
 use crate::discovery::Subscription;
 use crate::gossip::{GossipMessage, GossipSocket};
-use crate::messages::{ArrivedRequest, AttemptEvent, AttemptUpdate, OwnerMessage, StreamPart};
+use crate::messages::{ArrivedRequest, AttemptEvent, AttemptUpdate, OwnerMessage};
 use crate::shared_state::{SharedState, IDLE_TABLE_CAPACITY};
+use crate::stream_queue::StreamSender;
 use crate::worker::ConnectionPool;
 use gaparch_config::Config;
 use gaparch_ops::OrderRegistry;
@@ -36,7 +37,7 @@
 struct StreamStart {
     request: RequestId,
     /// Gives the exchange the channel to the client. If it is dropped, no client is waiting.
-    reply: oneshot::Sender<mpsc::Sender<StreamPart>>,
+    reply: oneshot::Sender<StreamSender>,
 }
 
 /// The owner of the core, and the state that the shell keeps for it.
--- a/crates/gaparch-platform-router/src/owner/responses.rs
+++ b/crates/gaparch-platform-router/src/owner/responses.rs
@@ -3,10 +3,10 @@
 use super::Owner;
 use crate::client::STREAM_QUEUE_LENGTH;
 use crate::messages::ClientResponse;
+use crate::stream_queue::stream_queue;
 use gaparch_protocol::ops::outcome::QueueingReason;
 use gaparch_router::core::ResponseEvent;
 use gaparch_scheduler::api::RequestId;
-use tokio::sync::mpsc;
 
 impl Owner {
     /// Sends the response to a request to its client.
@@ -18,7 +18,8 @@
         let txn = open.forwarded.transaction.as_str();
         let response = match event {
             ResponseEvent::Started { .. } => {
-                let (parts, stream) = mpsc::channel(STREAM_QUEUE_LENGTH);
+                let (parts, stream) =
+                    stream_queue(STREAM_QUEUE_LENGTH, self.shared.memory.stream_queue_bytes);
                 if let Some(start) = self.stream_start.take_if(|start| start.request == id) {
                     let _ = start.reply.send(parts);
                 }
--- a/crates/gaparch-platform-router/src/worker/exchange/stream.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/stream.rs
@@ -2,8 +2,9 @@
 
 use super::trace::Trace;
 use super::{Attempt, ExchangeEnd, FinishedConnection};
-use crate::messages::{AttemptEvent, StreamPart};
+use crate::messages::AttemptEvent;
 use crate::shared_state::SharedState;
+use crate::stream_queue::{ClientGone, StreamSender};
 use crate::worker::pool::WorkerConnection;
 use bytes::BytesMut;
 use gaparch_platform_protocol::body::{BodyDecoder, BodyPart};
@@ -11,7 +12,7 @@
 use gaparch_platform_protocol::head::ResponseHead;
 use gaparch_scheduler::api::AttemptStatus;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::{timeout_at, Instant};
 
 /// Longest wait for the next event, or the end of the stream, after an event was passed on. The platform
@@ -27,6 +28,12 @@
     Failed(AttemptStatus),
 }
 
+impl From<ClientGone> for StreamError {
+    fn from(ClientGone: ClientGone) -> StreamError {
+        StreamError::Abandoned
+    }
+}
+
 impl From<StreamError> for ExchangeEnd {
     fn from(error: StreamError) -> ExchangeEnd {
         match error {
@@ -46,7 +53,7 @@
     /// forwarded, so a stream that is malformed from the start counts as not begun.
     pending: BytesMut,
     /// The channel to the client; set when the first events are forwarded.
-    client: Option<mpsc::Sender<StreamPart>>,
+    client: Option<StreamSender>,
     /// When the next event has to be forwarded, whatever other bytes arrive. `None` before the first event,
     /// when the attempt's own timeout applies.
     next_event_by: Option<Instant>,
@@ -137,15 +144,15 @@
             self.client = Some(self.request_client().await?);
         }
         let Some(client) = &self.client else { return Err(StreamError::Abandoned) };
-        let events = self.pending.split().freeze();
-        client.send(StreamPart::Events(events)).await.map_err(|_| StreamError::Abandoned)?;
+        client.send_events(&self.pending).await?;
+        self.pending = BytesMut::new();
         self.next_event_by = Some(Instant::now() + EVENT_TIMEOUT);
         self.trace.record_event();
         Ok(())
     }
 
     /// Asks the owner for the channel to the client.
-    async fn request_client(&self) -> Result<mpsc::Sender<StreamPart>, StreamError> {
+    async fn request_client(&self) -> Result<StreamSender, StreamError> {
         let (reply, client) = oneshot::channel();
         let at = self.shared.clock.now();
         self.shared.notify_owner(self.attempt.update(at, AttemptEvent::FirstToken(reply)));
@@ -158,7 +165,7 @@
         let Some(client) = self.client.filter(|_| is_complete) else {
             return ExchangeEnd::failed(AttemptStatus::Unknown);
         };
-        if client.send(StreamPart::End).await.is_err() {
+        if client.send_end().await.is_err() {
             return ExchangeEnd::ABANDONED;
         }
         ExchangeEnd {
--- a/crates/gaparch-platform-router/src/worker/exchange/stream_tests.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/stream_tests.rs
@@ -2,7 +2,8 @@
 
 use super::{Attempt, EVENT_TIMEOUT};
 use crate::forwarded_request::ForwardedRequest;
-use crate::messages::{AttemptEvent, OwnerMessage, StreamPart};
+use crate::messages::{AttemptEvent, OwnerMessage};
+use crate::stream_queue::{stream_queue, StreamPart, StreamReceiver};
 use crate::test_support::{buffer_memory, shared_state};
 use crate::worker::{exchange, ConnectionPool, WorkerProcess};
 use bytes::{Bytes, BytesMut};
@@ -16,7 +17,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::{self, UnboundedReceiver};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{watch, Semaphore};
 use tokio::time::sleep;
 
@@ -49,11 +50,11 @@
 }
 
 /// Replies to the first event of a stream with a channel for one part.
-async fn open_client(messages: &mut UnboundedReceiver<OwnerMessage>) -> mpsc::Receiver<StreamPart> {
+async fn open_client(messages: &mut UnboundedReceiver<OwnerMessage>) -> StreamReceiver {
     match messages.recv().await {
         Some(OwnerMessage::Attempt(update)) => match update.event {
             AttemptEvent::FirstToken(reply) => {
-                let (sender, client) = mpsc::channel(1);
+                let (sender, client) = stream_queue(1, 1024);
                 reply.send(sender).expect("the forwarder waits");
                 client
             }
