Don't keep the bodies of calls, and reserve memory for longer short bodies

Cause: probes, reservations and releases read answers of up to 256 KiB into memory, although only their status is used; hundreds of calls at once could take 256 KiB and more each. Short bodies of attempts (16 KiB, growing by doubling) were bounded by the descriptors only.

Change: `skip_body` reads a body without keeping it. A body that is kept reserves memory once it exceeds the buffer that each worker connection may have (4 KiB); both read through one `next_body_part`.

--- a/crates/gaparch-platform-router/src/buffered_socket.rs
+++ b/crates/gaparch-platform-router/src/buffered_socket.rs
@@ -164,7 +164,24 @@
         }
     }
 
-    /// Reads a complete body of at most `max_length` bytes.
+    /// Reads to the end of a body of at most `max_length` bytes without keeping it.
+    ///
+    /// # Errors
+    /// Returns an error if the body is longer or malformed, or the connection ends before it is complete.
+    pub async fn skip_body(&mut self, framing: Framing, max_length: usize) -> Result<(), BodyReadError> {
+        let mut decoder = BodyDecoder::new(framing);
+        let mut length = 0;
+        while let Some(data) = self.next_body_part(&mut decoder).await? {
+            length += data.len();
+            if length > max_length {
+                return Err(BodyReadError::TooLong);
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads a complete body of at most `max_length` bytes. A body that is longer than a buffer without
+    /// reservation waits for memory.
     ///
     /// # Errors
     /// Returns an error if the body is longer or malformed, or the connection ends before it is complete.
@@ -174,15 +191,29 @@
         }
         let mut decoder = BodyDecoder::new(framing);
         let mut body = BytesMut::new();
+        let mut reservation = None;
+        while let Some(data) = self.next_body_part(&mut decoder).await? {
+            let length = body.len() + data.len();
+            if length > max_length {
+                return Err(BodyReadError::TooLong);
+            }
+            if length > self.memory.unreserved && reservation.is_none() {
+                // The body grows by doubling.
+                reservation = Some(self.memory.pool.reserve(2 * max_length).await);
+            }
+            body.extend_from_slice(&data);
+        }
+        Ok(body.freeze())
+    }
+
+    /// Reads the next part of a body, or returns `None` at its end.
+    async fn next_body_part(&mut self, decoder: &mut BodyDecoder) -> Result<Option<Bytes>, BodyReadError> {
         loop {
             match decoder.decode(&mut self.buffer)? {
-                BodyPart::Data(data) if body.len() + data.len() > max_length => {
-                    return Err(BodyReadError::TooLong);
-                }
-                BodyPart::Data(data) => body.extend_from_slice(&data),
-                BodyPart::End => return Ok(body.freeze()),
+                BodyPart::Data(data) => return Ok(Some(data)),
+                BodyPart::End => return Ok(None),
                 BodyPart::Incomplete if self.read_more().await => {}
-                BodyPart::Incomplete if decoder.ends_with_connection() => return Ok(body.freeze()),
+                BodyPart::Incomplete if decoder.ends_with_connection() => return Ok(None),
                 BodyPart::Incomplete => return Err(BodyReadError::ConnectionEnded),
             }
         }
--- a/crates/gaparch-platform-router/src/worker/call.rs
+++ b/crates/gaparch-platform-router/src/worker/call.rs
@@ -21,8 +21,8 @@
     write_all(&connection.socket.stream, &mut &head[..]).await.ok()?;
     let response = connection.socket.read_response_head().await.ok()?;
     pool.record_response(connection.process);
-    let reading = connection.socket.read_body(response.framing, MAX_BODY_BYTES);
-    if matches!(timeout(BODY_TIMEOUT, reading).await, Ok(Ok(_))) {
+    let reading = connection.socket.skip_body(response.framing, MAX_BODY_BYTES);
+    if matches!(timeout(BODY_TIMEOUT, reading).await, Ok(Ok(()))) {
         pool.put(connection, &response, LastExchange::Call);
     }
     Some(response.status)
