Bound the workers of a release instead of copying the whole list for each

Cause: each release kept a list of all workers for as long as it was pending (up to 15 s if nobody answers): 48 bytes for each worker, with 3,200 of them some 150 KiB a release, and as many releases as requests end in that time. Bounded one by one, not in sum.

Change: a release keeps the 64 workers that responded most recently (`kv_release::MAX_SERVERS`); any one answer is enough, and rounds start anew after the last. The list is sorted and cut where the release is prepared, so that many of them at once never hold the whole list each. The release tests now call `Release::new`, which has this order; their assertions are unchanged.

Measured: new test a_release_keeps_only_the_workers_that_are_most_likely_to_run (did not exist before; 642 workers given, 64 kept, the most recent first). The tests of the crate pass.

--- a/crates/gaparch-platform-router/src/owner/attempts.rs
+++ b/crates/gaparch-platform-router/src/owner/attempts.rs
@@ -150,11 +150,12 @@
         let holder = self.process(prefill_worker);
         processes.extend(holder.filter(|process| !processes.contains(process)));
         let Some(open) = self.open.get_mut(&id) else { return };
-        let release = Release {
-            transaction: open.forwarded.transaction.clone(),
+        let release = Release::new(
+            open.forwarded.transaction.clone(),
             processes,
-            attempt_timeout: release_attempt_timeout(&self.shared.config.settings.scheduler),
-        };
+            release_attempt_timeout(&self.shared.config.settings.scheduler),
+            &self.pool,
+        );
         let (finished, release_done) = oneshot::channel();
         open.release_done = Some(release_done);
         let pool = Arc::clone(&self.pool);
--- a/crates/gaparch-platform-router/src/worker/release.rs
+++ b/crates/gaparch-platform-router/src/worker/release.rs
@@ -7,7 +7,7 @@
 use gaparch_platform_protocol::worker::encode_release;
 use gaparch_scheduler::api::Nanos;
 use gaparch_scheduler::policy::connect::SendRisk;
-use gaparch_scheduler::policy::kv_release::{next_round_after, ReleaseRounds};
+use gaparch_scheduler::policy::kv_release::{next_round_after, ReleaseRounds, MAX_SERVERS};
 use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,21 +16,35 @@
 
 /// The release of all resources held for one request.
 pub(crate) struct Release {
-    pub transaction: TransactionId,
-    /// Workers that may be called. Each of them can release resources that are held at any worker.
-    pub processes: Vec<WorkerProcess>,
+    transaction: TransactionId,
+    /// Workers that may be called, in this order. Each of them can release resources that are held at any worker.
+    processes: Vec<WorkerProcess>,
     /// Timeout of each attempt.
-    pub attempt_timeout: Duration,
+    attempt_timeout: Duration,
+}
+
+impl Release {
+    /// Prepares a release at those of the workers that are most likely to be running, at most [`MAX_SERVERS`]: the
+    /// ones that responded most recently. While a prefill is unanswered, the worker that runs it is usually not
+    /// among the first.
+    pub fn new(
+        transaction: TransactionId,
+        mut processes: Vec<WorkerProcess>,
+        attempt_timeout: Duration,
+        pool: &ConnectionPool,
+    ) -> Release {
+        processes.sort_by_key(|process| Reverse(pool.last_response_at(*process)));
+        processes.truncate(MAX_SERVERS);
+        processes.shrink_to_fit();
+        Release { transaction, processes, attempt_timeout }
+    }
 }
 
 /// Releases all resources held for a request. The call is repeated at more and more workers until one of them
 /// answers or the release is no longer pending ([`ReleaseRounds`]), since a worker that does not answer may
 /// never have received it.
 pub(crate) async fn release(release: Release, pool: Arc<ConnectionPool>, clock: Clock) {
-    let Release { transaction, mut processes, attempt_timeout } = release;
-    // The worker that responded most recently is the most likely to be running. While a prefill is
-    // unanswered, that is usually not the worker that runs it.
-    processes.sort_by_key(|process| Reverse(pool.last_response_at(*process)));
+    let Release { transaction, processes, attempt_timeout } = release;
     let mut rounds = ReleaseRounds::new(processes.len(), clock.now());
     let mut attempts = JoinSet::new();
     let round_interval = Duration::from_nanos(next_round_after(attempt_timeout.as_nanos() as Nanos));
--- a/crates/gaparch-platform-router/src/worker/release_tests.rs
+++ b/crates/gaparch-platform-router/src/worker/release_tests.rs
@@ -5,6 +5,7 @@
 use crate::worker::WorkerProcess;
 use gaparch_platform_protocol::client_request::TransactionId;
 use gaparch_scheduler::api::ServerId;
+use gaparch_scheduler::policy::kv_release::MAX_SERVERS;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
@@ -47,7 +48,7 @@
     let processes = [vec![running], silent].concat();
     let transaction = TransactionId::new("txn").expect("an id");
     let started = Instant::now();
-    let request = Release { transaction, processes, attempt_timeout: ATTEMPT_TIMEOUT };
+    let request = Release::new(transaction, processes, ATTEMPT_TIMEOUT, &pool);
     release(request, pool, Clock::default()).await;
     let called = calls.try_recv().expect("the running worker was called") - started;
     assert!(called < ATTEMPT_TIMEOUT, "called after {called:?}");
@@ -62,8 +63,23 @@
         Arc::new(ConnectionPool::new(Arc::new(Semaphore::new(64)), buffer_memory(), ATTEMPT_TIMEOUT, None));
     let transaction = TransactionId::new("txn").expect("an id");
     let started = Instant::now();
-    let request = Release { transaction, processes: vec![process], attempt_timeout: ATTEMPT_TIMEOUT };
+    let request = Release::new(transaction, vec![process], ATTEMPT_TIMEOUT, &pool);
     release(request, pool, Clock::default()).await;
     assert!(started.elapsed() < ATTEMPT_TIMEOUT / 2, "answered after {:?}", started.elapsed());
     assert_eq!(connections.load(Ordering::Relaxed), 1, "the release was repeated");
 }
+
+/// Guards against memory that grows with the releases and the workers: each release had a list of all workers.
+#[test]
+fn a_release_keeps_only_the_workers_that_are_most_likely_to_run() {
+    let (mut processes, listeners): (Vec<WorkerProcess>, Vec<TcpListener>) = (1..=2).map(worker).unzip();
+    let [first, recent] = processes[..] else { panic!("two workers") };
+    processes.splice(0..0, vec![first; 10 * MAX_SERVERS]);
+    let pool = ConnectionPool::new(Arc::new(Semaphore::new(1)), buffer_memory(), ATTEMPT_TIMEOUT, None);
+    pool.record_response(recent);
+    let transaction = TransactionId::new("txn").expect("an id");
+    let release = Release::new(transaction, processes, ATTEMPT_TIMEOUT, &pool);
+    assert_eq!((release.processes[0], release.processes.len()), (recent, MAX_SERVERS));
+    assert!(release.processes.capacity() < 2 * MAX_SERVERS);
+    drop(listeners);
+}
--- a/src/policy/kv_release.rs
+++ b/src/policy/kv_release.rs
@@ -12,6 +12,9 @@
 
 /// Maximum number of servers in a round.
 const MAX_ROUND_WIDTH: usize = 4;
+/// Maximum number of servers that a release is sent to, starting with those that are most likely to run. Any
+/// of them is enough, and a list of all servers for each release would need much memory.
+pub const MAX_SERVERS: usize = 64;
 /// Fraction of the round time after which the next round starts in parallel. Several rounds have to
 /// fit into the release time even if most servers are cut off.
 const NEXT_ROUND_FRACTION: f64 = 0.3;
