Pass long events on as they arrive instead of buffering them whole

What callers saw: a router near its memory limit with some hundred workers that begin long events and do not end them.

Cause: each stream buffered an incomplete event of up to 64 KiB, in a buffer that grows by doubling; bounded by the descriptors, not in sum.

Change: a stream buffers 4 KiB. Once the client receives the stream, a longer event is passed on as it arrives (`EventStream::take_start`), through the bounded queue; it counts as progress only when it is complete. A long first event is still buffered whole, in reserved memory: a worker that never ends it must not have begun the stream.

Tried and dropped: reserving memory for each long event.

Codec test: streams in pieces of 1 to 4,096 bytes stay the same.

--- a/crates/gaparch-cli/tests/memory.rs
+++ b/crates/gaparch-cli/tests/memory.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::Site;
-use gaparch_testbed::platform::{ask, head_and_body, raw, read, Platform, Response, Step, LONG};
+use gaparch_testbed::platform::{
+    ask, events, head_and_body, raw, read, until, Platform, Response, Step, LONG,
+};
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 use rustix::net::{socket, AddressFamily, SocketType};
 use serde_json::{json, Value};
@@ -202,3 +204,35 @@
     peak.assert_below(MEMORY_MB);
     drop(clients);
 }
+
+/// Guards against a kill for memory by events that workers begin and do not end, each of which could be buffered
+/// up to its maximum length.
+#[test]
+fn long_incomplete_events_stay_under_the_memory_limit() {
+    const MEMORY_MB: u64 = 32;
+    const STREAMS: usize = 400;
+    let site = Site::with(limits(MEMORY_MB, 1024));
+    let first = &events()[0];
+    let incomplete = format!("data: {}", "x".repeat(60_000));
+    let begun = format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{first}\r\n{:x}\r\n{incomplete}",
+        first.len(),
+        MAX_BODY_BYTES
+    );
+    for _ in 0..STREAMS {
+        site.reply_to_next_decode(&[Step::Put(begun.clone().into_bytes()), Step::Hang]);
+    }
+    let peak = MemoryPeak::of(&site);
+    let clients: Vec<JoinHandle<Response>> = (0..STREAMS)
+        .map(|number| {
+            let (to, request) = (site.listen, head_and_body(&format!("cut-{number}"), "{}"));
+            std::thread::spawn(move || raw(to, &request, LONG))
+        })
+        .collect();
+    until("all streams have begun", || site.worker_log.requests().len() >= 2 * STREAMS);
+    assert_eq!(ask(site.listen, "usual").status, 200);
+    // Each client gets its end, though the event after the first one never does.
+    let ended = clients.into_iter().map(|client| client.join().expect("no panic"));
+    assert!(ended.into_iter().all(|response| response.status == 200 && !response.is_complete));
+    peak.assert_below(MEMORY_MB);
+}
--- a/crates/gaparch-platform-protocol/src/event_stream.rs
+++ b/crates/gaparch-platform-protocol/src/event_stream.rs
@@ -5,7 +5,7 @@
 use thiserror::Error;
 
 /// Maximum length of an event in bytes: some tokens, or the usage statistics at the end.
-const MAX_EVENT_BYTES: usize = 64 * 1024;
+pub const MAX_EVENT_BYTES: usize = 64 * 1024;
 /// The last event of a complete stream, without the blank line that terminates it.
 const DONE_EVENT: &[u8] = b"data: [DONE]";
 
@@ -23,6 +23,19 @@
     AfterDone,
 }
 
+/// The start of an incomplete block that was taken out by [`EventStream::take_start`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct TakenStart {
+    bytes: usize,
+    has_data: bool,
+}
+
+/// Bytes of an incomplete block that are needed to detect its end: a line terminator before a blank line.
+const LINE_END_BYTES: usize = 3;
+
+/// The start of a block is taken out only if it is longer than this, so that the last event is still recognized.
+const MAX_SHORT_BLOCK: usize = 512;
+
 /// Splits a stream into runs of complete events. It buffers at most [`MAX_EVENT_BYTES`] of what is not a
 /// complete event yet.
 ///
@@ -34,6 +47,8 @@
     incomplete: BytesMut,
     /// Length of those blocks without data, which are not checked again.
     checked: usize,
+    /// The start of the incomplete block, if it was taken out.
+    taken: TakenStart,
     done: bool,
 }
 
@@ -50,29 +65,55 @@
             if self.done {
                 return Err(EventStreamError::AfterDone);
             }
-            if !may_begin_block(block) {
+            let taken = std::mem::take(&mut self.taken);
+            if taken.bytes == 0 && !may_begin_block(block) {
                 return Err(EventStreamError::NotAnEvent);
             }
             self.checked += length;
-            if has_data(block) {
-                self.done = block.trim_ascii_end() == DONE_EVENT;
+            if taken.has_data || has_data(block) {
+                self.done = taken.bytes == 0 && block.trim_ascii_end() == DONE_EVENT;
                 complete = self.checked;
             }
         }
         let rest = &self.incomplete[self.checked..];
-        if !rest.is_empty() && !may_begin_block(rest) {
+        if self.taken.bytes == 0 && !rest.is_empty() && !may_begin_block(rest) {
             return Err(EventStreamError::NotAnEvent);
         }
-        if self.incomplete.len() - complete > MAX_EVENT_BYTES {
+        if self.taken.bytes + self.incomplete.len() - complete > MAX_EVENT_BYTES {
             return Err(EventStreamError::TooLong);
         }
         self.checked -= complete;
-        Ok((complete > 0).then(|| self.incomplete.split_to(complete).freeze()))
+        let events = (complete > 0).then(|| self.incomplete.split_to(complete).freeze());
+        if self.incomplete.is_empty() {
+            // An empty buffer would keep the memory of the events that were split off.
+            self.incomplete = BytesMut::new();
+        }
+        Ok(events)
+    }
+
+    /// Takes out what is buffered: blocks without data and the start of an incomplete event, so that a long event
+    /// need not be buffered. The bytes belong before those that [`EventStream::push`] returns next.
+    pub fn take_start(&mut self) -> Bytes {
+        let block = &self.incomplete[self.checked..];
+        let is_long = self.taken.bytes > 0 || block.len() > MAX_SHORT_BLOCK;
+        let taken = if is_long { block.len().saturating_sub(LINE_END_BYTES) } else { 0 };
+        self.taken.has_data |= has_data(&block[..taken]);
+        self.taken.bytes += taken;
+        let start = self.incomplete.split_to(self.checked + taken).freeze();
+        self.checked = 0;
+        // The rest would share the memory of what was taken out.
+        self.incomplete = BytesMut::from(&self.incomplete[..]);
+        start
+    }
+
+    /// Returns the number of bytes that are buffered because their event is incomplete.
+    pub fn buffered_bytes(&self) -> usize {
+        self.incomplete.len()
     }
 
     /// Whether the last event has arrived, and nothing after it.
     pub fn is_complete(&self) -> bool {
-        self.done && self.incomplete.is_empty()
+        self.done && self.incomplete.is_empty() && self.taken.bytes == 0
     }
 }
 
--- a/crates/gaparch-platform-protocol/tests/codec.rs
+++ b/crates/gaparch-platform-protocol/tests/codec.rs
@@ -203,3 +203,37 @@
     assert_eq!(forward_events(comments.as_bytes(), &[]), (Vec::new(), Err(EventStreamError::TooLong)));
     assert_eq!(forward_events(b"data: [DONE]\n\n: ping\n\n", &[]).1, Err(EventStreamError::AfterDone));
 }
+
+/// Guards against long events that have to be buffered whole: their start can be taken out at any time, and the
+/// stream is the same.
+#[test]
+fn the_start_of_a_long_event_can_be_taken_out() {
+    let long = format!("id: 7\ndata: {}\r\ndata: more\r\n\r\n", "x".repeat(20_000));
+    let stream = format!("data: first\n\n: comment\n\n{long}data: [DONE]\n\n");
+    for piece_length in [1, 7, 1000, 4096] {
+        let mut events = EventStream::default();
+        let mut passed_on = Vec::new();
+        for piece in stream.as_bytes().chunks(piece_length) {
+            passed_on.extend_from_slice(&events.push(piece).expect("valid").unwrap_or_default());
+            if passed_on.len() > 12 {
+                passed_on.extend_from_slice(&events.take_start());
+                assert!(events.buffered_bytes() <= 512, "{} bytes", events.buffered_bytes());
+            }
+        }
+        assert!(events.is_complete(), "in pieces of {piece_length}");
+        assert_eq!(String::from_utf8_lossy(&passed_on), stream);
+    }
+    // Its length counts as a whole, and what follows it has to begin an event.
+    let mut events = EventStream::default();
+    let too_long = (0..100).find_map(|_| {
+        let result = events.push(format!("data: {}", "x".repeat(994)).as_bytes());
+        events.take_start();
+        result.err()
+    });
+    assert_eq!(too_long, Some(EventStreamError::TooLong));
+    let mut events = EventStream::default();
+    assert_eq!(events.push(format!("data: {}", "x".repeat(600)).as_bytes()), Ok(None));
+    events.take_start();
+    assert!(events.push(b" end\n\n").is_ok_and(|event| event.is_some()));
+    assert_eq!(events.push(b"noise"), Err(EventStreamError::NotAnEvent));
+}
--- a/crates/gaparch-platform-router/src/worker/exchange/stream.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/stream.rs
@@ -2,13 +2,14 @@
 
 use super::trace::Trace;
 use super::{Attempt, ExchangeEnd, FinishedConnection};
+use crate::memory_pool::Reservation;
 use crate::messages::AttemptEvent;
 use crate::shared_state::SharedState;
 use crate::stream_queue::{ClientGone, StreamSender};
 use crate::worker::pool::WorkerConnection;
 use bytes::BytesMut;
 use gaparch_platform_protocol::body::{BodyDecoder, BodyPart};
-use gaparch_platform_protocol::event_stream::EventStream;
+use gaparch_platform_protocol::event_stream::{EventStream, MAX_EVENT_BYTES};
 use gaparch_platform_protocol::head::ResponseHead;
 use gaparch_scheduler::api::AttemptStatus;
 use std::time::Duration;
@@ -19,6 +20,11 @@
 /// allows a client to wait 5 s.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(4000);
 
+/// Events that a stream may buffer without reservation, in bytes.
+const UNRESERVED_EVENT_BYTES: usize = 4 * 1024;
+/// Memory for a first event of the maximum length, in a buffer that grows by doubling.
+const FIRST_EVENT_BYTES: usize = 2 * MAX_EVENT_BYTES;
+
 /// Why forwarding ends before the body is complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamError {
@@ -52,6 +58,8 @@
     /// Events that arrived and were not forwarded yet. Everything that is buffered is validated before it is
     /// forwarded, so a stream that is malformed from the start counts as not begun.
     pending: BytesMut,
+    /// The memory of a long first event.
+    reservation: Option<Reservation>,
     /// The channel to the client; set when the first events are forwarded.
     client: Option<StreamSender>,
     /// When the next event has to be forwarded, whatever other bytes arrive. `None` before the first event,
@@ -73,6 +81,7 @@
         trace,
         events: EventStream::default(),
         pending: BytesMut::new(),
+        reservation: None,
         client: None,
         next_event_by: None,
     };
@@ -99,6 +108,7 @@
                 BodyPart::Data(data) => {
                     let events = self.events.push(&data).map_err(|_| MALFORMED)?;
                     self.pending.extend_from_slice(&events.unwrap_or_default());
+                    self.limit_buffered().await?;
                 }
                 BodyPart::End => {
                     self.forward_pending().await?;
@@ -115,6 +125,29 @@
         }
     }
 
+    /// Keeps the buffered events short. Once the client receives the stream, a long event is passed on as it
+    /// arrives; a long first event is buffered in reserved memory, since a worker that never ends it must not
+    /// have begun the stream.
+    async fn limit_buffered(&mut self) -> Result<(), StreamError> {
+        if self.events.buffered_bytes() + self.pending.len() <= UNRESERVED_EVENT_BYTES {
+            return Ok(());
+        }
+        self.forward_pending().await?;
+        if self.events.buffered_bytes() <= UNRESERVED_EVENT_BYTES {
+            return Ok(());
+        }
+        if let Some(client) = &self.client {
+            let waiting_since = Instant::now();
+            client.send_events(&self.events.take_start()).await?;
+            // The time that the client takes is not the worker's.
+            self.next_event_by = self.next_event_by.map(|at| at + waiting_since.elapsed());
+        } else if self.reservation.is_none() {
+            let pool = &self.shared.memory.worker_buffers.pool;
+            self.reservation = Some(pool.reserve(FIRST_EVENT_BYTES).await);
+        }
+        Ok(())
+    }
+
     /// Reads more of the body. Returns `true` if the connection ended and the body with it.
     async fn read_more(
         &self,
@@ -146,6 +179,7 @@
         let Some(client) = &self.client else { return Err(StreamError::Abandoned) };
         client.send_events(&self.pending).await?;
         self.pending = BytesMut::new();
+        self.reservation = None;
         self.next_event_by = Some(Instant::now() + EVENT_TIMEOUT);
         self.trace.record_event();
         Ok(())
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -21,8 +21,8 @@
 const HEADS_SHARE: f64 = 1.0 / 16.0;
 const AHEAD_SHARE: f64 = 2.0 / 16.0;
 const BODIES_SHARE: f64 = 7.0 / 16.0;
-const STREAMS_SHARE: f64 = 5.0 / 16.0;
-const WORKER_SHARE: f64 = 1.0 / 16.0;
+const STREAMS_SHARE: f64 = 4.0 / 16.0;
+const WORKER_SHARE: f64 = 2.0 / 16.0;
 
 /// Parts of a stream's memory: the queue, the copy that is being written, which may have grown to twice
 /// its length, and the events that wait for room in the queue.
