Bound the bodies and prompts of `gaparch serve` in sum

Cause: the same as in `gaparch node`: each of up to 16,384 connections could hold a body of `limits/body` (1 MiB), and each open request its prompt; the sum had no bound.

Change: `limits/body-memory` (schema, settings, example; 256 MiB where none is stated, at least twice `body`). A body over 4 KiB is read once memory is reserved for it and for the prompt made from it, and the memory is held until the request has ended. A body waits up to `body-time`, then gets 503, whose retry is harmless; while others wait, a body that does not advance gives its memory back. The pool and the progress check moved to `gaparch_router::memory`, which both routers use.

--- a/crates/gaparch-cli/tests/memory.rs
+++ b/crates/gaparch-cli/tests/memory.rs
@@ -3,14 +3,16 @@
 mod common;
 
 use common::Site;
+use gaparch_config::EXAMPLE;
 use gaparch_testbed::platform::{
-    ask, events, head_and_body, raw, read, until, Platform, Response, Step, LONG,
+    ask, events, folder, head_and_body, own_address, raw, read, until, Platform, Response, Step, LONG,
 };
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 use rustix::net::{socket, AddressFamily, SocketType};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -43,7 +45,11 @@
 
 impl MemoryPeak {
     fn of(site: &Site) -> MemoryPeak {
-        let (pid, done) = (site.router.id(), Arc::new(AtomicBool::new(false)));
+        MemoryPeak::of_process(site.router.id())
+    }
+
+    fn of_process(pid: u32) -> MemoryPeak {
+        let done = Arc::new(AtomicBool::new(false));
         let stop = Arc::clone(&done);
         let sampling = std::thread::spawn(move || {
             let mut peak = 0;
@@ -236,3 +242,62 @@
     assert!(ended.into_iter().all(|response| response.status == 200 && !response.is_complete));
     peak.assert_below(MEMORY_MB);
 }
+
+/// An appliance that runs until this is dropped.
+struct Appliance {
+    process: Child,
+    listen: SocketAddr,
+}
+
+impl Drop for Appliance {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+impl Appliance {
+    /// Starts the example site's router, without operators and fleet, with this much memory for request bodies.
+    fn start(body_memory: &str) -> Appliance {
+        let listen = own_address();
+        let settings = EXAMPLE
+            .replace("127.0.0.1:8080", &listen.to_string())
+            .replace("127.0.0.1:8081", &own_address().to_string())
+            .replace("127.0.0.1:8082", &own_address().to_string())
+            .replace("body-memory=\"256MiB\"", &format!("body-memory=\"{body_memory}\""));
+        let operations = settings.find("<operations").expect("operations");
+        let end = settings.find("</fleet>").expect("the fleet") + "</fleet>".len();
+        let file = folder().join("gaparch.xml");
+        std::fs::write(&file, [&settings[..operations], &settings[end..]].concat()).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_gaparch"));
+        command.args(["--log", "error", "serve"]).arg(file).stdout(Stdio::null());
+        let process = command.spawn().expect("the program starts");
+        until("the appliance listens", || TcpStream::connect(listen).is_ok());
+        Appliance { process, listen }
+    }
+}
+
+/// Guards against a `gaparch serve` whose memory grows with its connections: each of them could hold a body of the
+/// maximum length.
+#[test]
+fn many_bodies_at_an_appliance_stay_under_their_memory() {
+    const BODIES_MB: u64 = 32;
+    /// For the process and its connections.
+    const REST_MB: u64 = 32;
+    let appliance = Appliance::start("32MiB");
+    let peak = MemoryPeak::of_process(appliance.process.id());
+    let head = "POST /v1/messages HTTP/1.1\r\nHost: x\r\nX-Api-Key: change-me-app\r\nContent-Length: 1000000\r\n\r\n";
+    let incomplete = [head.as_bytes(), &vec![b'x'; 999_999]].concat();
+    let clients = (0..150).map(|_| {
+        let (mut socket, bytes) = (connect(appliance.listen), incomplete.clone());
+        std::thread::spawn(move || {
+            let _ = socket.write_all(&bytes);
+            read(&mut socket, LONG).status
+        })
+    });
+    let clients: Vec<JoinHandle<u16>> = clients.collect();
+    let statuses: Vec<u16> = clients.into_iter().map(|client| client.join().expect("no panic")).collect();
+    peak.assert_below(BODIES_MB + REST_MB);
+    // The connection of a rejected body may be reset before its client has read the answer.
+    assert!(statuses.iter().all(|status| [0, 408, 503].contains(status)), "{statuses:?}");
+}
--- a/crates/gaparch-config/src/check/mod.rs
+++ b/crates/gaparch-config/src/check/mod.rs
@@ -92,6 +92,14 @@
                 "must exceed 'body' by at least 4 KiB: a frame holds a whole body",
             );
         }
+        if limits.body_memory < 2 * limits.body {
+            self.report(
+                "limits",
+                0,
+                "body-memory",
+                "must be at least twice 'body': a body is copied when it is complete",
+            );
+        }
         limits
     }
 
@@ -158,6 +166,7 @@
     let base = Limits::default();
     Limits {
         body: raw.body.map_or(base.body, |b| b.0),
+        body_memory: raw.body_memory.map_or(base.body_memory, |b| b.0),
         connections: raw.connections.unwrap_or(base.connections),
         open_requests: raw.open_requests.unwrap_or(base.open_requests),
         inbox: raw.inbox.unwrap_or(base.inbox),
--- a/crates/gaparch-config/src/config.rs
+++ b/crates/gaparch-config/src/config.rs
@@ -251,6 +251,8 @@
 pub struct Limits {
     /// Maximum size of a request's body, in bytes.
     pub body: usize,
+    /// Maximum number of bytes that all bodies and prompts of requests may take together.
+    pub body_memory: usize,
     /// Maximum number of client connections.
     pub connections: usize,
     /// Maximum number of accepted requests that have not ended yet.
@@ -275,6 +277,7 @@
     fn default() -> Self {
         Limits {
             body: 1 << 20,
+            body_memory: 256 << 20,
             connections: 16_384,
             open_requests: 20_000,
             inbox: 1024,
--- a/crates/gaparch-config/src/raw/mod.rs
+++ b/crates/gaparch-config/src/raw/mod.rs
@@ -293,6 +293,8 @@
 pub(crate) struct Limits {
     #[serde(rename = "@body")]
     pub body: Option<Bytes>,
+    #[serde(rename = "@body-memory")]
+    pub body_memory: Option<Bytes>,
     #[serde(rename = "@connections")]
     pub connections: Option<usize>,
     #[serde(rename = "@open-requests")]
--- a/crates/gaparch-platform-router/src/buffered_socket.rs
+++ b/crates/gaparch-platform-router/src/buffered_socket.rs
@@ -3,12 +3,12 @@
 //! The buffer has a few KiB without reservation, and none while it is empty. A longer one is reserved in a
 //! memory pool.
 
-use crate::memory_pool::{MemoryPool, Reservation};
 use crate::transient_errors::{is_interrupted, lacks_memory, would_block, RETRY_DELAY};
 use bytes::{BufMut, Bytes, BytesMut};
 use gaparch_platform_protocol::body::{BodyDecoder, BodyError, BodyPart, Framing};
 use gaparch_platform_protocol::head::{decode_response, HeadError, ResponseHead, MAX_HEAD_BYTES};
 use gaparch_platform_protocol::worker::MAX_INTERIM_RESPONSES;
+use gaparch_router::memory::{MemoryPool, Reservation};
 use std::io;
 use std::sync::Arc;
 use thiserror::Error;
--- a/crates/gaparch-platform-router/src/client/connection.rs
+++ b/crates/gaparch-platform-router/src/client/connection.rs
@@ -1,7 +1,6 @@
 //! One client connection, which serves one request at a time, each with exactly one response.
 
 use super::idle_connections::{IdleConnections, IdleGuard};
-use super::progress_check::ProgressCheck;
 use super::request::{CONFLICT_TEXT, REJECTED_TEXT};
 use super::MAX_BYTES_AHEAD;
 use crate::buffered_socket::{AheadRead, BodyReadError, BufferedSocket};
@@ -12,6 +11,7 @@
 use gaparch_platform_protocol::head::{
     decode_request, encode_response, HeadError, RequestHead, MAX_HEAD_BYTES,
 };
+use gaparch_router::memory::ProgressCheck;
 use gaparch_scheduler::policy::shutdown_intake::ConnectionHistory;
 use std::future::Future;
 use std::sync::Arc;
--- a/crates/gaparch-platform-router/src/client/mod.rs
+++ b/crates/gaparch-platform-router/src/client/mod.rs
@@ -4,7 +4,6 @@
 mod connection;
 mod idle_connections;
 mod listener;
-mod progress_check;
 mod request;
 mod request_body;
 mod response;
--- a/crates/gaparch-platform-router/src/client/request_body.rs
+++ b/crates/gaparch-platform-router/src/client/request_body.rs
@@ -2,13 +2,13 @@
 //! its bytes stay in the kernel.
 
 use super::connection::{Connection, ConnectionEnd, Rejection};
-use super::progress_check::ProgressCheck;
 use crate::buffered_socket::BodyReadError;
 use crate::forwarded_request::with_reservation;
-use crate::memory_pool::Reservation;
 use bytes::{Buf, Bytes, BytesMut};
 use gaparch_platform_protocol::body::{BodyDecoder, BodyPart, Framing, MAX_BODY_BYTES};
 use gaparch_platform_protocol::client_request::ClientRequestError;
+use gaparch_router::memory::ProgressCheck;
+use gaparch_router::memory::Reservation;
 use std::sync::Arc;
 use tokio::time::{timeout_at, Instant};
 
--- a/crates/gaparch-platform-router/src/forwarded_request.rs
+++ b/crates/gaparch-platform-router/src/forwarded_request.rs
@@ -1,9 +1,9 @@
 //! A client's request in the form in which every attempt forwards it.
 
-use crate::memory_pool::Reservation;
 use crate::sync::lock;
 use bytes::Bytes;
 use gaparch_platform_protocol::client_request::TransactionId;
+use gaparch_router::memory::Reservation;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Mutex;
 
--- a/crates/gaparch-platform-router/src/lib.rs
+++ b/crates/gaparch-platform-router/src/lib.rs
@@ -35,7 +35,6 @@
 mod discovery;
 mod forwarded_request;
 mod gossip;
-mod memory_pool;
 mod memory_pools;
 mod messages;
 mod owner;
--- a/crates/gaparch-platform-router/src/memory_pools.rs
+++ b/crates/gaparch-platform-router/src/memory_pools.rs
@@ -1,7 +1,7 @@
 //! The memory for messages, divided by kind of buffer.
 
 use crate::buffered_socket::BufferMemory;
-use crate::memory_pool::MemoryPool;
+use gaparch_router::memory::MemoryPool;
 use gaparch_scheduler::policy::memory::MemoryShares;
 use std::sync::Arc;
 
--- a/crates/gaparch-platform-router/src/test_support.rs
+++ b/crates/gaparch-platform-router/src/test_support.rs
@@ -2,12 +2,12 @@
 //! answers do not end.
 
 use crate::buffered_socket::BufferMemory;
-use crate::memory_pool::MemoryPool;
 use crate::messages::OwnerMessage;
 use crate::shared_state::SharedState;
 use crate::worker::WorkerProcess;
 use gaparch_net::Clock;
 use gaparch_platform_protocol::config::RouterConfig;
+use gaparch_router::memory::MemoryPool;
 use gaparch_scheduler::api::ServerId;
 use gaparch_testbed::platform::settings;
 use serde_json::json;
--- a/crates/gaparch-platform-router/src/worker/call_tests.rs
+++ b/crates/gaparch-platform-router/src/worker/call_tests.rs
@@ -1,12 +1,12 @@
 //! Tests that the head of an answer states the outcome of a health check and of a reservation.
 
 use crate::buffered_socket::{BufferMemory, BufferedSocket};
-use crate::memory_pool::MemoryPool;
 use crate::messages::{AttemptEvent, OwnerMessage};
 use crate::test_support::{buffer_memory, shared_state, worker_with_endless_bodies};
 use crate::worker::{probe, reserve, ConnectionPool, ReservationRequest};
 use gaparch_platform_protocol::body::{Framing, MAX_BODY_BYTES};
 use gaparch_platform_protocol::client_request::TransactionId;
+use gaparch_router::memory::MemoryPool;
 use gaparch_scheduler::api::{AttemptNumber, AttemptStatus, RequestId};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/gaparch-platform-router/src/worker/exchange/stream.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/stream.rs
@@ -2,7 +2,6 @@
 
 use super::trace::Trace;
 use super::{Attempt, ExchangeEnd, FinishedConnection};
-use crate::memory_pool::Reservation;
 use crate::messages::AttemptEvent;
 use crate::shared_state::SharedState;
 use crate::stream_queue::{ClientGone, StreamSender};
@@ -11,6 +10,7 @@
 use gaparch_platform_protocol::body::{BodyDecoder, BodyPart};
 use gaparch_platform_protocol::event_stream::{EventStream, MAX_EVENT_BYTES};
 use gaparch_platform_protocol::head::ResponseHead;
+use gaparch_router::memory::Reservation;
 use gaparch_scheduler::api::AttemptStatus;
 use std::time::Duration;
 use tokio::sync::oneshot;
--- a/crates/gaparch-router/src/lib.rs
+++ b/crates/gaparch-router/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub mod core;
+pub mod memory;
 pub mod shell;
 
 pub use crate::core::{Core, Input, Output};
--- a/crates/gaparch-platform-router/src/memory_pool.rs
+++ b/crates/gaparch-router/src/memory/pool.rs
@@ -9,7 +9,7 @@
 
 /// The memory for buffers of one kind. Reservations are granted in the order in which they were requested.
 #[derive(Debug)]
-pub(crate) struct MemoryPool {
+pub struct MemoryPool {
     units: Arc<Semaphore>,
     /// Total number of units.
     capacity: u32,
@@ -19,7 +19,7 @@
 
 /// Memory that is reserved in a pool until this is dropped.
 #[derive(Debug)]
-pub(crate) struct Reservation {
+pub struct Reservation {
     permit: OwnedSemaphorePermit,
 }
 
@@ -89,5 +89,5 @@
 }
 
 #[cfg(test)]
-#[path = "memory_pool_tests.rs"]
+#[path = "pool_tests.rs"]
 mod tests;
--- a/crates/gaparch-platform-router/src/client/progress_check.rs
+++ b/crates/gaparch-router/src/memory/progress_check.rs
@@ -1,12 +1,12 @@
 //! Limits how long an incomplete message may hold memory while others wait for it.
 
-use crate::memory_pool::MemoryPool;
+use super::MemoryPool;
 use gaparch_scheduler::policy::memory::{may_keep_memory, PROGRESS_INTERVAL};
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
 
 /// The progress of an incomplete message that holds memory.
-pub(super) struct ProgressCheck {
+pub struct ProgressCheck {
     next_at: Instant,
     /// Number of bytes that were missing at the last check.
     missing: usize,
--- a/crates/gaparch-router/src/shell/client/mod.rs
+++ b/crates/gaparch-router/src/shell/client/mod.rs
@@ -4,11 +4,13 @@
 mod error_response;
 mod event_stream;
 mod pending_response;
+mod request_body;
 
 use super::ops::RejectionReporter;
 use super::owner::NewRequest;
 use super::write_timeout::WriteTimeout;
 use crate::core::AcceptedRequest;
+use crate::memory::MemoryPool;
 use admission::{accepted_request, class, tenant};
 use bytes::Bytes;
 use error_response::{json, ErrorResponse};
@@ -19,19 +21,19 @@
 use gaparch_protocol::ops::outcome::GlobalRequestId;
 use gaparch_scheduler::api::{Nanos, RequestId};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use pending_response::{collect_answer, submit, wait_for_start};
+use request_body::{read_body, RequestBody};
 use std::convert::Infallible;
 use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, Semaphore};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Maximum size of a request's head and of a connection's read buffer.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
@@ -55,6 +57,8 @@
     pub next_id: AtomicU64,
     /// Limits the number of open requests.
     pub open_requests: Arc<Semaphore>,
+    /// Memory for bodies and prompts.
+    pub body_memory: Arc<MemoryPool>,
     /// Limits the number of connections.
     pub connections: Arc<Semaphore>,
     /// Reports rejections to operators, if there is an operations side.
@@ -136,25 +140,13 @@
     let (head, body) = request.into_parts();
     let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
     let tenant = tenant(context, header)?;
-    let limits = &context.config.limits;
-    let body = timeout(limits.body_time.duration(), Limited::new(body, limits.body).collect()).await;
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            let message = format!("a body has at most {} bytes here", limits.body);
-            return Err(ErrorResponse::invalid(StatusCode::PAYLOAD_TOO_LARGE, message));
-        }
-        Ok(Err(_)) => return Err(ErrorResponse::invalid(StatusCode::BAD_REQUEST, "the body broke off")),
-        Err(_) => {
-            return Err(ErrorResponse::invalid(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))
-        }
-    };
-    let request = parse_request(dialect, &body, header)
+    let RequestBody { bytes, memory } = read_body(body, context).await?;
+    let request = parse_request(dialect, &bytes, header)
         .map_err(|error| ErrorResponse::invalid(StatusCode::BAD_REQUEST, error.to_string()))?;
-    drop(body);
+    drop(bytes);
     let class = class(context, &request)?;
     let (model, stream) = (request.model.clone(), request.stream);
-    let mut pending = submit(context, accepted_request(context, request, class, tenant))?;
+    let mut pending = submit(context, accepted_request(context, request, class, tenant), memory)?;
     let id = GlobalRequestId { run: context.run.0, number: pending.id.0 }.to_string();
     let mut response = match wait_for_start(&mut pending).await {
         Err(error) => error.response(dialect),
@@ -164,7 +156,7 @@
                 pending,
                 Arc::clone(dialect),
                 opening_event,
-                limits.keep_alive.duration(),
+                context.config.limits.keep_alive.duration(),
             ))
         }
         Ok(_) => match collect_answer(pending, id.clone(), model).await {
--- a/crates/gaparch-router/src/shell/client/pending_response.rs
+++ b/crates/gaparch-router/src/shell/client/pending_response.rs
@@ -3,6 +3,7 @@
 use super::error_response::ErrorResponse;
 use super::ClientContext;
 use crate::core::{AcceptedRequest, ResponseEvent};
+use crate::memory::Reservation;
 use crate::shell::owner::NewRequest;
 use gaparch_protocol::client::{Answer, Usage};
 use gaparch_protocol::ops::outcome::QueueingReason;
@@ -21,6 +22,8 @@
     /// Whether the last event was received.
     pub(super) is_finished: bool,
     _permit: OwnedSemaphorePermit,
+    /// The memory of the prompt, which the core keeps until the request has ended.
+    _memory: Option<Reservation>,
 }
 
 impl Drop for PendingResponse {
@@ -36,6 +39,7 @@
 pub(super) fn submit(
     context: &ClientContext,
     request: AcceptedRequest,
+    memory: Option<Reservation>,
 ) -> Result<PendingResponse, ErrorResponse> {
     let id = RequestId(context.next_id.fetch_add(1, Ordering::Relaxed));
     let Ok(permit) = Arc::clone(&context.open_requests).try_acquire_owned() else {
@@ -52,6 +56,7 @@
         disconnected: context.disconnected.clone(),
         is_finished: false,
         _permit: permit,
+        _memory: memory,
     })
 }
 
--- a/crates/gaparch-router/src/shell/mod.rs
+++ b/crates/gaparch-router/src/shell/mod.rs
@@ -10,6 +10,7 @@
 //! | events to one client | `limits/stream-buffer` | slow client: the request ends as if it disconnected |
 //! | frames to one engine | 16,384 | the connection is closed and its attempts are reset |
 //! | datagrams of other routers | the socket's receive buffer | dropped, as UDP may |
+//! | request bodies and prompts, in bytes | `limits/body-memory` | the body waits in the kernel, for `body-time` at most |
 //! | open requests | `limits` | the request is rejected |
 //! | connections | `limits` | the connection is closed |
 
@@ -28,6 +29,7 @@
 pub use ops::{Disks, FleetDisks, OperationsError};
 
 use crate::core::{Core, Counters};
+use crate::memory::MemoryPool;
 use fleet::ListVersions;
 use gaparch_config::{Config, Fleet as FleetSettings};
 use gaparch_net::Clock;
@@ -234,6 +236,7 @@
         disconnected,
         next_id: AtomicU64::new(1),
         open_requests: Arc::new(Semaphore::new(config.limits.open_requests)),
+        body_memory: MemoryPool::new(config.limits.body_memory),
         connections: Arc::new(Semaphore::new(config.limits.connections)),
         rejections: operations_handle.as_ref().map(ops::OperationsHandle::rejection_reporter),
         config: config.clone(),
