--- a/crates/gaparch-platform-router/src/owner/mod.rs
+++ b/crates/gaparch-platform-router/src/owner/mod.rs
@@ -5,6 +5,7 @@
 mod open_request;
 mod responses;
 mod round;
+mod slow_start_log;
 mod summary;
 
 use crate::discovery::Subscription;
@@ -21,6 +22,7 @@
 use gaparch_scheduler::api::{Nanos, RequestId};
 use open_request::OpenRequest;
 use round::Round;
+use slow_start_log::SlowStartLog;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,6 +62,7 @@
     max_timer_lag: Duration,
     /// Unfetched KV caches held since this time or longer are not logged any more.
     unfetched_logged_to: Nanos,
+    slow_start_log: SlowStartLog,
 }
 
 impl Owner {
@@ -103,6 +106,7 @@
             calls: JoinSet::new(),
             max_timer_lag: Duration::ZERO,
             unfetched_logged_to: 0,
+            slow_start_log: SlowStartLog::default(),
         };
         owner.execute_outputs(&mut out);
         owner
@@ -157,10 +161,11 @@
         self.remove_finished();
     }
 
-    /// Removes expired pool entries and finished tasks, and logs unfetched KV caches.
+    /// Removes expired pool entries and finished tasks, and logs unfetched KV caches and slow starts.
     fn maintain(&mut self) {
         self.pool.remove_expired();
         self.log_unfetched_kv_caches();
+        self.log_slow_starts();
         while self.releases.try_join_next().is_some() {}
         while self.calls.try_join_next().is_some() {}
     }
--- a/crates/gaparch-platform-router/src/owner/summary.rs
+++ b/crates/gaparch-platform-router/src/owner/summary.rs
@@ -17,7 +17,24 @@
     longest: Nanos,
 }
 
+/// The sum over the workers that are warming up, of what this router may send and has sent them. Work is in mean
+/// requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct SlowStarts {
+    workers: usize,
+    budget_per_second: f64,
+    sent_work: f64,
+}
+
 impl Owner {
+    fn measure_slow_starts(&self) -> SlowStarts {
+        self.core.slow_starts().fold(SlowStarts::default(), |sum, view| SlowStarts {
+            workers: sum.workers + 1,
+            budget_per_second: sum.budget_per_second + view.budget_per_second,
+            sent_work: sum.sent_work + view.sent_work,
+        })
+    }
+
     fn measure_held_kv_caches(&self) -> HeldKvCaches {
         let now = self.shared.clock.now();
         let mut held = HeldKvCaches::default();
@@ -61,6 +78,7 @@
         let reasons = self.core.reasons_by_kind();
         let pool = self.pool.size();
         let kv_caches = self.measure_held_kv_caches();
+        let slow_starts = self.measure_slow_starts();
         tracing::info!(
             open = self.core.open_requests(),
             known = self.open.len(),
@@ -82,6 +100,9 @@
             retries = %reasons.retries,
             kv_caches = kv_caches.count,
             kv_cache_longest_ms = kv_caches.longest / NANOS_PER_MS,
+            slow_starts = slow_starts.workers,
+            slow_start_per_second = slow_starts.budget_per_second,
+            slow_start_work = slow_starts.sent_work,
             closed = %self.shared.closes,
             rejected_entries = counts.ignored_entries,
             gossip_dropped = self.gossip.as_ref().map_or(0, |gossip| gossip.dropped()),
--- a/crates/gaparch-router/src/core/mod.rs
+++ b/crates/gaparch-router/src/core/mod.rs
@@ -44,6 +44,7 @@
 use gaparch_protocol::ops::outcome::EngineEvidence;
 use gaparch_scheduler::api::{EndpointUpdate, Event, Nanos, RequestId, ServerId};
 use gaparch_scheduler::policy::Policy;
+use gaparch_scheduler::view::SlowStartView;
 use request::TrackedRequest;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -161,6 +162,11 @@
         self.endpoints.process(engine)
     }
 
+    /// The engines that are warming up after a start.
+    pub fn slow_starts(&self) -> impl Iterator<Item = SlowStartView> + '_ {
+        self.policy.slow_starts()
+    }
+
     /// The engines that are listed and not removed.
     pub fn listed_engines(&self) -> impl Iterator<Item = ServerId> {
         self.endpoints.present().into_iter()
--- a/src/state/server/slow_start.rs
+++ b/src/state/server/slow_start.rs
@@ -9,6 +9,9 @@
     recovered_at: Nanos,
     recent_work: DecayingSum,
     budget: TokenBucket,
+    budget_per_second: f64,
+    sent_attempts: u32,
+    sent_work: f64,
 }
 
 impl SlowStartRecord {
@@ -27,12 +30,31 @@
     pub fn record_recovery(&mut self, now: Nanos, debt: f64) {
         self.recovered_at = now;
         self.budget = TokenBucket::in_debt(now, debt);
+        self.sent_attempts = 0;
+        self.sent_work = 0.0;
     }
 
     /// Records work sent to the server.
     pub fn record_work(&mut self, now: Nanos, work: f64, time_constant: Nanos) {
         self.recent_work.add(now, work, time_constant);
         self.budget.spend(work);
+        self.sent_attempts = self.sent_attempts.saturating_add(1);
+        self.sent_work += work;
+    }
+
+    /// The attempts sent since its process started, or was first listed.
+    pub fn sent_attempts(&self) -> u32 {
+        self.sent_attempts
+    }
+
+    /// The work of these attempts.
+    pub fn sent_work(&self) -> f64 {
+        self.sent_work
+    }
+
+    /// The rate at which its budget was last refilled.
+    pub fn budget_per_second(&self) -> f64 {
+        self.budget_per_second
     }
 
     /// The work sent to the server recently, as a decaying sum.
@@ -49,5 +71,6 @@
     /// Adds earned budget, up to 0: a server cannot accumulate unused budget.
     pub fn refill_budget(&mut self, now: Nanos, per_second: f64) {
         self.budget.refill(now, per_second, 0.0);
+        self.budget_per_second = per_second;
     }
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -36,6 +36,34 @@
     pub until: Nanos,
 }
 
+/// By what sign a router knows that a server's process has just started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartSign {
+    /// The endpoint list states the start.
+    Listed,
+    /// Connections to the server had failed, and it has answered a probe since.
+    Recovered,
+}
+
+/// The slow start of one server. Work is in mean requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStartView {
+    /// The server.
+    pub server: ServerId,
+    /// When its process started, by this router's clock.
+    pub started_at: Nanos,
+    /// By what sign this router knows of it.
+    pub sign: StartSign,
+    /// The balance of its budget.
+    pub budget: f64,
+    /// The rate at which its budget is refilled.
+    pub budget_per_second: f64,
+    /// Attempts of this router since the start.
+    pub sent_attempts: u32,
+    /// The work of these attempts.
+    pub sent_work: f64,
+}
+
 /// The current status of one server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerView {
@@ -74,6 +102,12 @@
         self.servers.iter().map(|server| self.view(server))
     }
 
+    /// The servers that are warming up, in the order of their ids.
+    pub fn slow_starts(&self) -> impl Iterator<Item = SlowStartView> + '_ {
+        let warming_up = |server: &&Server| is_warming_up(self.now, &self.settings, server);
+        self.servers.iter().filter(warming_up).map(slow_start_view)
+    }
+
     fn view(&self, server: &Server) -> ServerView {
         let has_known_capacity = server.listing.kv_capacity_tokens > 0.0;
         let is_warming_up = is_warming_up(self.now, &self.settings, server);
@@ -114,6 +148,20 @@
     }
 }
 
+fn slow_start_view(server: &Server) -> SlowStartView {
+    let record = &server.slow_start;
+    let is_listed = server.listing.started_at >= record.recovered_at();
+    SlowStartView {
+        server: server.id,
+        started_at: server.process_started_at(),
+        sign: if is_listed { StartSign::Listed } else { StartSign::Recovered },
+        budget: record.budget(),
+        budget_per_second: record.budget_per_second(),
+        sent_attempts: record.sent_attempts(),
+        sent_work: record.sent_work(),
+    }
+}
+
 fn partial_ejection((traffic, until): (TrafficClassKey, Nanos)) -> PartialEjection {
     PartialEjection { class: traffic.class, tenant: traffic.tenant, until }
 }
