--- a/crates/gaparch-testbed/src/platform/breaches.rs
+++ b/crates/gaparch-testbed/src/platform/breaches.rs
@@ -48,7 +48,10 @@
                     breaches.push(format!("{txn}: sent to {worker} past its drain grace period"));
                 }
             }
-            WorkerEvent::Released { .. } | WorkerEvent::Reserved { .. } | WorkerEvent::Probed { .. } => {}
+            WorkerEvent::Released { .. }
+            | WorkerEvent::Reserved { .. }
+            | WorkerEvent::Probed { .. }
+            | WorkerEvent::RequestRejected { .. } => {}
         }
     }
     breaches
--- a/crates/gaparch-testbed/src/platform/worker.rs
+++ b/crates/gaparch-testbed/src/platform/worker.rs
@@ -9,6 +9,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+const REJECTION: &[u8] = b"HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// One step of a reply.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -51,6 +53,11 @@
     Probed {
         worker: String,
     },
+    /// A request that was rejected, as it came faster than the worker's rate limit allows.
+    RequestRejected {
+        worker: String,
+        txn: String,
+    },
 }
 
 /// The log of all workers of a platform, and their attempts in flight.
@@ -122,6 +129,30 @@
     }
 }
 
+/// How many requests a worker accepts in a second; it rejects the others.
+#[derive(Debug)]
+struct RateLimit {
+    per_second: f64,
+    /// How many more it accepts now.
+    allowed: f64,
+    refilled_at: Instant,
+}
+
+impl RateLimit {
+    /// Whether one more request is within the limit.
+    fn accepts(&mut self) -> bool {
+        let now = Instant::now();
+        let earned = now.duration_since(self.refilled_at).as_secs_f64() * self.per_second;
+        self.allowed = (self.allowed + earned).min(1.0);
+        self.refilled_at = now;
+        let accepts = self.allowed >= 1.0;
+        if accepts {
+            self.allowed -= 1.0;
+        }
+        accepts
+    }
+}
+
 /// A scripted worker. Its threads end with the process.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -130,6 +161,7 @@
     script: Arc<Mutex<VecDeque<Reply>>>,
     /// The reply once the script has ended.
     default_reply: Arc<Mutex<Reply>>,
+    rate_limit: Arc<Mutex<Option<RateLimit>>>,
 }
 
 impl Worker {
@@ -164,6 +196,7 @@
             address,
             script,
             default_reply: Arc::new(Mutex::new(default_reply)),
+            rate_limit: Arc::default(),
         };
         let (this, worker_log) = (worker.clone(), worker_log.clone());
         thread::spawn(move || {
@@ -185,6 +218,16 @@
         *lock(&self.default_reply) = reply;
     }
 
+    /// Makes the worker reject requests that exceed a rate from now on.
+    pub fn limit_rate(&self, per_second: f64) {
+        let limit = RateLimit { per_second, allowed: 1.0, refilled_at: Instant::now() };
+        *lock(&self.rate_limit) = Some(limit);
+    }
+
+    fn accepts(&self) -> bool {
+        lock(&self.rate_limit).as_mut().is_none_or(RateLimit::accepts)
+    }
+
     fn serve(&self, mut socket: TcpStream, worker_log: &WorkerLog) {
         let _ = socket.set_nodelay(true);
         while let Some((head, body)) = message(&mut socket) {
@@ -237,6 +280,11 @@
             remaining: remaining_ms.map(Duration::from_millis),
             body,
         });
+        if !self.accepts() {
+            worker_log.end(&txn);
+            worker_log.record(WorkerEvent::RequestRejected { worker: self.name.clone(), txn });
+            return socket.write_all(REJECTION).is_ok();
+        }
         let scripted = lock(&self.script).pop_front();
         let reply = scripted.unwrap_or_else(|| lock(&self.default_reply).clone());
         give_reply(socket, reply, || worker_log.end(&txn))
--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -41,6 +41,19 @@
     lost: (Nanos, u32),
     /// The number of shared prefixes; few of them are popular.
     prefixes: f64,
+    /// What a server does, if that is limited.
+    capacity: Option<Capacity>,
+}
+
+/// What a server does in a second, and what it queues; it rejects the rest.
+#[derive(Clone, Copy, Debug)]
+struct Capacity {
+    /// Mean requests per second of a warm server.
+    per_second: f64,
+    /// The longest queue that it accepts, as time at full speed.
+    queue: Nanos,
+    /// How often a client repeats a rejected request at once.
+    client_retries: u32,
 }
 
 const DEFAULT: Scenario = Scenario {
@@ -53,6 +66,7 @@
     update_delay: 0,
     lost: (0, 0),
     prefixes: 200.0,
+    capacity: None,
 };
 
 /// A step of the simulation.
@@ -79,6 +93,11 @@
     prompt_tokens: BTreeMap<(usize, u64), f64>,
     /// By server: the time and the work of each attempt sent, in mean requests.
     sent: BTreeMap<u32, Vec<(Nanos, f64)>>,
+    /// By server: when it has done what it accepted.
+    busy_until: BTreeMap<u32, Nanos>,
+    /// By router and request: what a client may repeat, and how often.
+    repeats: BTreeMap<(usize, u64), (Request, u32)>,
+    rejected_attempts: u64,
     request_count: u64,
 }
 
@@ -123,6 +142,9 @@
             attempt_counts: BTreeMap::new(),
             prompt_tokens: BTreeMap::new(),
             sent: BTreeMap::new(),
+            busy_until: BTreeMap::new(),
+            repeats: BTreeMap::new(),
+            rejected_attempts: 0,
             request_count: 0,
         };
         fleet.draw_shares();
@@ -222,9 +244,26 @@
             client_retry: false,
             client_reconnect: false,
         };
+        if let Some(capacity) = self.scenario.capacity {
+            self.repeats.insert((router, id), (request.clone(), capacity.client_retries));
+        }
         self.handle(now, router, Event::RequestArrived(request));
     }
 
+    /// A client repeats its request as a new one, at once.
+    fn repeat_request(&mut self, now: Nanos, router: usize, rejected: RequestId) {
+        let Some((request, left)) = self.repeats.remove(&(router, rejected.0)) else { return };
+        if left == 0 || now >= request.deadline_at {
+            return;
+        }
+        self.request_count += 1;
+        let id = RequestId(self.request_count);
+        self.prompt_tokens.insert((router, id.0), request.prompt_tokens);
+        let request = Request { id, client_retry: true, ..request };
+        self.repeats.insert((router, id.0), (request.clone(), left - 1));
+        self.schedule(now + 50 * MS, router, Step::Event(Event::RequestArrived(request)));
+    }
+
     fn handle(&mut self, now: Nanos, router: usize, event: Event) {
         for action in self.routers[router].handle(now, event) {
             match action {
@@ -232,6 +271,7 @@
                     self.schedule(now + delay, router, Step::Event(Event::TimerFired(token)))
                 }
                 Action::Send { id, server, .. } => self.send(now, router, id, server),
+                Action::Reject { id, .. } => self.repeat_request(now, router, id),
                 Action::Cancel { id, attempt } => {
                     let cancelled = attempt_outcome(id, attempt, ServerId(0), AttemptStatus::Cancelled, 0);
                     self.schedule(now + MS, router, Step::Event(Event::AttemptFinished(cancelled)));
@@ -256,7 +296,15 @@
         self.sent.entry(server.0).or_default().push((now, work));
         let variation = 0.7 + 0.6 * self.rng.next_unit();
         let mean_ms = 20.0 + if is_prefill { prompt_tokens / 40.0 } else { 10.0 };
-        let latency = (mean_ms * variation) as Nanos * MS;
+        let mut latency = (mean_ms * variation) as Nanos * MS;
+        if let Some(capacity) = self.scenario.capacity {
+            let Some(queued) = self.accept(now, server, work, capacity) else {
+                self.rejected_attempts += 1;
+                let rejected = attempt_outcome(id, attempt, server, AttemptStatus::Rejected, MS);
+                return self.schedule(now + MS, router, Step::Event(Event::AttemptFinished(rejected)));
+            };
+            latency += queued;
+        }
         if is_prefill {
             let prefilled = attempt_outcome(id, attempt, server, AttemptStatus::Prefilled, latency);
             self.schedule(now + latency, router, Step::Event(Event::AttemptFinished(prefilled)));
@@ -268,6 +316,18 @@
         }
     }
 
+    /// Queues work at a server; returns how long it takes to be done, or `None` if the queue is full.
+    fn accept(&mut self, now: Nanos, server: ServerId, work: f64, capacity: Capacity) -> Option<Nanos> {
+        let speed = if STARTING_SERVERS.contains(&server.0) { settings().slow_start_speed } else { 1.0 };
+        let busy_until = self.busy_until.entry(server.0).or_default();
+        let from = now.max(*busy_until);
+        if from - now > capacity.queue {
+            return None;
+        }
+        *busy_until = from + (work / (capacity.per_second * speed) * 1e9) as Nanos;
+        Some(*busy_until - now)
+    }
+
     /// The mean work per second of a warm server of the same role, over a span before the start.
     fn warm_work_per_second(&self, server: u32, span: Nanos) -> f64 {
         let peers = if server < 100 { 0..PREFILL_WORKERS } else { 100..100 + DECODE_WORKERS };
@@ -304,7 +364,8 @@
     fleet.run(START + settings.slow_start_duration);
     STARTING_SERVERS.map(|server| {
         // The capacity of a server follows from the load of its warm peers before the start.
-        let capacity = fleet.warm_work_per_second(server, settings.slow_start_duration) / WARM_UTILIZATION;
+        let by_load = fleet.warm_work_per_second(server, settings.slow_start_duration) / WARM_UTILIZATION;
+        let capacity = fleet.scenario.capacity.map_or(by_load, |capacity| capacity.per_second);
         let capacity_share = |at: Nanos| {
             let age = at.saturating_sub(START) as f64 / settings.slow_start_duration as f64;
             settings.slow_start_speed + (1.0 - settings.slow_start_speed) * age.clamp(0.0, 1.0)
@@ -423,3 +484,23 @@
     ];
     check_scenarios(&scenarios, [0.03, 0.15]);
 }
+
+/// In overload, warm servers reject most of what they are sent, and routers and clients try again: what is sent to
+/// them is a multiple of what they can do. The budget follows what they do.
+#[test]
+fn rejections_by_warm_servers_do_not_raise_the_budget() {
+    let storm = |routers: usize, queue: Nanos| Scenario {
+        rate: 480.0,
+        capacity: Some(Capacity { per_second: 20.0, queue, client_retries: 3 }),
+        ..Scenario { routers, ..DEFAULT }
+    };
+    let scenarios = [
+        ("3, queues of 0.3 s", storm(3, 300 * MS)),
+        ("30, queues of 0.3 s", storm(30, 300 * MS)),
+        ("200, queues of 0.3 s", storm(200, 300 * MS)),
+        ("200, queues of 1 s", storm(200, S)),
+        ("200, nine lost at 2 s", Scenario { lost: (2 * S, 9), ..storm(200, 300 * MS) }),
+        ("200, nine lost before", Scenario { lost: (0, 9), ..storm(200, 300 * MS) }),
+    ];
+    check_scenarios(&scenarios, [0.03, 0.15]);
+}
