Derive slow-start budgets from what warm servers complete, not from what they are sent

Cause: each router gave it a share of what it sent to a warm server of its kind. Warm servers in overload reject most of that, and every router tries each of them again once a second: the sum over many routers is a multiple of what they do. Change: the measure is work that a warm server has completed: prefills that ended, decodes whose first token came, whole answers of classes that do not stream. That can't exceed what the servers can do, so the sum over routers can't either.

--- a/src/policy/attempt_end.rs
+++ b/src/policy/attempt_end.rs
@@ -24,6 +24,7 @@
             server.record_report(self.now, REPORT_LAG, outcome.report, mean_tokens);
         }
         self.learn_from_prefill(outcome, &attempt);
+        self.record_completed_attempt(outcome, &attempt);
         self.update_kv_cache(outcome, &attempt);
         self.follow_up_attempt(outcome, &attempt);
     }
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -3,7 +3,7 @@
 use super::constants::{
     CANCELLATIONS_PER_ATTEMPT, LATENCY_COMPARISON, LOAD_MAX_AGE, MAX_CANCELLATIONS, MEAN_GAIN,
     MIN_SEND_TIMEOUT, OVERDUE_DEVIATIONS, PREFILL_BASE_TOKENS, PREFILL_GAINS, PREFILL_WAIT_FRACTION,
-    RATE_SPAN, REPORT_LAG,
+    REPORT_LAG,
 };
 use super::Policy;
 use crate::api::{Action, AttemptNumber, CellId, Nanos, RequestId, Role};
@@ -22,7 +22,7 @@
         let number = AttemptNumber(request.attempt_count);
         let attempt = Attempt { number, sent_at: now, reserved_kv_tokens, ..planned };
         server.begin_attempt(now, REPORT_LAG, &attempt);
-        server.slow_start.record_work(now, work, RATE_SPAN);
+        server.slow_start.record_sent(work);
         self.cancellation_budget.earn(CANCELLATIONS_PER_ATTEMPT, MAX_CANCELLATIONS);
         self.requests.update(id, |request| {
             request.attempt_count += 1;
@@ -84,6 +84,7 @@
         if let Some(attempt) = now_streaming {
             let is_within_cell = self.record_streaming(&attempt, latency) == kv_cell;
             self.learn_latency(&attempt, latency, is_within_cell);
+            self.record_completed_work(id, &attempt);
         }
     }
 
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -1,10 +1,14 @@
 //! Slow start: how much a server that has just started may be sent.
+//!
+//! Its capacity is not known, but its warm peers complete no more than theirs. What they are sent says
+//! nothing of it: in overload they reject most of it, and each rejection is followed by a retry.
 
 use super::constants::{MIN_OVERLOAD_WINDOW_SECONDS, RATE_SPAN, SLOW_START_FLOOR};
-use crate::api::{Nanos, Settings};
-use crate::state::{seconds, warm_servers_by_kind, LaggedValue, Server, ServerTable, WarmServers};
+use super::Policy;
+use crate::api::{AttemptOutcome, AttemptStatus, Nanos, RequestId, Settings};
+use crate::state::{seconds, warm_servers_by_kind, Attempt, LaggedValue, Server, ServerTable, WarmServers};
 
-/// What this router usually sends to a warm server of one kind.
+/// What a warm server of one kind usually completes for this router.
 #[derive(Clone, Copy)]
 struct UsualLoad {
     /// In mean requests per second.
@@ -25,13 +29,13 @@
         SlowStart { usual_by_kind: vec![no_load; kinds + 1] }
     }
 
-    /// Refills the budgets of servers that are warming up with a fraction of what this router sends to a
-    /// warm peer.
+    /// Refills the budgets of servers that are warming up with a fraction of what a warm peer completes for
+    /// this router.
     pub(super) fn refill_budgets(&mut self, now: Nanos, settings: &Settings, servers: &mut ServerTable) {
         let span_seconds = seconds(RATE_SPAN);
         let floor = floor_per_second(settings);
         let share = (settings.overload_factor * settings.slow_start_speed).min(1.0);
-        let rate = |server: &Server| server.slow_start.recent_work(now, RATE_SPAN) / span_seconds;
+        let rate = |server: &Server| server.slow_start.completed_work(now, RATE_SPAN) / span_seconds;
         let is_warm = |server: &Server| !is_warming_up(now, settings, server);
         let by_kind = warm_servers_by_kind(servers, self.usual_by_kind.len(), is_warm, rate);
         for (usual, warm) in self.usual_by_kind.iter_mut().zip(by_kind) {
@@ -58,6 +62,25 @@
     }
 }
 
+impl Policy {
+    /// Counts an attempt as completed that has ended as it should, unless its first token counted already.
+    pub(super) fn record_completed_attempt(&mut self, outcome: &AttemptOutcome, attempt: &Attempt) {
+        let is_completed = matches!(outcome.status, AttemptStatus::Ok | AttemptStatus::Prefilled);
+        if is_completed && !attempt.is_streaming() {
+            self.record_completed_work(outcome.id, attempt);
+        }
+    }
+
+    /// Counts the work of an attempt as completed by its server.
+    pub(super) fn record_completed_work(&mut self, id: RequestId, attempt: &Attempt) {
+        let Some(request) = self.requests.get(id) else { return };
+        let work = self.traffic.relative_work(attempt.stage, request.request().class);
+        if let Some(server) = self.servers.get_mut(attempt.server) {
+            server.slow_start.record_completed(self.now, work, RATE_SPAN);
+        }
+    }
+}
+
 fn floor_per_second(settings: &Settings) -> f64 {
     let window = seconds(settings.overload_window).max(MIN_OVERLOAD_WINDOW_SECONDS);
     SLOW_START_FLOOR / window / f64::from(settings.router_count)
--- a/src/state/server/slow_start.rs
+++ b/src/state/server/slow_start.rs
@@ -1,13 +1,13 @@
-//! The work sent to a server, and its budget while it is warming up.
+//! The work that a server completes, and its budget while it is warming up.
 
 use crate::api::Nanos;
 use crate::state::{DecayingSum, TokenBucket};
 
-/// Recent work sent to a server, and its budget during slow start, both in units of the mean request.
+/// Recent work that a server completed, and its budget during slow start, both in units of the mean request.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SlowStartRecord {
     recovered_at: Nanos,
-    recent_work: DecayingSum,
+    completed_work: DecayingSum,
     budget: TokenBucket,
     budget_per_second: f64,
     sent_attempts: u32,
@@ -35,8 +35,7 @@
     }
 
     /// Records work sent to the server.
-    pub fn record_work(&mut self, now: Nanos, work: f64, time_constant: Nanos) {
-        self.recent_work.add(now, work, time_constant);
+    pub fn record_sent(&mut self, work: f64) {
         self.budget.spend(work);
         self.sent_attempts = self.sent_attempts.saturating_add(1);
         self.sent_work += work;
@@ -57,9 +56,14 @@
         self.budget_per_second
     }
 
-    /// The work sent to the server recently, as a decaying sum.
-    pub fn recent_work(&self, now: Nanos, time_constant: Nanos) -> f64 {
-        self.recent_work.value_at(now, time_constant)
+    /// Records work that the server has completed, or started to stream.
+    pub fn record_completed(&mut self, now: Nanos, work: f64, time_constant: Nanos) {
+        self.completed_work.add(now, work, time_constant);
+    }
+
+    /// The work that the server completed recently, as a decaying sum.
+    pub fn completed_work(&self, now: Nanos, time_constant: Nanos) -> f64 {
+        self.completed_work.value_at(now, time_constant)
     }
 
     /// The balance of its budget, at most 0. While it is negative, a server that is warming up may not be
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -589,11 +589,8 @@
 
     fn send(&mut self, id: RequestId, planned: Attempt) {
         let (now, server, stage) = (self.now, planned.server, planned.stage);
-        // What it costs of a slow start budget: the mean work of its class, in mean requests.
-        let means =
-            if stage == Stage::Prefill { &self.prompt_tokens_by_class } else { &self.output_tokens_by_class };
-        let class = self.requests.get(&id).map_or(0, |r| r.request.class.0);
-        let work = (means.get(class).map_or(0.0, |m| m.value) / mean(means).max(1.0)).max(0.1);
+        // What it costs of a slow start budget.
+        let work = self.relative_work(id, stage);
         let patience = self.requests.get(&id).map_or(0, |r| self.patience(r, &planned));
         let (Some(request), Some(s)) = (self.requests.get_mut(&id), self.servers.get_mut(&server)) else {
             return;
@@ -606,7 +603,6 @@
             ..planned
         };
         s.begin_attempt(now, REPORT_LAG, &attempt);
-        s.recent_work.add(now, work, RATE_SPAN);
         s.slow_start_budget.tokens -= work;
         self.cancellations =
             (self.cancellations + CANCELLATIONS_PER_ATTEMPT).min(1.0 + CANCELLATIONS_PER_ATTEMPT * 10.0);
@@ -627,6 +623,22 @@
         self.actions.push(Action::Send { id, server, timeout, send_by });
     }
 
+    /// The mean work of a request's class, in mean requests.
+    fn relative_work(&self, id: RequestId, stage: Stage) -> f64 {
+        let means =
+            if stage == Stage::Prefill { &self.prompt_tokens_by_class } else { &self.output_tokens_by_class };
+        let class = self.requests.get(&id).map_or(0, |r| r.request.class.0);
+        (means.get(class).map_or(0.0, |m| m.value) / mean(means).max(1.0)).max(0.1)
+    }
+
+    /// Counts an attempt as completed by its server.
+    fn record_completed(&mut self, id: RequestId, attempt: &Attempt) {
+        let work = self.relative_work(id, attempt.stage);
+        if let Some(s) = self.servers.get_mut(&attempt.server) {
+            s.completed_work.add(self.now, work, RATE_SPAN);
+        }
+    }
+
     fn patience(&self, request: &InFlightRequest, attempt: &Attempt) -> Nanos {
         (PREFILL_WAIT_FRACTION * request.time_to_objective()
             + attempt.queued_tokens * self.prefill_cost.late_time_per_token(OVERDUE_DEVIATIONS))
@@ -650,6 +662,7 @@
         s.last_response_at = now;
         s.record_answer(now, latency);
         attempt.is_streaming = true;
+        let attempt = *attempt;
         let per_token = latency as f64 / attempt.queued_tokens.max(PREFILL_BASE_TOKENS);
         if attempt.stage == Stage::Decode {
             self.decode_delays[usize::from(s.cell != kv_cell)].add(latency as f64 / 1e9, MEAN_GAIN);
@@ -660,6 +673,7 @@
         if (attempt.stage == Stage::Decode) != (s.role == Role::Mixed) {
             record_latency(&mut self.servers, attempt.server, sample, LATENCY_GAIN, LATENCY_SAMPLES);
         }
+        self.record_completed(id, &attempt);
     }
 
     /// The ready mixed servers, where there are decode workers too.
@@ -699,6 +713,9 @@
         if is_prefilled && outcome.latency as f64 > PREFILL_LOST_FRACTION * time_to_objective {
             self.throttle.reduce(self.now, PREFILL_REDUCTION, RATE_SPAN, RECENT);
         }
+        if matches!(outcome.status, AttemptStatus::Ok | AttemptStatus::Prefilled) && !attempt.is_streaming {
+            self.record_completed(outcome.id, &attempt);
+        }
         self.follow_up_attempt(outcome, attempt);
     }
 
@@ -892,8 +909,8 @@
         s.process_started_at() > 0 && self.now < s.process_started_at() + self.settings.slow_start_duration
     }
 
-    /// Whether slow start allows a send. Each router has its own budget: a share of what it sends to a warm
-    /// peer. The budget starts in debt by a different part of a request on each router, or all would have
+    /// Whether slow start allows a send. Each router has its own budget: a share of what a warm peer
+    /// completes for it. The budget starts in debt by a different part of a request on each router, or all would have
     /// paid it off at the same moment.
     fn slow_start_allows(&self, s: &Server) -> bool {
         !self.is_warming_up(s) || s.slow_start_budget.tokens >= 0.0
@@ -910,7 +927,7 @@
         for (kind, (usual_rate, mean_weight)) in kinds.zip(&mut usual_loads) {
             let warm =
                 || self.servers.values().filter(|p| p.ready && p.kind == kind && !self.is_warming_up(p));
-            let mean_rate = average(warm().map(|p| p.recent_work.value_at(now, RATE_SPAN) / span_seconds));
+            let mean_rate = average(warm().map(|p| p.completed_work.value_at(now, RATE_SPAN) / span_seconds));
             *mean_weight = average(warm().map(|p| p.weight)).unwrap_or(*mean_weight);
             let present_rate = mean_rate.unwrap_or(usual_rate.value);
             usual_rate.follow(now, present_rate, RATE_SPAN);
--- a/tests/plain/state.rs
+++ b/tests/plain/state.rs
@@ -269,7 +269,7 @@
     /// When it became reachable again after a connection to it could not be made.
     pub recovered_at: Nanos,
     /// The work recently sent there, in mean requests.
-    pub recent_work: DecayingSum,
+    pub completed_work: DecayingSum,
     pub slow_start_budget: TokenBucket,
 }
 
@@ -305,7 +305,7 @@
         connection_lost: false,
         next_probe_at: 0,
         recovered_at: 0,
-        recent_work: DecayingSum::default(),
+        completed_work: DecayingSum::default(),
         slow_start_budget: TokenBucket::default(),
     }
 }
