Weigh slow-start work by the mean request, and let light requests cost a whole one

Callers saw: a started server above its budget where heavy requests are frequent (found by the simulation). Cause: the unit of work was the mean of the classes' means. Where most requests are heavy, a request weighs more than a unit, so the first requests outweigh the debts from which budgets start. Where they are light, routers that sent one are back before others have sent their first, and the two meet. Change: the unit is the mean over all requests; an attempt costs at least one unit. The module acts like the reference.

--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -81,6 +81,12 @@
     }
 }
 
+/// What an attempt costs of a budget. One of less work than the mean costs as much as the mean: otherwise routers
+/// that have sent such a request could send again before others have sent their first, and all of them would meet.
+pub(super) fn budget_cost(work: f64) -> f64 {
+    work.max(1.0)
+}
+
 fn floor_per_second(settings: &Settings) -> f64 {
     let window = seconds(settings.overload_window).max(MIN_OVERLOAD_WINDOW_SECONDS);
     SLOW_START_FLOOR / window / f64::from(settings.router_count)
--- a/src/state/server/slow_start.rs
+++ b/src/state/server/slow_start.rs
@@ -34,9 +34,9 @@
         self.sent_work = 0.0;
     }
 
-    /// Records work sent to the server.
-    pub fn record_sent(&mut self, work: f64) {
-        self.budget.spend(work);
+    /// Records work sent to the server, and what it costs of the budget.
+    pub fn record_sent(&mut self, work: f64, cost: f64) {
+        self.budget.spend(cost);
         self.sent_attempts = self.sent_attempts.saturating_add(1);
         self.sent_work += work;
     }
--- a/src/state/traffic_statistics.rs
+++ b/src/state/traffic_statistics.rs
@@ -51,14 +51,14 @@
         mean_of_means(&self.prompt_tokens) + mean_of_means(&self.output_tokens)
     }
 
-    /// The work of a request of a class in a stage, as a multiple of the mean over all classes.
+    /// The work of a request of a class in a stage, as a multiple of the mean request's.
     pub fn relative_work(&self, stage: Stage, class: ClassId) -> f64 {
         let sizes = match stage {
             Stage::Prefill => &self.prompt_tokens,
             Stage::Decode | Stage::Combined => &self.output_tokens,
         };
         let size = sizes.get(class.0).map_or(0.0, RunningMean::value);
-        (size / mean_of_means(sizes).max(1.0)).max(MIN_RELATIVE_WORK)
+        (size / mean_request(sizes).max(1.0)).max(MIN_RELATIVE_WORK)
     }
 
     /// The mean time between requests over the last `span`, or since the first one, in nanoseconds.
@@ -66,3 +66,13 @@
         self.popularity.mean_interval(now, span)
     }
 }
+
+/// The mean size over all requests: each class counts as often as it was requested.
+fn mean_request(sizes: &[RunningMean]) -> f64 {
+    let add = |(total, count): (f64, f64), size: &RunningMean| {
+        let samples = f64::from(size.samples());
+        (total + size.value() * samples, count + samples)
+    };
+    let (total, count) = sizes.iter().fold((0.0, 0.0), add);
+    total / count.max(1.0)
+}
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -603,7 +603,7 @@
             ..planned
         };
         s.begin_attempt(now, REPORT_LAG, &attempt);
-        s.slow_start_budget.tokens -= work;
+        s.slow_start_budget.tokens -= work.max(1.0);
         self.cancellations =
             (self.cancellations + CANCELLATIONS_PER_ATTEMPT).min(1.0 + CANCELLATIONS_PER_ATTEMPT * 10.0);
         request.attempt_count += 1;
@@ -628,7 +628,7 @@
         let means =
             if stage == Stage::Prefill { &self.prompt_tokens_by_class } else { &self.output_tokens_by_class };
         let class = self.requests.get(&id).map_or(0, |r| r.request.class.0);
-        (means.get(class).map_or(0.0, |m| m.value) / mean(means).max(1.0)).max(0.1)
+        (means.get(class).map_or(0.0, |m| m.value) / mean_request(means).max(1.0)).max(0.1)
     }
 
     /// Counts an attempt as completed by its server.
--- a/tests/plain/state.rs
+++ b/tests/plain/state.rs
@@ -163,6 +163,12 @@
     average(means.iter().map(|m| m.value)).unwrap_or(0.0)
 }
 
+/// The mean over all samples of all means.
+pub fn mean_request(means: &[RunningMean]) -> f64 {
+    let samples: f64 = means.iter().map(|m| f64::from(m.samples)).sum();
+    means.iter().map(|m| m.value * f64::from(m.samples)).sum::<f64>() / samples.max(1.0)
+}
+
 pub fn average(values: impl Iterator<Item = f64>) -> Option<f64> {
     let (sum, n) = values.fold((0.0, 0.0), |(sum, n), v| (sum + v, n + 1.0));
     (n > 0.0).then(|| sum / n)
