Forfeit slow-start requests that overload finds saved up in many routers

Cause: a router whose debt is paid keeps the right to send one request for as long as it has no use for it. In 200 routers that is more than a window's budget, and nothing bounds how many of them use it within one window. Change: while any warm server of the kind was saturated within the last 5 s, a request that has been allowed for an overload window is forfeited, and has to be earned again; at any time a router has one with the probability that the budget states for a window. In quiet times nothing changes.

--- a/src/policy/constants.rs
+++ b/src/policy/constants.rs
@@ -148,8 +148,8 @@
 /// Mean requests per overload window that all routers together may send to a server that is warming up
 /// even if its peers get none.
 pub const SLOW_START_FLOOR: f64 = 0.5;
-/// Lower bound of the overload window as a divisor, in seconds.
-pub const MIN_OVERLOAD_WINDOW_SECONDS: f64 = 0.1;
+/// Lower bound of the overload window.
+pub const MIN_OVERLOAD_WINDOW: Nanos = 100 * MILLISECOND;
 
 /// A tenant may send this multiple of its even share of the quota through one router, as its requests
 /// are distributed unevenly over the routers.
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -3,7 +3,7 @@
 //! Its capacity is not known, but its warm peers complete no more than theirs. What they are sent says
 //! nothing of it: in overload they reject most of it, and each rejection is followed by a retry.
 
-use super::constants::{MIN_OVERLOAD_WINDOW_SECONDS, RATE_SPAN, SLOW_START_FLOOR};
+use super::constants::{MIN_OVERLOAD_WINDOW, RATE_SPAN, SLOW_START_FLOOR};
 use super::Policy;
 use crate::api::{AttemptOutcome, AttemptStatus, Nanos, RequestId, Settings};
 use crate::state::{seconds, warm_servers_by_kind, Attempt, LaggedValue, Server, ServerTable, WarmServers};
@@ -34,18 +34,22 @@
     pub(super) fn refill_budgets(&mut self, now: Nanos, settings: &Settings, servers: &mut ServerTable) {
         let span_seconds = seconds(RATE_SPAN);
         let floor = floor_per_second(settings);
+        let window = settings.overload_window.max(MIN_OVERLOAD_WINDOW);
         let share = (settings.overload_factor * settings.slow_start_speed).min(1.0);
         let rate = |server: &Server| server.slow_start.completed_work(now, RATE_SPAN) / span_seconds;
         let is_warm = |server: &Server| !is_warming_up(now, settings, server);
-        let by_kind = warm_servers_by_kind(servers, self.usual_by_kind.len(), is_warm, rate);
+        let is_saturated = |server: &Server| server.was_saturated_within(now, RATE_SPAN);
+        let kinds = self.usual_by_kind.len();
+        let by_kind = warm_servers_by_kind(servers, kinds, is_warm, rate, is_saturated);
         for (usual, warm) in self.usual_by_kind.iter_mut().zip(by_kind) {
             let rate = usual.update(now, &warm) * share;
+            let kept_for = warm.is_any_saturated.then_some(window);
             // Servers of one kind have the same size unless their weight is below the mean: then they
             // are smaller.
             let size = |server: &Server| (server.listing.weight / usual.weight).min(1.0);
             servers.change_at(&warm.warming_up, |server| {
                 let per_second = (rate * size(server)).max(floor);
-                server.slow_start.refill_budget(now, per_second);
+                server.slow_start.refill_budget(now, per_second, kept_for);
             });
         }
     }
@@ -88,7 +92,7 @@
 }
 
 fn floor_per_second(settings: &Settings) -> f64 {
-    let window = seconds(settings.overload_window).max(MIN_OVERLOAD_WINDOW_SECONDS);
+    let window = seconds(settings.overload_window.max(MIN_OVERLOAD_WINDOW));
     SLOW_START_FLOOR / window / f64::from(settings.router_count)
 }
 
--- a/src/state/server/mod.rs
+++ b/src/state/server/mod.rs
@@ -8,6 +8,7 @@
 mod local_load;
 mod reported_load;
 mod slow_start;
+mod slow_start_budget;
 
 pub use ejections::{EjectionBounds, Ejections, TrafficClassKey};
 pub use latency::LatencyRecord;
@@ -17,6 +18,8 @@
 pub use reported_load::ReportedLoad;
 pub use slow_start::SlowStartRecord;
 
+use slow_start_budget::SlowStartBudget;
+
 use super::Attempt;
 use crate::api::{Endpoint, LoadReport, Nanos, Role, ServerId};
 
--- a/src/state/server/slow_start.rs
+++ b/src/state/server/slow_start.rs
@@ -1,14 +1,15 @@
 //! The work that a server completes, and its budget while it is warming up.
 
+use super::SlowStartBudget;
 use crate::api::Nanos;
-use crate::state::{DecayingSum, TokenBucket};
+use crate::state::DecayingSum;
 
 /// Recent work that a server completed, and its budget during slow start, both in units of the mean request.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SlowStartRecord {
     recovered_at: Nanos,
     completed_work: DecayingSum,
-    budget: TokenBucket,
+    budget: SlowStartBudget,
     budget_per_second: f64,
     sent_attempts: u32,
     sent_work: f64,
@@ -17,7 +18,7 @@
 impl SlowStartRecord {
     /// The record of a server whose process has just started.
     pub(super) fn in_debt(now: Nanos, debt: f64) -> SlowStartRecord {
-        SlowStartRecord { budget: TokenBucket::in_debt(now, debt), ..SlowStartRecord::default() }
+        SlowStartRecord { budget: SlowStartBudget::in_debt(now, debt), ..SlowStartRecord::default() }
     }
 
     /// When it last became reachable again after a failed connection; 0 if never.
@@ -29,7 +30,7 @@
     /// show yet.
     pub fn record_recovery(&mut self, now: Nanos, debt: f64) {
         self.recovered_at = now;
-        self.budget = TokenBucket::in_debt(now, debt);
+        self.budget = SlowStartBudget::in_debt(now, debt);
         self.sent_attempts = 0;
         self.sent_work = 0.0;
     }
@@ -69,12 +70,13 @@
     /// The balance of its budget, at most 0. While it is negative, a server that is warming up may not be
     /// sent anything.
     pub fn budget(&self) -> f64 {
-        self.budget.tokens()
+        self.budget.balance()
     }
 
-    /// Adds earned budget, up to 0: a server cannot accumulate unused budget.
-    pub fn refill_budget(&mut self, now: Nanos, per_second: f64) {
-        self.budget.refill(now, per_second, 0.0);
+    /// Adds earned budget, up to 0: a server cannot accumulate unused budget. A request that the budget has allowed
+    /// for `kept_for` without being sent is forfeited; `None`: never.
+    pub fn refill_budget(&mut self, now: Nanos, per_second: f64, kept_for: Option<Nanos>) {
+        self.budget.refill(now, per_second, kept_for);
         self.budget_per_second = per_second;
     }
 }
--- a/src/state/warm_servers.rs
+++ b/src/state/warm_servers.rs
@@ -10,6 +10,8 @@
     pub mean_rate: Option<f64>,
     /// The mean weight of the warm servers that are ready; `None` if there are none.
     pub mean_weight: Option<f64>,
+    /// Whether any of them was saturated lately.
+    pub is_any_saturated: bool,
     /// The indices of the servers that are warming up.
     pub warming_up: Vec<usize>,
 }
@@ -26,6 +28,7 @@
     kinds: usize,
     is_warm: impl Fn(&Server) -> bool,
     rate: impl Fn(&Server) -> f64,
+    is_saturated: impl Fn(&Server) -> bool,
 ) -> Vec<WarmServers> {
     let mut means = vec![Means::default(); kinds];
     let mut by_kind = vec![WarmServers::default(); kinds];
@@ -36,6 +39,7 @@
         } else if server.listing.is_ready() {
             means[kind].rate.add(rate(server));
             means[kind].weight.add(server.listing.weight);
+            by_kind[kind].is_any_saturated |= is_saturated(server);
         }
     }
     for (warm, means) in by_kind.iter_mut().zip(means) {
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -603,7 +603,7 @@
             ..planned
         };
         s.begin_attempt(now, REPORT_LAG, &attempt);
-        s.slow_start_budget.tokens -= work.max(1.0);
+        s.slow_start_budget.tokens = s.slow_start_budget.tokens.min(0.0) - work.max(1.0);
         self.cancellations =
             (self.cancellations + CANCELLATIONS_PER_ATTEMPT).min(1.0 + CANCELLATIONS_PER_ATTEMPT * 10.0);
         request.attempt_count += 1;
@@ -918,6 +918,7 @@
 
     fn refill_slow_start_budgets(&mut self) {
         let (now, span_seconds) = (self.now, RATE_SPAN as f64 / 1e9);
+        let window_seconds = self.settings.overload_window as f64 / 1e9;
         let floor = SLOW_START_FLOOR
             / (self.settings.overload_window as f64 / 1e9).max(0.1)
             / f64::from(self.settings.router_count);
@@ -928,12 +929,20 @@
             let warm =
                 || self.servers.values().filter(|p| p.ready && p.kind == kind && !self.is_warming_up(p));
             let mean_rate = average(warm().map(|p| p.completed_work.value_at(now, RATE_SPAN) / span_seconds));
+            let is_any_saturated = warm().any(|p| p.saturated_at.is_some_and(|at| now < at + RATE_SPAN));
             *mean_weight = average(warm().map(|p| p.weight)).unwrap_or(*mean_weight);
             let present_rate = mean_rate.unwrap_or(usual_rate.value);
             usual_rate.follow(now, present_rate, RATE_SPAN);
             let rate = present_rate.max(usual_rate.value) * share;
             for s in self.servers.values_mut().filter(|s| s.kind == kind) {
-                s.slow_start_budget.refill(now, (rate * (s.weight / *mean_weight).min(1.0)).max(floor), 0.0);
+                let per_second = (rate * (s.weight / *mean_weight).min(1.0)).max(floor);
+                s.slow_start_budget.refill(now, per_second, f64::MAX);
+                // In overload, a request that was allowed for a whole window is forfeited.
+                let forfeited_from = per_second * window_seconds;
+                if is_any_saturated && s.slow_start_budget.tokens >= forfeited_from {
+                    let tokens = s.slow_start_budget.tokens + 1.0;
+                    s.slow_start_budget.tokens = tokens.rem_euclid(1.0 + forfeited_from) - 1.0;
+                }
             }
         }
         self.usual_loads = usual_loads;
