Leave room for chance in slow-start budgets while warm servers are saturated

Cause: saturated servers complete all that they can, so the sum of the budgets is the whole of what the settings allow; and each router took the greater of two noisy rates, which in the sum of many routers is too much. Change: while a warm server of the kind was saturated within the last 5 s, budgets get 0.6 of the usual rate, without the greater of the two.

--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -3,7 +3,7 @@
 //! Its capacity is not known, but its warm peers complete no more than theirs. What they are sent says
 //! nothing of it: in overload they reject most of it, and each rejection is followed by a retry.
 
-use super::constants::{MIN_OVERLOAD_WINDOW, RATE_SPAN, SLOW_START_FLOOR};
+use super::constants::{MIN_OVERLOAD_WINDOW, RATE_SPAN, SATURATED_BUDGET_FRACTION, SLOW_START_FLOOR};
 use super::Policy;
 use crate::api::{AttemptOutcome, AttemptStatus, Nanos, RequestId, Settings};
 use crate::state::{seconds, warm_servers_by_kind, Attempt, LaggedValue, Server, ServerTable, WarmServers};
@@ -56,13 +56,18 @@
 }
 
 impl UsualLoad {
-    /// Updates the averages from the warm servers, and returns the greater of their current and their
-    /// usual rate.
+    /// Updates the averages from the warm servers, and returns the rate that budgets are derived from: the
+    /// greater of their current and their usual rate. A saturated server completes all that it can, and a
+    /// server that is warming up may not get more than its share of that by chance either.
     fn update(&mut self, now: Nanos, warm: &WarmServers) -> f64 {
         self.weight = warm.mean_weight.unwrap_or(self.weight);
         let current = warm.mean_rate.unwrap_or(self.rate.value());
         self.rate.follow(now, current, RATE_SPAN);
-        current.max(self.rate.value())
+        if warm.is_any_saturated {
+            self.rate.value() * SATURATED_BUDGET_FRACTION
+        } else {
+            current.max(self.rate.value())
+        }
     }
 }
 
