Let a router's first slow-start request be paid for by its own work, not as a mean one

Cause: the debt from which a budget starts is a part of a mean request. Queues let the more valuable class go first; where that is the heavy one, the first request of each router is heavy, and in hundreds of routers the first ones are all that a slow start sees. The debt that follows comes too late. Change: a request is allowed when the same part of its own work has been earned; so light requests need no least cost any more, and 0.8 of the usual rate leaves room for chance in overload, in place of 0.6.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -5,7 +5,6 @@
     MIN_SEND_TIMEOUT, OVERDUE_DEVIATIONS, PREFILL_BASE_TOKENS, PREFILL_GAINS, PREFILL_WAIT_FRACTION,
     REPORT_LAG,
 };
-use super::slow_start::budget_cost;
 use super::Policy;
 use crate::api::{Action, AttemptNumber, CellId, Nanos, RequestId, Role};
 use crate::state::{Attempt, AttemptProgress, InFlightRequest, Stage};
@@ -23,7 +22,7 @@
         let number = AttemptNumber(request.attempt_count);
         let attempt = Attempt { number, sent_at: now, reserved_kv_tokens, ..planned };
         server.begin_attempt(now, REPORT_LAG, &attempt);
-        server.slow_start.record_sent(work, budget_cost(work));
+        server.slow_start.record_sent(work);
         self.cancellation_budget.earn(CANCELLATIONS_PER_ATTEMPT, MAX_CANCELLATIONS);
         self.requests.update(id, |request| {
             request.attempt_count += 1;
--- a/src/policy/constants.rs
+++ b/src/policy/constants.rs
@@ -150,7 +150,7 @@
 pub const SLOW_START_FLOOR: f64 = 0.5;
 /// Fraction of a slow-start budget that is used while warm servers are saturated. The sum over all routers is
 /// then what the settings allow on average, and chance comes on top.
-pub const SATURATED_BUDGET_FRACTION: f64 = 0.6;
+pub const SATURATED_BUDGET_FRACTION: f64 = 0.8;
 /// Lower bound of the overload window.
 pub const MIN_OVERLOAD_WINDOW: Nanos = 100 * MILLISECOND;
 
--- a/src/policy/eligibility.rs
+++ b/src/policy/eligibility.rs
@@ -4,7 +4,6 @@
 use super::constants::{NEIGHBORHOOD, TICK_INTERVAL};
 use super::health::is_unhealthy;
 use super::send_guards::{may_repeat, Repeat};
-use super::slow_start::slow_start_allows;
 use super::Policy;
 use crate::api::{Idempotency, Nanos, TrafficClass};
 use crate::state::{InFlightRequest, Neighborhood, Server, ServerIndices, TrafficClassKey};
@@ -65,7 +64,7 @@
         request: Option<&InFlightRequest>,
     ) -> Vec<&Server> {
         let is_allowed = |server: &&Server| {
-            slow_start_allows(self.now, &self.settings, server)
+            self.slow_start_allows_request(server, pool, request)
                 && request.is_none_or(|request| self.allows_repeat(request, server))
         };
         let allowed_of = |indices: &[usize]| self.servers.at(indices).filter(is_allowed).collect();
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -4,9 +4,13 @@
 //! nothing of it: in overload they reject most of it, and each rejection is followed by a retry.
 
 use super::constants::{MIN_OVERLOAD_WINDOW, RATE_SPAN, SATURATED_BUDGET_FRACTION, SLOW_START_FLOOR};
+use super::eligibility::WorkerPool;
 use super::Policy;
-use crate::api::{AttemptOutcome, AttemptStatus, Nanos, RequestId, Settings};
-use crate::state::{seconds, warm_servers_by_kind, Attempt, LaggedValue, Server, ServerTable, WarmServers};
+use crate::api::{AttemptOutcome, AttemptStatus, Nanos, RequestId, Role, Settings};
+use crate::state::{
+    seconds, warm_servers_by_kind, Attempt, InFlightRequest, LaggedValue, Server, ServerTable, Stage,
+    WarmServers,
+};
 
 /// What a warm server of one kind usually completes for this router.
 #[derive(Clone, Copy)]
@@ -80,6 +84,22 @@
         }
     }
 
+    /// Whether slow start allows a server this request, or if there is none, one of mean work.
+    pub(super) fn slow_start_allows_request(
+        &self,
+        server: &Server,
+        pool: WorkerPool,
+        request: Option<&InFlightRequest>,
+    ) -> bool {
+        if !is_warming_up(self.now, &self.settings, server) {
+            return true;
+        }
+        let is_prefill = pool == WorkerPool::Prefill && server.listing.role == Role::Prefill;
+        let stage = if is_prefill { Stage::Prefill } else { Stage::Decode };
+        let work = request.map_or(1.0, |request| self.traffic.relative_work(stage, request.request().class));
+        server.slow_start.allows(work)
+    }
+
     /// Counts the work of an attempt as completed by its server.
     pub(super) fn record_completed_work(&mut self, id: RequestId, attempt: &Attempt) {
         let Some(request) = self.requests.get(id) else { return };
@@ -90,12 +110,6 @@
     }
 }
 
-/// What an attempt costs of a budget. One of less work than the mean costs as much as the mean: otherwise routers
-/// that have sent such a request could send again before others have sent their first, and all of them would meet.
-pub(super) fn budget_cost(work: f64) -> f64 {
-    work.max(1.0)
-}
-
 fn floor_per_second(settings: &Settings) -> f64 {
     let window = seconds(settings.overload_window.max(MIN_OVERLOAD_WINDOW));
     SLOW_START_FLOOR / window / f64::from(settings.router_count)
@@ -107,8 +121,8 @@
     started_at > 0 && now < started_at.saturating_add(settings.slow_start_duration)
 }
 
-/// Whether slow start allows the server another request. Each router enforces its own budget, without
-/// coordination; initial debts differ between routers, so that they do not all send at once.
+/// Whether slow start allows the server another request of mean work. Each router enforces its own budget,
+/// without coordination; initial debts differ between routers, so that they do not all send at once.
 pub(crate) fn slow_start_allows(now: Nanos, settings: &Settings, server: &Server) -> bool {
-    !is_warming_up(now, settings, server) || server.slow_start.budget() >= 0.0
+    !is_warming_up(now, settings, server) || server.slow_start.allows(1.0)
 }
--- a/src/state/server/slow_start.rs
+++ b/src/state/server/slow_start.rs
@@ -35,9 +35,9 @@
         self.sent_work = 0.0;
     }
 
-    /// Records work sent to the server, and what it costs of the budget.
-    pub fn record_sent(&mut self, work: f64, cost: f64) {
-        self.budget.spend(cost);
+    /// Records work sent to the server.
+    pub fn record_sent(&mut self, work: f64) {
+        self.budget.spend(work);
         self.sent_attempts = self.sent_attempts.saturating_add(1);
         self.sent_work += work;
     }
@@ -73,7 +73,12 @@
         self.budget.balance()
     }
 
-    /// Adds earned budget, up to 0: a server cannot accumulate unused budget. A request that the budget has allowed
+    /// Whether its budget allows a request of this work.
+    pub fn allows(&self, work: f64) -> bool {
+        self.budget.allows(work)
+    }
+
+    /// Adds earned budget. It can't be saved for more than one request. A request that the budget has allowed
     /// for `kept_for` without being sent is forfeited; `None`: never.
     pub fn refill_budget(&mut self, now: Nanos, per_second: f64, kept_for: Option<Nanos>) {
         self.budget.refill(now, per_second, kept_for);
--- a/src/state/server/slow_start_budget.rs
+++ b/src/state/server/slow_start_budget.rs
@@ -1,20 +1,26 @@
 //! How much a router may send to a server that is warming up.
+//!
+//! Routers start with different debts, so that their first requests spread evenly over the time in which one request
+//! is earned. The more work a request is, the longer it waits for its first turn, in the same proportion: routers would
+//! otherwise all begin with their heaviest requests, and pay for them later.
 
 use crate::api::Nanos;
 use crate::state::seconds;
 
-/// A budget in mean requests, which is earned at a rate and allows one request whenever it is not in debt.
+/// A budget in mean requests, which is earned at a rate. A mean request is allowed whenever it is not in debt.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct SlowStartBudget {
-    /// What was earned less what was spent. Above 0 it only measures for how long a request has been allowed.
+    /// What was earned less what was spent. What is above 0 can't be saved for further requests.
     earned: f64,
+    /// The debt that it started with, from 0 to 1.
+    first_debt: f64,
     refilled_at: Nanos,
 }
 
 impl SlowStartBudget {
     /// A budget that starts `debt` below zero.
     pub(super) fn in_debt(now: Nanos, debt: f64) -> SlowStartBudget {
-        SlowStartBudget { earned: -debt, refilled_at: now }
+        SlowStartBudget { earned: -debt, first_debt: debt, refilled_at: now }
     }
 
     /// The balance, at most 0.
@@ -22,9 +28,19 @@
         self.earned.min(0.0)
     }
 
-    /// Takes the cost of a request; the budget may go into debt.
-    pub(super) fn spend(&mut self, cost: f64) {
-        self.earned = self.balance() - cost;
+    /// What has to be earned before a request of this work is allowed.
+    fn needed_for(&self, work: f64) -> f64 {
+        self.first_debt * (work - 1.0)
+    }
+
+    /// Whether a request of this work is allowed.
+    pub(super) fn allows(&self, work: f64) -> bool {
+        self.earned >= self.needed_for(work)
+    }
+
+    /// Takes the work of a request; the budget may go into debt.
+    pub(super) fn spend(&mut self, work: f64) {
+        self.earned = self.earned.min(self.needed_for(work)) - work;
     }
 
     /// Adds what was earned since the last refill. A request that has been allowed for `kept_for` is forfeited: it
--- a/tests/plain/policy.rs
+++ b/tests/plain/policy.rs
@@ -90,7 +90,7 @@
 /// The requests of mean work that a server that is warming up gets in an overload window when its peers get
 /// nothing.
 const SLOW_START_FLOOR: f64 = 0.5;
-const SATURATED_BUDGET_FRACTION: f64 = 0.6;
+const SATURATED_BUDGET_FRACTION: f64 = 0.8;
 /// The multiple of its even part of the quota that a tenant may send through this router.
 const QUOTA_TOLERANCE: f64 = 1.5;
 /// The seconds of its quota that a tenant may send at once.
@@ -550,7 +550,14 @@
             Role::Decode => !is_prefill,
             Role::Mixed => is_prefill || !has_decode_workers,
         };
-        let is_allowed = |s: &&Server| s.ready && self.slow_start_allows(s) && self.allows_repeat(request, s);
+        let id = request.request.id;
+        let is_allowed = |s: &&Server| {
+            let is_prefill_only = is_prefill && s.role == Role::Prefill;
+            let stage = if is_prefill_only { Stage::Prefill } else { Stage::Decode };
+            s.ready
+                && self.slow_start_allows(s, self.relative_work(id, stage))
+                && self.allows_repeat(request, s)
+        };
         let mut allowed: Vec<&Server> = self.servers.values().filter(is_allowed).filter(runs_stage).collect();
         if !is_prefill && allowed.iter().all(|s| s.unreachable) {
             allowed.extend(self.mixed().into_iter().filter(|s| is_allowed(s)));
@@ -604,7 +611,7 @@
             ..planned
         };
         s.begin_attempt(now, REPORT_LAG, &attempt);
-        s.slow_start_budget.tokens = s.slow_start_budget.tokens.min(0.0) - work.max(1.0);
+        s.slow_start_budget.tokens = s.slow_start_budget.tokens.min(s.first_debt * (work - 1.0)) - work;
         self.cancellations =
             (self.cancellations + CANCELLATIONS_PER_ATTEMPT).min(1.0 + CANCELLATIONS_PER_ATTEMPT * 10.0);
         request.attempt_count += 1;
@@ -897,6 +904,7 @@
                 // It may be a new process that the endpoint list does not name yet. Without slow start all
                 // routers would overload it.
                 s.recovered_at = now;
+                s.first_debt = AffinityKey(self.settings.seed).unit_interval(server);
                 s.slow_start_budget =
                     TokenBucket::in_debt(now, AffinityKey(self.settings.seed).unit_interval(server));
             }
@@ -913,8 +921,9 @@
     /// Whether slow start allows a send. Each router has its own budget: a share of what a warm peer
     /// completes for it. The budget starts in debt by a different part of a request on each router, or all would have
     /// paid it off at the same moment.
-    fn slow_start_allows(&self, s: &Server) -> bool {
-        !self.is_warming_up(s) || s.slow_start_budget.tokens >= 0.0
+    fn slow_start_allows(&self, s: &Server, work: f64) -> bool {
+        let needed = s.first_debt * (work - 1.0);
+        !self.is_warming_up(s) || s.slow_start_budget.tokens >= needed
     }
 
     fn refill_slow_start_budgets(&mut self) {
--- a/tests/plain/state.rs
+++ b/tests/plain/state.rs
@@ -277,6 +277,8 @@
     /// The work recently sent there, in mean requests.
     pub completed_work: DecayingSum,
     pub slow_start_budget: TokenBucket,
+    /// The debt that the budget started with.
+    pub first_debt: f64,
 }
 
 pub fn new_server(id: ServerId, role: Role, kv_capacity_tokens: f64) -> Server {
@@ -313,6 +315,7 @@
         recovered_at: 0,
         completed_work: DecayingSum::default(),
         slow_start_budget: TokenBucket::default(),
+        first_debt: 0.0,
     }
 }
 
@@ -441,6 +444,7 @@
             probe_sent_at: old.probe_sent_at,
             started_at,
             slow_start_budget: TokenBucket::in_debt(now, debt),
+            first_debt: debt,
             ..new_server(old.id, old.role, old.kv_capacity_tokens)
         };
     }
