Judge the admission of a class of requests by its own work in slow start

Cause: queued requests of one class and tenant are checked together before one by one. Since a request's own work decides whether a slow-start budget allows it, that check took one of mean work instead of the class's, and held back light classes that single requests would have passed. Change: the check takes the class that it is for.

--- a/src/policy/eligibility.rs
+++ b/src/policy/eligibility.rs
@@ -5,7 +5,7 @@
 use super::health::is_unhealthy;
 use super::send_guards::{may_repeat, Repeat};
 use super::Policy;
-use crate::api::{Idempotency, Nanos, TrafficClass};
+use crate::api::{ClassId, Idempotency, Nanos, TrafficClass};
 use crate::state::{InFlightRequest, Neighborhood, Server, ServerIndices, TrafficClassKey};
 
 /// The stage for which servers are chosen.
@@ -42,7 +42,8 @@
         request: Option<&InFlightRequest>,
         traffic: Option<TrafficClassKey>,
     ) -> Vec<&Server> {
-        let allowed = self.allowed_servers(among, pool, request);
+        let class = request.map(|request| request.request().class).or(traffic.map(|traffic| traffic.class));
+        let allowed = self.allowed_servers(among, pool, request, class);
         let failed = request.map_or(&[][..], |request| &request.failed_servers);
         let is_healthy =
             |server: &Server| !is_unhealthy(self.now, server, traffic) && !failed.contains(&server.id);
@@ -62,9 +63,10 @@
         among: &ServerIndices,
         pool: WorkerPool,
         request: Option<&InFlightRequest>,
+        class: Option<ClassId>,
     ) -> Vec<&Server> {
         let is_allowed = |server: &&Server| {
-            self.slow_start_allows_request(server, pool, request)
+            self.slow_start_allows_class(server, pool, class)
                 && request.is_none_or(|request| self.allows_repeat(request, server))
         };
         let allowed_of = |indices: &[usize]| self.servers.at(indices).filter(is_allowed).collect();
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -6,10 +6,9 @@
 use super::constants::{MIN_OVERLOAD_WINDOW, RATE_SPAN, SATURATED_BUDGET_FRACTION, SLOW_START_FLOOR};
 use super::eligibility::WorkerPool;
 use super::Policy;
-use crate::api::{AttemptOutcome, AttemptStatus, Nanos, RequestId, Role, Settings};
+use crate::api::{AttemptOutcome, AttemptStatus, ClassId, Nanos, RequestId, Role, Settings};
 use crate::state::{
-    seconds, warm_servers_by_kind, Attempt, InFlightRequest, LaggedValue, Server, ServerTable, Stage,
-    WarmServers,
+    seconds, warm_servers_by_kind, Attempt, LaggedValue, Server, ServerTable, Stage, WarmServers,
 };
 
 /// What a warm server of one kind usually completes for this router.
@@ -84,19 +83,19 @@
         }
     }
 
-    /// Whether slow start allows a server this request, or if there is none, one of mean work.
-    pub(super) fn slow_start_allows_request(
+    /// Whether slow start allows a server a request of this class, or one of mean work if there is none.
+    pub(super) fn slow_start_allows_class(
         &self,
         server: &Server,
         pool: WorkerPool,
-        request: Option<&InFlightRequest>,
+        class: Option<ClassId>,
     ) -> bool {
         if !is_warming_up(self.now, &self.settings, server) {
             return true;
         }
         let is_prefill = pool == WorkerPool::Prefill && server.listing.role == Role::Prefill;
         let stage = if is_prefill { Stage::Prefill } else { Stage::Decode };
-        let work = request.map_or(1.0, |request| self.traffic.relative_work(stage, request.request().class));
+        let work = class.map_or(1.0, |class| self.traffic.relative_work(stage, class));
         server.slow_start.allows(work)
     }
 
