--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -103,7 +103,6 @@
     busy_until: BTreeMap<u32, Nanos>,
     /// By router and request: what a client may repeat, and how often.
     repeats: BTreeMap<(usize, u64), (Request, u32)>,
-    rejected_attempts: u64,
     request_count: u64,
 }
 
@@ -156,7 +155,6 @@
             sent: BTreeMap::new(),
             busy_until: BTreeMap::new(),
             repeats: BTreeMap::new(),
-            rejected_attempts: 0,
             request_count: 0,
         };
         fleet.draw_shares();
@@ -311,7 +309,6 @@
         let mut latency = (mean_ms * variation) as Nanos * MS;
         if let Some(capacity) = self.scenario.capacity {
             let Some(queued) = self.accept(now, server, work, capacity) else {
-                self.rejected_attempts += 1;
                 let rejected = attempt_outcome(id, attempt, server, AttemptStatus::Rejected, MS);
                 return self.schedule(now + MS, router, Step::Event(Event::AttemptFinished(rejected)));
             };
@@ -507,7 +504,7 @@
     check_scenarios(&scenarios, WarmUp::Steady, [0.03, 0.15]);
 }
 
-/// Routers at which requests of the same rate arrive as warm servers complete, or several times as many.
+/// Servers of limited capacity, and clients that repeat what is rejected.
 fn limited(routers: usize, rate: f64) -> Scenario {
     let capacity = Capacity { per_second: 20.0, queue: 300 * MS, client_retries: 3 };
     Scenario { rate, capacity: Some(capacity), ..Scenario { routers, ..DEFAULT } }
--- a/tests/plain/state.rs
+++ b/tests/plain/state.rs
@@ -274,7 +274,7 @@
     pub next_probe_at: Nanos,
     /// When it became reachable again after a connection to it could not be made.
     pub recovered_at: Nanos,
-    /// The work recently sent there, in mean requests.
+    /// The work recently completed there, in mean requests.
     pub completed_work: DecayingSum,
     pub slow_start_budget: TokenBucket,
     /// The debt that the budget started with.
