Log delays of the event loop, late responses, and what client connections carried

Change: a task measures ten times a second how late it runs, and warns of 0.1 s or more (`event loop delayed`). Responses log their times at debug, and at info where they began late or a part of their stream waited 0.3 s (`response late`). The summary gets loop_delay_us, late_turns, health_checks, rejected_messages by reason, busiest_connection, late_responses and queued_us; a closed connection logs its number of messages.

--- a/crates/gaparch-platform-router/src/client/connection.rs
+++ b/crates/gaparch-platform-router/src/client/connection.rs
@@ -49,6 +49,8 @@
     /// Number of bytes ahead of a response that were dropped. If there are any, the start of the next message
     /// is lost.
     dropped_bytes: usize,
+    /// Number of messages whose heads were read.
+    messages: u64,
     /// The reason to count if the client closes the connection now.
     pub(super) reason_if_client_closes: CloseReason,
     /// The reason to count if the connection closes after a response.
@@ -158,6 +160,7 @@
             idle,
             connected_at: Instant::now(),
             dropped_bytes: 0,
+            messages: 0,
             reason_if_client_closes: CloseReason::ClientIdle,
             reason_after_response: CloseReason::ResponseComplete,
         }
@@ -174,7 +177,7 @@
                     break Rejection::no_memory().into();
                 }
                 Ok(_) => {
-                    self.shared.closes.count(self.reason_after_response);
+                    self.count_close(self.reason_after_response);
                     return self.close(LINGER_TIMEOUT).await;
                 }
                 Err(end) => break end,
@@ -182,9 +185,9 @@
             is_first = false;
         };
         match end {
-            ConnectionEnd::ClientClosed => self.shared.closes.count(self.reason_if_client_closes),
+            ConnectionEnd::ClientClosed => self.count_close(self.reason_if_client_closes),
             ConnectionEnd::CloseRequested => {
-                self.shared.closes.count(CloseReason::IdleClosed);
+                self.count_close(CloseReason::IdleClosed);
                 // An unused connection has no response in transit, so it needs no lingering close and frees
                 // its permit immediately.
                 if !is_first {
@@ -192,12 +195,16 @@
                 }
             }
             ConnectionEnd::Rejected(rejection) => {
-                self.shared.closes.count(CloseReason::BadMessage);
+                self.count_close(CloseReason::BadMessage);
                 self.reject(&rejection).await;
             }
         }
     }
 
+    fn count_close(&self, reason: CloseReason) {
+        self.shared.closes.count(reason, self.messages);
+    }
+
     /// Whether the bytes sent ahead begin with the head of a request. It can't be served if the rest was dropped.
     fn has_request_ahead(&mut self) -> bool {
         matches!(decode_request(&mut self.socket.buffer), Ok(Some(_)))
@@ -205,6 +212,8 @@
 
     async fn serve_next(&mut self, is_first: bool) -> Result<AfterResponse, ConnectionEnd> {
         let arrived = self.read_head(is_first).await?;
+        self.messages += 1;
+        self.shared.client_statistics.record_messages(self.messages);
         self.serve_request(arrived).await
     }
 
@@ -321,6 +330,7 @@
     /// Responds to a rejected message and closes the connection, since the start of the next message may be
     /// unknown.
     async fn reject(mut self, rejection: &Rejection) {
+        self.shared.client_statistics.count_rejected_message(rejection.status);
         tracing::debug!(status = rejection.status, reason = %rejection.text, "client message rejected");
         let response = encode_response(rejection.status, &[], &rejection.text, true);
         if self.write(&response, true).await.is_ok() {
--- a/crates/gaparch-platform-router/src/client/mod.rs
+++ b/crates/gaparch-platform-router/src/client/mod.rs
@@ -7,8 +7,11 @@
 mod request;
 mod request_body;
 mod response;
+mod response_trace;
+mod statistics;
 
 pub(crate) use listener::accept;
+pub(crate) use statistics::ClientStatistics;
 
 use gaparch_platform_protocol::body::MAX_BODY_BYTES;
 use std::time::Duration;
--- a/crates/gaparch-platform-router/src/client/request.rs
+++ b/crates/gaparch-platform-router/src/client/request.rs
@@ -1,6 +1,7 @@
 //! Handling of one client request, from its head to the owner's response.
 
 use super::connection::{AfterResponse, ArrivedHead, Connection, ConnectionEnd, Rejection};
+use super::response_trace::ResponseTrace;
 use crate::close_reason::CloseReason;
 use crate::forwarded_request::ForwardedRequest;
 use crate::messages::{ArrivedRequest, ClientResponse, OwnerMessage};
@@ -10,6 +11,7 @@
 use gaparch_platform_protocol::head::{encode_response, RequestHead};
 use gaparch_scheduler::api::{Nanos, RequestId};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 use tokio::time::Instant;
 
@@ -28,6 +30,7 @@
     forwarded: Arc<ForwardedRequest>,
     shared: Arc<SharedState>,
     is_complete: bool,
+    pub(super) trace: ResponseTrace,
 }
 
 impl RequestGuard {
@@ -81,17 +84,33 @@
                 open.complete();
                 let status = if over_quota { 429 } else { 503 };
                 let headers = retry_after_header(retry_after);
-                self.write(&encode_response(status, &headers, REJECTED_TEXT, close), close).await
+                let response = encode_response(status, &headers, REJECTED_TEXT, close);
+                self.write_response(status, &response, &mut open, close).await
             }
             // An error means that the owner has ended, so the outcome of the request is unknown.
             Ok(ClientResponse::Failed) | Err(_) => {
                 open.complete();
-                self.write(&encode_response(500, &[], FAILED_TEXT, close), close).await
+                let response = encode_response(500, &[], FAILED_TEXT, close);
+                self.write_response(500, &response, &mut open, close).await
             }
         }
     }
 
+    /// Writes a response that is not a stream.
+    async fn write_response(
+        &mut self,
+        status: u16,
+        response: &[u8],
+        open: &mut RequestGuard,
+        close: bool,
+    ) -> Result<AfterResponse, ConnectionEnd> {
+        let after = self.write(response, close).await?;
+        open.trace.record_write(status);
+        Ok(after)
+    }
+
     async fn respond_to_health_check(&mut self, head: &RequestHead) -> Result<AfterResponse, ConnectionEnd> {
+        self.shared.client_statistics.count_health_check();
         let is_ready = self.shared.phase() == Phase::Serving;
         let status = if is_ready { 200 } else { 503 };
         let close = head.close || !is_ready;
@@ -107,11 +126,19 @@
         queue_permit: OwnedSemaphorePermit,
     ) -> (RequestGuard, oneshot::Receiver<ClientResponse>) {
         let id = self.shared.next_request_id();
+        let trace = ResponseTrace::new(
+            id,
+            request.transaction.clone(),
+            Arc::clone(&self.shared.client_statistics),
+            arrived_at,
+            arrived_at + Duration::from_nanos(request.remaining),
+        );
         let open = RequestGuard {
             id,
             forwarded: Arc::clone(&forwarded),
             shared: Arc::clone(&self.shared),
             is_complete: false,
+            trace,
         };
         self.reason_if_client_closes = CloseReason::ClientDisconnected;
         let arrived_at = self.shared.clock.at(arrived_at.into_std());
--- a/crates/gaparch-platform-router/src/client/response.rs
+++ b/crates/gaparch-platform-router/src/client/response.rs
@@ -2,8 +2,9 @@
 
 use super::connection::{AfterResponse, Connection, ConnectionEnd};
 use super::request::RequestGuard;
+use super::response_trace::ResponseTrace;
 use crate::close_reason::CloseReason;
-use crate::stream_queue::{StreamPart, StreamReceiver};
+use crate::stream_queue::{ReceivedPart, StreamPart, StreamReceiver};
 use bytes::BytesMut;
 use gaparch_platform_protocol::body::{encode_chunk, LAST_CHUNK};
 use gaparch_platform_protocol::head::event_stream_head;
@@ -11,6 +12,8 @@
 
 /// Stream parts are combined into one write up to about this many bytes.
 const WRITE_SIZE: usize = 16 * 1024;
+/// Status of a response that streams events.
+const STREAM_STATUS: u16 = 200;
 
 /// State of a stream after the last encoded part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,14 +37,16 @@
         let max_bytes = WRITE_SIZE.min(self.shared.memory.stream_queue_bytes / 2);
         loop {
             let part = self.while_connected(parts.recv()).await?;
-            match encode_available(part, &mut parts, &mut out, max_bytes) {
+            match encode_available(part, &mut parts, &mut out, max_bytes, &mut open.trace) {
                 StreamState::Continues => {
                     self.write(&out, close).await?;
+                    open.trace.record_write(STREAM_STATUS);
                     // A buffer that is kept for each stream would be more than all the others.
                     out = BytesMut::new();
                 }
                 StreamState::Complete => {
                     let after = self.write(&out, close).await?;
+                    open.trace.record_write(STREAM_STATUS);
                     open.complete();
                     return Ok(after);
                 }
@@ -59,20 +64,22 @@
 
 /// Encodes a part and those queued behind it, up to about `max_bytes`. `None` means that the stream broke off.
 fn encode_available(
-    first: Option<StreamPart>,
+    first: Option<ReceivedPart>,
     parts: &mut StreamReceiver,
     out: &mut BytesMut,
     max_bytes: usize,
+    trace: &mut ResponseTrace,
 ) -> StreamState {
     let mut part = first;
     loop {
-        match part {
-            Some(StreamPart::Events(events)) => encode_chunk(out, &events),
-            Some(StreamPart::End) => {
+        let Some(ReceivedPart { part: received, queued }) = part else { return StreamState::Broken };
+        trace.record_queued(queued);
+        match received {
+            StreamPart::Events(events) => encode_chunk(out, &events),
+            StreamPart::End => {
                 out.extend_from_slice(LAST_CHUNK);
                 return StreamState::Complete;
             }
-            None => return StreamState::Broken,
         }
         if out.len() >= max_bytes {
             return StreamState::Continues;
--- a/crates/gaparch-platform-router/src/close_reason.rs
+++ b/crates/gaparch-platform-router/src/close_reason.rs
@@ -52,9 +52,9 @@
 }
 
 impl CloseCounts {
-    /// Counts and logs a closed connection.
-    pub fn count(&self, reason: CloseReason) {
-        tracing::debug!(target: "gaparch_platform_router::client", ?reason, "connection closed");
+    /// Counts and logs a closed connection that has carried this many messages.
+    pub fn count(&self, reason: CloseReason, messages: u64) {
+        tracing::debug!(target: "gaparch_platform_router::client", ?reason, messages, "connection closed");
         self.counts[reason as usize].fetch_add(1, Ordering::Relaxed);
     }
 }
--- a/crates/gaparch-platform-router/src/close_reason_tests.rs
+++ b/crates/gaparch-platform-router/src/close_reason_tests.rs
@@ -6,8 +6,8 @@
 fn reasons_that_occurred_are_formatted_with_their_counts() {
     let closes = CloseCounts::default();
     assert_eq!(closes.to_string(), "");
-    closes.count(CloseReason::StreamBroken);
-    closes.count(CloseReason::ClientDisconnected);
-    closes.count(CloseReason::ClientDisconnected);
+    closes.count(CloseReason::StreamBroken, 1);
+    closes.count(CloseReason::ClientDisconnected, 1);
+    closes.count(CloseReason::ClientDisconnected, 1);
     assert_eq!(closes.to_string(), "client_disconnected=2,stream_broken=1");
 }
--- a/crates/gaparch-platform-router/src/lib.rs
+++ b/crates/gaparch-platform-router/src/lib.rs
@@ -33,6 +33,7 @@
 mod core_config;
 mod descriptor_budget;
 mod discovery;
+mod event_loop;
 mod forwarded_request;
 mod gossip;
 mod memory_pools;
--- a/crates/gaparch-platform-router/src/owner/summary.rs
+++ b/crates/gaparch-platform-router/src/owner/summary.rs
@@ -79,6 +79,8 @@
         let pool = self.pool.size();
         let kv_caches = self.measure_held_kv_caches();
         let slow_starts = self.measure_slow_starts();
+        let loop_delay = self.shared.event_loop_delay.take();
+        let clients = &self.shared.client_statistics;
         tracing::info!(
             open = self.core.open_requests(),
             known = self.open.len(),
@@ -104,6 +106,11 @@
             slow_start_per_second = slow_starts.budget_per_second,
             slow_start_work = slow_starts.sent_work,
             closed = %self.shared.closes,
+            rejected_messages = %clients,
+            health_checks = clients.health_checks(),
+            busiest_connection = clients.take_busiest_connection(),
+            late_responses = clients.late_responses(),
+            queued_us = clients.take_longest_queued().as_micros() as u64,
             rejected_entries = counts.ignored_entries,
             gossip_dropped = self.gossip.as_ref().map_or(0, |gossip| gossip.dropped()),
             workers = pool.workers,
@@ -111,6 +118,8 @@
             memory_kb = resident_memory_kb(),
             body_kb = self.shared.memory.bodies.reserved_bytes() / BYTES_PER_KB,
             lag_us = self.max_timer_lag.as_micros() as u64,
+            loop_delay_us = loop_delay.max.as_micros() as u64,
+            late_turns = loop_delay.late,
             "summary"
         );
         self.max_timer_lag = Duration::ZERO;
--- a/crates/gaparch-platform-router/src/run/mod.rs
+++ b/crates/gaparch-platform-router/src/run/mod.rs
@@ -7,6 +7,7 @@
 use crate::core_config::core_config;
 use crate::descriptor_budget::DescriptorBudget;
 use crate::discovery::{self, Subscription};
+use crate::event_loop;
 use crate::gossip::{self, GossipSocket};
 use crate::owner::Owner;
 use crate::shared_state::SharedState;
@@ -177,6 +178,7 @@
         if let Some(socket) = &gossip_socket {
             tokio::spawn(Arc::clone(socket).receive(gossip_sender));
         }
+        tokio::spawn(event_loop::monitor(Arc::clone(&shared)));
         let subscription = watch::Sender::new(Subscription::default());
         let following =
             discovery::follow(discovery.subscribe(), subscription.subscribe(), Arc::clone(&shared));
--- a/crates/gaparch-platform-router/src/shared_state.rs
+++ b/crates/gaparch-platform-router/src/shared_state.rs
@@ -1,6 +1,8 @@
 //! State that the tasks of a router share.
 
+use crate::client::ClientStatistics;
 use crate::close_reason::CloseCounts;
+use crate::event_loop::EventLoopDelay;
 use crate::memory_pools::MemoryPools;
 use crate::messages::OwnerMessage;
 use crate::ready_workers::ReadyWorkers;
@@ -46,6 +48,10 @@
     pub memory: MemoryPools,
     /// Counts of closed client connections by reason.
     pub closes: CloseCounts,
+    /// Counts of what clients send and of how late they were answered.
+    pub client_statistics: Arc<ClientStatistics>,
+    /// How late the event loop runs tasks.
+    pub event_loop_delay: EventLoopDelay,
     owner: mpsc::UnboundedSender<OwnerMessage>,
     next_request_id: AtomicU64,
     /// Transaction ids of open requests.
@@ -71,6 +77,8 @@
             ready_workers: ReadyWorkers::default(),
             request_queue: Arc::new(Semaphore::new(max_clients)),
             closes: CloseCounts::default(),
+            client_statistics: Arc::default(),
+            event_loop_delay: EventLoopDelay::default(),
             owner,
             next_request_id: AtomicU64::new(1),
             open_transactions: Mutex::default(),
--- a/crates/gaparch-platform-router/src/stream_queue.rs
+++ b/crates/gaparch-platform-router/src/stream_queue.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{self, error::TryRecvError};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -21,9 +22,24 @@
 #[derive(Debug)]
 struct QueuedPart {
     part: StreamPart,
+    queued_at: Instant,
     _room: OwnedSemaphorePermit,
 }
 
+/// A part that was received.
+#[derive(Debug)]
+pub(crate) struct ReceivedPart {
+    pub part: StreamPart,
+    /// How long it was in the queue.
+    pub queued: Duration,
+}
+
+impl From<QueuedPart> for ReceivedPart {
+    fn from(queued: QueuedPart) -> ReceivedPart {
+        ReceivedPart { part: queued.part, queued: queued.queued_at.elapsed() }
+    }
+}
+
 /// The client no longer receives the stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ClientGone;
@@ -81,22 +97,23 @@
     }
 
     async fn send(&self, part: StreamPart, room: OwnedSemaphorePermit) -> Result<(), ClientGone> {
-        self.parts.send(QueuedPart { part, _room: room }).await.map_err(|_| ClientGone)
+        let queued = QueuedPart { part, queued_at: Instant::now(), _room: room };
+        self.parts.send(queued).await.map_err(|_| ClientGone)
     }
 }
 
 impl StreamReceiver {
     /// Receives the next part; `None` if the stream broke off.
-    pub async fn recv(&mut self) -> Option<StreamPart> {
-        self.0.recv().await.map(|queued| queued.part)
+    pub async fn recv(&mut self) -> Option<ReceivedPart> {
+        self.0.recv().await.map(ReceivedPart::from)
     }
 
     /// Receives a part that is queued already.
     ///
     /// # Errors
     /// Returns an error if the queue is empty, or the stream broke off.
-    pub fn try_recv(&mut self) -> Result<StreamPart, TryRecvError> {
-        self.0.try_recv().map(|queued| queued.part)
+    pub fn try_recv(&mut self) -> Result<ReceivedPart, TryRecvError> {
+        self.0.try_recv().map(ReceivedPart::from)
     }
 }
 
--- a/crates/gaparch-platform-router/src/stream_queue_tests.rs
+++ b/crates/gaparch-platform-router/src/stream_queue_tests.rs
@@ -1,6 +1,6 @@
 //! Tests the bounds of a stream's queue.
 
-use super::{stream_queue, ClientGone, StreamPart};
+use super::{stream_queue, ClientGone, ReceivedPart, StreamPart};
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -17,12 +17,12 @@
     let sending = tokio::spawn(async move { sender.send_events(&sent).await });
     tokio::time::sleep(PAUSE).await;
     let mut queued = 0;
-    while let Ok(StreamPart::Events(piece)) = receiver.try_recv() {
+    while let Ok(ReceivedPart { part: StreamPart::Events(piece), .. }) = receiver.try_recv() {
         queued += piece.len();
     }
     assert!((1..=1024).contains(&queued), "{queued} bytes queued");
     let mut received = queued;
-    while let Some(StreamPart::Events(piece)) = receiver.recv().await {
+    while let Some(ReceivedPart { part: StreamPart::Events(piece), .. }) = receiver.recv().await {
         received += piece.len();
     }
     assert_eq!((received, sending.await.expect("no panic")), (events.len(), Ok(())));
--- a/crates/gaparch-platform-router/src/worker/exchange/stream_tests.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/stream_tests.rs
@@ -3,7 +3,7 @@
 use super::{Attempt, EVENT_TIMEOUT};
 use crate::forwarded_request::ForwardedRequest;
 use crate::messages::{AttemptEvent, OwnerMessage};
-use crate::stream_queue::{stream_queue, StreamPart, StreamReceiver};
+use crate::stream_queue::{stream_queue, ReceivedPart, StreamPart, StreamReceiver};
 use crate::test_support::{buffer_memory, shared_state};
 use crate::worker::{exchange, ConnectionPool, WorkerProcess};
 use bytes::{Bytes, BytesMut};
@@ -90,12 +90,12 @@
     write_events(&mut worker, &["two"]).await;
     sleep(EVENT_TIMEOUT + PAUSE).await;
     for _ in 0..2 {
-        assert!(matches!(client.recv().await, Some(StreamPart::Events(_))));
+        assert!(matches!(client.recv().await, Some(ReceivedPart { part: StreamPart::Events(_), .. })));
     }
     sleep(PAUSE).await;
     write_events(&mut worker, &["three", "[DONE]"]).await;
-    assert!(matches!(client.recv().await, Some(StreamPart::Events(_))));
+    assert!(matches!(client.recv().await, Some(ReceivedPart { part: StreamPart::Events(_), .. })));
     worker.write_all(LAST_CHUNK).await.expect("written");
-    assert!(matches!(client.recv().await, Some(StreamPart::End)));
+    assert!(matches!(client.recv().await, Some(ReceivedPart { part: StreamPart::End, .. })));
     exchanging.await.expect("no panic");
 }
--- a/crates/gaparch-platform-router/tests/exchange_log.rs
+++ b/crates/gaparch-platform-router/tests/exchange_log.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{started_stream, RunningRouter};
-use gaparch_testbed::platform::{ask, until, Platform, Step};
+use gaparch_testbed::platform::{ask, head_and_body, raw, until, Platform, Step, LONG};
 use serde_json::json;
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex};
@@ -94,7 +94,8 @@
     drop(started_stream(&router, "left"));
     log.wait_for_line(&["attempt cancelled", "txn=\"left\""]);
     log.wait_for_line(&["exchange ended", "txn=\"left\"", "last_event_us=", "end=Cancelled"]);
-    log.wait_for_line(&["connection closed", "reason=ClientDisconnected"]);
+    log.wait_for_line(&["connection closed", "reason=ClientDisconnected", "messages=1"]);
+    log.wait_for_line(&["response ended", "txn=\"left\"", "status=200", "first_byte_us="]);
 
     router.publish_list(Platform::without_decode_workers(&Platform::list(
         &router.prefill_workers,
@@ -110,4 +111,9 @@
     log.wait_for_line(&["request failed", "txn=\"failed\"", "cause=", "detail="]);
     log.wait_for_line(&["KV cache released", "txn=\"failed\"", "prefill_worker="]);
     log.wait_for_line(&["release attempted", "txn=\"failed\"", "status=Some(204)"]);
+
+    let late = head_and_body("late", "{}");
+    let late = String::from_utf8(late).expect("text").replace("X-Remaining-Ms: 5000", "X-Remaining-Ms: 0");
+    assert_eq!(raw(router.listen, late.as_bytes(), LONG).status, 503);
+    log.wait_for_line(&["response late", "txn=\"late\"", "status=503", "late_ms="]);
 }
