Log a response as late only if it is late by 0.1 s

Cause: requests that arrive with no time left are answered within a millisecond and counted as late; a client that sends them at full speed wrote a line of the log for each.

Change: the info line wants 0.1 s; the debug line of every response has the lateness in microseconds.

--- a/crates/gaparch-platform-router/src/client/response_trace.rs
+++ b/crates/gaparch-platform-router/src/client/response_trace.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// A response that begins this much after its client's time is logged. Many begin a little after it: a request may
+/// have no time left when it arrives.
+const LOGGED_LATENESS: Duration = Duration::from_millis(100);
 /// A part of a stream that waited longer than this for its client connection is logged: the platform counts its
 /// event as held back.
 const LOGGED_QUEUED_TIME: Duration = Duration::from_millis(300);
@@ -67,27 +70,25 @@
 impl Drop for ResponseTrace {
     fn drop(&mut self) {
         let late = self.first_byte_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(self.due_at));
-        if late.is_zero() && self.longest_queued < LOGGED_QUEUED_TIME {
-            tracing::debug!(
-                target: "gaparch_platform_router::client",
-                request = self.request.0,
-                txn = self.transaction.as_str(),
-                status = self.status,
-                first_byte_us = self.first_byte_us(),
-                longest_queued_us = self.longest_queued.as_micros() as u64,
-                ended_us = self.arrived_at.elapsed().as_micros() as u64,
-                "response ended"
-            );
-        } else {
+        tracing::debug!(
+            target: "gaparch_platform_router::client",
+            request = self.request.0,
+            txn = self.transaction.as_str(),
+            status = self.status,
+            late_us = late.as_micros() as u64,
+            first_byte_us = self.first_byte_us(),
+            longest_queued_us = self.longest_queued.as_micros() as u64,
+            ended_us = self.arrived_at.elapsed().as_micros() as u64,
+            "response ended"
+        );
+        if late >= LOGGED_LATENESS || self.longest_queued >= LOGGED_QUEUED_TIME {
             tracing::info!(
                 target: "gaparch_platform_router::client",
                 request = self.request.0,
                 txn = self.transaction.as_str(),
                 status = self.status,
                 late_ms = late.as_millis() as u64,
-                first_byte_us = self.first_byte_us(),
-                longest_queued_us = self.longest_queued.as_micros() as u64,
-                ended_us = self.arrived_at.elapsed().as_micros() as u64,
+                longest_queued_ms = self.longest_queued.as_millis() as u64,
                 "response late"
             );
         }
