Red test: answers are late beside clients that send at full speed

Its picture on a real process over loopback: six clients send readiness checks at full speed on a connection each, four usual clients with 1 s each ask at the same time.

--- /dev/null
+++ b/crates/gaparch-cli/tests/busy_clients.rs
@@ -0,0 +1,119 @@
+//! Tests that clients which send at full speed do not delay the answers of a router process to others.
+
+mod common;
+
+use common::Site;
+use gaparch_testbed::platform::{head_and_body, read, stream, Flood, FloodKind, Step, LONG};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// The time that a usual client waits for the first event.
+const REMAINING: Duration = Duration::from_millis(1000);
+/// A final answer up to this much after its time only earns nothing; later it is lost.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Passing on the end of a stream this much late loses it.
+const STREAM_END_SLACK: Duration = Duration::from_secs(1);
+/// A stream with an event that is held back for longer costs; at most one in ten may.
+const EVENT_SLACK: Duration = Duration::from_millis(300);
+/// The time between the first event of a worker's stream and the rest.
+const STREAM_PAUSE: Duration = Duration::from_millis(300);
+const FLOOD_CLIENTS: usize = 6;
+const FLOOD_TIME: Duration = Duration::from_secs(5);
+const USUAL_CLIENTS: usize = 4;
+
+/// How one usual request went.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    is_served: bool,
+    /// From the request's last byte to the first byte of the answer.
+    first_byte_after: Duration,
+    /// From the first byte of the answer to its end.
+    rest_after: Duration,
+}
+
+/// Sends one request on an open connection and reads its answer.
+fn ask(socket: &mut TcpStream, txn: &str) -> Answer {
+    let request = String::from_utf8(head_and_body(txn, "{\"stream\":true}")).expect("text");
+    let request =
+        request.replace("X-Remaining-Ms: 5000", &format!("X-Remaining-Ms: {}", REMAINING.as_millis()));
+    let sent_at = Instant::now();
+    socket.write_all(request.as_bytes()).expect("written");
+    socket.set_read_timeout(Some(LONG)).expect("set");
+    let has_answer = socket.peek(&mut [0; 1]).is_ok_and(|length| length > 0);
+    let first_byte_at = Instant::now();
+    let response = if has_answer { read(socket, LONG) } else { Default::default() };
+    Answer {
+        is_served: response.status == 200 && response.is_complete,
+        first_byte_after: first_byte_at - sent_at,
+        rest_after: first_byte_at.elapsed(),
+    }
+}
+
+/// Clients that ask one request after the other, each on its own connection, for [`FLOOD_TIME`].
+fn ask_for_a_while(to: SocketAddr) -> Vec<Answer> {
+    let client = move |client: usize| {
+        let until = Instant::now() + FLOOD_TIME;
+        let mut socket = TcpStream::connect(to).expect("connected");
+        let numbers = (0..).take_while(|_| Instant::now() < until);
+        numbers.map(|number| ask(&mut socket, &format!("usual-{client}-{number}"))).collect::<Vec<Answer>>()
+    };
+    let clients: Vec<JoinHandle<Vec<Answer>>> =
+        (0..USUAL_CLIENTS).map(|number| std::thread::spawn(move || client(number))).collect();
+    clients.into_iter().flat_map(|client| client.join().expect("no panic")).collect()
+}
+
+/// Asserts that usual clients get their answers in time beside a flood.
+fn assert_answers_in_time_beside(kind: FloodKind) {
+    let mut site = Site::new();
+    let whole = stream(&gaparch_testbed::platform::events());
+    let at = whole.windows(4).rposition(|window| window == b"\n\n\r\n").expect("events") - 20;
+    let steps =
+        vec![Step::Put(whole[..at].to_vec()), Step::Wait(STREAM_PAUSE), Step::Put(whole[at..].to_vec())];
+    site.decode_workers.iter().for_each(|worker| worker.reply_always(steps.clone()));
+    let flood = Flood::start(site.listen, kind, FLOOD_CLIENTS);
+    std::thread::sleep(Duration::from_millis(200));
+    let answers = ask_for_a_while(site.listen);
+    let received = flood.received_bytes();
+    drop(flood);
+    let served = answers.iter().filter(|answer| answer.is_served).count();
+    let late = |answer: &&Answer| answer.first_byte_after > REMAINING + ANSWER_SLACK;
+    let late = answers.iter().filter(late).count();
+    let held_back =
+        |slack: Duration| answers.iter().filter(|answer| answer.rest_after > STREAM_PAUSE + slack).count();
+    let (ends_late, events_late) = (held_back(STREAM_END_SLACK), held_back(EVENT_SLACK));
+    let longest = answers.iter().map(|answer| answer.first_byte_after).max().unwrap_or_default();
+    let seen = format!(
+        "{kind:?}: {} requests, {served} served, {late} late, first byte after {longest:?} at most, {ends_late} ends \
+         late, {events_late} with an event held back; the flood received {received} bytes",
+        answers.len()
+    );
+    let log = site.kill_and_read_log();
+    let delays = log.lines().filter(|line| line.contains("delayed") || line.contains("late "));
+    println!("{seen}\n{}", delays.collect::<Vec<&str>>().join("\n"));
+    assert!(late == 0 && ends_late == 0, "{seen}");
+    assert!(answers.len() >= 20 && served * 10 >= answers.len() * 9, "{seen}");
+    assert!(events_late * 10 <= answers.len(), "{seen}");
+}
+
+/// Guards against a connection whose requests are answered without a pause while all others wait.
+#[test]
+fn answers_are_in_time_beside_clients_that_send_health_checks_at_full_speed() {
+    assert_answers_in_time_beside(FloodKind::HealthChecks);
+}
+
+#[test]
+fn answers_are_in_time_beside_clients_that_send_blank_lines_at_full_speed() {
+    assert_answers_in_time_beside(FloodKind::BlankLines);
+}
+
+#[test]
+fn answers_are_in_time_beside_clients_that_ask_for_unknown_paths_at_full_speed() {
+    assert_answers_in_time_beside(FloodKind::UnknownPaths);
+}
+
+#[test]
+fn answers_are_in_time_beside_clients_that_send_requests_under_new_names_at_full_speed() {
+    assert_answers_in_time_beside(FloodKind::NewNames);
+}
--- a/crates/gaparch-cli/tests/common/mod.rs
+++ b/crates/gaparch-cli/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use gaparch_testbed::platform::{until, Platform, LONG};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
+use std::io::Read;
 use std::ops::Deref;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -65,6 +66,16 @@
         kill_process(self.pid(), signal).expect("the router runs");
     }
 
+    /// Kills the router and returns what it has logged.
+    pub fn kill_and_read_log(&mut self) -> String {
+        let _ = self.router.kill();
+        let mut log = String::new();
+        if let Some(mut stderr) = self.router.stderr.take() {
+            let _ = stderr.read_to_string(&mut log);
+        }
+        log
+    }
+
     /// Waits until the router exits.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         let started_at = Instant::now();
--- a/crates/gaparch-testbed/src/platform/mod.rs
+++ b/crates/gaparch-testbed/src/platform/mod.rs
@@ -4,6 +4,7 @@
 mod breaches;
 mod client;
 mod discovery;
+mod flood;
 mod full_backlog;
 mod hanging_relay;
 mod silent_relay;
@@ -13,6 +14,7 @@
 pub use breaches::{find_breaches, TestActions, MAX_SEND_DELAY_AFTER_DISCONNECT};
 pub use client::{ask, head_and_body, raw, read, Response};
 pub use discovery::{instance, DiscoveryService};
+pub use flood::{Flood, FloodKind};
 pub use full_backlog::FullBacklog;
 pub use hanging_relay::HangingRelay;
 pub use silent_relay::SilentRelay;
