Bound what is done for one connection in a turn by its cost

Cause: a client connection served its requests without letting other tasks run, up to 128 reads (tokio's budget). A read of 2 KiB brings some 50 readiness checks, each with a write: about 7,600 messages a connection and turn, 1.2 s to 1.5 s a turn with six such clients (log of the red test). Sockets and timers are polled once in a turn, and a request needs several. Because the budget was used up by reads, the deadline of an incomplete request was not checked either: a client that sends line ends got no end in 8 s.

All connections (clients, workers, discovery) and the listener follow it. A yield hands the processor to all others and to the poller, which is why a usual request now waits for one message of each busy client and not for thousands. Blank lines before a request are skipped at once.

--- a/crates/gaparch-cli/tests/busy_clients.rs
+++ b/crates/gaparch-cli/tests/busy_clients.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use common::Site;
+use common::{PartOfACore, Site};
 use gaparch_testbed::platform::{head_and_body, read, stream, Flood, FloodKind, Step, LONG};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -64,19 +64,27 @@
     clients.into_iter().flat_map(|client| client.join().expect("no panic")).collect()
 }
 
+/// The processor time that the router gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Processor {
+    Whole,
+    Part,
+}
+
 /// Asserts that usual clients get their answers in time beside a flood.
-fn assert_answers_in_time_beside(kind: FloodKind) {
+fn assert_answers_in_time_beside(kind: FloodKind, processor: Processor) {
     let mut site = Site::new();
     let whole = stream(&gaparch_testbed::platform::events());
     let at = whole.windows(4).rposition(|window| window == b"\n\n\r\n").expect("events") - 20;
     let steps =
         vec![Step::Put(whole[..at].to_vec()), Step::Wait(STREAM_PAUSE), Step::Put(whole[at..].to_vec())];
     site.decode_workers.iter().for_each(|worker| worker.reply_always(steps.clone()));
+    let part_of_a_core = (processor == Processor::Part).then(|| PartOfACore::of(site.pid()));
     let flood = Flood::start(site.listen, kind, FLOOD_CLIENTS);
     std::thread::sleep(Duration::from_millis(200));
     let answers = ask_for_a_while(site.listen);
     let received = flood.received_bytes();
-    drop(flood);
+    drop((flood, part_of_a_core));
     let served = answers.iter().filter(|answer| answer.is_served).count();
     let late = |answer: &&Answer| answer.first_byte_after > REMAINING + ANSWER_SLACK;
     let late = answers.iter().filter(late).count();
@@ -100,20 +108,43 @@
 /// Guards against a connection whose requests are answered without a pause while all others wait.
 #[test]
 fn answers_are_in_time_beside_clients_that_send_health_checks_at_full_speed() {
-    assert_answers_in_time_beside(FloodKind::HealthChecks);
+    assert_answers_in_time_beside(FloodKind::HealthChecks, Processor::Whole);
 }
 
 #[test]
 fn answers_are_in_time_beside_clients_that_send_blank_lines_at_full_speed() {
-    assert_answers_in_time_beside(FloodKind::BlankLines);
+    assert_answers_in_time_beside(FloodKind::BlankLines, Processor::Whole);
 }
 
 #[test]
 fn answers_are_in_time_beside_clients_that_ask_for_unknown_paths_at_full_speed() {
-    assert_answers_in_time_beside(FloodKind::UnknownPaths);
+    assert_answers_in_time_beside(FloodKind::UnknownPaths, Processor::Whole);
 }
 
 #[test]
 fn answers_are_in_time_beside_clients_that_send_requests_under_new_names_at_full_speed() {
-    assert_answers_in_time_beside(FloodKind::NewNames);
+    assert_answers_in_time_beside(FloodKind::NewNames, Processor::Whole);
+}
+
+#[test]
+fn answers_are_in_time_beside_health_checks_at_full_speed_with_part_of_a_core() {
+    assert_answers_in_time_beside(FloodKind::HealthChecks, Processor::Part);
+}
+
+/// Guards against a deadline that is never checked because there is always something to read.
+#[test]
+fn a_client_that_sends_line_ends_at_full_speed_gets_its_end_in_time() {
+    /// The platform allows 3 s; the rest is for a busy machine.
+    const ENDS_WITHIN: Duration = Duration::from_secs(5);
+    let site = Site::new();
+    let mut socket = TcpStream::connect(site.listen).expect("connected");
+    let mut writer = socket.try_clone().expect("cloned");
+    let connected_at = Instant::now();
+    let line_ends = "\r\n".repeat(1000);
+    std::thread::spawn(move || while writer.write_all(line_ends.as_bytes()).is_ok() {});
+    socket.set_read_timeout(Some(ENDS_WITHIN)).expect("set");
+    // The status, or the end of the connection.
+    let ended = socket.read(&mut [0; 64]).is_ok() || connected_at.elapsed() < ENDS_WITHIN;
+    let ended_after = connected_at.elapsed();
+    assert!(ended && ended_after < ENDS_WITHIN, "no end after {ended_after:?}");
 }
--- a/crates/gaparch-cli/tests/common/mod.rs
+++ b/crates/gaparch-cli/tests/common/mod.rs
@@ -8,6 +8,9 @@
 use std::ops::Deref;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// Additional environment variables of a process.
@@ -41,6 +44,39 @@
     command.spawn().expect("the program starts")
 }
 
+/// Gives a process part of a core: it runs for a third of each 30 ms. It goes on as before when this is dropped.
+pub struct PartOfACore {
+    stops: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl PartOfACore {
+    pub fn of(process: Pid) -> PartOfACore {
+        const RUNS_FOR: Duration = Duration::from_millis(10);
+        const STOPS_FOR: Duration = Duration::from_millis(20);
+        let stops = Arc::new(AtomicBool::new(false));
+        let stop = Arc::clone(&stops);
+        let thread = std::thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                kill_process(process, Signal::STOP).expect("the router runs");
+                std::thread::sleep(STOPS_FOR);
+                kill_process(process, Signal::CONT).expect("the router runs");
+                std::thread::sleep(RUNS_FOR);
+            }
+        });
+        PartOfACore { stops, thread: Some(thread) }
+    }
+}
+
+impl Drop for PartOfACore {
+    fn drop(&mut self) {
+        self.stops.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
 impl Site {
     pub fn new() -> Site {
         Site::with(|_| {})
--- a/crates/gaparch-platform-protocol/src/head.rs
+++ b/crates/gaparch-platform-protocol/src/head.rs
@@ -6,6 +6,8 @@
 
 /// Maximum length of a head in bytes; those of the platform have a few hundred.
 pub const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// A line without text.
+const BLANK_LINE: &[u8] = b"\r\n";
 /// Maximum number of header lines in a head.
 const MAX_HEADERS: usize = 64;
 
@@ -222,9 +224,8 @@
 
 /// Skips blank lines before a request: some clients send an extra line terminator after a body.
 fn skip_blank_lines(buffer: &mut BytesMut) {
-    while buffer.starts_with(b"\r\n") {
-        buffer.advance(2);
-    }
+    let blank_lines = buffer.chunks_exact(BLANK_LINE.len()).take_while(|line| *line == BLANK_LINE).count();
+    buffer.advance(blank_lines * BLANK_LINE.len());
 }
 
 /// Encodes a complete response with a short text as its body, and with `headers` besides the framing ones.
--- a/crates/gaparch-platform-router/src/buffered_socket.rs
+++ b/crates/gaparch-platform-router/src/buffered_socket.rs
@@ -9,12 +9,12 @@
 use gaparch_platform_protocol::head::{decode_response, HeadError, ResponseHead, MAX_HEAD_BYTES};
 use gaparch_platform_protocol::worker::MAX_INTERIM_RESPONSES;
 use gaparch_router::memory::{MemoryPool, Reservation};
+use gaparch_scheduler::policy::turns::Turn;
 use std::io;
 use std::sync::Arc;
 use thiserror::Error;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
-use tokio::task::coop;
 use tokio::time::sleep;
 
 /// Capacity of a buffer with a reservation, in bytes: enough for the longest head.
@@ -32,6 +32,7 @@
     memory: BufferMemory,
     /// The memory of the buffer while it is long.
     reservation: Option<Reservation>,
+    turn: Turn,
 }
 
 /// How much memory a buffer may have.
@@ -74,11 +75,20 @@
     Malformed(#[from] BodyError),
 }
 
+impl AheadRead {
+    /// Returns the number of bytes that were read.
+    fn length(self) -> usize {
+        match self {
+            AheadRead::Kept(length) | AheadRead::Dropped(length) => length,
+        }
+    }
+}
+
 impl BufferedSocket {
     pub fn new(stream: TcpStream, memory: BufferMemory) -> BufferedSocket {
         // Messages are small and alternate between the sides: Nagle's algorithm would only add latency.
         let _ = stream.set_nodelay(true);
-        BufferedSocket { stream, buffer: BytesMut::new(), memory, reservation: None }
+        BufferedSocket { stream, buffer: BytesMut::new(), memory, reservation: None, turn: Turn::default() }
     }
 
     /// Reads more bytes into the buffer and returns their number, or 0 at the end of the connection. Waits
@@ -88,8 +98,7 @@
     /// Returns an error if the connection is broken. Interrupted calls and lack of memory are retried.
     pub async fn read(&mut self) -> io::Result<usize> {
         loop {
-            // A connection that always has data must not starve other tasks.
-            coop::consume_budget().await;
+            self.yield_if_turn_is_over().await;
             self.shrink_buffer();
             self.stream.readable().await?;
             self.make_space().await;
@@ -98,7 +107,10 @@
                 Err(error) if would_block(&error) => {}
                 Err(error) if is_interrupted(&error) => {}
                 Err(error) if lacks_memory(&error) => sleep(RETRY_DELAY).await,
-                result => return result,
+                result => {
+                    self.turn.record_read(*result.as_ref().unwrap_or(&0));
+                    return result;
+                }
             }
         }
     }
@@ -108,19 +120,37 @@
     ///
     /// # Errors
     /// As for [`BufferedSocket::read`].
-    pub async fn read_into(&self, target: &mut BytesMut, max_length: usize) -> io::Result<usize> {
+    pub async fn read_into(&mut self, target: &mut BytesMut, max_length: usize) -> io::Result<usize> {
         loop {
-            coop::consume_budget().await;
+            self.yield_if_turn_is_over().await;
             self.stream.readable().await?;
             let missing = max_length.saturating_sub(target.len());
             match self.stream.try_read_buf(&mut target.limit(missing)) {
                 Err(error) if would_block(&error) || is_interrupted(&error) => {}
                 Err(error) if lacks_memory(&error) => sleep(RETRY_DELAY).await,
-                result => return result,
+                result => {
+                    self.turn.record_read(*result.as_ref().unwrap_or(&0));
+                    return result;
+                }
             }
         }
     }
 
+    /// Lets the other tasks run if enough was done for this connection, and ends its turn. A connection that always has
+    /// data must not keep them from running.
+    async fn yield_if_turn_is_over(&mut self) {
+        if self.turn.take_over() {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Ends the turn of this connection after a message was answered, and lets the other tasks run. More messages may
+    /// be in the buffer.
+    pub async fn end_turn(&mut self) {
+        self.turn.record_answer();
+        self.yield_if_turn_is_over().await;
+    }
+
     /// Waits until the peer has closed the connection or its sending side, without reading what it sent before.
     pub async fn closed(&self) {
         // An error means that the connection is of no further use either.
@@ -262,13 +292,14 @@
         may_keep: bool,
     ) -> io::Result<AheadRead> {
         loop {
-            coop::consume_budget().await;
+            self.yield_if_turn_is_over().await;
             self.stream.readable().await?;
             let result = if may_keep && self.make_space_ahead(pool, max_length) {
                 self.stream.try_read_buf(&mut self.buffer).map(AheadRead::Kept)
             } else {
                 self.stream.try_read(&mut [0; DROP_SIZE]).map(AheadRead::Dropped)
             };
+            self.turn.record_read(result.as_ref().map_or(0, |read| read.length()));
             match result {
                 Err(error) if would_block(&error) || is_interrupted(&error) => self.shrink_buffer(),
                 Err(error) if lacks_memory(&error) => sleep(RETRY_DELAY).await,
@@ -285,9 +316,7 @@
         self.buffer = BytesMut::new();
         self.reservation = None;
         let pool = Arc::clone(&self.memory.pool);
-        match self.read_ahead(&pool, 0, false).await? {
-            AheadRead::Kept(length) | AheadRead::Dropped(length) => Ok(length),
-        }
+        Ok(self.read_ahead(&pool, 0, false).await?.length())
     }
 
     /// Makes space for a read, if there is memory for it now and the buffer is shorter than `max_length`.
--- a/crates/gaparch-platform-router/src/client/connection.rs
+++ b/crates/gaparch-platform-router/src/client/connection.rs
@@ -172,7 +172,10 @@
         let end = loop {
             self.reason_if_client_closes = CloseReason::ClientIdle;
             match self.serve_next(is_first).await {
-                Ok(AfterResponse::KeepAlive) if self.dropped_bytes == 0 => self.socket.shrink_buffer(),
+                Ok(AfterResponse::KeepAlive) if self.dropped_bytes == 0 => {
+                    self.socket.shrink_buffer();
+                    self.socket.end_turn().await;
+                }
                 Ok(AfterResponse::KeepAlive) if self.has_request_ahead() => {
                     break Rejection::no_memory().into();
                 }
--- a/crates/gaparch-platform-router/src/client/listener.rs
+++ b/crates/gaparch-platform-router/src/client/listener.rs
@@ -5,12 +5,14 @@
 use super::PERMIT_TIMEOUT;
 use crate::descriptor_budget::DescriptorBudget;
 use crate::shared_state::{Phase, SharedState};
+use gaparch_scheduler::policy::turns::Turn;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit};
+use tokio::task::yield_now;
 use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
 
 /// Delay after a failed `accept`, since errors such as a lack of descriptors persist.
@@ -29,6 +31,7 @@
     let mut acceptor =
         Acceptor { budget, shared, idle: Arc::new(IdleConnections::default()), error_logged_at: None };
     let mut phase = acceptor.shared.phase.subscribe();
+    let mut turn = Turn::default();
     let mut idle_check = interval(IDLE_CHECK_INTERVAL);
     idle_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -36,7 +39,13 @@
             biased;
             () = until_closing(&mut phase) => break,
             _ = idle_check.tick() => acceptor.close_idle_preemptively(),
-            accepted = listener.accept() => acceptor.handle(accepted).await,
+            accepted = listener.accept() => {
+                acceptor.handle(accepted).await;
+                turn.record_read(0);
+                if turn.take_over() {
+                    yield_now().await;
+                }
+            }
         }
     }
     // Connections that are pending in the kernel would be reset when the listener closes. The timeout keeps
@@ -107,7 +116,7 @@
     async fn accept_arrived(&mut self, listener: &TcpListener) {
         loop {
             // Yield so that the poller runs and notices connections that have just arrived.
-            tokio::task::yield_now().await;
+            yield_now().await;
             tokio::select! {
                 biased;
                 accepted = listener.accept() => self.handle(accepted).await,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -26,6 +26,7 @@
 //! | `kv_release` | how a KV cache release is repeated until a server confirms it |
 //! | `memory` | how memory is divided among buffers, and who gives some back |
 //! | `shutdown_intake` | what a router accepts during shutdown, and which connection is closed first |
+//! | `turns` | how much is done for one connection before the others get their turn |
 //! | `process_start` | when a listed process started, on the router's own clock |
 //! | `endpoints` | how the endpoint list is applied |
 //! | `connect` | what a failed connection means, and whether it is retried |
@@ -56,6 +57,7 @@
 pub mod send_guards;
 pub mod shutdown_intake;
 mod slow_start;
+pub mod turns;
 pub mod unanswered_decode;
 
 pub(crate) use health::is_unhealthy;
