Bound the number of shared prefixes whose requests are counted

Cause: PrefixPopularity keeps a count for each prefix that a client names until it has decayed, 4.6 min later; clients choose the names, so its size was their rate times that time. Each cleanup, once in 1,024 requests, walked all of them in one go.

Change: a cleanup keeps the 4,096 most frequent prefixes. Only a prefix with a large share of all requests is routed differently, and there can't be many of these.

Result: the new test failed without the limit (200,001 prefixes kept) and passes; a prefix in one of 101 requests keeps its count. All tests of the scheduler pass, the reference implementation among them, so decisions stay the same where names don't flood.

--- a/src/state/prefix_popularity.rs
+++ b/src/state/prefix_popularity.rs
@@ -8,6 +8,9 @@
 const CLEANUP_INTERVAL: u32 = 1024;
 /// A prefix whose decayed count is below this is dropped at the next cleanup.
 const NEGLIGIBLE_COUNT: f64 = 0.01;
+/// The number of prefixes that a cleanup keeps. Clients choose their names, so there may be a new one in each request;
+/// only a prefix with a large share of the requests is treated differently, and these are far fewer.
+const MAX_PREFIXES: usize = 4096;
 
 /// Decayed counts of the requests before the current one.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -43,7 +46,7 @@
         self.total.add(now, 1.0, span);
         self.requests_seen = self.requests_seen.wrapping_add(1);
         if self.requests_seen.is_multiple_of(CLEANUP_INTERVAL) {
-            self.by_prefix.retain(|_, count| count.value_at(now, span) >= NEGLIGIBLE_COUNT);
+            self.remove_rare(now, span);
         }
         let Some(prefix) = prefix else { return RecentRequests { same_prefix: 0.0, total } };
         let count = self.by_prefix.entry(prefix).or_default();
@@ -51,4 +54,19 @@
         count.add(now, 1.0, span);
         RecentRequests { same_prefix, total }
     }
+
+    /// Removes prefixes that are no longer in use, and the least frequent ones if there are too many.
+    fn remove_rare(&mut self, now: Nanos, span: Nanos) {
+        let mut counts: Vec<f64> = self.by_prefix.values().map(|count| count.value_at(now, span)).collect();
+        let mut limit = NEGLIGIBLE_COUNT;
+        if let Some(excess) = counts.len().checked_sub(MAX_PREFIXES + 1) {
+            let (_, count, _) = counts.select_nth_unstable_by(excess, f64::total_cmp);
+            limit = limit.max(count.next_up());
+        }
+        self.by_prefix.retain(|_, count| count.value_at(now, span) >= limit);
+    }
 }
+
+#[cfg(test)]
+#[path = "prefix_popularity_tests.rs"]
+mod tests;
