Let the test of clients that send line ends fail without its fix

Cause: with a single such client the test passed on the program before: the router catches up with one client, and its deadline is checked once nothing is left to read.

--- a/crates/gaparch-cli/tests/busy_clients.rs
+++ b/crates/gaparch-cli/tests/busy_clients.rs
@@ -4,7 +4,7 @@
 
 use common::{PartOfACore, Site};
 use gaparch_testbed::platform::{head_and_body, read, stream, Flood, FloodKind, Step, LONG};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -133,18 +133,13 @@
 
 /// Guards against a deadline that is never checked because there is always something to read.
 #[test]
-fn a_client_that_sends_line_ends_at_full_speed_gets_its_end_in_time() {
+fn clients_that_send_line_ends_at_full_speed_get_their_end_in_time() {
     /// The platform allows 3 s; the rest is for a busy machine.
     const ENDS_WITHIN: Duration = Duration::from_secs(5);
+    const RESPONSE: &str = "HTTP/1.1 408 ";
     let site = Site::new();
-    let mut socket = TcpStream::connect(site.listen).expect("connected");
-    let mut writer = socket.try_clone().expect("cloned");
-    let connected_at = Instant::now();
-    let line_ends = "\r\n".repeat(1000);
-    std::thread::spawn(move || while writer.write_all(line_ends.as_bytes()).is_ok() {});
-    socket.set_read_timeout(Some(ENDS_WITHIN)).expect("set");
-    // The status, or the end of the connection.
-    let ended = socket.read(&mut [0; 64]).is_ok() || connected_at.elapsed() < ENDS_WITHIN;
-    let ended_after = connected_at.elapsed();
-    assert!(ended && ended_after < ENDS_WITHIN, "no end after {ended_after:?}");
+    let flood = Flood::start(site.listen, FloodKind::BlankLines, FLOOD_CLIENTS);
+    std::thread::sleep(ENDS_WITHIN);
+    let received = flood.received_bytes();
+    assert!(received as usize >= FLOOD_CLIENTS * RESPONSE.len(), "received {received} bytes");
 }
