Do the owner's periodic work in time however many messages wait

Cause: the owner waited for messages, timers and its periodic work with a biased select whose first branch is the messages. A round takes 64; with more clients than that there is always one left, and maintenance never ran: finished releases, probes and reservations stayed in their sets, expired connections in the pool, and neither the summary nor unfetched KV caches were logged.

Change: a schedule for each kind of periodic work; each round waits until the first is due at the latest, and does what is due, whether there are messages or not.

--- a/crates/gaparch-cli/tests/busy_clients.rs
+++ b/crates/gaparch-cli/tests/busy_clients.rs
@@ -4,6 +4,7 @@
 
 use common::{PartOfACore, Site};
 use gaparch_testbed::platform::{head_and_body, read, stream, Flood, FloodKind, Step, LONG};
+use serde_json::json;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::thread::JoinHandle;
@@ -143,3 +144,20 @@
     let received = flood.received_bytes();
     assert!(received as usize >= FLOOD_CLIENTS * RESPONSE.len(), "received {received} bytes");
 }
+
+/// Guards against periodic work of the owner that waits until there is no message, which with many clients may never
+/// be.
+#[test]
+fn the_summary_is_logged_in_time_beside_many_clients_at_full_speed() {
+    const CLIENTS: usize = 200;
+    /// Ten seconds to the second summary, and some for a busy machine.
+    const SUMMARY_WITHIN: Duration = Duration::from_secs(13);
+    let limits = json!({"cores": 1.0, "memory_mb": 64, "sockets": 1024});
+    let mut site = Site::with(|config| config["limits"] = limits);
+    let flood = Flood::start(site.listen, FloodKind::NewNames, CLIENTS);
+    std::thread::sleep(SUMMARY_WITHIN);
+    let log = site.kill_and_read_log();
+    drop(flood);
+    let summaries: Vec<&str> = log.lines().filter(|line| line.contains("summary open=")).collect();
+    assert!(summaries.len() >= 2, "{summaries:#?}");
+}
--- a/crates/gaparch-platform-router/src/owner/mod.rs
+++ b/crates/gaparch-platform-router/src/owner/mod.rs
@@ -5,6 +5,7 @@
 mod open_request;
 mod responses;
 mod round;
+mod schedule;
 mod slow_start_log;
 mod summary;
 
@@ -22,13 +23,14 @@
 use gaparch_scheduler::api::{Nanos, RequestId};
 use open_request::OpenRequest;
 use round::Round;
+use schedule::Schedule;
 use slow_start_log::SlowStartLog;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
-use tokio::time::{interval, Instant, MissedTickBehavior};
+use tokio::time::Instant;
 
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
@@ -120,22 +122,22 @@
     ) {
         let mut round = Round::default();
         let mut out = Vec::new();
-        let mut maintenance = interval(MAINTENANCE_INTERVAL);
-        let mut summary = interval(SUMMARY_INTERVAL);
-        maintenance.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        summary.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut maintenance = Schedule::every(MAINTENANCE_INTERVAL);
+        let mut summary = Schedule::every(SUMMARY_INTERVAL);
         loop {
             let next_timer =
                 self.core.next_timer_at().map(|at| Instant::from_std(self.shared.clock.instant(at)));
-            tokio::select! {
-                biased;
-                has_senders = round.wait(next_timer, &mut messages, &mut gossip) => {
-                    if !has_senders {
-                        return;
-                    }
-                }
-                _ = maintenance.tick() => self.maintain(),
-                _ = summary.tick() => self.log_summary(),
+            let next_work = maintenance.next_at().min(summary.next_at());
+            let wake_at = next_timer.map_or(next_work, |at| at.min(next_work));
+            if !round.wait(wake_at, &mut messages, &mut gossip).await {
+                return;
+            }
+            // Not only when there is no message: with many clients there may always be one.
+            if maintenance.take_due(Instant::now()) {
+                self.maintain();
+            }
+            if summary.take_due(Instant::now()) {
+                self.log_summary();
             }
             let timer_lag = next_timer.map_or(Duration::ZERO, |at| at.elapsed());
             self.max_timer_lag = self.max_timer_lag.max(timer_lag);
--- a/crates/gaparch-platform-router/src/owner/round.rs
+++ b/crates/gaparch-platform-router/src/owner/round.rs
@@ -16,20 +16,20 @@
 }
 
 impl Round {
-    /// Waits for a message, gossip or the next timer, then collects the available messages and gossip, up to
+    /// Waits for a message, gossip or the time `wake_at`, then collects the available messages and gossip, up to
     /// [`MAX_BATCH`] of each. If a round takes longer than the time to the next timer, a timer is always due;
     /// messages and gossip must be received nevertheless.
     ///
     /// Returns `false` once all message senders are gone. Cancel-safe.
     pub async fn wait(
         &mut self,
-        next_timer: Option<Instant>,
+        wake_at: Instant,
         messages: &mut mpsc::UnboundedReceiver<OwnerMessage>,
         gossip: &mut mpsc::Receiver<GossipMessage>,
     ) -> bool {
         tokio::select! {
             biased;
-            () = sleep_until(next_timer.unwrap_or_else(Instant::now)), if next_timer.is_some() => {}
+            () = sleep_until(wake_at) => {}
             Some(message) = gossip.recv() => self.gossip.push(message),
             count = messages.recv_many(&mut self.messages, MAX_BATCH) => {
                 if count == 0 {
--- a/crates/gaparch-platform-router/src/owner/round_tests.rs
+++ b/crates/gaparch-platform-router/src/owner/round_tests.rs
@@ -15,7 +15,7 @@
         owner.send(OwnerMessage::DiscoveryDown).expect("the receiver is open");
     }
     router.try_send(GossipMessage { from: 1, data: vec![7] }).expect("the queue is not full");
-    let overdue = Some(Instant::now() - Duration::from_secs(1));
+    let overdue = Instant::now() - Duration::from_secs(1);
     let mut round = Round::default();
     assert!(round.wait(overdue, &mut messages, &mut gossip).await);
     // No more than the maximum, or timers would be delayed.
@@ -31,12 +31,13 @@
     let (owner, mut messages) = mpsc::unbounded_channel();
     let (_router, mut gossip) = mpsc::channel(4);
     let mut round = Round::default();
+    let later = Instant::now() + Duration::from_secs(60);
     tokio::select! {
         biased;
-        result = round.wait(None, &mut messages, &mut gossip) => panic!("nothing to receive yet: {result}"),
+        result = round.wait(later, &mut messages, &mut gossip) => panic!("nothing to receive yet: {result}"),
         () = std::future::ready(()) => {}
     }
     owner.send(OwnerMessage::DiscoveryDown).expect("the receiver is open");
-    assert!(round.wait(None, &mut messages, &mut gossip).await);
+    assert!(round.wait(later, &mut messages, &mut gossip).await);
     assert_eq!(round.messages.len(), 1);
 }
