Do not run an id again if it may have run and a repeat may be harmful

Cause: the table of ids knew open requests only. An id was free as soon as the attempts of its request had ended, also if one of them had run.

Change: policy/repeated_ids.rs decides whose ids are remembered: of classes that are not idempotent, once a decode attempt may have run. For a minute, 16,384 ids at most, they get 409: a failure, since a rejection would say that a retry is harmless. The table is a module of its own, and keeps hashes of the ids.

--- a/crates/gaparch-cli/tests/node.rs
+++ b/crates/gaparch-cli/tests/node.rs
@@ -9,7 +9,7 @@
 };
 use rustix::process::Signal;
 use serde_json::{json, Value};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -243,6 +243,54 @@
     site.assert_no_second_copies();
 }
 
+/// Sends a request whose stream does not end, and closes the connection after its first byte.
+fn leave_during_stream(site: &Site, txn: &str) {
+    site.reply_to_next_decode(&[put(&first_event()), Step::Hang]);
+    let mut client = TcpStream::connect(site.listen).expect("connected");
+    client.write_all(&head_and_body(txn, "{}")).expect("written");
+    client.set_read_timeout(Some(LONG)).expect("set");
+    client.read_exact(&mut [0; 1]).expect("the response begins");
+}
+
+/// Guards against an id that runs twice when it comes again after its client has left.
+#[test]
+fn an_id_does_not_run_again_if_that_may_be_harmful() {
+    for (idempotency, status, decodes) in [("single_shot", 409, 1), ("guarded", 409, 1), ("free", 200, 2)] {
+        let site = Site::with(|config| {
+            let class = &mut config["settings"]["services"][0];
+            class["idempotency"] = json!(idempotency);
+            class["dedupScope"] = json!("all");
+            class["dedupWindowNs"] = json!(50_000_000);
+        });
+        leave_during_stream(&site, "left");
+        let is_open =
+            || raw(site.listen, &head_and_body("left", "{}"), LONG).body == b"a request of this id is open";
+        until("its attempt has ended", || !is_open());
+        assert_eq!(ask(site.listen, "left").status, status, "{idempotency}: left");
+        if status == 409 {
+            assert_eq!(site.decode_requests("left"), decodes, "{idempotency}: left");
+        }
+        // Likewise after a complete response.
+        assert_eq!(ask(site.listen, "served").status, 200);
+        assert_eq!(ask(site.listen, "served").status, status, "{idempotency}: served");
+        assert_eq!(site.decode_requests("served"), decodes, "{idempotency}: served");
+    }
+}
+
+/// An id whose request has not run can be used again.
+#[test]
+fn an_id_whose_request_was_rejected_runs_when_it_comes_again() {
+    let site = Site::with(|config| config["settings"]["services"][0]["idempotency"] = json!("single_shot"));
+    let list = Platform::list(&site.prefill_workers, &site.decode_workers);
+    site.publish_list(Platform::without_decode_workers(&list));
+    let text = String::from_utf8(head_and_body("again", "{}")).expect("text");
+    let impatient = text.replace("X-Remaining-Ms: 5000", "X-Remaining-Ms: 200");
+    assert_eq!(raw(site.listen, impatient.as_bytes(), LONG).status, 503);
+    site.publish_list(list);
+    assert_eq!(ask(site.listen, "again").status, 200);
+    assert_eq!(site.decode_requests("again"), 1);
+}
+
 #[test]
 fn hundreds_of_silent_connections_do_not_affect_other_clients() {
     let site = Site::new();
--- a/crates/gaparch-platform-router/src/client/connection.rs
+++ b/crates/gaparch-platform-router/src/client/connection.rs
@@ -1,12 +1,13 @@
 //! One client connection, which serves one request at a time, each with exactly one response.
 
 use super::idle_connections::{IdleConnections, IdleGuard};
-use super::request::{CONFLICT_TEXT, REJECTED_TEXT};
+use super::request::REJECTED_TEXT;
 use super::MAX_BYTES_AHEAD;
 use crate::buffered_socket::{AheadRead, BodyReadError, BufferedSocket};
 use crate::close_reason::CloseReason;
 use crate::shared_state::{Phase, SharedState};
 use crate::transient_errors::write_all;
+use crate::used_transactions::IdConflict;
 use gaparch_platform_protocol::client_request::ClientRequestError;
 use gaparch_platform_protocol::head::{
     decode_request, encode_response, HeadError, RequestHead, MAX_HEAD_BYTES,
@@ -112,11 +113,6 @@
         Rejection { status, text, linger_timeout: LINGER_TIMEOUT }
     }
 
-    /// Returns the response to a request whose transaction id belongs to an open request.
-    pub fn conflict() -> Rejection {
-        Rejection::new(409, CONFLICT_TEXT.to_owned())
-    }
-
     /// Returns the response to a request that is not complete in time.
     pub fn request_timeout() -> Rejection {
         Rejection::new(408, "the request did not come in time".to_owned())
@@ -132,6 +128,12 @@
     }
 }
 
+impl From<IdConflict> for Rejection {
+    fn from(conflict: IdConflict) -> Rejection {
+        Rejection::new(409, conflict.to_string())
+    }
+}
+
 impl From<HeadError> for Rejection {
     fn from(error: HeadError) -> Rejection {
         let status = if error == HeadError::TooLong { 431 } else { 400 };
--- a/crates/gaparch-platform-router/src/client/request.rs
+++ b/crates/gaparch-platform-router/src/client/request.rs
@@ -19,8 +19,6 @@
 pub(super) const REJECTED_TEXT: &str = "not done; a retry is harmless";
 /// Response body for a request that failed.
 const FAILED_TEXT: &str = "not answered; it may have run";
-/// Response body for a request whose transaction id belongs to an open request.
-pub(super) const CONFLICT_TEXT: &str = "a request of this id is open";
 const NANOS_PER_SECOND: f64 = 1e9;
 
 /// Tracks a request that is open at the owner. If it is dropped before the response is complete, the client
@@ -70,9 +68,7 @@
         let request_queue = Arc::clone(&self.shared.request_queue);
         let permit = self.while_connected(request_queue.acquire_owned()).await?;
         let Ok(queue_permit) = permit else { return Err(ConnectionEnd::CloseRequested) };
-        if !self.shared.register_transaction(&request.transaction) {
-            return Err(Rejection::conflict().into());
-        }
+        self.shared.register_transaction(&request.transaction).map_err(Rejection::from)?;
         let transaction = request.transaction.clone();
         let forwarded = Arc::new(ForwardedRequest::new(target, transaction, body));
         let (mut open, response) = self.open_request(request, forwarded, arrived_at, queue_permit);
--- a/crates/gaparch-platform-router/src/lib.rs
+++ b/crates/gaparch-platform-router/src/lib.rs
@@ -48,6 +48,7 @@
 mod test_support;
 mod timeouts;
 mod transient_errors;
+mod used_transactions;
 mod worker;
 
 pub use run::{run, serve, Command, RouterError};
--- a/crates/gaparch-platform-router/src/messages.rs
+++ b/crates/gaparch-platform-router/src/messages.rs
@@ -5,6 +5,7 @@
 use gaparch_platform_protocol::client_request::ClientRequest;
 use gaparch_router::core::ListUpdate;
 use gaparch_scheduler::api::{AttemptNumber, AttemptStatus, Nanos, RequestId, ServerId};
+use gaparch_scheduler::policy::repeated_ids;
 use std::sync::Arc;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
@@ -70,6 +71,17 @@
     ReservationAnswered { reserved: bool },
 }
 
+impl AttemptEvent {
+    /// Whether the event means that the attempt has run, or may have.
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            AttemptEvent::FirstToken(_) => true,
+            AttemptEvent::Ended(end) => repeated_ids::may_have_run(end.status),
+            AttemptEvent::Prefilled { .. } | AttemptEvent::ReservationAnswered { .. } => false,
+        }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct AttemptEnd {
--- a/crates/gaparch-platform-router/src/owner/attempts.rs
+++ b/crates/gaparch-platform-router/src/owner/attempts.rs
@@ -66,7 +66,7 @@
         };
         let exchange = worker::exchange(attempt, Arc::clone(&self.pool), Arc::clone(&self.shared));
         let task = tokio::spawn(exchange);
-        open.last_attempt = Some(RunningAttempt { number, task, written: written_receiver });
+        open.last_attempt = Some(RunningAttempt { number, stage, task, written: written_receiver });
     }
 
     fn log_send(&self, server: ServerId, job: &Job, stage: Stage) {
@@ -113,9 +113,15 @@
             attempt = key.attempt,
             "attempt cancelled"
         );
-        let last_attempt = self.open.get(&id).and_then(|open| open.last_attempt.as_ref());
-        if let Some(attempt) = last_attempt.filter(|attempt| attempt.number.0 == key.attempt) {
-            attempt.task.abort();
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(attempt) = open.last_attempt.as_ref().filter(|attempt| attempt.number.0 == key.attempt)
+        else {
+            return;
+        };
+        attempt.task.abort();
+        let is_written = *attempt.written.borrow();
+        if is_written {
+            open.record_possible_run(AttemptNumber(key.attempt));
         }
     }
 
--- a/crates/gaparch-platform-router/src/owner/mod.rs
+++ b/crates/gaparch-platform-router/src/owner/mod.rs
@@ -21,6 +21,7 @@
 use gaparch_protocol::engine::{AttemptKey, EngineFrame, RouterRun};
 use gaparch_router::core::{AcceptedRequest, ConnectionNumber, Core, Input, ListUpdate, Output};
 use gaparch_scheduler::api::{Nanos, RequestId};
+use gaparch_scheduler::policy::repeated_ids::is_repeat_harmful;
 use open_request::OpenRequest;
 use round::Round;
 use schedule::Schedule;
@@ -203,7 +204,9 @@
         let ArrivedRequest { id, request, forwarded, arrived_at, response, queue_permit } = arrived;
         drop(queue_permit);
         self.touched.push(id);
-        self.open.insert(id, OpenRequest::new(forwarded, response));
+        let class = self.shared.config.settings.scheduler.classes.get(request.class.0);
+        let is_repeat_harmful = class.is_none_or(is_repeat_harmful);
+        self.open.insert(id, OpenRequest::new(forwarded, response, is_repeat_harmful));
         self.core.handle(
             now,
             Input::RequestArrived { id, request: accepted_request(&request, arrived_at) },
@@ -215,6 +218,9 @@
         let AttemptUpdate { server, request, attempt, at, event } = update;
         self.touched.push(request);
         let key = AttemptKey { request: request.0, attempt: attempt.0 };
+        if let Some(open) = self.open.get_mut(&request).filter(|_| event.may_have_run()) {
+            open.record_possible_run(attempt);
+        }
         let frame = match event {
             AttemptEvent::FirstToken(reply) => {
                 self.stream_start = Some(StreamStart { request, reply });
@@ -273,6 +279,9 @@
             }
             // Its attempts have ended; only now may its transaction id be used again.
             if let Some(open) = self.open.remove(&id) {
+                if open.may_have_run {
+                    self.shared.remember_transaction(&open.forwarded.transaction);
+                }
                 self.shared.unregister_transaction(&open.forwarded.transaction);
             }
         }
--- a/crates/gaparch-platform-router/src/shared_state.rs
+++ b/crates/gaparch-platform-router/src/shared_state.rs
@@ -7,12 +7,12 @@
 use crate::messages::OwnerMessage;
 use crate::ready_workers::ReadyWorkers;
 use crate::sync::lock;
+use crate::used_transactions::{IdConflict, UsedTransactions};
 use gaparch_net::Clock;
 use gaparch_platform_protocol::client_request::TransactionId;
 use gaparch_platform_protocol::config::RouterConfig;
 use gaparch_scheduler::api::RequestId;
 use gaparch_scheduler::policy::send_guards::{Denial, Denials};
-use std::collections::HashSet;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::{mpsc, watch, Semaphore};
@@ -54,8 +54,7 @@
     pub event_loop_delay: EventLoopDelay,
     owner: mpsc::UnboundedSender<OwnerMessage>,
     next_request_id: AtomicU64,
-    /// Transaction ids of open requests.
-    open_transactions: Mutex<HashSet<TransactionId>>,
+    transactions: Mutex<UsedTransactions>,
     /// Counts of attempts that were stopped just before their first byte.
     denials: Mutex<Denials>,
 }
@@ -81,7 +80,7 @@
             event_loop_delay: EventLoopDelay::default(),
             owner,
             next_request_id: AtomicU64::new(1),
-            open_transactions: Mutex::default(),
+            transactions: Mutex::default(),
             denials: Mutex::default(),
         }
     }
@@ -128,18 +127,21 @@
         *lock(&self.denials)
     }
 
-    /// Registers a transaction id until the owner unregisters it; returns `false` if a request with this id
-    /// is open.
-    pub fn register_transaction(&self, transaction: &TransactionId) -> bool {
-        lock(&self.open_transactions).insert(transaction.clone())
+    /// Registers a transaction id until the owner unregisters it.
+    ///
+    /// # Errors
+    /// Returns an error if a request with this id is open, or must not be run again.
+    pub fn register_transaction(&self, transaction: &TransactionId) -> Result<(), IdConflict> {
+        lock(&self.transactions).register(transaction, self.clock.now())
     }
 
     /// Frees the transaction id of a request that has no running attempts any more.
     pub fn unregister_transaction(&self, transaction: &TransactionId) {
-        let mut open = lock(&self.open_transactions);
-        open.remove(transaction);
-        if open.is_empty() {
-            open.shrink_to(IDLE_TABLE_CAPACITY);
-        }
+        lock(&self.transactions).unregister(transaction);
+    }
+
+    /// Keeps the id of a request that may have run from being run again.
+    pub fn remember_transaction(&self, transaction: &TransactionId) {
+        lock(&self.transactions).remember(transaction, self.clock.now());
     }
 }
--- a/src/policy/attempt_end.rs
+++ b/src/policy/attempt_end.rs
@@ -4,6 +4,7 @@
     ATTEMPTS_FROM_KV_CACHE, ATTEMPTS_FROM_START, LATENCY_COMPARISON, PREFILL_BASE_TOKENS, PREFILL_GAINS,
     PREFILL_MISSED_FRACTION, REPORT_LAG,
 };
+use super::repeated_ids::may_have_run;
 use super::Policy;
 use crate::api::{Action, AttemptOutcome, AttemptStatus, GiveUpReason, Idempotency, RequestId};
 use crate::state::{Attempt, MayHaveRun, Stage};
@@ -80,11 +81,7 @@
     fn possible_execution(&self, outcome: &AttemptOutcome, attempt: &Attempt) -> Option<MayHaveRun> {
         let request = self.requests.get(outcome.id)?;
         let class = &self.settings.classes[request.request().class.0];
-        let has_not_run = outcome.status.was_never_sent()
-            || matches!(
-                outcome.status,
-                AttemptStatus::Rejected | AttemptStatus::Expired | AttemptStatus::Prefilled
-            );
+        let has_not_run = !may_have_run(outcome.status);
         let is_harmless = attempt.stage == Stage::Prefill || class.idempotency == Idempotency::Idempotent;
         if has_not_run || is_harmless {
             return None;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -23,6 +23,7 @@
 //! | `health` | the health of servers, from their failures and from comparison with peers |
 //! | `slow_start` | how much a server that has just started may be sent |
 //! | `send_guards` | whether a send, a repeat or a rejection is allowed now |
+//! | `repeated_ids` | whether a request may be run under an id that was used before |
 //! | `kv_release` | how a KV cache release is repeated until a server confirms it |
 //! | `memory` | how memory is divided among buffers, and who gives some back |
 //! | `shutdown_intake` | what a router accepts during shutdown, and which connection is closed first |
@@ -52,6 +53,7 @@
 mod prefill_placement;
 pub mod process_start;
 mod quotas;
+pub mod repeated_ids;
 mod request_arrival;
 mod request_end;
 pub mod send_guards;
