gaparch serve: notice a client's close behind requests that nobody has read

Cause: the HTTP server reads nothing while it holds unread bytes of a further request, so it does not see a close behind them. Where no answer was being written yet, nothing else noticed it.

Change: the socket of a client tells of the close by the poller's read-closed readiness, which does not depend on reading; the connection then ends, and with it what was submitted for it. The socket (which had the timeout of writes) is client_socket.rs now.

--- a/crates/gaparch-router/src/shell/client/mod.rs
+++ b/crates/gaparch-router/src/shell/client/mod.rs
@@ -6,9 +6,9 @@
 mod pending_response;
 mod request_body;
 
+use super::client_socket::ClientSocket;
 use super::ops::RejectionReporter;
 use super::owner::NewRequest;
-use super::write_timeout::WriteTimeout;
 use crate::core::AcceptedRequest;
 use crate::memory::MemoryPool;
 use admission::{accepted_request, class, tenant};
@@ -102,14 +102,21 @@
         tokio::spawn(async move {
             let head_time = context.config.limits.head_time.duration();
             let service = service_fn(|request| respond(request, &dialect, &context));
-            let served = hyper::server::conn::http1::Builder::new()
+            let socket = ClientSocket::new(socket, write_timeout);
+            let closed = socket.closed();
+            let serving = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(head_time)
                 .max_buf_size(MAX_HEAD_BYTES)
-                .serve_connection(TokioIo::new(WriteTimeout::new(socket, write_timeout)), service)
-                .await;
-            if let Err(error) = served {
-                tracing::debug!(%error, "client connection ended");
+                .serve_connection(TokioIo::new(socket), service);
+            tokio::select! {
+                served = serving => {
+                    if let Err(error) = served {
+                        tracing::debug!(%error, "client connection ended");
+                    }
+                }
+                // Nothing more is sent for a client that is gone, whatever it has sent before.
+                () = closed => tracing::debug!("client closed its connection"),
             }
             drop(permit);
         });
--- a/crates/gaparch-router/src/shell/mod.rs
+++ b/crates/gaparch-router/src/shell/mod.rs
@@ -15,6 +15,7 @@
 //! | connections | `limits` | the connection is closed |
 
 mod client;
+mod client_socket;
 mod engine;
 mod fleet;
 mod lag;
@@ -22,7 +23,6 @@
 mod ops;
 mod owner;
 mod storage;
-mod write_timeout;
 
 pub use fleet::{verify_record, FleetError};
 pub use lag::{Lag, LagSummary};
--- a/crates/gaparch-testbed/tests/hard_cases.rs
+++ b/crates/gaparch-testbed/tests/hard_cases.rs
@@ -6,7 +6,7 @@
 use gaparch_scheduler::api::{AttemptStatus, ServerState};
 use gaparch_testbed::checker::Effect;
 use gaparch_testbed::load::{Answered, Patience, Question};
-use gaparch_testbed::record::{Ask, End};
+use gaparch_testbed::record::{Ask, End, Entry, Seen, What};
 use gaparch_testbed::scripted::{Script, ScriptedEngine};
 use gaparch_testbed::site::{entry, Plan, Site, SiteClass, CLASSES};
 use std::time::{Duration, Instant};
@@ -176,6 +176,36 @@
     assert!(verdict.holds(), "{verdict}");
 }
 
+/// Guards against requests that are sent on for a client whose close stands behind bytes that nobody reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_not_sent_after_their_client_has_closed_behind_unread_requests() {
+    /// The platform's limit for an attempt after its client's close.
+    const SENT_WITHIN_NANOS: u64 = 100_000_000;
+    let mut site = site(Plan::small(1, 1)).await;
+    let request = |number| {
+        let question = Question { stream: false, ..site.question(number, 30) };
+        let body = gaparch_testbed::load::body(&question).to_string();
+        format!("POST /v1/messages HTTP/1.1\r\nhost: g\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+    };
+    let mut client = TcpStream::connect(site.address(0)).await.expect("a connection");
+    let requests: String = (0..10).map(request).collect();
+    client.write_all(requests.as_bytes()).await.expect("written");
+    sleep(ms(100)).await;
+    drop(client);
+    let closed_at = site.clock.now();
+    sleep(ms(1500)).await;
+    let frames = site.record.entries();
+    let sends = frames.iter().filter(|entry| {
+        matches!(&entry.what, What::Frame { seen: Seen::Read { .. } | Seen::Write { .. }, .. })
+    });
+    let late = sends.clone().filter(|entry| entry.at > closed_at + SENT_WITHIN_NANOS).count();
+    let is_cancel = |entry: &Entry| matches!(&entry.what, What::Frame { seen: Seen::Cancel { .. }, .. });
+    assert!(sends.count() > 0 && late == 0, "{late} attempts were sent late");
+    assert!(frames.iter().any(is_cancel), "the first request goes on");
+    let (verdict, _) = site.judge(&[]).await;
+    assert!(verdict.holds(), "{verdict}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keyed_and_unsafe_requests_have_no_second_effect_when_connections_are_lost() {
     let class = |name, effect: &'static str| SiteClass { name, attributes: effect };
