Do not cut off a stream that its worker is still writing slowly

Change: policy/stream_progress.rs allows 4.6 s, and a part of a long event (4 KiB or more, as they were passed on before) counts. Comments and bytes without an event still count for nothing, and an event has 64 KiB at most.

--- a/crates/gaparch-platform-protocol/src/event_stream.rs
+++ b/crates/gaparch-platform-protocol/src/event_stream.rs
@@ -106,6 +106,11 @@
         start
     }
 
+    /// Whether the start of an event, with some of its data, was taken out, and its end has not arrived.
+    pub fn is_part_taken(&self) -> bool {
+        self.taken.has_data
+    }
+
     /// Returns the number of bytes that are buffered because their event is incomplete.
     pub fn buffered_bytes(&self) -> usize {
         self.incomplete.len()
--- a/crates/gaparch-platform-router/src/worker/exchange/stream.rs
+++ b/crates/gaparch-platform-router/src/worker/exchange/stream.rs
@@ -12,16 +12,15 @@
 use gaparch_platform_protocol::head::ResponseHead;
 use gaparch_router::memory::Reservation;
 use gaparch_scheduler::api::AttemptStatus;
+use gaparch_scheduler::policy::stream_progress::{self, MIN_PART_BYTES};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{timeout_at, Instant};
 
-/// Longest wait for the next event, or the end of the stream, after an event was passed on. The platform
-/// allows a client to wait 5 s.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(4000);
-
+/// Longest wait for progress after what was passed on last.
+const PROGRESS_TIMEOUT: Duration = Duration::from_nanos(stream_progress::PROGRESS_TIMEOUT);
 /// Events that a stream may buffer without reservation, in bytes.
-const UNRESERVED_EVENT_BYTES: usize = 4 * 1024;
+const UNRESERVED_EVENT_BYTES: usize = MIN_PART_BYTES;
 /// Memory for a first event of the maximum length, in a buffer that grows by doubling.
 const FIRST_EVENT_BYTES: usize = 2 * MAX_EVENT_BYTES;
 
@@ -62,9 +61,9 @@
     reservation: Option<Reservation>,
     /// The channel to the client; set when the first events are forwarded.
     client: Option<StreamSender>,
-    /// When the next event has to be forwarded, whatever other bytes arrive. `None` before the first event,
-    /// when the attempt's own timeout applies.
-    next_event_by: Option<Instant>,
+    /// When the next event, or a part of a long one, has to be forwarded, whatever other bytes arrive. `None` before
+    /// the first event, when the attempt's own timeout applies.
+    next_progress_by: Option<Instant>,
 }
 
 /// Forwards events as they arrive. Malformed data before the first forwarded event makes the attempt fail.
@@ -83,7 +82,7 @@
         pending: BytesMut::new(),
         reservation: None,
         client: None,
-        next_event_by: None,
+        next_progress_by: None,
     };
     match forwarder.forward_body(&mut connection, &response).await {
         Ok(()) => forwarder.finish(connection, response).await,
@@ -139,8 +138,12 @@
         if let Some(client) = &self.client {
             let waiting_since = Instant::now();
             client.send_events(&self.events.take_start()).await?;
-            // The time that the client takes is not the worker's.
-            self.next_event_by = self.next_event_by.map(|at| at + waiting_since.elapsed());
+            if self.events.is_part_taken() {
+                self.record_progress();
+            } else {
+                // The time that the client takes is not the worker's.
+                self.next_progress_by = self.next_progress_by.map(|at| at + waiting_since.elapsed());
+            }
         } else if self.reservation.is_none() {
             let pool = &self.shared.memory.worker_buffers.pool;
             self.reservation = Some(pool.reserve(FIRST_EVENT_BYTES).await);
@@ -155,8 +158,8 @@
         decoder: &BodyDecoder,
     ) -> Result<bool, StreamError> {
         let reading = connection.socket.read();
-        let result = match self.next_event_by {
-            Some(next_event_by) => timeout_at(next_event_by, reading).await,
+        let result = match self.next_progress_by {
+            Some(next_progress_by) => timeout_at(next_progress_by, reading).await,
             None => Ok(reading.await),
         };
         match result {
@@ -180,11 +183,16 @@
         client.send_events(&self.pending).await?;
         self.pending = BytesMut::new();
         self.reservation = None;
-        self.next_event_by = Some(Instant::now() + EVENT_TIMEOUT);
-        self.trace.record_event();
+        self.record_progress();
         Ok(())
     }
 
+    /// Records that the client got an event, or a part of a long one.
+    fn record_progress(&mut self) {
+        self.next_progress_by = Some(Instant::now() + PROGRESS_TIMEOUT);
+        self.trace.record_event();
+    }
+
     /// Asks the owner for the channel to the client.
     async fn request_client(&self) -> Result<StreamSender, StreamError> {
         let (reply, client) = oneshot::channel();
--- a/crates/gaparch-platform-router/tests/stalled_streams.rs
+++ b/crates/gaparch-platform-router/tests/stalled_streams.rs
@@ -189,3 +189,45 @@
     assert!(received.has_last_chunk());
     assert_eq!(received.count_events(), all_events.len());
 }
+
+/// Plays a sound stream, which has to arrive complete.
+fn assert_complete(case: &str, steps: &[Step]) {
+    let router = RunningRouter::with(|_| {});
+    router.reply_to_next_decode(steps);
+    let received = receive(&mut send_request(&router, "slow"));
+    assert!(received.has_last_chunk(), "{case}: the stream was cut off");
+}
+
+/// Guards against a stream that is cut off while its worker is still writing.
+#[test]
+fn a_sound_stream_that_is_written_slowly_stays_complete() {
+    /// Clients may be left waiting for 5 s.
+    const EVENT_GAP: Duration = Duration::from_millis(4400);
+    let chunk = |event: &str| put(&format!("{:x}\r\n{event}\r\n", event.len()));
+    let [first, second, third, done] = &events()[..] else { panic!("the events of a response") };
+    let opening = put("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let last_chunk = Step::Put(LAST_CHUNK.to_vec());
+    let gap = Step::Wait(EVENT_GAP);
+    let with_gaps = [
+        opening.clone(),
+        chunk(first),
+        gap.clone(),
+        chunk(second),
+        gap,
+        chunk(third),
+        chunk(done),
+        last_chunk.clone(),
+    ];
+    // An event of 16 KB, written over 6.4 s.
+    let long = format!("data: {}\n\n", "x".repeat(16_000));
+    let long_chunk = format!("{:x}\r\n{long}\r\n", long.len());
+    let pieces = long_chunk.as_bytes().chunks(250);
+    let written_slowly = pieces.flat_map(|piece| [Step::Put(piece.to_vec()), Step::Wait(DRIP_INTERVAL)]);
+    let mut long_event = vec![opening, chunk(first)];
+    long_event.extend(written_slowly);
+    long_event.extend([chunk(done), last_chunk]);
+    std::thread::scope(|all| {
+        all.spawn(|| assert_complete("long gaps", &with_gaps));
+        all.spawn(|| assert_complete("a long event", &long_event));
+    });
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -24,6 +24,7 @@
 //! | `slow_start` | how much a server that has just started may be sent |
 //! | `send_guards` | whether a send, a repeat or a rejection is allowed now |
 //! | `repeated_ids` | whether a request may be run under an id that was used before |
+//! | `stream_progress` | when a stream that makes no progress is cut off |
 //! | `kv_release` | how a KV cache release is repeated until a server confirms it |
 //! | `memory` | how memory is divided among buffers, and who gives some back |
 //! | `shutdown_intake` | what a router accepts during shutdown, and which connection is closed first |
@@ -59,6 +60,7 @@
 pub mod send_guards;
 pub mod shutdown_intake;
 mod slow_start;
+pub mod stream_progress;
 pub mod turns;
 pub mod unanswered_decode;
 
