Free the header lines of a request before its body is read

Cause: a destructuring pattern with `..` left the header lines in the variable that it took apart, which lives until the function ends: until the request has its answer. Each short line needs two allocations and 48 bytes, many times its length. The comment beside it said that they are not kept.

Change: RequestHead::without_headers gives the parts that are needed, and frees the rest.

--- a/crates/gaparch-cli/tests/memory.rs
+++ b/crates/gaparch-cli/tests/memory.rs
@@ -174,6 +174,33 @@
     peak.assert_below(MEMORY_MB);
 }
 
+/// Guards against header lines that are kept while a request is open: each needs several times its bytes.
+#[test]
+fn open_requests_with_many_short_header_lines_stay_under_the_memory_limit() {
+    const MEMORY_MB: u64 = 6;
+    const HEADER_LINES: usize = 50;
+    let site = Site::with(limits(MEMORY_MB, 1024));
+    let list = Platform::list(&site.prefill_workers, &site.decode_workers);
+    // The requests wait for a decode worker.
+    site.publish_list(Platform::without_decode_workers(&list));
+    let peak = MemoryPeak::of(&site);
+    let lines: String = (0..HEADER_LINES).map(|number| format!("a{number}:b\r\n")).collect();
+    let clients: Vec<TcpStream> = (0..480)
+        .map(|number| {
+            let request = String::from_utf8(head_and_body(&format!("open-{number}"), "{}")).expect("text");
+            let request = request.replacen("\r\n", &format!("\r\n{lines}"), 1);
+            let mut socket = connect(site.listen);
+            socket.write_all(request.as_bytes()).expect("written");
+            socket
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(1000));
+    peak.assert_below(MEMORY_MB);
+    site.publish_list(list);
+    let statuses: Vec<u16> = clients.into_iter().map(|mut socket| read(&mut socket, LONG).status).collect();
+    assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
+}
+
 /// Guards against clients that stop just before the end of their bodies and hold all memory meanwhile: a sound
 /// request of the maximum size and a usual one are served, and each of those clients gets its end in time.
 #[test]
--- a/crates/gaparch-platform-protocol/src/head.rs
+++ b/crates/gaparch-platform-protocol/src/head.rs
@@ -39,6 +39,17 @@
     headers: Headers,
 }
 
+/// What is needed of a request's head while the request is open.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenRequestHead {
+    /// Path and query as sent.
+    pub target: String,
+    /// How the end of the body is recognized.
+    pub framing: Framing,
+    /// Whether the sender closes the connection after this message.
+    pub close: bool,
+}
+
 /// The head of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -138,6 +149,11 @@
 }
 
 impl RequestHead {
+    /// Frees the header lines, which need more memory than the head had bytes.
+    pub fn without_headers(self) -> OpenRequestHead {
+        OpenRequestHead { target: self.target, framing: self.framing, close: self.close }
+    }
+
     /// Returns the value of a header that may occur once. `name` is case-insensitive.
     pub fn header<'h>(&'h self, name: &'h str) -> HeaderValue<'h> {
         self.headers.value(name)
--- a/crates/gaparch-platform-router/src/client/request.rs
+++ b/crates/gaparch-platform-router/src/client/request.rs
@@ -8,7 +8,7 @@
 use crate::shared_state::{Phase, SharedState};
 use gaparch_platform_protocol::body::Framing;
 use gaparch_platform_protocol::client_request::{ClientRequest, HEALTH_PATH};
-use gaparch_platform_protocol::head::{encode_response, RequestHead};
+use gaparch_platform_protocol::head::{encode_response, OpenRequestHead, RequestHead};
 use gaparch_scheduler::api::{Nanos, RequestId};
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,8 +61,8 @@
         }
         let settings = &self.shared.config.settings;
         let request = ClientRequest::from_head(&head, settings).map_err(Rejection::from)?;
-        // The header lines are not kept while the request is open.
-        let RequestHead { target, framing, close: client_closes, .. } = head;
+        // A pattern would keep the header lines until the request has ended.
+        let OpenRequestHead { target, framing, close: client_closes } = head.without_headers();
         let body = self.read_request_body(framing, deadline).await?;
         let request = request.with_body_length(body.len());
         let request_queue = Arc::clone(&self.shared.request_queue);
