gaparch serve: handle every kind of message in each round of the owner

Seen: beside 24 engines that report their load at full speed, ten requests to gaparch serve had no answer for 20 minutes, when the run was ended (trial of the new test without its time limit; four such engines do no harm).

The owner waits with a biased select and handled only the first kind of message that was ready; while engines' frames always are, neither requests nor the endpoint list get a turn.

Change: after the wait, each round takes what is ready of every kind, up to its batch.

--- a/crates/gaparch-router/src/shell/owner/mod.rs
+++ b/crates/gaparch-router/src/shell/owner/mod.rs
@@ -95,6 +95,14 @@
     }
 }
 
+/// Adds messages that are ready to a batch of at most `max`.
+fn fill<T>(batch: &mut Vec<T>, max: usize, mut next: impl FnMut() -> Option<T>) {
+    while batch.len() < max {
+        let Some(message) = next() else { return };
+        batch.push(message);
+    }
+}
+
 impl Owner {
     pub fn new(
         core: Core,
@@ -158,6 +166,13 @@
                 _ = ports.requests.recv_many(&mut request_batch, REQUEST_BATCH) => Duration::ZERO,
             };
             let round_start = Instant::now();
+            // The first kind of message that is ready ends the wait. The others get their turn in each round, too.
+            fill(&mut disconnect_batch, DISCONNECT_BATCH, || ports.disconnected.try_recv().ok());
+            fill(&mut engine_batch, ENGINE_BATCH, || self.engine_messages.try_recv().ok());
+            fill(&mut request_batch, REQUEST_BATCH, || ports.requests.try_recv().ok());
+            if let Ok(message) = self.list_messages.try_recv() {
+                self.on_list_message(message, &mut out);
+            }
             let now = self.clock.now();
             for id in disconnect_batch.drain(..) {
                 self.clients.remove(&id);
--- a/crates/gaparch-testbed/tests/hard_cases.rs
+++ b/crates/gaparch-testbed/tests/hard_cases.rs
@@ -2,8 +2,9 @@
 //! said of the rules is the checker's word, from what went over the sockets.
 
 use gaparch_engine::{EngineSpec, Fault};
-use gaparch_protocol::engine::{AttemptKey, EngineFrame, Job};
-use gaparch_scheduler::api::{AttemptStatus, ServerState};
+use gaparch_protocol::engine::{AttemptKey, EngineFrame, Job, Peer, VERSION};
+use gaparch_protocol::frame::encode;
+use gaparch_scheduler::api::{AttemptStatus, LoadReport, ServerState};
 use gaparch_testbed::checker::Effect;
 use gaparch_testbed::load::{Answered, Patience, Question};
 use gaparch_testbed::record::{Ask, End, Entry, Seen, What};
@@ -11,7 +12,7 @@
 use gaparch_testbed::site::{entry, Plan, Site, SiteClass, CLASSES};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 async fn site(plan: Plan) -> Site {
@@ -327,3 +328,44 @@
         assert_eq!(counts.overdue, 0, "{name}");
     }
 }
+
+/// Sends its load at full speed for as long as it is read.
+async fn report_load(mut socket: TcpStream, spec: EngineSpec) -> std::io::Result<()> {
+    const FRAMES_PER_WRITE: usize = 1000;
+    let mut bytes = bytes::BytesMut::new();
+    encode(&EngineFrame::Hello { version: VERSION, peer: Peer::Engine(spec.facts(1)) }, &mut bytes);
+    socket.write_all(&bytes).await?;
+    bytes.clear();
+    (0..FRAMES_PER_WRITE).for_each(|_| encode(&EngineFrame::LoadReport(LoadReport::default()), &mut bytes));
+    loop {
+        socket.write_all(&bytes).await?;
+    }
+}
+
+/// Guards against an engine whose frames are always handled first, so that no request is ever received.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_that_report_their_load_at_full_speed_delay_no_request() {
+    const BUSY_ENGINES: usize = 24;
+    /// The deadline of the class, and some for a busy machine.
+    const ANSWERED_WITHIN: Duration = Duration::from_secs(8);
+    let site = site(Plan::small(1, 1)).await;
+    for number in 0..BUSY_ENGINES {
+        let spec = EngineSpec::reader(&format!("busy-{number}"), "north", "n1");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let mut listed = entry(&spec, listener.local_addr().expect("its address"), ServerState::Ready);
+        tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                tokio::spawn(report_load(socket, spec.clone()));
+            }
+        });
+        site.list.set(listed.clone());
+        sleep(ms(200)).await;
+        // It stays connected, but gets no requests.
+        listed.state = ServerState::Draining;
+        site.list.set(listed);
+    }
+    sleep(ms(500)).await;
+    let asking = site.ask_all((0..10).map(|number| site.question(number, 8)).collect(), ms(50));
+    let answers = tokio::time::timeout(ANSWERED_WITHIN, asking).await.expect("the requests are answered");
+    assert!(answers.iter().all(|answer| answer.end.is_some()), "{answers:?}");
+}
