Bound a timer's time from now, not from the start of the process

Cause: Clock::instant bounds a time at 30 days from the creation of the clock. In a process that has run for longer every timer so converted lies in the past, so it is always due; the loops of the fleet task and of both owners ask timers first.

Change: the bound counts from now, and a time that can't be represented becomes that bound.

No process was run for 30 days.

--- a/crates/gaparch-net/src/clock.rs
+++ b/crates/gaparch-net/src/clock.rs
@@ -3,9 +3,8 @@
 use gaparch_scheduler::api::Nanos;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Later times than this, counted from the creation of a clock, are clamped when they are converted to an
-/// instant. In a process that has run for longer, the resulting instant lies in the past.
-const MAX_TIME_SINCE_START: Duration = Duration::from_secs(86_400 * 30);
+/// Times further ahead than this are clamped when they are converted to an instant, which timers accept.
+const MAX_TIME_AHEAD: Duration = Duration::from_secs(86_400 * 30);
 
 /// A monotonic clock in nanoseconds since the Unix epoch.
 ///
@@ -48,13 +47,19 @@
         self.nanos_at_start.saturating_add(nanos(instant.saturating_duration_since(self.started)))
     }
 
-    /// Converts a time of this clock to an instant, which is never before the creation of the clock.
+    /// Converts a time of this clock to an instant, which is never before the creation of the clock, and at most
+    /// 30 days ahead.
     pub fn instant(&self, at: Nanos) -> Instant {
+        let latest = Instant::now() + MAX_TIME_AHEAD;
         let since_start = Duration::from_nanos(at.saturating_sub(self.nanos_at_start));
-        self.started + since_start.min(MAX_TIME_SINCE_START)
+        self.started.checked_add(since_start).map_or(latest, |instant| instant.min(latest))
     }
 }
 
 fn nanos(duration: Duration) -> Nanos {
     Nanos::try_from(duration.as_nanos()).unwrap_or(Nanos::MAX)
 }
+
+#[cfg(test)]
+#[path = "clock_tests.rs"]
+mod tests;
