Run at most one scenario per processor at once in the small fleet groups

Change: six at once at most, and no more than there are processors. A comment on busiest_connection said that it counts since the last summary; it counts since the connection began.

With eight processors the number is six as before.

--- a/crates/gaparch-cli/src/commands/lab.rs
+++ b/crates/gaparch-cli/src/commands/lab.rs
@@ -12,14 +12,16 @@
 use gaparch_testbed::soak;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::net::SocketAddr;
+use std::num::NonZero;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
 
-/// Scenarios run concurrently with `--small`; their processes are idle most of the time.
-const SMALL_CONCURRENCY: usize = 6;
+/// Maximum number of scenarios run concurrently with `--small`. Their processes are idle most of the time, but one
+/// scenario takes half a processor.
+const MAX_SMALL_CONCURRENCY: usize = 6;
 
 #[derive(Debug, Args)]
 pub struct Options {
@@ -236,7 +238,7 @@
     /// Number of scenarios run concurrently; too many for the machine delay all of them
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=16))]
     at_once: u8,
-    /// Run six scenarios concurrently, for continuous integration
+    /// Run up to six scenarios concurrently, one per processor at most, for continuous integration
     #[arg(long)]
     small: bool,
     /// Run the routers with plain SWIM and without peer lists, to show the effect of these refinements
@@ -285,6 +287,12 @@
     }
 }
 
+/// Number of scenarios run concurrently with `--small`.
+fn small_concurrency() -> usize {
+    let processors = std::thread::available_parallelism().map_or(1, NonZero::get);
+    processors.min(MAX_SMALL_CONCURRENCY)
+}
+
 async fn fleet(options: Fleet) -> CommandResult {
     let mut scenarios = Vec::new();
     for text in scenario_texts(&options.what)? {
@@ -305,7 +313,7 @@
         scenario.keep.clone_from(&options.keep);
         scenarios.push(scenario);
     }
-    let concurrency = if options.small { SMALL_CONCURRENCY } else { usize::from(options.at_once) };
+    let concurrency = if options.small { small_concurrency() } else { usize::from(options.at_once) };
     let program: PathBuf = std::env::current_exe()?;
     let (mut failed, count) = (Vec::new(), scenarios.len());
     let mut scenarios = scenarios.into_iter();
--- a/crates/gaparch-platform-router/src/client/statistics.rs
+++ b/crates/gaparch-platform-router/src/client/statistics.rs
@@ -24,7 +24,7 @@
     rejected_messages: [AtomicU64; REJECTIONS.len()],
     /// Responses whose first byte was written after the client's time.
     late_responses: AtomicU64,
-    /// Greatest number of messages of one connection since the last summary.
+    /// Greatest number of messages, since it began, of a connection that carried one since the last summary.
     busiest_connection: AtomicU64,
     /// Longest time that a stream part waited for its client connection since the last summary, in nanoseconds.
     longest_queued: AtomicU64,
@@ -69,7 +69,8 @@
         self.late_responses.load(Ordering::Relaxed)
     }
 
-    /// Returns the greatest number of messages of one connection since the last summary.
+    /// Returns the greatest number of messages that a connection has carried since it began, among those that
+    /// carried one since the last summary.
     pub fn busiest_connection(&self) -> u64 {
         self.busiest_connection.load(Ordering::Relaxed)
     }
