--- a/crates/gaparch-testbed/src/fleet/observations.rs
+++ b/crates/gaparch-testbed/src/fleet/observations.rs
@@ -1,6 +1,7 @@
 //! What was observed of a fleet, and what was really done to it.
 
 use gaparch_protocol::ops::view::{AuditView, FleetView, ListVersionsView};
+use gaparch_router::shell::LagSummary;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -79,6 +80,8 @@
     /// Bytes that each router sent to its peers.
     pub bytes: Vec<u64>,
     pub crashes: Vec<String>,
+    /// How late the timers of the lab process itself were. If they were late, so was all that it does and observes.
+    pub lab_lag: LagSummary,
 }
 
 impl Observations {
--- a/crates/gaparch-testbed/src/fleet/report.rs
+++ b/crates/gaparch-testbed/src/fleet/report.rs
@@ -139,6 +139,8 @@
             self.answered.1,
             self.answered.0
         )?;
+        let lag = &self.observations.lab_lag;
+        write!(f, "; lab late by {} ms, {} of {} timers", lag.max.as_millis(), lag.late, lag.rounds)?;
         if self.starts_cold {
             write!(
                 f,
--- a/crates/gaparch-testbed/src/fleet/runner.rs
+++ b/crates/gaparch-testbed/src/fleet/runner.rs
@@ -28,6 +28,7 @@
 use gaparch_protocol::ops::view::{Event, FleetView};
 use gaparch_protocol::ops::{Answer, Order, Query, SessionRole};
 use gaparch_protocol::versions::AuditFilter;
+use gaparch_router::shell::Lag;
 use gaparch_scheduler::api::ServerState;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
@@ -54,6 +55,8 @@
 const EVENT_OVERLAP: Duration = Duration::from_secs(3);
 /// Maximum number of events per answer.
 const MAX_EVENTS: u32 = 200;
+/// Interval between two measurements of how late the lab process is.
+const LAG_INTERVAL: Duration = Duration::from_millis(20);
 /// Time at the end of a run for requests and KV caches to be released.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
 
@@ -161,11 +164,14 @@
         };
         tasks.spawn(observer.sample(place));
     }
+    let lab_lag = Arc::new(Lag::default());
+    tasks.spawn(measure_lag(Arc::clone(&lab_lag)));
     let load = tokio::spawn(load(runner.questions()));
     runner.run().await?;
     let answered = load.await.unwrap_or_default();
     sleep(SETTLE_TIME).await;
     tasks.shutdown().await;
+    runner.observations.lock().unwrap_or_else(PoisonError::into_inner).lab_lag = lab_lag.take();
     runner.query_audit().await;
     runner.judge(answered)
 }
@@ -699,6 +705,15 @@
     (put, all.iter().filter(|a| served(a)).count())
 }
 
+/// Measures continuously how late the timers of this process are.
+async fn measure_lag(lag: Arc<Lag>) {
+    loop {
+        let due = Instant::now() + LAG_INTERVAL;
+        sleep_until(due).await;
+        lag.record(due.elapsed());
+    }
+}
+
 /// Polls one router.
 struct RouterObserver {
     router: usize,
