Let clients at full speed be among the troubles of the soak test

Change: a third of the seeds has, in each group of troubles, six clients that send readiness checks, line ends, requests to unknown paths or late requests under new names to one router for 1 s to 5 s. The tests of the draws stand in a test file.

--- a/crates/gaparch-testbed/src/soak/faults.rs
+++ b/crates/gaparch-testbed/src/soak/faults.rs
@@ -1,5 +1,6 @@
 //! What goes wrong in a run: drawn from its seed, two or three troubles at a time.
 
+use crate::platform::FloodKind;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
@@ -35,6 +36,8 @@
     WholeLists { span: Duration },
     /// Connections that ask nothing, or only begin to, fill a router's descriptors; then it is told to end.
     CrowdRouter { router: usize, connections: usize, span: Duration },
+    /// Clients send small or invalid requests to a router at full speed.
+    FloodRouter { router: usize, kind: FloodKind, span: Duration },
 }
 
 /// What holds for a whole run.
@@ -44,6 +47,8 @@
     pub patience: Duration,
     /// Crowds of connections are among the troubles.
     pub crowds: bool,
+    /// Clients at full speed are among the troubles.
+    pub floods: bool,
 }
 
 /// Deadlines of the deployments, in milliseconds.
@@ -53,7 +58,7 @@
 pub fn shape(seed: u64) -> Shape {
     let mut draws = ChaCha8Rng::seed_from_u64(seed ^ 0x5aa9);
     let patience = Duration::from_millis(PATIENCES_MS[draws.random_range(0..PATIENCES_MS.len())]);
-    Shape { patience, crowds: draws.random_range(0..3) == 0 }
+    Shape { patience, crowds: draws.random_range(0..3) == 0, floods: draws.random_range(0..3) == 0 }
 }
 
 /// A trouble and when it begins.
@@ -67,13 +72,17 @@
 const GROUP_EVERY_MS: u64 = 3_000;
 /// Within which a group's troubles begin.
 const GROUP_SPREAD_MS: u64 = 900;
+/// What clients at full speed send.
+const FLOODS: [FloodKind; 4] =
+    [FloodKind::HealthChecks, FloodKind::BlankLines, FloodKind::UnknownPaths, FloodKind::NewNames];
 const CLOCKS: [i64; 7] = [0, 0, 5, -5, 3_600, -3_600, 7_200];
 
 /// Draws the troubles of a run.
 pub fn draw(seed: u64, span: Duration, routers: usize, workers: usize) -> Vec<Event> {
     let mut draws = ChaCha8Rng::seed_from_u64(seed);
+    let mut flood_draws = ChaCha8Rng::seed_from_u64(seed ^ 0xf1_00d0);
     let mut events = Vec::new();
-    let crowds = shape(seed).crowds;
+    let Shape { crowds, floods, .. } = shape(seed);
     let mut group = 1_500;
     while Duration::from_millis(group + GROUP_EVERY_MS) < span {
         for _ in 0..draws.random_range(2..=3) {
@@ -86,12 +95,22 @@
             let at = Duration::from_millis(group);
             events.push(Event { at, trouble: Trouble::CrowdRouter { router, connections, span } });
         }
+        if floods {
+            let at = Duration::from_millis(group + flood_draws.random_range(0..GROUP_SPREAD_MS));
+            events.push(Event { at, trouble: draw_flood(&mut flood_draws, routers) });
+        }
         group += GROUP_EVERY_MS;
     }
     events.sort_by_key(|event| event.at);
     events
 }
 
+fn draw_flood(draws: &mut ChaCha8Rng, routers: usize) -> Trouble {
+    let router = draws.random_range(0..routers);
+    let kind = FLOODS[draws.random_range(0..FLOODS.len())];
+    Trouble::FloodRouter { router, kind, span: Duration::from_millis(draws.random_range(1_000..5_000)) }
+}
+
 fn draw_one(draws: &mut ChaCha8Rng, routers: usize, workers: usize) -> Trouble {
     let worker = draws.random_range(0..workers);
     let router = draws.random_range(0..routers);
@@ -115,19 +134,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_seed_draws_the_same_troubles_again_and_they_overlap() {
-        let span = Duration::from_secs(20);
-        let events = draw(7, span, 8, 12);
-        assert_eq!(events, draw(7, span, 8, 12));
-        assert_ne!(events, draw(8, span, 8, 12));
-        assert!(
-            events.len() >= 10
-                && events.windows(2).any(|pair| pair[1].at - pair[0].at < Duration::from_millis(500))
-        );
-        assert!(events.iter().all(|event| event.at < span));
-    }
-}
+#[path = "faults_tests.rs"]
+mod tests;
--- a/crates/gaparch-testbed/src/soak/site.rs
+++ b/crates/gaparch-testbed/src/soak/site.rs
@@ -9,7 +9,7 @@
 use super::shim::{Shim, Steering};
 use super::worker::{monotonic_ns, Entry};
 use super::Options;
-use crate::platform::settings;
+use crate::platform::{settings, Flood};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
@@ -23,7 +23,7 @@
 use tempfile::TempDir;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
-use tokio::task::JoinSet;
+use tokio::task::{spawn_blocking, JoinSet};
 use tokio::time::{sleep, sleep_until, Instant};
 
 /// For a router to be there, and for what is open to end.
@@ -34,6 +34,8 @@
 const DESCRIPTORS: usize = 512;
 /// Clients of each router that go on with their connection.
 const STAYING: u64 = 2;
+/// Clients at full speed of a flood.
+const FLOOD_CLIENTS: usize = 6;
 const MEMORY_MB: usize = 64;
 const PORT: u16 = 8080;
 
@@ -267,6 +269,12 @@
                 crowding.await.map_err(io::Error::other)?;
                 self.routers[target.router].lock().await.crowds.push((from, monotonic_ns()));
             }
+            Trouble::FloodRouter { router, kind, span } => {
+                let flood = Flood::start(self.listen[router], kind, FLOOD_CLIENTS);
+                sleep(span).await;
+                // Joins the clients' threads.
+                spawn_blocking(move || drop(flood)).await.map_err(io::Error::other)?;
+            }
             Trouble::WholeLists { span } => {
                 self.discovery.send_full_lists(true);
                 sleep(span).await;
