Time the events of a fleet scenario from its start, not from the last router's

Seen: audit_scenarios_pass failed beside load: in stalled-list no event of router 1 was found that it had fetched list 1.2, although the list was there 0.1 s after the change, 1140 of 1140 requests were served and no rule was broken (listed in KNOWN-RED.txt; its reading, that the list had come from the service, was wrong).

Cause: a scenario's actions are timed from before its router processes are started, events from after. The start of nine processes takes longer on a busy machine; by more than 0.1 s, and the event lies before the action that it follows.

Trace: with 300 ms of delay put between the two (trial), stalled-list fails with exactly these lines ("no event contains 'fetched list 1.2 from router'", latest 0.1/0.2 s, 1140 of 1140 served). With the delay still there and this change, it holds. Delay taken out again.

Change: both are timed from the same instant, as the audit's entries were.

--- a/crates/gaparch-testbed/src/fleet/runner.rs
+++ b/crates/gaparch-testbed/src/fleet/runner.rs
@@ -151,7 +151,7 @@
         runner.note_at(Duration::ZERO, router, ProcessState::Running);
     }
     let mut tasks = JoinSet::new();
-    let began_at = runner.site.clock.now();
+    let began_at = runner.site.clock.at(runner.began.into_std());
     for router in 0..runner.scenario.routers {
         let place = OperationsAddress::Socket(runner.site.state_folder(router).with_extension("sock"));
         let observer = RouterObserver {
