Make room for new clients when all connections are busy

A new connection without a place waits for an idle one to close. Busy clients leave none idle, so it was dropped unanswered after 0.2 s, or waited in the listener's queue.

Change: if no connection is idle, the next sixteen that have answered a request are closed, until there is room again. The platform allows a close between requests: what crosses it was not read, and is sent once more. How many is decided in policy/shutdown_intake.rs; the summary counts them as busy_closed.

Tests of the crate and node.rs, memory.rs, busy_clients.rs pass.

--- a/crates/gaparch-cli/tests/busy_clients.rs
+++ b/crates/gaparch-cli/tests/busy_clients.rs
@@ -150,6 +150,33 @@
     assert!(received as usize >= FLOOD_CLIENTS * RESPONSE.len(), "received {received} bytes");
 }
 
+/// Sends a request on a new connection, and reads the first byte of its answer.
+fn is_answered(to: SocketAddr, txn: &str, within: Duration) -> bool {
+    let Ok(mut socket) = TcpStream::connect_timeout(&to, within) else { return false };
+    socket.set_read_timeout(Some(within)).expect("set");
+    socket.write_all(&head_and_body(txn, "{\"stream\":true}")).is_ok()
+        && socket.peek(&mut [0; 1]).is_ok_and(|length| length > 0)
+}
+
+/// Guards against busy clients that keep all connections for themselves, so that no other client gets one.
+#[test]
+fn new_clients_are_answered_beside_more_clients_at_full_speed_than_fit() {
+    /// Half of the descriptors but for some that are reserved are for clients.
+    const DESCRIPTORS: u32 = 128;
+    const CLIENTS: usize = 100;
+    const REQUESTS: usize = 10;
+    let limits = json!({"cores": 1.0, "memory_mb": 32, "sockets": DESCRIPTORS});
+    let mut site = Site::with(|config| config["limits"] = limits);
+    let flood = Flood::start(site.listen, FloodKind::NewNames, CLIENTS);
+    std::thread::sleep(Duration::from_millis(500));
+    let request =
+        |number: usize| is_answered(site.listen, &format!("new-{number}"), REMAINING + ANSWER_SLACK);
+    let answered = (0..REQUESTS).filter(|number| request(*number)).count();
+    drop(flood);
+    let log = site.kill_and_read_log();
+    assert_eq!(answered, REQUESTS, "{log}");
+}
+
 /// Guards against periodic work of the owner that waits until there is no message, which with many clients may never
 /// be.
 #[test]
--- a/crates/gaparch-platform-router/src/client/connection.rs
+++ b/crates/gaparch-platform-router/src/client/connection.rs
@@ -174,6 +174,10 @@
         let end = loop {
             self.reason_if_client_closes = CloseReason::ClientIdle;
             match self.serve_next(is_first).await {
+                Ok(AfterResponse::KeepAlive) if self.idle.take_busy_close() => {
+                    self.count_close(CloseReason::BusyClosed);
+                    return self.close(LINGER_TIMEOUT).await;
+                }
                 Ok(AfterResponse::KeepAlive) if self.dropped_bytes == 0 => {
                     self.socket.shrink_buffer();
                     self.socket.end_turn().await;
--- a/crates/gaparch-platform-router/src/client/idle_connections.rs
+++ b/crates/gaparch-platform-router/src/client/idle_connections.rs
@@ -1,7 +1,8 @@
-//! Client connections without an open request, in the order in which they are closed to make room for others.
+//! Client connections without an open request, in the order in which they are closed to make room for others. If
+//! there are none, the next connections that have answered a request are closed instead.
 
 use crate::sync::lock;
-use gaparch_scheduler::policy::shutdown_intake::ConnectionHistory;
+use gaparch_scheduler::policy::shutdown_intake::{ConnectionHistory, BUSY_CLOSED_AT_ONCE};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -17,6 +18,8 @@
 struct IdleTable {
     next_number: u64,
     by_closing_order: BTreeMap<ClosingOrder, IdleEntry>,
+    /// How many busy connections are to close after their response.
+    busy_to_close: usize,
 }
 
 /// Connections that have carried no request are closed first, then the one idle longest.
@@ -52,13 +55,29 @@
         IdleGuard { connections: Arc::clone(self), order, close }
     }
 
-    /// Asks the first connection in closing order to close.
+    /// Asks the first connection in closing order to close. If none is idle, asks busy ones to close after their
+    /// response.
     pub fn close_next(&self) {
-        if let Some((_, entry)) = lock(&self.table).by_closing_order.pop_first() {
-            entry.close.notify_one();
+        let mut table = lock(&self.table);
+        match table.by_closing_order.pop_first() {
+            Some((_, entry)) => entry.close.notify_one(),
+            None => table.busy_to_close = BUSY_CLOSED_AT_ONCE,
         }
     }
 
+    /// Withdraws what was asked of busy connections.
+    pub fn keep_busy(&self) {
+        lock(&self.table).busy_to_close = 0;
+    }
+
+    /// Whether a connection that has just answered a request has to close, which counts as done.
+    pub fn take_busy_close(&self) -> bool {
+        let mut table = lock(&self.table);
+        let is_wanted = table.busy_to_close > 0;
+        table.busy_to_close = table.busy_to_close.saturating_sub(1);
+        is_wanted
+    }
+
     /// Asks all connections that have been idle for at least `age` to close.
     pub fn close_older_than(&self, age: Duration) {
         lock(&self.table).by_closing_order.retain(|_, entry| {
--- a/crates/gaparch-platform-router/src/client/idle_connections_tests.rs
+++ b/crates/gaparch-platform-router/src/client/idle_connections_tests.rs
@@ -31,3 +31,21 @@
     idle.close_next();
     used.close_requested().await;
 }
+
+#[tokio::test]
+async fn busy_connections_are_closed_only_while_no_connection_is_idle() {
+    let idle = Arc::new(IdleConnections::default());
+    assert!(!idle.take_busy_close());
+    let guard = idle.enter(ConnectionHistory::CarriedRequests);
+    idle.close_next();
+    guard.close_requested().await;
+    assert!(!idle.take_busy_close(), "an idle one was closed");
+    idle.close_next();
+    for closed in 0..BUSY_CLOSED_AT_ONCE {
+        assert!(idle.take_busy_close(), "{closed} closed");
+    }
+    assert!(!idle.take_busy_close(), "enough were closed");
+    idle.close_next();
+    idle.keep_busy();
+    assert!(!idle.take_busy_close(), "there is room again");
+}
--- a/crates/gaparch-platform-router/src/client/listener.rs
+++ b/crates/gaparch-platform-router/src/client/listener.rs
@@ -101,11 +101,12 @@
         });
     }
 
-    /// Returns a permit for a connection. If none is left, closes an idle connection; returns `None` if no
-    /// permit becomes free in time.
+    /// Returns a permit for a connection. If none is left, closes an idle connection, or busy ones after their
+    /// response; returns `None` if no permit becomes free in time.
     async fn permit(&self) -> Option<OwnedSemaphorePermit> {
         let permits = &self.budget.clients;
         if let Ok(permit) = Arc::clone(permits).try_acquire_owned() {
+            self.idle.keep_busy();
             return Some(permit);
         }
         self.idle.close_next();
--- a/crates/gaparch-platform-router/src/close_reason.rs
+++ b/crates/gaparch-platform-router/src/close_reason.rs
@@ -13,6 +13,8 @@
     ClientDisconnected,
     /// It was idle, and its descriptor was needed or the router was shutting down.
     IdleClosed,
+    /// It had answered a request, its descriptor was needed and no connection was idle.
+    BusyClosed,
     /// Its last response announced the close.
     ResponseComplete,
     /// A stream broke off. Closing the connection without the last chunk tells the client so.
@@ -23,10 +25,11 @@
 }
 
 impl CloseReason {
-    const ALL: [CloseReason; 6] = [
+    const ALL: [CloseReason; 7] = [
         CloseReason::ClientIdle,
         CloseReason::ClientDisconnected,
         CloseReason::IdleClosed,
+        CloseReason::BusyClosed,
         CloseReason::ResponseComplete,
         CloseReason::StreamBroken,
         CloseReason::BadMessage,
@@ -38,6 +41,7 @@
             CloseReason::ClientIdle => "client_idle",
             CloseReason::ClientDisconnected => "client_disconnected",
             CloseReason::IdleClosed => "idle_closed",
+            CloseReason::BusyClosed => "busy_closed",
             CloseReason::ResponseComplete => "response_complete",
             CloseReason::StreamBroken => "stream_broken",
             CloseReason::BadMessage => "bad_message",
--- a/src/policy/shutdown_intake.rs
+++ b/src/policy/shutdown_intake.rs
@@ -1,5 +1,5 @@
-//! What a router accepts while it shuts down, and which idle connections are closed first to make room
-//! for new ones.
+//! What a router accepts while it shuts down, and which connections are closed first to make room for new
+//! ones.
 //!
 //! Times count from the shutdown request. Connections keep arriving for a while after it. A request
 //! that is accepted too late may still be in flight when the process is killed, and would be lost.
@@ -12,6 +12,10 @@
 /// router may be delayed by 0.15 s between reading its clock and its next step.
 pub const ACCEPT_REQUESTS_FOR: Nanos = 500_000_000;
 
+/// How many busy connections are closed after their response while a new one finds no place and none is
+/// idle. Closing takes some time, in which other new connections wait.
+pub const BUSY_CLOSED_AT_ONCE: usize = 16;
+
 /// What a connection without an open request has carried, in the order in which connections are closed
 /// to make room. A client that opens a connection for a request sends the request at once, so a
 /// connection that has carried nothing is needed least.
