--- a/review/stand-ins-2/router.rs
+++ b/review/stand-ins-2/router.rs
@@ -124,6 +124,7 @@
             .spawn()
             .expect("the router starts");
         PROCESSES[slot].store(child.id() as i32, Ordering::SeqCst);
+        let _ = std::fs::write(std::env::temp_dir().join(format!("router-{slot}.pid")), child.id().to_string());
         let router = Router { listen, folder, child, slot };
         let until = Instant::now() + Duration::from_secs(15);
         while router.health() != 200 {
@@ -156,17 +157,23 @@
     pub fn has_ended(&mut self) -> bool {
         let ended = matches!(self.child.try_wait(), Ok(Some(_)));
         if ended {
-            PROCESSES[self.slot].store(0, Ordering::SeqCst);
+            self.forget();
         }
         ended
     }
 
+    /// The process has ended: its id may be another's from now on.
+    fn forget(&self) {
+        PROCESSES[self.slot].store(0, Ordering::SeqCst);
+        let _ = std::fs::remove_file(std::env::temp_dir().join(format!("router-{}.pid", self.slot)));
+    }
+
     /// Kills the process, and copies the lines of its log into the record.
     pub fn end(mut self, record: &crate::site::Record) {
         if !self.has_ended() {
             self.signal(SIGKILL);
             let _ = self.child.wait();
-            PROCESSES[self.slot].store(0, Ordering::SeqCst);
+            self.forget();
         }
         for line in std::fs::read_to_string(self.folder.join("log.txt")).unwrap_or_default().lines() {
             // Thousands of new workers make thousands of these.
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -1,6 +1,7 @@
 //! What all stand-ins of a case share: the record, and what workers hold.
 
 use std::collections::HashMap;
+use std::io::Write;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
@@ -24,14 +25,18 @@
 
     pub fn line_at(&self, at: Instant, text: &str) {
         let seconds = at.saturating_duration_since(self.started).as_secs_f64();
-        self.lines.lock().unwrap().push((seconds, text.to_owned()));
+        self.lines.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push((seconds, text.to_owned()));
     }
 
     pub fn save(&self) {
-        let mut lines = self.lines.lock().unwrap().clone();
+        let mut lines = self.lines.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).clone();
         lines.sort_by(|a, b| a.0.total_cmp(&b.0));
         let text: String = lines.iter().map(|(at, text)| format!("{at:9.3} {text}\n")).collect();
-        std::fs::write(&self.file, text).expect("record.txt can be written");
+        // The first line is there already.
+        let file = std::fs::OpenOptions::new().create(true).append(true).open(&self.file);
+        if file.and_then(|mut file| file.write_all(text.as_bytes())).is_err() {
+            eprintln!("{} can't be written", self.file.display());
+        }
         for (at, text) in lines.iter().filter(|(_, text)| text.starts_with("BROKEN") || text.starts_with("result")) {
             println!("{at:9.3} {text}");
         }
