Reject requests that wait for memory before their client's time is up

Cause: reserve_body waited until the body's own limit of 2 s (2.7 s on a new connection) and did not use X-Remaining-Ms, which the head had stated. Evidence: body_kb at its whole share, lateness up to 2 s less the client's time, loop_delay_us=2021 and on-time answers to requests without a body reservation exclude the event loop and the scheduler. 'response late' now tells intake_ms.

Change: policy/intake_wait.rs gives the longest wait, the client's time less the scheduler's margin. Waits for memory for a body, for memory for a long head (0.4 s while the time is not known) and for a slot in the owner's queue follow it. That is why it works: whoever waits leaves while an answer still counts, and nothing of its request was forwarded.

--- a/crates/gaparch-platform-protocol/src/client_request.rs
+++ b/crates/gaparch-platform-protocol/src/client_request.rs
@@ -18,6 +18,8 @@
 /// Maximum number of tokens in a label.
 const MAX_TOKENS: u32 = 100_000_000;
 const NANOS_PER_MS: Nanos = 1_000_000;
+/// Name of the header that states how long the client waits, in lower case.
+const REMAINING_HEADER: &str = "x-remaining-ms";
 
 /// Request id chosen by the client: 1 to 64 letters, digits, `-` and `_`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -185,7 +187,21 @@
 }
 
 fn remaining_ms(head: &RequestHead) -> Option<u64> {
-    let HeaderValue::Single(digits) = head.header("x-remaining-ms") else { return None };
+    let HeaderValue::Single(digits) = head.header(REMAINING_HEADER) else { return None };
+    parse_remaining_ms(digits)
+}
+
+/// Returns how long a client waits for its first token, in nanoseconds, by a head of which only the first bytes
+/// have arrived; `None` if that is not stated in a complete line of them.
+pub fn remaining_of_incomplete_head(bytes: &[u8]) -> Option<Nanos> {
+    let text = String::from_utf8_lossy(bytes);
+    let (complete_lines, _) = text.rsplit_once("\r\n")?;
+    let mut headers = complete_lines.split("\r\n").filter_map(|line| line.split_once(':'));
+    let (_, digits) = headers.find(|(name, _)| name.eq_ignore_ascii_case(REMAINING_HEADER))?;
+    parse_remaining_ms(digits.trim()).map(|ms| ms * NANOS_PER_MS)
+}
+
+fn parse_remaining_ms(digits: &str) -> Option<u64> {
     if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
         return None;
     }
--- a/crates/gaparch-platform-router/src/buffered_socket.rs
+++ b/crates/gaparch-platform-router/src/buffered_socket.rs
@@ -257,20 +257,36 @@
         self.buffer.is_empty() && result.is_err_and(|error| would_block(&error))
     }
 
-    /// Makes space for a read, and reserves the memory if the buffer is long.
+    /// Makes space for a read. Waits for the memory if the buffer is long.
     async fn make_space(&mut self) {
-        let length = self.buffer.len();
-        if self.buffer.capacity() - length >= MIN_READ_SIZE {
-            return;
-        }
-        if self.reservation.is_none() && length + MIN_READ_SIZE > self.memory.unreserved {
+        if !self.try_make_space() {
             self.reservation = Some(self.memory.pool.reserve(RESERVED_CAPACITY).await);
+            self.grow_buffer();
         }
+    }
+
+    /// Makes space for a read, and reserves the memory if the buffer is long. Returns `false` if the next read
+    /// has to wait for that memory.
+    pub fn try_make_space(&mut self) -> bool {
+        if self.buffer.capacity() - self.buffer.len() >= MIN_READ_SIZE {
+            return true;
+        }
+        if self.lacks_memory() {
+            self.reservation = self.memory.pool.try_reserve(RESERVED_CAPACITY);
+        }
+        let has_memory = !self.lacks_memory();
+        if has_memory {
+            self.grow_buffer();
+        }
+        has_memory
+    }
+
+    fn grow_buffer(&mut self) {
         let capacity = if self.reservation.is_some() { RESERVED_CAPACITY } else { self.memory.unreserved };
-        self.buffer.reserve(capacity.saturating_sub(length).max(MIN_READ_SIZE));
+        self.buffer.reserve(capacity.saturating_sub(self.buffer.len()).max(MIN_READ_SIZE));
     }
 
-    /// Whether the next read has to wait for memory.
+    /// Whether the buffer needs a reservation for the next read and has none.
     pub fn lacks_memory(&self) -> bool {
         self.reservation.is_none() && self.buffer.len() + MIN_READ_SIZE > self.memory.unreserved
     }
--- a/crates/gaparch-platform-router/src/client/connection.rs
+++ b/crates/gaparch-platform-router/src/client/connection.rs
@@ -8,11 +8,12 @@
 use crate::shared_state::{Phase, SharedState};
 use crate::transient_errors::write_all;
 use crate::used_transactions::IdConflict;
-use gaparch_platform_protocol::client_request::ClientRequestError;
+use gaparch_platform_protocol::client_request::{remaining_of_incomplete_head, ClientRequestError};
 use gaparch_platform_protocol::head::{
     decode_request, encode_response, HeadError, RequestHead, MAX_HEAD_BYTES,
 };
 use gaparch_router::memory::ProgressCheck;
+use gaparch_scheduler::policy::intake_wait::longest_wait;
 use gaparch_scheduler::policy::shutdown_intake::ConnectionHistory;
 use std::future::Future;
 use std::sync::Arc;
@@ -244,7 +245,7 @@
             }
             let is_idle = arrived_at.is_none();
             let timeout_at = match arrived_at {
-                Some(arrived_at) => Some(self.request_deadline(is_first, arrived_at)),
+                Some(arrived_at) => Some(self.head_deadline(is_first, arrived_at)),
                 None => is_first.then(|| self.connected_at + REQUEST_TIMEOUT),
             };
             let read = tokio::select! {
@@ -291,6 +292,17 @@
         }
     }
 
+    /// Returns when the head of a request whose first byte arrived at `arrived_at` has to be complete. A head
+    /// that waits for memory is rejected while its client waits for an answer.
+    fn head_deadline(&mut self, is_first: bool, arrived_at: Instant) -> Instant {
+        let deadline = self.request_deadline(is_first, arrived_at);
+        if self.socket.try_make_space() {
+            return deadline;
+        }
+        let remaining = remaining_of_incomplete_head(&self.socket.buffer);
+        deadline.min(arrived_at + Duration::from_nanos(longest_wait(remaining)))
+    }
+
     /// Returns when a request whose first byte arrived at `arrived_at` has to be complete.
     fn request_deadline(&self, is_first: bool, arrived_at: Instant) -> Instant {
         let deadline = arrived_at + REQUEST_TIMEOUT;
--- a/crates/gaparch-platform-router/src/client/request.rs
+++ b/crates/gaparch-platform-router/src/client/request.rs
@@ -1,6 +1,7 @@
 //! Handling of one client request, from its head to the owner's response.
 
 use super::connection::{AfterResponse, ArrivedHead, Connection, ConnectionEnd, Rejection};
+use super::request_body::BodyDeadlines;
 use super::response_trace::ResponseTrace;
 use crate::close_reason::CloseReason;
 use crate::forwarded_request::ForwardedRequest;
@@ -10,10 +11,11 @@
 use gaparch_platform_protocol::client_request::{ClientRequest, HEALTH_PATH};
 use gaparch_platform_protocol::head::{encode_response, OpenRequestHead, RequestHead};
 use gaparch_scheduler::api::{Nanos, RequestId};
+use gaparch_scheduler::policy::intake_wait::longest_wait;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
-use tokio::time::Instant;
+use tokio::time::{timeout_at, Instant};
 
 /// Response body for a request that the owner rejected.
 pub(super) const REJECTED_TEXT: &str = "not done; a retry is harmless";
@@ -63,10 +65,13 @@
         let request = ClientRequest::from_head(&head, settings).map_err(Rejection::from)?;
         // A pattern would keep the header lines until the request has ended.
         let OpenRequestHead { target, framing, close: client_closes } = head.without_headers();
-        let body = self.read_request_body(framing, deadline).await?;
+        let rejected_at = arrived_at + Duration::from_nanos(longest_wait(Some(request.remaining)));
+        let deadlines = BodyDeadlines { complete: deadline, memory: deadline.min(rejected_at) };
+        let body = self.read_request_body(framing, deadlines).await?;
         let request = request.with_body_length(body.len());
         let request_queue = Arc::clone(&self.shared.request_queue);
-        let permit = self.while_connected(request_queue.acquire_owned()).await?;
+        let permit = self.while_connected(timeout_at(rejected_at, request_queue.acquire_owned())).await?;
+        let permit = permit.map_err(|_| Rejection::no_memory())?;
         let Ok(queue_permit) = permit else { return Err(ConnectionEnd::CloseRequested) };
         self.shared.register_transaction(&request.transaction).map_err(Rejection::from)?;
         let transaction = request.transaction.clone();
--- a/crates/gaparch-platform-router/src/client/request_body.rs
+++ b/crates/gaparch-platform-router/src/client/request_body.rs
@@ -38,20 +38,29 @@
     }
 }
 
+/// The time limits of a body.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BodyDeadlines {
+    /// When it has to be complete.
+    pub complete: Instant,
+    /// When it is rejected if it still waits for memory.
+    pub memory: Instant,
+}
+
 impl Connection {
-    /// Reads a body, which has to be complete at `deadline`.
+    /// Reads a body within the time limits.
     pub(super) async fn read_request_body(
         &mut self,
         framing: Framing,
-        deadline: Instant,
+        deadlines: BodyDeadlines,
     ) -> Result<Bytes, ConnectionEnd> {
         let body = match framing {
             Framing::Length(0) => return Err(Rejection::from(ClientRequestError::NoBody).into()),
             Framing::Length(length) if length > MAX_BODY_BYTES as u64 => {
                 return Err(Rejection::from(BodyReadError::TooLong).into());
             }
-            Framing::Length(length) => self.read_known_length(length as usize, deadline).await?,
-            Framing::Chunked | Framing::UntilClose => self.read_unknown_length(framing, deadline).await?,
+            Framing::Length(length) => self.read_known_length(length as usize, deadlines).await?,
+            Framing::Chunked | Framing::UntilClose => self.read_unknown_length(framing, deadlines).await?,
         };
         if body.is_empty() {
             return Err(Rejection::from(ClientRequestError::NoBody).into());
@@ -59,11 +68,15 @@
         Ok(body)
     }
 
-    async fn read_known_length(&mut self, length: usize, deadline: Instant) -> Result<Bytes, ConnectionEnd> {
+    async fn read_known_length(
+        &mut self,
+        length: usize,
+        deadlines: BodyDeadlines,
+    ) -> Result<Bytes, ConnectionEnd> {
         let mut waited = false;
         let reservation = match length {
             0..=MAX_UNRESERVED_BODY => None,
-            _ => Some(self.reserve_body(length, deadline, &mut waited).await?),
+            _ => Some(self.reserve_body(length, deadlines.memory, &mut waited).await?),
         };
         let mut body = ArrivingBody { bytes: BytesMut::with_capacity(length), reservation };
         let buffered = self.socket.buffer.len().min(length);
@@ -74,7 +87,7 @@
         while body.bytes.len() < length {
             let read = tokio::select! {
                 biased;
-                read = timeout_at(deadline, self.socket.read_into(&mut body.bytes, length)) => read,
+                read = timeout_at(deadlines.complete, self.socket.read_into(&mut body.bytes, length)) => read,
                 () = progress.due(), if body.reservation.is_some() => {
                     let missing = length - body.bytes.len();
                     self.check_progress(&mut progress, missing)?;
@@ -93,7 +106,7 @@
     async fn read_unknown_length(
         &mut self,
         framing: Framing,
-        deadline: Instant,
+        deadlines: BodyDeadlines,
     ) -> Result<Bytes, ConnectionEnd> {
         let mut waited = false;
         let mut decoder = BodyDecoder::new(framing);
@@ -111,7 +124,7 @@
                     }
                     if length > MAX_UNRESERVED_BODY && body.reservation.is_none() {
                         body.reservation =
-                            Some(self.reserve_body(MAX_BODY_BYTES, deadline, &mut waited).await?);
+                            Some(self.reserve_body(MAX_BODY_BYTES, deadlines.memory, &mut waited).await?);
                         // Growing step by step would copy the body again and again, and need more than it has.
                         body.bytes.reserve(MAX_BODY_BYTES - body.bytes.len());
                         progress = ProgressCheck::new(MAX_BODY_BYTES - body.bytes.len());
@@ -124,7 +137,7 @@
             }
             let read = tokio::select! {
                 biased;
-                read = timeout_at(deadline, self.socket.read()) => read,
+                read = timeout_at(deadlines.complete, self.socket.read()) => read,
                 () = progress.due(), if body.reservation.is_some() => {
                     self.check_progress(&mut progress, MAX_BODY_BYTES - body.bytes.len())?;
                     continue;
--- a/crates/gaparch-platform-router/src/client/response_trace.rs
+++ b/crates/gaparch-platform-router/src/client/response_trace.rs
@@ -20,6 +20,8 @@
     transaction: TransactionId,
     statistics: Arc<ClientStatistics>,
     arrived_at: Instant,
+    /// How long the request waited, from its first byte, until the owner got it.
+    intake: Duration,
     /// When the client stops waiting for the first byte.
     due_at: Instant,
     /// The status; 0 until the response begins.
@@ -41,6 +43,7 @@
             transaction,
             statistics,
             arrived_at,
+            intake: arrived_at.elapsed(),
             due_at,
             status: 0,
             first_byte_at: None,
@@ -76,6 +79,7 @@
             txn = self.transaction.as_str(),
             status = self.status,
             late_us = late.as_micros() as u64,
+            intake_us = self.intake.as_micros() as u64,
             first_byte_us = self.first_byte_us(),
             longest_queued_us = self.longest_queued.as_micros() as u64,
             ended_us = self.arrived_at.elapsed().as_micros() as u64,
@@ -88,6 +92,7 @@
                 txn = self.transaction.as_str(),
                 status = self.status,
                 late_ms = late.as_millis() as u64,
+                intake_ms = self.intake.as_millis() as u64,
                 longest_queued_ms = self.longest_queued.as_millis() as u64,
                 "response late"
             );
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -47,6 +47,7 @@
 mod endpoints;
 mod gossip;
 mod health;
+pub mod intake_wait;
 pub mod kv_release;
 mod load_probes;
 pub mod memory;
