Wait for streams without a time limit when a router shuts down

Cause: finish() in run/shutdown.rs waited 90 s for all that is open and then ended requests of every phase by StopNow. Evidence: the cut comes 90.0 s after SIGTERM with 'shut down' right behind it; an event a second excludes the limit on silent streams, disconnected=0 the client.

Change: after 90 s, or the longest deadline of a class, StopUnanswered ends only what has no answer yet; streams and connections that still write a response are waited for. It works since streams have limits of their own on progress (4.6 s at the worker, 20 s for a write to the client), so a router still ends once nothing streams soundly. A forced end is logged now; it was not.

--- a/crates/gaparch-platform-router/src/messages.rs
+++ b/crates/gaparch-platform-router/src/messages.rs
@@ -26,12 +26,28 @@
     DiscoveryDown,
     /// Send requests by the list that the router held before its start.
     UseLastKnownList,
-    /// Asks for the number of unfinished requests and releases.
-    CountOpen(oneshot::Sender<usize>),
+    /// Asks what is not finished.
+    CountOpen(oneshot::Sender<OpenCounts>),
     /// Reject new requests from this time on.
     StopAt(Nanos),
-    /// End all requests that are still open.
-    StopNow,
+    /// End all requests whose answer has not begun.
+    StopUnanswered,
+}
+
+/// What the owner has not finished.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct OpenCounts {
+    /// Requests whose answer is being streamed.
+    pub streams: usize,
+    /// All other requests, and releases.
+    pub others: usize,
+}
+
+impl OpenCounts {
+    /// Whether everything is finished.
+    pub fn is_empty(self) -> bool {
+        self == OpenCounts::default()
+    }
 }
 
 /// A request that a client connection passes to the owner.
--- a/crates/gaparch-platform-router/src/owner/mod.rs
+++ b/crates/gaparch-platform-router/src/owner/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::discovery::Subscription;
 use crate::gossip::{GossipMessage, GossipSocket};
-use crate::messages::{ArrivedRequest, AttemptEvent, AttemptUpdate, OwnerMessage};
+use crate::messages::{ArrivedRequest, AttemptEvent, AttemptUpdate, OpenCounts, OwnerMessage};
 use crate::shared_state::{SharedState, IDLE_TABLE_CAPACITY};
 use crate::stream_queue::StreamSender;
 use crate::worker::ConnectionPool;
@@ -19,7 +19,7 @@
 use gaparch_ops::OrderRegistry;
 use gaparch_platform_protocol::client_request::ClientRequest;
 use gaparch_protocol::engine::{AttemptKey, EngineFrame, RouterRun};
-use gaparch_router::core::{AcceptedRequest, ConnectionNumber, Core, Input, ListUpdate, Output};
+use gaparch_router::core::{AcceptedRequest, ConnectionNumber, Core, Input, ListUpdate, Output, Phase};
 use gaparch_scheduler::api::{Nanos, RequestId, ServerState};
 use gaparch_scheduler::policy::repeated_ids::is_repeat_harmful;
 use open_request::OpenRequest;
@@ -196,10 +196,10 @@
             }
             OwnerMessage::CountOpen(reply) => {
                 while self.releases.try_join_next().is_some() {}
-                let _ = reply.send(self.open.len() + self.releases.len());
+                let _ = reply.send(self.count_open());
             }
             OwnerMessage::StopAt(at) => self.core.handle(now, Input::StopAt(at), out),
-            OwnerMessage::StopNow => self.core.handle(now, Input::StopNow, out),
+            OwnerMessage::StopUnanswered => self.core.handle(now, Input::StopUnanswered, out),
         }
     }
 
@@ -274,6 +274,12 @@
         });
     }
 
+    fn count_open(&self) -> OpenCounts {
+        let is_stream = |id: &&RequestId| self.core.phase(**id) == Some(Phase::Streaming);
+        let streams = self.open.keys().filter(is_stream).count();
+        OpenCounts { streams, others: self.open.len() - streams + self.releases.len() }
+    }
+
     /// Removes requests that the core has finished.
     fn remove_finished(&mut self) {
         for id in self.touched.drain(..) {
--- a/crates/gaparch-platform-router/src/run/shutdown.rs
+++ b/crates/gaparch-platform-router/src/run/shutdown.rs
@@ -1,18 +1,17 @@
 //! Graceful shutdown of a router.
 
 use super::Router;
-use crate::messages::OwnerMessage;
+use crate::messages::{OpenCounts, OwnerMessage};
 use crate::shared_state::{Phase, SharedState};
-use gaparch_scheduler::policy::shutdown_intake::{ACCEPT_CONNECTIONS_FOR, ACCEPT_REQUESTS_FOR};
+use gaparch_scheduler::policy::shutdown_intake::{
+    end_unanswered_after, ACCEPT_CONNECTIONS_FOR, ACCEPT_REQUESTS_FOR,
+};
 use std::time::Duration;
 use tokio::sync::{oneshot, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
-/// How long to wait for open requests to finish. A stream may take a minute. The process may be killed
-/// earlier.
-const FINISH_TIMEOUT: Duration = Duration::from_secs(90);
-/// How long to wait for client connections to close after the last response, however late that was.
-const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long to wait for releases after the last response.
+const LAST_RELEASES_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between two checks for open requests and releases.
 const OPEN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -32,30 +31,40 @@
     tracing::info!("shut down");
 }
 
-/// Waits, with time limits, until all requests, their releases at workers and the responses being written to
-/// clients are finished.
+/// Waits until all requests, their releases at workers and the responses being written to clients are finished.
+/// Requests whose answer has not begun and releases have a time limit. A stream has none, since it would be lost:
+/// it ends with its worker, or is cut off when its worker or its client makes no progress.
 pub(super) async fn finish(shared: &SharedState, client_permits: &Semaphore, max_clients: usize) {
     // Requests from now on are rejected; earlier ones are waited for.
     shared.notify_owner(OwnerMessage::StopAt(shared.clock.now()));
-    let until = Instant::now() + FINISH_TIMEOUT;
-    if timeout_at(until, wait_until_nothing_is_open(shared)).await.is_err() {
-        shared.notify_owner(OwnerMessage::StopNow);
+    let until = Instant::now() + unanswered_timeout(shared);
+    if timeout_at(until, wait_until_open(shared, OpenCounts::is_empty)).await.is_err() {
+        tracing::info!("requests without an answer are ended; streams go on");
+        shared.notify_owner(OwnerMessage::StopUnanswered);
+        wait_until_open(shared, |open| open.streams == 0).await;
     }
     // Client connections may still be writing their last response, or reading bytes after they have shut down
     // their sending side, since closing over unread bytes would reset the connection. Each of these steps has
     // its own time limit.
-    let until = until.max(Instant::now() + LAST_RESPONSES_TIMEOUT);
-    let _ = timeout_at(until, client_permits.acquire_many(max_clients as u32)).await;
+    let _ = client_permits.acquire_many(max_clients as u32).await;
     // Requests ended by force may have started releases.
-    let _ = timeout_at(Instant::now() + LAST_RESPONSES_TIMEOUT, wait_until_nothing_is_open(shared)).await;
+    let until = Instant::now() + LAST_RELEASES_TIMEOUT;
+    let _ = timeout_at(until, wait_until_open(shared, OpenCounts::is_empty)).await;
 }
 
-/// Waits until no request or release is open. If the owner has ended, nothing is.
-async fn wait_until_nothing_is_open(shared: &SharedState) {
+/// Returns how long requests whose answer has not begun are waited for.
+fn unanswered_timeout(shared: &SharedState) -> Duration {
+    let classes = &shared.config.settings.scheduler.classes;
+    let longest_deadline = classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    Duration::from_nanos(end_unanswered_after(longest_deadline))
+}
+
+/// Waits until what is open meets a condition. If the owner has ended, nothing is open.
+async fn wait_until_open(shared: &SharedState, condition: impl Fn(OpenCounts) -> bool) {
     loop {
         let (reply, count) = oneshot::channel();
         shared.notify_owner(OwnerMessage::CountOpen(reply));
-        if count.await.unwrap_or(0) == 0 {
+        if condition(count.await.unwrap_or_default()) {
             return;
         }
         sleep(OPEN_CHECK_INTERVAL).await;
--- a/crates/gaparch-platform-router/tests/shutdown.rs
+++ b/crates/gaparch-platform-router/tests/shutdown.rs
@@ -91,3 +91,44 @@
     assert!(late_requests >= 4, "only {late_requests} requests were late");
     router.wait_for_shutdown();
 }
+
+/// Starts a stream of which the worker writes nothing after the first event.
+fn stalled_stream(router: &RunningRouter, txn: &str) -> TcpStream {
+    let mut steps = slow_stream(ms(0));
+    steps.truncate(1);
+    steps.push(Step::Hang);
+    router.reply_to_next_decode(&steps);
+    started_stream(router, txn)
+}
+
+/// A router that shuts down ends with its last sound stream: neither streams that make no progress nor clients that
+/// do not read keep it.
+#[test]
+fn the_router_ends_with_its_last_sound_stream_beside_stalled_ones() {
+    const SOUND_FOR: Duration = Duration::from_millis(6000);
+    let router = RunningRouter::with(|config| config["limits"]["sockets"] = json!(256));
+    let mut stalled: Vec<TcpStream> =
+        (0..4).map(|number| stalled_stream(&router, &format!("stalled-{number}"))).collect();
+    router.reply_to_next_decode(&slow_stream(ms(2000)));
+    let finished_unread = started_stream(&router, "finished-unread");
+    // One event after the other, each in time.
+    let steps: Vec<Step> = slow_stream(SOUND_FOR / 2).into_iter().collect();
+    let [Step::Put(first), wait, Step::Put(rest)] = &steps[..] else { panic!("{steps:?}") };
+    let middle = rest.windows(4).position(|w| w == b"\n\n\r\n").expect("an event") + 4;
+    let (second, last) = rest.split_at(middle);
+    let parts = [first, second, last].map(|part| Step::Put(part.to_vec()));
+    let [first, second, last] = parts;
+    router.reply_to_next_decode(&[first, wait.clone(), second, wait.clone(), last]);
+    let mut sound = started_stream(&router, "sound");
+    let shutdown_at = Instant::now();
+    router.send(Command::Shutdown);
+    assert!(read(&mut sound, LONG).is_complete, "the sound stream is cut off");
+    assert!(shutdown_at.elapsed() > SOUND_FOR - ms(500));
+    for client in &mut stalled {
+        assert!(!read(client, LONG).is_complete);
+    }
+    let sound_ended_at = Instant::now();
+    router.wait_for_shutdown();
+    assert!(sound_ended_at.elapsed() < Duration::from_secs(5), "{:?}", sound_ended_at.elapsed());
+    drop(finished_unread);
+}
--- a/crates/gaparch-router/src/core/input.rs
+++ b/crates/gaparch-router/src/core/input.rs
@@ -71,6 +71,8 @@
     OperatorChange(AcceptedChange),
     /// New requests are rejected from this time on, in nanoseconds since the Unix epoch.
     StopAt(Nanos),
+    /// All requests whose answer has not begun are ended at once. Streams go on.
+    StopUnanswered,
     /// All requests that are still open are ended at once.
     StopNow,
 }
--- a/crates/gaparch-router/src/core/mod.rs
+++ b/crates/gaparch-router/src/core/mod.rs
@@ -215,7 +215,8 @@
             }
             Input::OperatorChange(accepted) => self.on_operator_change(accepted, out),
             Input::StopAt(at) => self.stop_at(at),
-            Input::StopNow => self.stop_now(out),
+            Input::StopUnanswered => self.stop_requests(|phase| phase != Phase::Streaming, out),
+            Input::StopNow => self.stop_requests(|_| true, out),
         }
         self.run_scheduler(out);
     }
--- a/crates/gaparch-router/src/core/request_lifecycle.rs
+++ b/crates/gaparch-router/src/core/request_lifecycle.rs
@@ -3,7 +3,7 @@
 use super::attempts::AttemptResult;
 use super::request::{AcceptedRequest, TrackedRequest};
 use super::timers::Timer;
-use super::{Core, Output, ResponseEvent};
+use super::{Core, Output, Phase, ResponseEvent};
 use gaparch_ops::limits::OPEN_REQUESTS;
 use gaparch_protocol::ops::outcome::OutcomeCause;
 use gaparch_scheduler::api::{AttemptStatus, Event, RequestId};
@@ -94,10 +94,12 @@
         }
     }
 
-    pub(super) fn stop_now(&mut self, out: &mut Vec<Output>) {
+    /// Accepts no more requests, and ends the open ones that are in the given phases.
+    pub(super) fn stop_requests(&mut self, is_ended_in: impl Fn(Phase) -> bool, out: &mut Vec<Output>) {
         self.stop_at(self.now);
+        let is_ended = |tracked: &TrackedRequest| !tracked.answered && is_ended_in(tracked.phase());
         let open: Vec<RequestId> =
-            self.requests.iter().filter(|(_, tracked)| !tracked.answered).map(|(id, _)| *id).collect();
+            self.requests.iter().filter(|(_, tracked)| is_ended(tracked)).map(|(id, _)| *id).collect();
         for id in open {
             // A request without any attempt is safe to retry; for the others nothing is promised.
             let has_no_attempt = self.requests.get(&id).is_some_and(|tracked| tracked.next_attempt == 0);
--- a/crates/gaparch-router/tests/core.rs
+++ b/crates/gaparch-router/tests/core.rs
@@ -426,6 +426,25 @@
     assert_eq!(router.core.open_requests(), 0);
 }
 
+/// Guards against a sound stream that is cut off when a shutdown ends what has no answer yet.
+#[test]
+fn a_stop_of_unanswered_requests_leaves_streams_alone() {
+    let mut router = TestRouter::new();
+    let (decode_worker, key) = router.start_decode(1);
+    router.receive_frame(decode_worker, tokens(key, 0));
+    router.start_decode(2);
+    router.start_prefill(3);
+    router.input(Input::StopUnanswered);
+    for id in 2..=3 {
+        assert_eq!(final_answers(&router.outputs, id).len(), 1, "{id}");
+    }
+    assert!(final_answers(&router.outputs, 1).is_empty(), "the stream goes on");
+    assert_eq!(router.core.phase(RequestId(1)), Some(Phase::Streaming));
+    assert_eq!(router.core.open_requests(), 1);
+    let rejected = router.input(Input::RequestArrived { id: RequestId(4), request: request() });
+    assert!(matches!(final_answers(&rejected, 4)[..], [ResponseEvent::Rejected { .. }]));
+}
+
 #[test]
 fn the_same_inputs_give_the_same_outputs() {
     let run = || {
