Carry out reloads while a router shuts down

Cause: serve() took commands until Command::Shutdown and then awaited shut_down, in which nobody read the channel or went on with a reload that was still tried. Evidence: no 'configuration reloaded' in the log after SIGTERM; the list task itself follows a new address in any phase. That SIGTERM is reported before a SIGHUP within the same 25 ms makes it more frequent, and is harmless now.

Change: Reload::follow carries out reload commands and goes on with a pending reload for as long as shut_down runs. It works since the list task and the guards before each send know no shutdown: only the command did not reach them.

--- a/crates/gaparch-cli/tests/node.rs
+++ b/crates/gaparch-cli/tests/node.rs
@@ -499,6 +499,33 @@
     assert!(site.worker_log.requests()[before..].iter().all(|(worker, _)| worker != "w-1"));
 }
 
+/// Guards against a signal that is lost if it comes with another one: a router that was told to end follows the new
+/// discovery service until it has ended, in whichever order the signals came.
+#[test]
+fn sighup_together_with_sigterm_switches_the_discovery_service_in_either_order() {
+    for signals in [[Signal::TERM, Signal::HUP], [Signal::HUP, Signal::TERM]] {
+        let mut site = Site::new();
+        let whole = stream(&events());
+        let (first, rest) = whole.split_at(whole.len() - 40);
+        let steps = [Step::Put(first.to_vec()), Step::Wait(Duration::from_secs(2)), Step::Put(rest.to_vec())];
+        site.reply_to_next_decode(&steps);
+        let listen = site.listen;
+        let open = std::thread::spawn(move || ask(listen, "open"));
+        until("decode has started", || site.decode_requests("open") == 1);
+        let other = DiscoveryService::start(Platform::list(&site.prefill_workers, &site.decode_workers));
+        let mut config = site.config.clone();
+        config["discovery"] = json!(other.address.to_string());
+        std::fs::write(&site.file, config.to_string()).expect("written");
+        for signal in signals {
+            site.signal(signal);
+        }
+        let got = open.join().expect("the client thread ends");
+        assert_eq!((got.status, got.is_complete), (200, true));
+        assert!(other.responses() > 1, "{signals:?}: the new discovery service is followed");
+        assert!(site.wait_for_exit().success());
+    }
+}
+
 /// A router process with a known endpoint list, and the log of the workers in it.
 struct KnowingSite {
     site: Site,
--- a/crates/gaparch-platform-router/src/run/mod.rs
+++ b/crates/gaparch-platform-router/src/run/mod.rs
@@ -105,7 +105,7 @@
 }
 
 /// Runs a router with the configuration in `file` until it receives [`Command::Shutdown`] or all senders are
-/// gone.
+/// gone. Reload commands are carried out until it has shut down.
 ///
 /// # Errors
 /// Returns an error if the file can't be used, an address can't be bound, or the scheduler task ends.
@@ -115,19 +115,18 @@
     let mut router = Router::start(config, started_at).await?;
     let mut reload = Reload::new(file, Arc::clone(&router.shared), router.discovery.clone());
     loop {
-        let command = tokio::select! {
-            command = next_command(&mut commands, &mut router.owner) => command?,
-            () = reload.next_attempt_due() => {
-                reload.attempt();
-                continue;
-            }
-        };
-        match command {
-            Command::Reload => reload.start(),
-            Command::Shutdown => break,
+        tokio::select! {
+            command = next_command(&mut commands, &mut router.owner) => match command? {
+                Command::Reload => reload.start(),
+                Command::Shutdown => break,
+            },
+            () = reload.next_attempt_due() => reload.attempt(),
         }
     }
-    shut_down(router).await;
+    tokio::select! {
+        () = shut_down(router) => {}
+        never = reload.follow(commands) => match never {},
+    }
     Ok(())
 }
 
--- a/crates/gaparch-platform-router/src/run/reload.rs
+++ b/crates/gaparch-platform-router/src/run/reload.rs
@@ -1,13 +1,14 @@
 //! Reloading the configuration of a running router.
 
-use super::{load_config, log_diagnostics};
+use super::{load_config, log_diagnostics, Command};
 use crate::shared_state::SharedState;
 use gaparch_platform_protocol::config::RouterConfig;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, Instant};
 
 /// How long reading the configuration is retried. The old discovery service closes 1.5 s after the reload
@@ -30,6 +31,23 @@
         Reload { file, shared, discovery, retry_until: None }
     }
 
+    /// Carries out reload commands, and goes on with a pending reload, for as long as this is awaited. Open requests
+    /// are still sent to workers during a shutdown, so the endpoint list has to be that of the current discovery
+    /// service. Further shutdown commands have no effect.
+    pub async fn follow(mut self, mut commands: mpsc::Receiver<Command>) -> Infallible {
+        let mut is_open = true;
+        loop {
+            tokio::select! {
+                command = commands.recv(), if is_open => match command {
+                    Some(Command::Reload) => self.start(),
+                    Some(Command::Shutdown) => {}
+                    None => is_open = false,
+                },
+                () = self.next_attempt_due() => self.attempt(),
+            }
+        }
+    }
+
     /// Starts a reload, replacing a pending one.
     pub fn start(&mut self) {
         self.retry_until = Some(Instant::now() + RELOAD_TIMEOUT);
