Forget workers in the connection pool once they are no longer listed

Cause: the pool kept an entry for a minute after a worker's last response, listed or not, with capacity for four idle connections (about 1.2 KB) even where there was none. Evidence: workers=5842 in the summary with 3200 listed and idle=200.

Change: the pool drops, each second, workers that the core does not list, and keeps no capacity for idle connections that are not there. The tables of scheduler and core already follow the list.

--- a/crates/gaparch-platform-router/src/owner/mod.rs
+++ b/crates/gaparch-platform-router/src/owner/mod.rs
@@ -163,7 +163,7 @@
 
     /// Removes expired pool entries and finished tasks, and logs unfetched KV caches and slow starts.
     fn maintain(&mut self) {
-        self.pool.remove_expired();
+        self.pool.remove_expired(|server| self.core.is_listed(server));
         self.log_unfetched_kv_caches();
         self.log_slow_starts();
         while self.releases.try_join_next().is_some() {}
--- a/crates/gaparch-platform-router/src/worker/pool.rs
+++ b/crates/gaparch-platform-router/src/worker/pool.rs
@@ -31,8 +31,6 @@
 /// A worker without a response for this long is removed from the pool, unless it has idle connections. It is
 /// added again when it next responds.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
-/// Capacity that a worker's list of idle connections keeps when it shrinks.
-const MIN_IDLE_CAPACITY: usize = 4;
 
 /// One process of a worker. A different start time or address means a different process, with connections of
 /// its own.
@@ -315,16 +313,19 @@
         }
     }
 
-    /// Closes connections that have been idle too long or were closed by the worker, and removes workers
-    /// without idle connections that have not responded for [`FORGET_AFTER`].
-    pub fn remove_expired(&self) {
+    /// Closes connections that have been idle too long or were closed by the worker. Removes workers that are no
+    /// longer listed, and those without idle connections that have not responded for [`FORGET_AFTER`].
+    pub fn remove_expired(&self, is_listed: impl Fn(ServerId) -> bool) {
         let is_usable = |idle: &IdleConnection| {
             idle.since.elapsed() < self.idle_timeout && idle.connection.socket.is_quiet()
         };
-        lock(&self.workers).retain(|_, worker| {
+        let mut workers = lock(&self.workers);
+        workers.retain(|server, worker| {
             worker.idle.retain(is_usable);
-            worker.idle.shrink_to(MIN_IDLE_CAPACITY);
-            !worker.idle.is_empty() || worker.last_response_at.elapsed() < FORGET_AFTER
+            // Few of many workers have idle connections: the others need no memory for them.
+            worker.idle.shrink_to_fit();
+            let is_recent = !worker.idle.is_empty() || worker.last_response_at.elapsed() < FORGET_AFTER;
+            is_recent && is_listed(*server)
         });
     }
 
--- a/crates/gaparch-platform-router/src/worker/pool_tests.rs
+++ b/crates/gaparch-platform-router/src/worker/pool_tests.rs
@@ -1,6 +1,7 @@
 //! Tests the reuse of idle connections, connection hedging, and waiting for descriptor permits.
 
-use super::{ConnectionPool, LastExchange, ResponseHead, WorkerProcess, SETTLE_TIME};
+use super::{ConnectionPool, LastExchange, PoolSize, ResponseHead, WorkerProcess, SETTLE_TIME};
+use crate::sync::lock;
 use crate::test_support::buffer_memory;
 use bytes::BytesMut;
 use gaparch_platform_protocol::head::decode_response;
@@ -94,3 +95,23 @@
     });
     assert!(connection.is_ok());
 }
+
+/// Guards against memory for workers that were replaced: each release leaves thousands of them behind.
+#[tokio::test]
+async fn a_worker_that_is_no_longer_listed_is_removed_with_its_idle_connections() {
+    let (pool, process, _listener, _socket) = pool_with_idle().await;
+    pool.remove_expired(|server| server == process.server);
+    assert_eq!(pool.size(), PoolSize { workers: 1, idle_connections: 1 });
+    pool.remove_expired(|server| server != process.server);
+    assert_eq!(pool.size(), PoolSize { workers: 0, idle_connections: 0 });
+}
+
+/// Guards against memory for idle connections at each of thousands of workers, few of which have any.
+#[tokio::test]
+async fn a_worker_without_idle_connections_keeps_no_memory_for_them() {
+    let (pool, process, _listener, _socket) = pool_with_idle().await;
+    pool.close_idle(process.server);
+    pool.remove_expired(|_| true);
+    assert_eq!(pool.size(), PoolSize { workers: 1, idle_connections: 0 });
+    assert_eq!(lock(&pool.workers)[&process.server].idle.capacity(), 0);
+}
--- a/crates/gaparch-router/src/core/mod.rs
+++ b/crates/gaparch-router/src/core/mod.rs
@@ -167,6 +167,11 @@
         self.policy.slow_starts()
     }
 
+    /// Whether an engine is listed and not removed.
+    pub fn is_listed(&self, engine: ServerId) -> bool {
+        self.endpoints.is_present(engine)
+    }
+
     /// The engines that are listed and not removed.
     pub fn listed_engines(&self) -> impl Iterator<Item = ServerId> {
         self.endpoints.present().into_iter()
